Root package: core types, small interfaces, tool chain

Cause: the repository is empty and several areas are to be built at once. Conclusion: work on the areas can start against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+PACKAGES = ./...
+
+.PHONY: test lint format generate spec mutants measure capacity bench fuzz
+
+# All tests: unit, failure, golden sessions, separate processes and the model.
+test: spec
+	$(GO) test -race -count=1 -timeout 20m $(PACKAGES)
+
+lint:
+	@unformatted=$$($(GO) tool gofumpt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted by gofumpt:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool revive -config revive.toml -set_exit_status $(PACKAGES)
+
+format:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go')
+
+# Needs Debian's protobuf-compiler; the result is committed.
+generate:
+	$(GO) build -o bin/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	PATH="$$PWD/bin:$$PATH" protoc --go_out=. --go_opt=module=carawayspread \
+		--twirp_out=. --twirp_opt=module=carawayspread internal/connection/control/control.proto
+
+# Checks the model of the core protocol, and that its broken variants fail.
+spec:
+	@if [ -f spec/check.sh ]; then bash spec/check.sh; fi
--- /dev/null
+++ b/error.go
@@ -0,0 +1,137 @@
+package carawayspread
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code is the typed reason of a failed request, as callers and operators see it.
+type Code string
+
+// Codes of errors that callers and operators receive.
+const (
+	CodeMalformed        Code = "malformed_request"     // The body or a header cannot be read.
+	CodeTooLarge         Code = "request_too_large"     // The body exceeds the limit.
+	CodeMethod           Code = "method_not_allowed"    // The path does not take this method.
+	CodeNotFound         Code = "not_found"             // There is no such path.
+	CodeUnknownWorkspace Code = "unknown_workspace"     // No workspace has this name.
+	CodeUnknownClass     Code = "unknown_class"         // No class has this name.
+	CodeUnknownModel     Code = "unknown_model"         // No service offers this model.
+	CodeUnknownService   Code = "unknown_service"       // No service has this name.
+	CodeDeadlineExceeded Code = "deadline_exceeded"     // The caller's deadline has passed.
+	CodeOverloaded       Code = "overloaded"            // The class target cannot be met now.
+	CodeShareExceeded    Code = "share_exceeded"        // The workspace has used what the others leave.
+	CodeNoEndpoint       Code = "no_endpoint"           // No endpoint can take the request now.
+	CodeDraining         Code = "draining"              // This process is leaving.
+	CodeQuarantined      Code = "quarantined"           // The request crashed the endpoints that ran it.
+	CodeSuspect          Code = "suspect"               // The request is being tried alone after a crash.
+	CodeInProgress       Code = "in_progress"           // A request with this idempotency key is running.
+	CodeUnknownOutcome   Code = "unknown_outcome"       // Whether the request ran cannot be known. Final.
+	CodeKeyReused        Code = "idempotency_key_reuse" // The key was used with another body.
+	CodeStoreUnavailable Code = "store_unavailable"     // What needs agreement cannot be agreed now.
+	CodeEndpointFailed   Code = "endpoint_failed"       // The endpoint failed while it ran the request.
+	CodeIncomplete       Code = "incomplete_answer"     // The answer ended early and could not be resumed.
+	CodeConflict         Code = "version_conflict"      // The change was made against an older version.
+	CodeInvalid          Code = "invalid_change"        // The change does not pass the checks.
+	CodeDuplicateAttempt Code = "duplicate_attempt"     // The same attempt arrived twice.
+	CodeStale            Code = "stale_fence"           // The order carries an outdated fencing number.
+)
+
+// Error is a failed request with what its caller needs to act on it.
+type Error struct {
+	code    Code
+	message string
+	// notRun is true only where the process that made the error can prove that
+	// no endpoint has started the request and that none will.
+	notRun     bool
+	retryAfter time.Duration // zero where a retry makes no sense
+	cause      error
+}
+
+// ErrorOption sets an optional part of an Error.
+type ErrorOption func(*Error)
+
+// NotRun marks the request as proved not to have run.
+func NotRun() ErrorOption { return func(e *Error) { e.notRun = true } }
+
+// RetryAfter tells the caller when to come back.
+func RetryAfter(d time.Duration) ErrorOption { return func(e *Error) { e.retryAfter = d } }
+
+// CausedBy keeps the underlying error for logs; callers never see it.
+func CausedBy(err error) ErrorOption { return func(e *Error) { e.cause = err } }
+
+// NewError returns an error with that code and message.
+func NewError(code Code, message string, opts ...ErrorOption) *Error {
+	e := &Error{code: code, message: message}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// AsError finds an Error in the chain of err.
+func AsError(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
+
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("%s: %s", e.code, e.message)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.code, e.message, e.cause)
+}
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Code returns the typed reason.
+func (e *Error) Code() Code { return e.code }
+
+// Message returns the text for the caller.
+func (e *Error) Message() string { return e.message }
+
+// NotRun reports whether the request is proved not to have run.
+func (e *Error) NotRun() bool { return e.notRun }
+
+// RetryAfter returns when to come back; zero means that a retry makes no sense.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+var statusOf = map[Code]int{
+	CodeMalformed:        http.StatusBadRequest,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeMethod:           http.StatusMethodNotAllowed,
+	CodeNotFound:         http.StatusNotFound,
+	CodeUnknownWorkspace: http.StatusForbidden,
+	CodeUnknownClass:     http.StatusBadRequest,
+	CodeUnknownModel:     http.StatusNotFound,
+	CodeUnknownService:   http.StatusNotFound,
+	CodeDeadlineExceeded: http.StatusGatewayTimeout,
+	CodeOverloaded:       http.StatusServiceUnavailable,
+	CodeShareExceeded:    http.StatusTooManyRequests,
+	CodeNoEndpoint:       http.StatusServiceUnavailable,
+	CodeDraining:         http.StatusServiceUnavailable,
+	CodeQuarantined:      http.StatusUnprocessableEntity,
+	CodeSuspect:          http.StatusServiceUnavailable,
+	CodeInProgress:       http.StatusConflict,
+	CodeUnknownOutcome:   http.StatusConflict,
+	CodeKeyReused:        http.StatusUnprocessableEntity,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeEndpointFailed:   http.StatusBadGateway,
+	CodeIncomplete:       http.StatusBadGateway,
+	CodeConflict:         http.StatusConflict,
+	CodeInvalid:          http.StatusUnprocessableEntity,
+	CodeDuplicateAttempt: http.StatusConflict,
+	CodeStale:            http.StatusPreconditionFailed,
+}
+
+// Status returns the HTTP status that carries the code.
+func (c Code) Status() int {
+	if status, ok := statusOf[c]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/instance.go
@@ -0,0 +1,48 @@
+package carawayspread
+
+import "context"
+
+// InstanceState is what the platform says of an instance.
+type InstanceState string
+
+// States of instances.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving" // gets no new work and ends soon
+)
+
+// InstanceRole tells what runs on an instance.
+type InstanceRole string
+
+// Roles of instances.
+const (
+	InstanceEntry   InstanceRole = "entry"
+	InstanceSidecar InstanceRole = "sidecar"
+)
+
+// Instance is one row of the platform's instance list.
+type Instance struct {
+	ID      string        `json:"id"` // unique, never reused
+	Role    InstanceRole  `json:"role"`
+	State   InstanceState `json:"state"`
+	Region  string        `json:"region"`
+	Zone    string        `json:"zone"`    // the availability zone
+	Address string        `json:"address"` // IP number and port of its daemon's data path
+	Control string        `json:"control"` // IP number and port of its control service
+	// Endpoints are the workers beside a sidecar, with their services.
+	Endpoints []InstanceEndpoint `json:"endpoints,omitempty"`
+}
+
+// InstanceEndpoint is one worker of an instance.
+type InstanceEndpoint struct {
+	ID      EndpointID `json:"id"`
+	Service string     `json:"service"`
+}
+
+// InstanceList is the platform's list of instances. It lags behind reality.
+type InstanceList interface {
+	// List returns all instances and the revision of the list. Given the
+	// revision that the caller already has, it may answer with a nil slice and
+	// the same revision.
+	List(ctx context.Context, have string) (instances []Instance, revision string, err error)
+}
