Scheduler, router and limiter as pure modules, with their baselines

Cause: entries had interfaces for decisions and nothing behind them. Change: fairQueue (start-time fair queueing over workspaces by measured work, most urgent job first within a window, early refusal), hashRouter (two candidates for each fingerprint, load decides, overflow of known prefixes bounded), gradient (limit by latency); fifo, roundRobin, leastOutstanding and unlimited beside them, all found by registries in the root package. Scheduler gains Requeue and Served, Router answers with a Choice, so that a job that waits for a busy candidate is told from one whose candidates are lost.

Admission that counted the window for every workspace refused a fourth of the callers that stayed within their share.

--- a/decisions.go
+++ b/decisions.go
@@ -1,6 +1,26 @@
 package carawayspread
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Environment is what a process gives to each of its decision modules.
+type Environment struct {
+	Clock Clock
+	// Rand seeds the module. Only construction and modules whose callers
+	// serialise their calls draw from it.
+	Rand *rand.Rand
+	Zone string // availability zone of the process; empty when it does not matter
+}
+
+// Registries of the decision modules. An implementation registers itself when
+// its package is imported; the fallback is what daemons run.
+var (
+	Schedulers = NewRegistry[func(Environment) Scheduler]("fairQueue")
+	Routers    = NewRegistry[func(Environment) Router]("hashRouter")
+	Limiters   = NewRegistry[func(Environment) Limiter]("gradient")
+)
 
 // Scheduler decides who is served, who waits and who is refused, before one
 // service. Its callers serialise their calls.
@@ -8,37 +28,71 @@
 	// Offer queues the job or refuses it at once with an *Error that is not
 	// run and says when to come back.
 	Offer(job *Job) error
-	// Next removes and returns the job that is to be sent now, or nil.
+	// Next removes and returns the job that is to be sent now, or nil when
+	// none waits or all slots are taken. Each job that it returns comes back
+	// through Done or Requeue once.
 	Next() *Job
+	// Requeue puts back a job that could not be placed. Next returns it again
+	// after the next Done or Capacity.
+	Requeue(job *Job)
 	// Expired removes and returns the jobs that can no longer meet their
-	// target, each with its refusal.
+	// target or had to make room, each with its refusal.
 	Expired() []Refused
 	// Cancel removes a queued job whose caller went away; false when it is
 	// not queued.
 	Cancel(job *Job) bool
-	// Done reports the work that a job took in the end.
-	Done(job *Job, served Cost, took time.Duration)
-	// Capacity reports how many jobs the endpoints can run at once, as known now.
+	// Done frees the slot of a job and reports what it took.
+	Done(job *Job, served Served)
+	// Capacity reports how many jobs this process may have at the endpoints
+	// at once, as known now.
 	Capacity(slots int)
 	// Len returns the number of queued jobs.
 	Len() int
 }
 
+// Served is what a job took in the end. The zero value is a job that did not run.
+type Served struct {
+	Cost       Cost          // counted tokens
+	FirstToken time.Duration // from Next to the first byte of the answer
+	Took       time.Duration // from Next to the end of the answer
+}
+
 // Refused is a queued job with its final refusal.
 type Refused struct {
 	Job *Job
 	Err *Error
 }
 
+// Standing is what an entry holds against an endpoint at the moment of a pick.
+type Standing int
+
+// Standings of endpoints.
+const (
+	StandingFree Standing = iota
+	StandingBusy          // at its limit, takes work again soon
+	StandingOut           // ejected, tried already or known to be lost
+)
+
+// Choice is where a job goes.
+type Choice struct {
+	Endpoint EndpointID // empty when the job cannot be sent now
+	// Displaced says that none of the endpoints that the fingerprint maps to
+	// is available. The job may reach an endpoint that knows nothing of its
+	// earlier attempts, so quarantine demands a trial claim.
+	Displaced bool
+	// Wait says that an endpoint of the job is only busy.
+	Wait bool
+}
+
 // Router decides where work goes. It is safe for concurrent use.
 type Router interface {
 	// SetEndpoints replaces what is known of the endpoints of a service.
 	SetEndpoints(endpoints []Endpoint)
 	// Reported takes a report, which may be late or out of order.
 	Reported(report Report)
-	// Pick chooses an endpoint that exclude does not name; ok is false when
-	// there is none.
-	Pick(job *Job, exclude func(EndpointID) bool) (id EndpointID, ok bool)
+	// Pick chooses an endpoint for the job. Standing is asked only for the
+	// endpoints that come into question.
+	Pick(job *Job, standing func(EndpointID) Standing) Choice
 	// Sent and Ended follow the attempts of this entry.
 	Sent(id EndpointID, job *Job)
 	Ended(id EndpointID, job *Job, outcome Outcome)
@@ -49,7 +103,9 @@
 type Limiter interface {
 	// Acquire takes a place; false when all are taken.
 	Acquire() bool
-	// Release returns a place with the latency that the attempt measured.
+	// Release returns a place. The latency must be comparable between
+	// requests: the mean gap between tokens for engines, the whole time for
+	// plain services; zero when none was measured.
 	Release(latency time.Duration, outcome Outcome)
 	// Limit returns the places that there are now; at least 1.
 	Limit() int
@@ -69,11 +125,15 @@
 type Ejector interface {
 	// SetEndpoints replaces the endpoints that it judges.
 	SetEndpoints(ids []EndpointID)
-	// Observe takes the outcome of one attempt.
+	// Observe takes the outcome of one attempt, with a latency that is
+	// comparable between requests as for Limiter.
 	Observe(id EndpointID, latency time.Duration, outcome Outcome)
-	// Allowed reports whether the endpoint may get this request. It admits
-	// single trial requests to an ejected endpoint whose time has come.
+	// Allowed reports whether the endpoint may get a request. It changes
+	// nothing and may be asked for each endpoint that comes into question.
 	Allowed(id EndpointID) bool
+	// Sent tells that a request goes to the endpoint; it takes the place of
+	// the single trial request at an ejected endpoint whose time has come.
+	Sent(id EndpointID)
 }
 
 // RoleState is what a RolePolicy knows of one engine.
--- /dev/null
+++ b/internal/process/fifo/scheduler.go
@@ -0,0 +1,96 @@
+// Package fifo serves jobs in the order of arrival, without limits or
+// refusals. It is the baseline that other schedulers are compared with.
+package fifo
+
+import (
+	"container/list"
+
+	"carawayspread"
+)
+
+// Scheduler is a carawayspread.Scheduler in the order of arrival.
+type Scheduler struct {
+	slots   int
+	queue   list.List // of *carawayspread.Job, the oldest first
+	places  map[*carawayspread.Job]*list.Element
+	running map[*carawayspread.Job]bool
+	parked  []*carawayspread.Job // put back, until the next Done or Capacity
+}
+
+var _ = carawayspread.Schedulers.Register("fifo", func(carawayspread.Environment) carawayspread.Scheduler {
+	return New()
+})
+
+// New returns an empty queue with one slot.
+func New() *Scheduler {
+	return &Scheduler{
+		slots:   1,
+		places:  map[*carawayspread.Job]*list.Element{},
+		running: map[*carawayspread.Job]bool{},
+	}
+}
+
+// Offer queues the job.
+func (s *Scheduler) Offer(job *carawayspread.Job) error {
+	s.places[job] = s.queue.PushBack(job)
+	return nil
+}
+
+// Next returns the oldest job while slots are free.
+func (s *Scheduler) Next() *carawayspread.Job {
+	oldest := s.queue.Front()
+	if oldest == nil || len(s.running) >= s.slots || len(s.parked) > 0 {
+		return nil
+	}
+	job := s.queue.Remove(oldest).(*carawayspread.Job)
+	delete(s.places, job)
+	s.running[job] = true
+	return job
+}
+
+// Requeue puts the job back to the front and holds the queue.
+func (s *Scheduler) Requeue(job *carawayspread.Job) {
+	delete(s.running, job)
+	s.parked = append(s.parked, job)
+}
+
+// Expired returns nothing: no job is ever refused.
+func (s *Scheduler) Expired() []carawayspread.Refused { return nil }
+
+// Cancel removes a queued job.
+func (s *Scheduler) Cancel(job *carawayspread.Job) bool {
+	for n, parked := range s.parked {
+		if parked == job {
+			s.parked = append(s.parked[:n], s.parked[n+1:]...)
+			return true
+		}
+	}
+	place, ok := s.places[job]
+	if ok {
+		s.queue.Remove(place)
+		delete(s.places, job)
+	}
+	return ok
+}
+
+// Done frees the slot of the job.
+func (s *Scheduler) Done(job *carawayspread.Job, _ carawayspread.Served) {
+	delete(s.running, job)
+	s.unpark()
+}
+
+// Capacity sets the slots.
+func (s *Scheduler) Capacity(slots int) {
+	s.slots = slots
+	s.unpark()
+}
+
+// Len returns the number of queued jobs.
+func (s *Scheduler) Len() int { return s.queue.Len() + len(s.parked) }
+
+func (s *Scheduler) unpark() {
+	for _, job := range s.parked {
+		s.places[job] = s.queue.PushFront(job)
+	}
+	s.parked = nil
+}
--- /dev/null
+++ b/internal/process/hashrouter/endpoint.go
@@ -0,0 +1,78 @@
+package hashrouter
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"carawayspread"
+)
+
+// endpoint is what this entry knows of one worker. It lives on through changes
+// of the endpoint list.
+type endpoint struct {
+	id   carawayspread.EndpointID
+	own  atomic.Int64
+	last atomic.Pointer[heard] // nil before the first report
+}
+
+// heard is a report with what was known when it came. It is immutable.
+type heard struct {
+	report carawayspread.Report
+	own    int64 // attempts of this entry that ran when the report came
+}
+
+// hear keeps the newer of two reports, since datagrams overtake one another.
+// It reports whether the resident models changed.
+func (e *endpoint) hear(report carawayspread.Report) bool {
+	next := &heard{report: report, own: e.own.Load()}
+	for {
+		last := e.last.Load()
+		if last != nil && !report.Taken.After(last.report.Taken) {
+			return false
+		}
+		if e.last.CompareAndSwap(last, next) {
+			return last == nil && report.Models != nil || last != nil && !slices.Equal(last.report.Models, report.Models)
+		}
+	}
+}
+
+// load returns the use of the slots, where one means that all are taken. What
+// the report says is corrected by what this entry started and ended since. A
+// report that grows old loses its weight, so that silence does not send work
+// to the endpoints that were idle last.
+func (e *endpoint) load(now time.Time) float64 {
+	own := e.own.Load()
+	last := e.last.Load()
+	if last == nil {
+		return float64(own) / unknownSlots
+	}
+	report := &last.report
+	slots := float64(max(1, report.Slots))
+	told := float64(report.Running+report.Waiting) + float64(own-last.own)
+	weight := 1 - min(1, float64(now.Sub(report.Taken))/float64(reportLife))
+	return max(0, weight*told+(1-weight)*float64(own)) / slots
+}
+
+// down reports whether the endpoint said that it takes no work. A report of a
+// crash is believed for a while only: the sidecar may be gone and its endpoint
+// back under another one.
+func (e *endpoint) down(now time.Time) bool {
+	last := e.last.Load()
+	if last == nil {
+		return false
+	}
+	if last.report.Draining {
+		return true
+	}
+	return last.report.Crashed && now.Sub(last.report.Taken) < crashLife
+}
+
+// holds reports whether the model is resident, as far as known.
+func (e *endpoint) holds(model string) bool {
+	last := e.last.Load()
+	if model == "" || last == nil || last.report.Models == nil {
+		return true
+	}
+	return slices.Contains(last.report.Models, model)
+}
--- /dev/null
+++ b/internal/process/hashrouter/pick.go
@@ -0,0 +1,76 @@
+package hashrouter
+
+import (
+	"time"
+
+	"carawayspread"
+)
+
+// maxDisplaced bounds the endpoints that are tried beyond the candidates.
+const maxDisplaced = 16
+
+// pick is one choice in progress.
+type pick struct {
+	snapshot *snapshot
+	job      *carawayspread.Job
+	standing func(carawayspread.EndpointID) carawayspread.Standing
+	now      time.Time
+}
+
+func (p *pick) ask(e *endpoint) carawayspread.Standing {
+	if e == nil {
+		return carawayspread.StandingOut
+	}
+	m := p.snapshot.byID[e.id]
+	if m.leaving || !m.lost.IsZero() || e.down(p.now) {
+		return carawayspread.StandingOut
+	}
+	return p.standing(e.id)
+}
+
+// cost weighs load, distance and residency. An endpoint without the model must
+// load it first, which takes seconds: it is chosen only when the other one
+// lacks the model too.
+func (p *pick) cost(zone string, e *endpoint) float64 {
+	const absent = 10
+	cost := e.load(p.now)
+	if at := p.snapshot.byID[e.id].zone; zone != "" && at != zone {
+		cost += otherZone
+	}
+	if !e.holds(p.job.Model) {
+		cost += absent
+	}
+	return cost
+}
+
+// displaced walks on from the second candidate. It compares two available
+// endpoints, so that the work of a lost one is spread over its neighbours.
+func (p *pick) displaced(r *ring, from *endpoint) carawayspread.Choice {
+	if from == nil {
+		return carawayspread.Choice{}
+	}
+	choice := carawayspread.Choice{Displaced: true}
+	best := 0.0
+	hash := mix(p.job.Fingerprint, p.job.Prefix)
+	for n := range uint64(maxDisplaced) {
+		e := r.after(mix(hash, n))
+		switch p.ask(e) {
+		case carawayspread.StandingBusy:
+			choice.Wait = true
+		case carawayspread.StandingFree:
+			if choice.Endpoint != "" {
+				if e.load(p.now) < best {
+					choice.Endpoint = e.id
+				}
+				return settled(choice)
+			}
+			choice.Endpoint, best = e.id, e.load(p.now)
+		}
+	}
+	return settled(choice)
+}
+
+func settled(choice carawayspread.Choice) carawayspread.Choice {
+	choice.Wait = choice.Wait && choice.Endpoint == ""
+	return choice
+}
