Settings: one check of the whole file with every finding at its place

Cause: a daemon learns its addresses, zone and endpoints from a file; a check that stops at the first fault makes an operator correct it ten times. Ruled out: encoding/json into structs, which loses line and column, stops at the first wrong type and ignores duplicate fields.

--- /dev/null
+++ b/internal/version/finding/finding.go
@@ -0,0 +1,74 @@
+// Package finding describes what a check found and where, so that all findings
+// of one input are reported together.
+package finding
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Place tells where in an input a value stands. The zero Place is unknown.
+type Place struct {
+	File   string `json:"file,omitempty"`
+	Line   int    `json:"line,omitempty"`   // from 1; zero when the value was not read from text
+	Column int    `json:"column,omitempty"` // from 1, in characters
+	Path   string `json:"path,omitempty"`   // such as endpoints[2].address
+}
+
+// Finding is one fault of an input.
+type Finding struct {
+	Place
+	Message string `json:"message"`
+}
+
+// String returns the finding as file:line:column: path: message.
+func (f Finding) String() string {
+	var parts []string
+	if f.File != "" || f.Line > 0 {
+		parts = append(parts, fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column))
+	}
+	if f.Path != "" {
+		parts = append(parts, f.Path)
+	}
+	return strings.Join(append(parts, f.Message), ": ")
+}
+
+// List holds the findings of one input. It is an error when it is not empty.
+type List []Finding
+
+// Add appends a finding.
+func (l *List) Add(place Place, format string, args ...any) {
+	*l = append(*l, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
+}
+
+// Sort orders the findings by line, column and path.
+func (l List) Sort() {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(
+			cmp.Compare(a.File, b.File),
+			cmp.Compare(a.Line, b.Line),
+			cmp.Compare(a.Column, b.Column),
+			cmp.Compare(a.Path, b.Path),
+		)
+	})
+}
+
+// Err returns the sorted list as an error, or nil when it is empty.
+func (l List) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	l.Sort()
+	return l
+}
+
+// Error returns one line for each finding.
+func (l List) Error() string {
+	lines := make([]string, 0, len(l))
+	for _, f := range l {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/version/settings/parts.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"time"
+
+	"carawayspread"
+)
+
+// Platform tells where the platform's services are.
+type Platform struct {
+	table        string // IP number and port
+	tableName    string
+	objects      string // IP number and port
+	bucket       string
+	instanceList string // IP number and port
+	weights      string // IP number and port; sidecars only
+	awsRegion    string // the region that requests are signed for
+}
+
+// Table returns IP number and port of the table service.
+func (p Platform) Table() string { return p.table }
+
+// TableName returns the name of the table.
+func (p Platform) TableName() string { return p.tableName }
+
+// Objects returns IP number and port of the object store.
+func (p Platform) Objects() string { return p.objects }
+
+// Bucket returns the bucket in the object store.
+func (p Platform) Bucket() string { return p.bucket }
+
+// InstanceList returns IP number and port of the instance list.
+func (p Platform) InstanceList() string { return p.instanceList }
+
+// Weights returns IP number and port of the weight store; empty for entries.
+func (p Platform) Weights() string { return p.weights }
+
+// AWSRegion returns the region that requests to table and objects are signed for.
+func (p Platform) AWSRegion() string { return p.awsRegion }
+
+// Endpoint is one worker beside a sidecar.
+type Endpoint struct {
+	id      carawayspread.EndpointID // unique, never reused
+	service string
+	kind    carawayspread.Kind
+	address string // IP number and port of the worker
+	// checksFence says that the worker refuses an order with an old fencing
+	// number. Where false, orderGuard is set.
+	checksFence bool
+	orderGuard  string // loopback IP number and port held while orders are given
+	slots       int    // requests that the worker can run at once; at least 1
+}
+
+// ID returns the name of the endpoint.
+func (e Endpoint) ID() carawayspread.EndpointID { return e.id }
+
+// Service returns the service that the endpoint belongs to.
+func (e Endpoint) Service() string { return e.service }
+
+// Kind tells model engines from plain services.
+func (e Endpoint) Kind() carawayspread.Kind { return e.kind }
+
+// Address returns IP number and port of the worker.
+func (e Endpoint) Address() string { return e.address }
+
+// ChecksFence reports whether the worker refuses outdated fencing numbers.
+func (e Endpoint) ChecksFence() bool { return e.checksFence }
+
+// OrderGuard returns the loopback address of the order guard; may be empty
+// where the worker checks fences or takes no orders.
+func (e Endpoint) OrderGuard() string { return e.orderGuard }
+
+// Slots returns how many requests the worker can run at once.
+func (e Endpoint) Slots() int { return e.slots }
+
+// Limits bounds what is read from others.
+type Limits struct {
+	bodyBytes   int64
+	headerBytes int
+	connections int
+}
+
+// BodyBytes returns the size of the largest request body.
+func (l Limits) BodyBytes() int64 { return l.bodyBytes }
+
+// HeaderBytes returns the size of the largest request header.
+func (l Limits) HeaderBytes() int { return l.headerBytes }
+
+// Connections returns how many connections one listener holds at once.
+func (l Limits) Connections() int { return l.connections }
+
+// Timeouts bounds waiting. Each is positive.
+type Timeouts struct {
+	readHeader, readBody, idle, connect, firstByte time.Duration
+	betweenBytes, table, objects, control          time.Duration
+	drain, configPoll, configFresh, configRefresh  time.Duration
+}
+
+// ReadHeader bounds the reading of a request's header.
+func (t Timeouts) ReadHeader() time.Duration { return t.readHeader }
+
+// ReadBody bounds the reading of a request's body.
+func (t Timeouts) ReadBody() time.Duration { return t.readBody }
+
+// Idle bounds how long an unused connection is kept.
+func (t Timeouts) Idle() time.Duration { return t.idle }
+
+// Connect bounds the setting up of a connection.
+func (t Timeouts) Connect() time.Duration { return t.connect }
+
+// FirstByte bounds the wait for the first byte of an answer.
+func (t Timeouts) FirstByte() time.Duration { return t.firstByte }
+
+// BetweenBytes bounds the silence within an answer.
+func (t Timeouts) BetweenBytes() time.Duration { return t.betweenBytes }
+
+// Table bounds one request to the table service.
+func (t Timeouts) Table() time.Duration { return t.table }
+
+// Objects bounds one request to the object store.
+func (t Timeouts) Objects() time.Duration { return t.objects }
+
+// Control bounds one call of another daemon's control service.
+func (t Timeouts) Control() time.Duration { return t.control }
+
+// Drain bounds how long a graceful shutdown waits for running requests.
+func (t Timeouts) Drain() time.Duration { return t.drain }
+
+// ConfigPoll is the mean time between two reads of the configuration log.
+func (t Timeouts) ConfigPoll() time.Duration { return t.configPoll }
+
+// ConfigFresh is the age of evidence at which a configuration must be proved
+// current again before a request is served.
+func (t Timeouts) ConfigFresh() time.Duration { return t.configFresh }
+
+// ConfigRefresh bounds how long a request waits for that proof.
+func (t Timeouts) ConfigRefresh() time.Duration { return t.configRefresh }
