Demand by class, with its age, and measured rates for a RolePolicy

Cause: a policy that must follow from the class targets has to see which class brings the work, and it can't tell an old demand from a new one. Change: Demand lists its classes and says when it was taken; RoleState says which engines leave and what they were measured at.

--- a/decisions.go
+++ b/decisions.go
@@ -81,13 +81,27 @@
 	Endpoint EndpointID
 	Role     Role
 	Changing bool // is already changing its role
+	Leaving  bool // drains, is down or is not heard of: it is neither counted nor changed
 	Running  int  // requests that a change must move or wait for
 	KVBytes  int64
+	// PrefillRate and DecodeRate are tokens a second as measured with nothing
+	// else on the engine; zero when unknown.
+	PrefillRate float64
+	DecodeRate  float64
 }
 
 // Demand is the work of one service, measured since the last plan.
 type Demand struct {
-	PrefillTokens float64 // arriving a second
+	// Taken is when the demand was measured. A demand that is old, or that was
+	// planned for before, is no ground for a change.
+	Taken   time.Time
+	Classes []ClassDemand // at most one for each class
+}
+
+// ClassDemand is the part of a demand that one class brings.
+type ClassDemand struct {
+	Class         Class
+	PrefillTokens float64 // arriving a second, those in a prefix cache left out
 	DecodeTokens  float64 // arriving a second
 	QueuedPrefill float64 // tokens waiting
 	QueuedDecode  float64 // tokens waiting
