Configuration changes as typed deltas over a shared tree of workspaces

Ruled out: copying the map of workspaces for each version; a sharded map of our own, since google/btree clones by copy-on-write and keeps names in order. Change: change.Change is checked with all its findings and applied as Config.Next, which shares every untouched node.

--- a/config.go
+++ b/config.go
@@ -1,6 +1,15 @@
 package carawayspread
 
-import "sort"
+import (
+	"sort"
+	"sync"
+
+	"github.com/google/btree"
+)
+
+// workspaceDegree is the fan-out of the tree of workspaces. A change copies one
+// path of nodes; 16 keeps that near 2 KB at thousands of workspaces.
+const workspaceDegree = 16
 
 // Version numbers the accepted configurations. Each accepted change raises it
 // by one; zero means that no configuration is known.
@@ -21,23 +30,80 @@
 // Config is one accepted configuration. It is immutable: readers on the path
 // of a request hold the one that was current when the request arrived.
 type Config struct {
-	version    Version
-	classes    map[string]Class
-	workspaces map[string]Workspace
-	services   map[string]Service
-	byModel    map[string]string // model to the name of the service that offers it
+	version  Version
+	classes  map[string]Class
+	services map[string]Service
+	byModel  map[string]string // model to the name of the service that offers it
+	// workspaces shares its untouched nodes with earlier and later versions.
+	workspaces *btree.BTreeG[Workspace]
+	// cloneMu guards Clone, which marks the nodes of both trees as shared.
+	// Lookups need no lock.
+	cloneMu sync.Mutex
+}
+
+// Edit is what the next version of a configuration replaces. Its maps and
+// slices must not be modified afterwards.
+type Edit struct {
+	Classes          map[string]Class   // all classes; nil keeps them
+	Services         map[string]Service // all services; nil keeps them
+	SetWorkspaces    []Workspace
+	DeleteWorkspaces []string
 }
 
 // NewConfig returns the configuration with that version. The maps are keyed by
 // name and must not be modified afterwards.
 func NewConfig(version Version, classes map[string]Class, workspaces map[string]Workspace, services map[string]Service) *Config {
+	tree := btree.NewG(workspaceDegree, func(a, b Workspace) bool { return a.name < b.name })
+	for _, workspace := range workspaces {
+		tree.ReplaceOrInsert(workspace)
+	}
+	return &Config{
+		version: version, classes: classes, services: services,
+		byModel: modelsOf(services), workspaces: tree,
+	}
+}
+
+func modelsOf(services map[string]Service) map[string]string {
 	byModel := map[string]string{}
 	for name, service := range services {
 		for _, model := range service.models {
 			byModel[model] = name
 		}
 	}
-	return &Config{version: version, classes: classes, workspaces: workspaces, services: services, byModel: byModel}
+	return byModel
+}
+
+// Next returns a configuration with that version that differs by the edit and
+// shares everything else.
+func (c *Config) Next(version Version, edit Edit) *Config {
+	next := &Config{
+		version: version, classes: c.classes, services: c.services,
+		byModel: c.byModel, workspaces: c.workspaces,
+	}
+	if edit.Classes != nil {
+		next.classes = edit.Classes
+	}
+	if edit.Services != nil {
+		next.services = edit.Services
+		next.byModel = modelsOf(edit.Services)
+	}
+	if len(edit.SetWorkspaces) == 0 && len(edit.DeleteWorkspaces) == 0 {
+		return next
+	}
+	next.workspaces = c.cloneWorkspaces()
+	for _, name := range edit.DeleteWorkspaces {
+		next.workspaces.Delete(Workspace{name: name})
+	}
+	for _, workspace := range edit.SetWorkspaces {
+		next.workspaces.ReplaceOrInsert(workspace)
+	}
+	return next
+}
+
+func (c *Config) cloneWorkspaces() *btree.BTreeG[Workspace] {
+	c.cloneMu.Lock()
+	defer c.cloneMu.Unlock()
+	return c.workspaces.Clone()
 }
 
 // Version returns the number of the configuration.
@@ -51,8 +117,7 @@
 
 // Workspace finds a workspace by name.
 func (c *Config) Workspace(name string) (Workspace, bool) {
-	workspace, ok := c.workspaces[name]
-	return workspace, ok
+	return c.workspaces.Get(Workspace{name: name})
 }
 
 // Service finds a service by name.
@@ -74,7 +139,14 @@
 func (c *Config) Classes() []Class { return sorted(c.classes) }
 
 // Workspaces returns the workspaces ordered by name.
-func (c *Config) Workspaces() []Workspace { return sorted(c.workspaces) }
+func (c *Config) Workspaces() []Workspace {
+	workspaces := make([]Workspace, 0, c.workspaces.Len())
+	c.workspaces.Ascend(func(workspace Workspace) bool {
+		workspaces = append(workspaces, workspace)
+		return true
+	})
+	return workspaces
+}
 
 // Services returns the services ordered by name.
 func (c *Config) Services() []Service { return sorted(c.services) }
--- /dev/null
+++ b/internal/version/change/change_test.go
@@ -0,0 +1,159 @@
+package change
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+func sample(workspaces int) *carawayspread.Config {
+	set := map[string]carawayspread.Workspace{}
+	for i := range workspaces {
+		name := fmt.Sprintf("workspace-%05d", i)
+		set[name] = carawayspread.NewWorkspace(name)
+	}
+	target := carawayspread.NewTarget(300*time.Millisecond, 0, 0, 0.95)
+	classes := map[string]carawayspread.Class{"rulings": carawayspread.NewClass("rulings", target, false)}
+	services := map[string]carawayspread.Service{
+		"nombres-llm": carawayspread.NewService("nombres-llm", carawayspread.KindModel, []string{"nombres-7b"}, false),
+	}
+	return carawayspread.NewConfig(7, classes, set, services)
+}
+
+func TestApplyAndInverse(t *testing.T) {
+	old := sample(3)
+	c := Parse("change", []byte(`{
+		"set": {"classes": [{"name": "rulings", "firstToken": "200ms", "share": 0.9}], "workspaces": [{"name": "cadastre"}]},
+		"delete": {"workspaces": ["workspace-00001"]}, // gone to another fleet
+	}`))
+	next, err := c.Apply(old)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, next.Version(), qt.Equals, carawayspread.Version(8))
+	qt.Check(t, nameList(next.Workspaces()), qt.DeepEquals, []string{"cadastre", "workspace-00000", "workspace-00002"})
+	qt.Check(t, len(old.Workspaces()), qt.Equals, 3)
+	qt.Check(t, c.Touches(), qt.DeepEquals, []string{"class rulings", "workspace cadastre", "workspace workspace-00001"})
+
+	undone, err := c.Inverse(old).Apply(next)
+	qt.Assert(t, err, qt.IsNil)
+	want, _ := json.Marshal(Of(old))
+	got, _ := json.Marshal(Of(undone))
+	qt.Check(t, string(got), qt.Equals, string(want))
+}
+
+func TestCheckFindings(t *testing.T) {
+	tests := map[string]struct{ body, want string }{
+		"empty": {`{}`, `c:1:1: the change neither sets nor deletes anything`},
+		"malformed": {
+			"{\n\"set\" 1}",
+			`c:2:7: malformed JSON: invalid character '1' after object name`,
+		},
+		"many at once": {
+			`{"set": {
+  "classes": [{"name": "a b", "share": 2}, {"name": "x", "whole": "1 s", "share": 1}],
+  "services": [{"name": "other", "kind": "model", "models": ["nombres-7b"]}, {"name": "p", "kind": "plan"}],
+  "workspace": []},
+  "delete": {"classes": ["none", "x"]}}`,
+			`c:2:15: set.classes[0]: needs a target for firstToken or whole
+c:2:24: set.classes[0].name: must be letters, digits, dots, dashes and underscores, is "a b"
+c:2:40: set.classes[0].share: must be above 0 and at most 1, is 2
+c:2:67: set.classes[1].whole: must be a duration such as "300ms", is "1 s"
+c:3:62: set.services[0].models[0]: service nombres-llm offers the model nombres-7b already
+c:3:100: set.services[1].kind: must be model or plain, is "plan"
+c:4:3: set.workspace: unknown field
+c:5:26: delete.classes[0]: there is no "none" to delete
+c:5:34: delete.classes[1]: stands twice in the change: "x"`,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, Parse("c", []byte(test.body)).Check(sample(1)), qt.ErrorMatches, regexp.QuoteMeta(test.want))
+		})
+	}
+}
+
+// A service that is replaced may keep its models, and one change may move a
+// model from a service that it deletes.
+func TestCheckMovesModels(t *testing.T) {
+	moved := carawayspread.NewService("other", carawayspread.KindModel, []string{"nombres-7b"}, false)
+	_, err := New(SetService(moved), DeleteService("nombres-llm")).Apply(sample(0))
+	qt.Check(t, err, qt.IsNil)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"set": {"classes": [{"name": "a", "firstToken": "1s", "share": 1}]}, "delete": {"workspaces": ["b"]}}`))
+	f.Add([]byte(`{"set": {"services": [{"name": "a", "kind": "model", "models": ["m"]}]}}`))
+	cfg := sample(2)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c := Parse("fuzz", body)
+		next, err := c.Apply(cfg)
+		if err != nil {
+			return
+		}
+		stored, err := json.Marshal(c)
+		qt.Assert(t, err, qt.IsNil)
+		again := &Change{}
+		qt.Assert(t, json.Unmarshal(stored, again), qt.IsNil)
+		repeated, err := again.Apply(cfg)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, Of(repeated).wire(), qt.DeepEquals, Of(next).wire())
+	})
+}
+
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{10, 1000, 6800} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			cfg := sample(n)
+			c := New(SetWorkspace(carawayspread.NewWorkspace("workspace-00005x")))
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Apply(cfg); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{10, 1000, 6800} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			cfg := sample(n)
+			for b.Loop() {
+				cfg.Workspace("workspace-00007")
+			}
+		})
+	}
+}
+
+// heap returns the live bytes; the second collection sweeps what finalizers
+// and the sweep of the first left.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkResident reports the heap bytes of one configuration for each
+// workspace, and the bytes of a stored change and of a snapshot.
+func BenchmarkResident(b *testing.B) {
+	const n = 6800
+	for b.Loop() {
+		before := heap()
+		cfg := sample(n)
+		b.ReportMetric(float64(heap()-before)/n, "B/workspace")
+		snapshot, _ := json.Marshal(Of(cfg))
+		b.ReportMetric(float64(len(snapshot))/n, "snapshot-B/workspace")
+		class, _ := cfg.Class("rulings")
+		stored, _ := json.Marshal(New(SetClass(class)))
+		b.ReportMetric(float64(len(stored)), "B/change")
+	}
+}
--- /dev/null
+++ b/internal/version/change/codec.go
@@ -0,0 +1,182 @@
+package change
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+	"carawayspread/internal/version/document"
+	"carawayspread/internal/version/finding"
+)
+
+type wireChange struct {
+	Set    *wireValues `json:"set,omitempty"`
+	Delete *names      `json:"delete,omitempty"`
+}
+
+type wireValues struct {
+	Classes    []Class   `json:"classes,omitempty"`
+	Workspaces []Named   `json:"workspaces,omitempty"`
+	Services   []Service `json:"services,omitempty"`
+}
+
+// Class is the JSON form of a class.
+type Class struct {
+	Name          string  `json:"name"`
+	FirstToken    string  `json:"firstToken,omitempty"`
+	BetweenTokens string  `json:"betweenTokens,omitempty"`
+	Whole         string  `json:"whole,omitempty"`
+	Share         float64 `json:"share"`
+	AtMostOnce    bool    `json:"atMostOnce,omitempty"`
+}
+
+// Named is the JSON form of a workspace.
+type Named struct {
+	Name string `json:"name"`
+}
+
+// Service is the JSON form of a service.
+type Service struct {
+	Name       string   `json:"name"`
+	Kind       string   `json:"kind"`
+	Models     []string `json:"models,omitempty"`
+	Repeatable bool     `json:"repeatable,omitempty"`
+}
+
+// WireClass returns the JSON form of a class.
+func WireClass(class carawayspread.Class) Class {
+	target := class.Target()
+	return Class{
+		Name:          class.Name(),
+		FirstToken:    text(target.FirstToken()),
+		BetweenTokens: text(target.BetweenTokens()),
+		Whole:         text(target.Whole()),
+		Share:         target.Share(),
+		AtMostOnce:    class.AtMostOnce(),
+	}
+}
+
+// WireService returns the JSON form of a service.
+func WireService(service carawayspread.Service) Service {
+	return Service{
+		Name:       service.Name(),
+		Kind:       string(service.Kind()),
+		Models:     service.Models(),
+		Repeatable: service.Repeatable(),
+	}
+}
+
+func text(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return d.String()
+}
+
+func (c *Change) wire() wireChange {
+	wire := wireChange{}
+	if n := len(c.set.classes) + len(c.set.workspaces) + len(c.set.services); n > 0 {
+		wire.Set = &wireValues{}
+		for _, class := range c.set.classes {
+			wire.Set.Classes = append(wire.Set.Classes, WireClass(class))
+		}
+		for _, workspace := range c.set.workspaces {
+			wire.Set.Workspaces = append(wire.Set.Workspaces, Named{Name: workspace.Name()})
+		}
+		for _, service := range c.set.services {
+			wire.Set.Services = append(wire.Set.Services, WireService(service))
+		}
+	}
+	if len(c.delete.Classes)+len(c.delete.Workspaces)+len(c.delete.Services) > 0 {
+		wire.Delete = &c.delete
+	}
+	return wire
+}
+
+// Parse reads a change from JSON with comments. Faults of the text are reported
+// by Check together with the others.
+func Parse(name string, body []byte) *Change {
+	root := document.Parse(name, body)
+	c := read(root)
+	c.read = root.Findings()
+	return c
+}
+
+// UnmarshalJSON reads a change that was checked before it was kept; the first
+// fault is an error.
+func (c *Change) UnmarshalJSON(body []byte) error {
+	parsed := Parse("change", body)
+	if err := parsed.read.Err(); err != nil {
+		return trace.BadParameter("stored change: %v", err)
+	}
+	*c = Change{set: parsed.set, delete: parsed.delete}
+	return nil
+}
+
+func read(node document.Node) *Change {
+	c := &Change{source: node}
+	node = node.Object("set", "delete")
+	set := node.Field("set").Object("classes", "workspaces", "services")
+	c.set.classes = readAll(set.Field("classes"), readClass)
+	c.set.workspaces = readAll(set.Field("workspaces"), readWorkspace)
+	c.set.services = readAll(set.Field("services"), readService)
+	deleted := node.Field("delete").Object("classes", "workspaces", "services")
+	c.delete.Classes = readAll(deleted.Field("classes"), document.Node.Text)
+	c.delete.Workspaces = readAll(deleted.Field("workspaces"), document.Node.Text)
+	c.delete.Services = readAll(deleted.Field("services"), document.Node.Text)
+	return c
+}
+
+func readAll[T any](node document.Node, read func(document.Node) T) []T {
+	items, _ := node.Items()
+	if len(items) == 0 {
+		return nil
+	}
+	values := make([]T, 0, len(items))
+	for _, item := range items {
+		values = append(values, read(item))
+	}
+	return values
+}
+
+const (
+	minTarget = time.Microsecond
+	maxTarget = 24 * time.Hour
+)
+
+func readClass(node document.Node) carawayspread.Class {
+	node = node.Object("name", "firstToken", "betweenTokens", "whole", "share", "atMostOnce")
+	return carawayspread.NewClass(
+		node.Need("name").Text(),
+		carawayspread.NewTarget(
+			node.Field("firstToken").Duration(minTarget, maxTarget),
+			node.Field("betweenTokens").Duration(minTarget, maxTarget),
+			node.Field("whole").Duration(minTarget, maxTarget),
+			node.Need("share").Number(),
+		),
+		node.Field("atMostOnce").Bool(),
+	)
+}
+
+func readWorkspace(node document.Node) carawayspread.Workspace {
+	return carawayspread.NewWorkspace(node.Object("name").Need("name").Text())
+}
+
+func readService(node document.Node) carawayspread.Service {
+	node = node.Object("name", "kind", "models", "repeatable")
+	return carawayspread.NewService(
+		node.Need("name").Text(),
+		carawayspread.Kind(node.Need("kind").Text()),
+		readAll(node.Field("models"), document.Node.Text),
+		node.Field("repeatable").Bool(),
+	)
+}
+
+// place finds where a path of the change stands in the text it was read from.
+func (c *Change) place(path string) finding.Place {
+	if !c.source.Exists() {
+		return finding.Place{Path: path}
+	}
+	return c.source.Find(path).Place()
+}
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"regexp"
 	"strconv"
-	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 
@@ -61,6 +60,9 @@
 // Err returns all findings of the document, or nil.
 func (n Node) Err() error { return n.source.findings.Err() }
 
+// Findings returns what was found so far, in no order.
+func (n Node) Findings() finding.List { return n.source.findings }
+
 // Exists reports whether the document holds the value.
 func (n Node) Exists() bool { return n.value != nil && !n.silent }
 
@@ -83,7 +85,7 @@
 func (s *source) position(at int) (line, column int) {
 	at = min(at, len(s.body))
 	start := bytes.LastIndexByte(s.body[:at], '\n') + 1
-	return bytes.Count(s.body[:start], []byte{'\n'}) + 1, utf8.RuneCount(s.body[start:at]) + 1
+	return bytes.Count(s.body[:start], []byte{'\n'}) + 1, at - start + 1
 }
 
 // Object checks that the value is an object that has only the named fields,
@@ -204,8 +206,40 @@
 }
 
 func join(path, name string) string {
+	if name == "" {
+		return path
+	}
 	if path == "" {
 		return name
 	}
 	return path + "." + name
 }
+
+// Find returns the value at a path below the node, such as
+// set.classes[0].share, or the nearest enclosing value under that path.
+func (n Node) Find(path string) Node {
+	found := n
+	for _, step := range steps.FindAllStringSubmatch(path, -1) {
+		next := found.step(step[1], step[2])
+		if next.value == nil {
+			break
+		}
+		found = next
+	}
+	found.path = join(n.path, path)
+	return found
+}
+
+var steps = regexp.MustCompile(`\.?([^.\[\]]+)|\[(\d+)\]`)
+
+func (n Node) step(field, index string) Node {
+	if field != "" {
+		return n.Field(field)
+	}
+	items, _ := n.Items()
+	i, err := strconv.Atoi(index)
+	if err != nil || i >= len(items) {
+		return Node{source: n.source}
+	}
+	return items[i]
+}
--- a/internal/version/finding/finding.go
+++ b/internal/version/finding/finding.go
@@ -13,7 +13,7 @@
 type Place struct {
 	File   string `json:"file,omitempty"`
 	Line   int    `json:"line,omitempty"`   // from 1; zero when the value was not read from text
-	Column int    `json:"column,omitempty"` // from 1, in characters
+	Column int    `json:"column,omitempty"` // from 1, in bytes
 	Path   string `json:"path,omitempty"`   // such as endpoints[2].address
 }
 
@@ -43,6 +43,11 @@
 	*l = append(*l, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
 }
 
+// At reports whether a finding stands at the path.
+func (l List) At(path string) bool {
+	return slices.ContainsFunc(l, func(f Finding) bool { return f.Path == path })
+}
+
 // Sort orders the findings by line, column and path.
 func (l List) Sort() {
 	slices.SortStableFunc(l, func(a, b Finding) int {
