Table service, object store, instance list, weight store: stand-ins and clients

Cause: nothing spoke to the platform yet. Change: stand-ins in memory with faults that are switched at run time (down, slow, throttled, answer lost after the write took effect) and counters; one client each. The table client sends every request once and calls a write not written only where no connection was made or the service said that it refused. Ruled out: the repeats of the SDK for writes. With them the tests of an answer lost after the write fail (single and transaction: a failed condition is reported for a write that took effect). Before, without the safeguards: calling every transport error "not sent" turns four cases of TestWriteFailures red; fetching weights again before the named time turns TestFetchKeepsAwayUntilTold red. After: green, also with -race.

--- /dev/null
+++ b/internal/connection/instancelist/doc.go
@@ -0,0 +1,3 @@
+// Package instancelist reads the platform's list of instances over HTTP. An
+// unchanged list costs an answer without a body.
+package instancelist
--- /dev/null
+++ b/internal/connection/weights/doc.go
@@ -0,0 +1,2 @@
+// Package weights reads from the platform's rate-limited weight store.
+package weights
--- /dev/null
+++ b/internal/connection/weights/store.go
@@ -0,0 +1,89 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+)
+
+const (
+	defaultRetryAfter = 5 * time.Second // where the store names no time
+	maxRetryAfter     = 10 * time.Minute
+	idleConnTimeout   = 90 * time.Second
+)
+
+// Store is the platform's weight store. It is safe for concurrent use.
+type Store struct {
+	client *http.Client
+	url    string
+	clock  carawayspread.Clock
+	// closedUntil is when the store takes requests again, in Unix nanoseconds.
+	closedUntil atomic.Int64
+}
+
+// New returns the weight store at a base URL such as http://127.0.0.1:6000.
+func New(baseURL string, clock carawayspread.Clock) *Store {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
+	return &Store{client: &http.Client{Transport: transport}, url: baseURL + "/weights/", clock: clock}
+}
+
+// Close closes idle connections.
+func (s *Store) Close() { s.client.CloseIdleConnections() }
+
+// Fetch copies the weights with that name to w and returns their size. Beyond
+// the store's rate it returns an *carawayspread.Error that says when to come
+// back; until then it refuses without a request, so that processes which all
+// want weights do not use up the store's rate by being refused.
+func (s *Store) Fetch(ctx context.Context, name string, w io.Writer) (int64, error) {
+	if wait := s.wait(); wait > 0 {
+		return 0, limited(wait)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url+name, nil)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		n, err := io.Copy(w, resp.Body)
+		return n, trace.Wrap(err)
+	case http.StatusTooManyRequests:
+		wait := parseRetryAfter(resp.Header.Get("Retry-After"))
+		s.closedUntil.Store(s.clock.Now().Add(wait).UnixNano())
+		return 0, limited(wait)
+	}
+	return 0, fmt.Errorf("weight store: status %d", resp.StatusCode)
+}
+
+func (s *Store) wait() time.Duration {
+	return time.Duration(s.closedUntil.Load() - s.clock.Now().UnixNano())
+}
+
+func limited(wait time.Duration) error {
+	return carawayspread.NewError(carawayspread.CodeOverloaded, "the weight store is at its rate limit",
+		carawayspread.NotRun(), carawayspread.RetryAfter(wait))
+}
+
+// parseRetryAfter reads a number of seconds and bounds it.
+func parseRetryAfter(header string) time.Duration {
+	seconds, err := strconv.Atoi(header)
+	if err != nil || seconds < 0 {
+		return defaultRetryAfter
+	}
+	if seconds > int(maxRetryAfter/time.Second) {
+		return maxRetryAfter
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/connection/weights/store_test.go
@@ -0,0 +1,55 @@
+package weights
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"carawayspread"
+	"carawayspread/internal/standin/weights"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Several processes want weights at once. The store refuses beyond its rate
+// and names a time; until then the client refuses by itself, and says when.
+func TestFetchKeepsAwayUntilTold(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	service := weights.New(clock, 10*time.Second, 1, 64)
+	server := httptest.NewServer(service)
+	defer server.Close()
+	store := New(server.URL, clock)
+	defer store.Close()
+	ctx := context.Background()
+
+	n, err := store.Fetch(ctx, "model", io.Discard)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, n, qt.Equals, int64(64))
+	for range 3 {
+		_, err = store.Fetch(ctx, "model", io.Discard)
+		typed, ok := carawayspread.AsError(err)
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%v", err))
+		qt.Check(t, typed.NotRun(), qt.IsTrue)
+		qt.Check(t, typed.RetryAfter(), qt.Equals, 10*time.Second)
+	}
+	qt.Check(t, service.Reads(), qt.Equals, uint64(2))
+	clock.Advance(10 * time.Second)
+	_, err = store.Fetch(ctx, "model", io.Discard)
+	qt.Check(t, err, qt.IsNil)
+}
+
+func FuzzParseRetryAfter(f *testing.F) {
+	f.Add("7")
+	f.Add("-1")
+	f.Add("99999999999999999999")
+	f.Fuzz(func(t *testing.T, header string) {
+		wait := parseRetryAfter(header)
+		qt.Assert(t, wait >= 0 && wait <= maxRetryAfter, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/internal/standin/table/operations.go
@@ -0,0 +1,191 @@
+package table
+
+import "strings"
+
+// conditionFailed is the code of a failed condition in a cancelled transaction.
+const conditionFailed = "ConditionalCheckFailed"
+
+func keyOf(table string, key attributes) (record, *failure) {
+	partition, sort := key[partitionAttribute].S, key[sortAttribute].S
+	if partition == nil || sort == nil || *partition == "" || *sort == "" {
+		return record{}, invalid("the key needs the strings partition and sort")
+	}
+	return record{table: table, partition: *partition, sort: *sort}, nil
+}
+
+func (t *Table) get(req *request) (any, *failure) {
+	key, err := keyOf(req.TableName, req.Key)
+	if err != nil {
+		return nil, err
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	found, _ := t.records.Get(key)
+	return itemAnswer{Item: found.item}, nil
+}
+
+func (t *Table) query(req *request) (any, *failure) {
+	if req.Limit <= 0 || req.Limit > maxPage {
+		req.Limit = maxPage
+	}
+	partition, err := req.queriedPartition()
+	if err != nil {
+		return nil, err
+	}
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	page := queryAnswer{Items: []attributes{}}
+	start := record{table: req.TableName, partition: partition}
+	t.records.AscendGreaterOrEqual(start, func(r record) bool {
+		if r.table != start.table || r.partition != partition {
+			return false
+		}
+		if len(page.Items) == req.Limit {
+			page.LastEvaluatedKey = lastKey(page.Items)
+			return false
+		}
+		var ok bool
+		if ok, err = req.holds(req.KeyConditionExpression, r.item); ok {
+			page.Items = append(page.Items, r.item)
+		}
+		return err == nil
+	})
+	page.Count, page.ScannedCount = len(page.Items), len(page.Items)
+	return page, err
+}
+
+// queriedPartition finds the partition in a key condition, which opens with
+// "name = :value" on the partition.
+func (r *request) queriedPartition() (string, *failure) {
+	parts := strings.Fields(r.KeyConditionExpression)
+	if len(parts) < 3 || r.name(parts[0]) != partitionAttribute || parts[1] != "=" {
+		return "", invalid("the key condition must open with the partition")
+	}
+	v := r.ExpressionAttributeValues[parts[2]]
+	if v.S == nil {
+		return "", invalid("the partition must be a string")
+	}
+	return *v.S, nil
+}
+
+func lastKey(items []attributes) attributes {
+	last := items[len(items)-1]
+	return attributes{partitionAttribute: last[partitionAttribute], sortAttribute: last[sortAttribute]}
+}
+
+func (t *Table) writeOne(item transactItem) *failure {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ok, err := t.check(item)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return failed("ConditionalCheckFailedException", "The conditional request failed")
+	}
+	t.store(item)
+	return nil
+}
+
+func (t *Table) transact(items []transactItem) *failure {
+	if len(items) == 0 || len(items) > maxTransact {
+		return invalid("a transaction takes 1 to 100 items")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[itemKey]bool{}
+	reasons := make([]reason, len(items))
+	cancelled := false
+	for i, item := range items {
+		key, err := item.key()
+		if err != nil {
+			return err
+		}
+		if seen[key.name()] {
+			return invalid("Transaction request cannot include multiple operations on one item")
+		}
+		seen[key.name()] = true
+		ok, err := t.check(item)
+		if err != nil {
+			return err
+		}
+		reasons[i].Code = "None"
+		if !ok {
+			reasons[i] = reason{Code: conditionFailed, Message: "The conditional request failed"}
+			cancelled = true
+		}
+	}
+	if cancelled {
+		err := failed("TransactionCanceledException", "Transaction cancelled")
+		err.CancellationReasons = reasons
+		return err
+	}
+	for _, item := range items {
+		t.store(item)
+	}
+	return nil
+}
+
+// itemKey names one record.
+type itemKey struct{ table, partition, sort string }
+
+func (r record) name() itemKey { return itemKey{r.table, r.partition, r.sort} }
+
+// key returns the key that the one member names.
+func (i transactItem) key() (record, *failure) {
+	switch {
+	case i.Put != nil:
+		return keyOf(i.Put.TableName, i.Put.Item)
+	case i.Delete != nil:
+		return keyOf(i.Delete.TableName, i.Delete.Key)
+	case i.ConditionCheck != nil:
+		return keyOf(i.ConditionCheck.TableName, i.ConditionCheck.Key)
+	}
+	return record{}, invalid("empty item in a transaction")
+}
+
+func (i transactItem) request() *request {
+	switch {
+	case i.Put != nil:
+		return i.Put
+	case i.Delete != nil:
+		return i.Delete
+	}
+	return i.ConditionCheck
+}
+
+// check evaluates the condition against what is stored now.
+func (t *Table) check(item transactItem) (bool, *failure) {
+	key, err := item.key()
+	if err != nil {
+		return false, err
+	}
+	if item.Put != nil && item.Put.Item.size() > maxItemBytes {
+		return false, invalid("Item size has exceeded the maximum allowed size")
+	}
+	found, _ := t.records.Get(key)
+	req := item.request()
+	return req.holds(req.ConditionExpression, found.item)
+}
+
+func (t *Table) store(item transactItem) {
+	key, _ := item.key()
+	switch {
+	case item.Put != nil:
+		key.item = item.Put.Item
+		t.records.ReplaceOrInsert(key)
+	case item.Delete != nil:
+		t.records.Delete(key)
+	}
+}
+
+func (a attributes) size() int {
+	n := 0
+	for name, v := range a {
+		n += len(name) + len(v.B)
+		if v.S != nil {
+			n += len(*v.S)
+		}
+	}
+	return n
+}
