Configuration log: compare-and-set appends, audit in the same transaction

Cause: operators race, and the answer to a write can be lost after the write took effect; an answer that guesses doubles or misreports a change. Ruled out: a pointer item to the newest version, a second thing to keep in step; judging by the answer alone, as the mutants below show. Change: config/<version> is put if absent with the attempt's token and read back where the answer is lost; what cannot be known is reported as unknown with the attempt to look for. Before: red with each of these removed, one at a time: the read-back (TestAppendLostAnswer, TestAppendCutOff, TestAppendRace), the comparison with the stated version (TestAppendRace), the comparison of tokens, the rule that a later failure proves nothing about an earlier request (TestAppendCutOff). After: green, 192 orders of two racing operators with none, one or two lost answers: exactly one accepted in each.

--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -95,7 +95,14 @@
 	if err := c.Check(cfg); err != nil {
 		return nil, err
 	}
-	return cfg.Next(cfg.Version()+1, c.edit(cfg)), nil
+	return c.Replay(cfg), nil
+}
+
+// Replay returns the next version of the configuration without the checks. A
+// change that was accepted once must apply everywhere and forever; a daemon
+// with stricter checks would otherwise stop at its version.
+func (c *Change) Replay(cfg *carawayspread.Config) *carawayspread.Config {
+	return cfg.Next(cfg.Version()+1, c.edit(cfg))
 }
 
 func (c *Change) edit(cfg *carawayspread.Config) carawayspread.Edit {
--- /dev/null
+++ b/internal/version/changelog/append.go
@@ -0,0 +1,242 @@
+package changelog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+	"carawayspread/internal/version/auditrecord"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/finding"
+	"carawayspread/internal/version/record"
+	"carawayspread/internal/version/snapshot"
+)
+
+// maxChangeBytes keeps a change, and its audit record with old and new values,
+// each within one item of the table service.
+const maxChangeBytes = 24 << 10
+
+// Proposal is a change that an operator asks for.
+type Proposal struct {
+	Change  *change.Change
+	Against carawayspread.Version // the version that the operator saw
+	Actor   string
+	// Held is the newest configuration that this process holds; it saves reads.
+	Held *carawayspread.Config
+}
+
+// attempt is one proposal on its way into the log.
+type attempt struct {
+	Proposal
+	token string
+	at    time.Time
+	base  *carawayspread.Config // the newest, as read at the start
+}
+
+// Append has the proposal accepted as the version after the one that it was
+// made against and returns its record and the configuration that it makes.
+// Every error is a *Refusal.
+func (l *Log) Append(ctx context.Context, p Proposal) (record.Record, *carawayspread.Config, error) {
+	a := &attempt{Proposal: p, token: l.newAttempt(), at: l.clock.Now().UTC()}
+	accepted, cfg, refusal := l.append(ctx, a)
+	if refusal != nil {
+		refusal.attempt = a.token
+		l.refused(ctx, a, refusal)
+		return record.Record{}, nil, refusal
+	}
+	l.logger.WithFields(log.Fields{
+		"version": accepted.Version, "actor": a.Actor, "attempt": a.token,
+	}).Info("config.accepted")
+	l.snapshot(ctx, cfg)
+	return accepted, cfg, nil
+}
+
+func (l *Log) append(ctx context.Context, a *attempt) (record.Record, *carawayspread.Config, *Refusal) {
+	var none record.Record
+	base, _, err := l.CatchUp(ctx, a.Held)
+	if err != nil {
+		return none, nil, storeUnavailable(err)
+	}
+	a.base = base
+	if a.Against != base.Version() {
+		return none, nil, l.conflict(ctx, a)
+	}
+	cfg, err := a.Change.Apply(base)
+	if err != nil {
+		return none, nil, invalid(base.Version(), findingsOf(err))
+	}
+	r := record.Record{
+		Version: cfg.Version(), Actor: a.Actor, At: a.at, Attempt: a.token, Change: a.Change,
+	}
+	writes, err := l.writes(a, r)
+	if err != nil {
+		return none, nil, invalid(base.Version(), findingsOf(err))
+	}
+	if refusal := l.commit(ctx, a, r.Version, writes); refusal != nil {
+		return none, nil, refusal
+	}
+	return r, cfg, nil
+}
+
+func findingsOf(err error) finding.List {
+	var list finding.List
+	if errors.As(err, &list) {
+		return list
+	}
+	return finding.List{{Message: err.Error()}}
+}
+
+// writes returns the two items of an accepted change.
+func (l *Log) writes(a *attempt, r record.Record) ([]carawayspread.Write, error) {
+	body, err := r.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxChangeBytes {
+		return nil, trace.BadParameter("the change has %d bytes, more than %d; make it in parts", len(body), maxChangeBytes)
+	}
+	audit, err := auditWrite(a, auditrecord.AuditRecord{
+		Verdict: auditrecord.Accepted,
+		Version: r.Version,
+		From:    a.Change.Inverse(a.base),
+		To:      a.Change,
+	})
+	if err != nil {
+		return nil, err
+	}
+	item := carawayspread.Item{Key: configKey(r.Version), Token: a.token, Body: body}
+	return []carawayspread.Write{{Item: item}, audit}, nil
+}
+
+// commit puts the items if they are absent. The answer to a write may be lost
+// after the write took effect; what then stands under the key tells: this
+// attempt's token, accepted; another's, beaten, since no item is replaced;
+// nothing, the write may still arrive, so that it is put again under the same
+// token and condition, which cannot take effect twice.
+func (l *Log) commit(ctx context.Context, a *attempt, version carawayspread.Version, writes []carawayspread.Write) *Refusal {
+	// An operator who stops waiting does not withdraw the change.
+	ctx = context.WithoutCancel(ctx)
+	var lost error
+	for try := range l.tries {
+		if try > 0 {
+			<-l.clock.After(l.pause)
+		}
+		err := l.apply(ctx, writes)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, carawayspread.ErrUnavailable) && lost == nil:
+			return storeUnavailable(err)
+		case errors.Is(err, carawayspread.ErrCondition) && lost == nil:
+			return l.conflict(ctx, a)
+		case !errors.Is(err, carawayspread.ErrCondition):
+			lost = err
+		}
+		token, readErr := l.tokenOf(ctx, version)
+		if readErr != nil {
+			continue
+		}
+		if token == a.token {
+			return nil
+		}
+		return l.conflict(ctx, a)
+	}
+	return unknown(version, a.token, lost)
+}
+
+func (l *Log) apply(ctx context.Context, writes []carawayspread.Write) error {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	return l.table.Apply(ctx, writes...)
+}
+
+// tokenOf returns the attempt that wrote a version.
+func (l *Log) tokenOf(ctx context.Context, version carawayspread.Version) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	item, err := l.table.Get(ctx, configKey(version))
+	return item.Token, trace.Wrap(err)
+}
+
+func configKey(version carawayspread.Version) carawayspread.Key {
+	return carawayspread.Key{Partition: partitionConfig, Sort: sortKey(version)}
+}
+
+// conflict tells what was accepted since the version that the operator saw. The
+// verdict stands even where that cannot be read.
+func (l *Log) conflict(ctx context.Context, a *attempt) *Refusal {
+	current := a.base.Version()
+	if a.Against == current {
+		current++ // another attempt holds the next version
+	}
+	since, err := l.readPage(ctx, a.Against)
+	if err == nil && len(since) > 0 {
+		current = max(current, since[len(since)-1].Version)
+	}
+	return conflict(a.Against, current, since)
+}
+
+// refused writes the audit record of a refusal. It is not part of the verdict:
+// where the store is down, the log line is what remains.
+func (l *Log) refused(ctx context.Context, a *attempt, refusal *Refusal) {
+	l.logger.WithFields(log.Fields{
+		"code": refusal.err.Code(), "actor": a.Actor, "attempt": a.token, "against": a.Against,
+	}).WithError(refusal).Warn("config.refused")
+	code := refusal.err.Code()
+	if code == carawayspread.CodeStoreUnavailable || code == carawayspread.CodeUnknownOutcome {
+		return
+	}
+	reason := refusal.err.Message()
+	if len(refusal.findings) > 0 {
+		reason = fmt.Sprintf("%s: %s", reason, refusal.findings.Error())
+	}
+	write, err := auditWrite(a, auditrecord.AuditRecord{
+		Verdict: auditrecord.Refused,
+		Code:    code,
+		Reason:  reason,
+		To:      a.Change,
+	})
+	if err == nil {
+		err = l.apply(context.WithoutCancel(ctx), []carawayspread.Write{write})
+	}
+	if err != nil {
+		l.logger.WithField("attempt", a.token).WithError(err).Warn("config.auditUnwritten")
+	}
+}
+
+// auditWrite fills in what all audit records of an attempt share. The key holds
+// the token, so that a repeated transaction meets its own record.
+func auditWrite(a *attempt, line auditrecord.AuditRecord) (carawayspread.Write, error) {
+	line.At = a.at
+	line.Actor = a.Actor
+	line.Attempt = a.token
+	line.Against = a.Against
+	line.Touches = a.Change.Touches()
+	body, err := line.Encode()
+	key := carawayspread.Key{
+		Partition: auditPartition(a.at),
+		Sort:      fmt.Sprintf("%020d-%s", a.at.UnixNano(), a.token),
+	}
+	return carawayspread.Write{Item: carawayspread.Item{Key: key, Token: a.token, Body: body}}, err
+}
+
+// snapshot stores the configuration where its version is due.
+func (l *Log) snapshot(ctx context.Context, cfg *carawayspread.Config) {
+	if cfg.Version()%l.snapshotEvery != 0 {
+		return
+	}
+	body, err := snapshot.Encode(cfg)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.timeout)
+		defer cancel()
+		err = l.objects.Put(ctx, snapshotName, body)
+	}
+	if err != nil {
+		l.logger.WithField("version", cfg.Version()).WithError(err).Warn("config.snapshotUnwritten")
+	}
+}
--- /dev/null
+++ b/internal/version/snapshot/snapshot.go
@@ -0,0 +1,37 @@
+// Package snapshot encodes a whole configuration for daemons that start or are
+// far behind the configuration log.
+package snapshot
+
+import (
+	"encoding/json"
+
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+	"carawayspread/internal/version/change"
+)
+
+// Snapshot is the JSON form of one version.
+type Snapshot struct {
+	Version carawayspread.Version `json:"version"`
+	Config  *change.Change        `json:"config"` // makes the version out of an empty configuration
+}
+
+// Encode returns the JSON form of a configuration.
+func Encode(cfg *carawayspread.Config) ([]byte, error) {
+	body, err := json.Marshal(Snapshot{Version: cfg.Version(), Config: change.Of(cfg)})
+	return body, trace.Wrap(err)
+}
+
+// Decode reads a configuration from its JSON form.
+func Decode(body []byte) (*carawayspread.Config, error) {
+	var s Snapshot
+	if err := json.Unmarshal(body, &s); err != nil {
+		return nil, trace.BadParameter("configuration snapshot: %v", err)
+	}
+	if s.Version == 0 || s.Config == nil {
+		return nil, trace.BadParameter("configuration snapshot lacks its version or content")
+	}
+	empty := carawayspread.NewConfig(s.Version-1, nil, nil, nil)
+	return s.Config.Replay(empty), nil
+}
