Configuration held with its evidence: polls, peers, proof after a pause

Cause: a process that sleeps through a change serves its next request under a configuration that is no longer in force; one that starts while the table is down has none. Ruled out: a lease on the configuration, which would stop serving in a store outage; dating evidence by the end of a read, which a pause falsifies.

Before: red with each of these removed: the proof after a pause, its second round, dating by the beginning, the order of versions, the rule that an outage does not make every request wait, the inherited age, the rule that an answer with a gap proves nothing, the refusal of a peer without evidence. After: green, 20 runs under the race detector.

--- /dev/null
+++ b/internal/process/confsync/peers.go
@@ -0,0 +1,125 @@
+package confsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/version/record"
+	"carawayspread/internal/version/snapshot"
+)
+
+// askedPeers are asked at once. Three of them, of which the list names the
+// nearest first, are unlikely to be down together; a fleet that asks three each
+// spreads what one busy peer would have to answer.
+const askedPeers = 3
+
+// askPeers asks peers and ends the round with the first proof that is fresh.
+func (s *Syncer) askPeers(ctx context.Context, began stamp, enough context.CancelFunc) {
+	peers := s.peers()
+	var asking sync.WaitGroup
+	for _, address := range peers[:min(len(peers), askedPeers)] {
+		asking.Go(func() {
+			if err := s.askPeer(ctx, address, began); err != nil {
+				s.logger.WithField("peer", address).WithError(err).Warn("config.peerUnread")
+				return
+			}
+			if s.state.Load().proved.within(s.clock.Now(), s.freshFor) {
+				enough()
+			}
+		})
+	}
+	asking.Wait()
+}
+
+func (s *Syncer) askPeer(ctx context.Context, address string, began stamp) error {
+	held := s.Held()
+	request := &control.ChangesRequest{After: uint64(held.Version()), Instance: s.instance}
+	answer, err := s.dial(address).Changes(ctx, request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.take(held, answer, began)
+}
+
+// take accepts a peer's answer. The evidence is the peer's, as old as the peer
+// says by the moment before it was asked. It speaks of the peer's version: an
+// answer that does not lead there, through a gap, proves nothing.
+func (s *Syncer) take(cfg *carawayspread.Config, answer *control.ChangesResponse, began stamp) error {
+	if len(answer.GetSnapshot()) > 0 {
+		whole, err := snapshot.Decode(answer.GetSnapshot())
+		if err != nil {
+			return err
+		}
+		if whole.Version() > cfg.Version() {
+			cfg = whole
+		}
+	}
+	var records []record.Record
+	for _, change := range answer.GetChanges() {
+		r, err := record.Decode(change.GetBody())
+		if err != nil {
+			return err
+		}
+		if r.Version <= cfg.Version() {
+			continue
+		}
+		if cfg, err = r.Apply(cfg); err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	if cfg.Version() < carawayspread.Version(answer.GetVersion()) {
+		return trace.CompareFailed("peer holds version %d, its answer leads to %d", answer.GetVersion(), cfg.Version())
+	}
+	age := time.Duration(answer.GetEvidenceAgeMs()) * time.Millisecond
+	s.accept(cfg, records, stamp{at: began.at.Add(-age)})
+	return nil
+}
+
+// Changes answers a peer: the records after its version, or a snapshot where
+// they are no longer held. It implements that method of control.Control.
+func (s *Syncer) Changes(_ context.Context, request *control.ChangesRequest) (*control.ChangesResponse, error) {
+	held, records, known := s.since(carawayspread.Version(request.GetAfter()))
+	if held.proved.zero() {
+		return nil, twirp.NewError(twirp.Unavailable, "no configuration is known here")
+	}
+	answer := &control.ChangesResponse{
+		Version:       uint64(held.cfg.Version()),
+		EvidenceAgeMs: uint64(held.proved.age(s.clock.Now()).Milliseconds()) + 1, // rounded up
+	}
+	if !known {
+		body, err := snapshot.Encode(held.cfg)
+		answer.Snapshot = body
+		return answer, trace.Wrap(err)
+	}
+	for _, r := range records {
+		body, err := r.Encode()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		answer.Changes = append(answer.Changes, &control.Change{Version: uint64(r.Version), Body: body})
+	}
+	return answer, nil
+}
+
+// since returns the state with the records after a version; known is false
+// where some of them are no longer held.
+func (s *Syncer) since(after carawayspread.Version) (held *state, records []record.Record, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held = s.state.Load()
+	if after >= held.cfg.Version() {
+		return held, nil, true
+	}
+	n := len(s.history)
+	if n == 0 || s.history[0].Version > after+1 || s.history[n-1].Version != held.cfg.Version() {
+		return held, nil, false
+	}
+	return held, s.history[after+1-s.history[0].Version:], true
+}
