--- /dev/null
+++ b/internal/process/admin/change.go
@@ -0,0 +1,147 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/connection/adminapi"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/changelog"
+	"carawayspread/internal/version/finding"
+)
+
+func (a *Admin) set(r *http.Request, kind kind) (any, error) {
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return a.accept(r, kind.set(r.PathValue("name"), body))
+}
+
+func (a *Admin) delete(r *http.Request, kind kind) (any, error) {
+	return a.accept(r, kind.delete(r.PathValue("name")))
+}
+
+func (a *Admin) changeGroup(r *http.Request) (any, error) {
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return a.accept(r, change.Parse("", body))
+}
+
+// accept has the change accepted and tells where it is in force.
+func (a *Admin) accept(r *http.Request, c *change.Change) (any, error) {
+	actor, err := actorOf(r)
+	if err != nil {
+		return nil, err
+	}
+	against, err := versionOf(r, adminapi.ParamAgainst)
+	if err != nil {
+		return nil, err
+	}
+	wait, err := waitOf(r)
+	if err != nil {
+		return nil, err
+	}
+	accepted, cfg, err := a.log.Append(r.Context(), changelog.Proposal{
+		Change: c, Against: against, Actor: actor, Held: a.holder.Current(r.Context()),
+	})
+	if err != nil {
+		var refusal *changelog.Refusal
+		if errors.As(err, &refusal) {
+			a.holder.Heard(refusal.Current())
+		}
+		return nil, err
+	}
+	a.holder.Adopt(cfg, accepted)
+	return adminapi.Changed{
+		Version: accepted.Version, Replaced: against, Actor: actor, Attempt: accepted.Attempt,
+		Touches: c.Touches(), Force: a.awaitForce(r.Context(), accepted.Version, wait),
+	}, nil
+}
+
+// awaitForce asks the instances until all confirm the version or the wait is over.
+func (a *Admin) awaitForce(ctx context.Context, version carawayspread.Version, wait time.Duration) adminapi.Force {
+	until := a.clock.Now().Add(wait)
+	for {
+		force := a.fleet.Force(ctx, version)
+		left := until.Sub(a.clock.Now())
+		if force.InForce || left <= 0 {
+			return force
+		}
+		select {
+		case <-ctx.Done():
+			return force
+		case <-a.clock.After(min(recheck, left)):
+		}
+	}
+}
+
+func (a *Admin) checkConfig(r *http.Request) (any, error) {
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	cfg := a.holder.Current(r.Context())
+	checked := adminapi.Checked{Version: cfg.Version(), Findings: finding.List{}}
+	var list finding.List
+	if errors.As(change.Parse("", body).Check(cfg), &list) {
+		checked.Findings = list
+	}
+	return checked, nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, carawayspread.NewError(
+			carawayspread.CodeTooLarge, fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit), carawayspread.NotRun(),
+		)
+	}
+	if err != nil {
+		return nil, malformed("the body cannot be read")
+	}
+	return body, nil
+}
+
+func actorOf(r *http.Request) (string, error) {
+	actor := r.Header.Get(adminapi.HeaderActor)
+	if actor == "" {
+		return "", malformed("header X-Actor, who asks for this, is missing")
+	}
+	return actor, nil
+}
+
+// versionOf reads a version that must be stated.
+func versionOf(r *http.Request, name string) (carawayspread.Version, error) {
+	text := r.URL.Query().Get(name)
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, malformed(fmt.Sprintf("parameter %s must be a version number, is %q", name, text))
+	}
+	return carawayspread.Version(n), nil
+}
+
+func waitOf(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get(adminapi.ParamWait)
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxWait {
+		return 0, malformed(fmt.Sprintf("parameter wait must be a duration of at most %v, is %q", maxWait, text))
+	}
+	return wait, nil
+}
+
+func malformed(message string) error {
+	return carawayspread.NewError(carawayspread.CodeMalformed, message, carawayspread.NotRun())
+}
--- /dev/null
+++ b/internal/process/admin/read.go
@@ -0,0 +1,106 @@
+package admin
+
+import (
+	"net/http"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/connection/adminapi"
+	"carawayspread/internal/process/fleet"
+	"carawayspread/internal/version/auditrecord"
+	"carawayspread/internal/version/change"
+)
+
+const comeBack = 5 * time.Second
+
+func (a *Admin) showConfig(r *http.Request) (any, error) {
+	cfg := a.holder.Current(r.Context())
+	age, _ := a.holder.EvidenceAge()
+	return adminapi.Configuration{
+		Version: cfg.Version(), EvidenceAgeMs: age.Milliseconds(), Config: change.Of(cfg),
+	}, nil
+}
+
+func (a *Admin) history(r *http.Request) (any, error) {
+	var after carawayspread.Version
+	if r.URL.Query().Has(adminapi.ParamAfter) {
+		var err error
+		if after, err = versionOf(r, adminapi.ParamAfter); err != nil {
+			return nil, err
+		}
+	}
+	records, err := a.log.History(r.Context(), after)
+	if err != nil {
+		return nil, unread(err)
+	}
+	answer := adminapi.History{Records: records}
+	if len(records) > 0 {
+		answer.Next = records[len(records)-1].Version
+	}
+	return answer, nil
+}
+
+func (a *Admin) audit(r *http.Request) (any, error) {
+	day := a.clock.Now().UTC()
+	if text := r.URL.Query().Get(adminapi.ParamDay); text != "" {
+		var err error
+		if day, err = time.Parse(time.DateOnly, text); err != nil {
+			return nil, malformed("parameter day must be a date such as 2026-12-02")
+		}
+	}
+	records, next, err := a.log.Audit(r.Context(), day, r.URL.Query().Get(adminapi.ParamAfter))
+	if err != nil {
+		return nil, unread(err)
+	}
+	return adminapi.Audit{Day: day.Format(time.DateOnly), Records: records, Next: next}, nil
+}
+
+func unread(cause error) error {
+	return carawayspread.NewError(
+		carawayspread.CodeStoreUnavailable, "the table service cannot be read now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(cause),
+	)
+}
+
+func (a *Admin) status(r *http.Request) (any, error) {
+	cfg := a.holder.Current(r.Context())
+	answer := adminapi.Status{Version: cfg.Version(), Instances: []adminapi.Instance{}}
+	states, err := a.fleet.Status(r.Context(), cfg.Version())
+	if err != nil {
+		answer.Unlisted = "the instance list cannot be read"
+		return answer, nil
+	}
+	answer.Instances = states
+	answer.Force = fleet.ForceOf(states)
+	return answer, nil
+}
+
+// drain passes the drain on and writes it to the audit trail. Draining does not
+// wait for the store: an instance must be able to leave while it is down.
+func (a *Admin) drain(r *http.Request) (any, error) {
+	actor, err := actorOf(r)
+	if err != nil {
+		return nil, err
+	}
+	target, err := readDrain(r)
+	if err != nil {
+		return nil, err
+	}
+	drained, err := a.fleet.Drain(r.Context(), target, actor)
+	line := auditrecord.AuditRecord{
+		Actor: actor, Action: auditrecord.Drain, Verdict: auditrecord.Accepted, Touches: touched(target),
+	}
+	if typed, ok := carawayspread.AsError(err); ok {
+		line.Verdict, line.Code, line.Reason = auditrecord.Unknown, typed.Code(), typed.Message()
+		if typed.NotRun() {
+			line.Verdict = auditrecord.Refused
+		}
+	}
+	if noteErr := a.log.Note(r.Context(), line); noteErr != nil {
+		a.logger.WithField("actor", actor).WithError(noteErr).Warn("admin.auditUnwritten")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return drained, nil
+}
--- a/internal/version/auditrecord/auditrecord.go
+++ b/internal/version/auditrecord/auditrecord.go
@@ -12,10 +12,17 @@
 	"carawayspread/internal/version/change"
 )
 
-// Verdicts on changes.
+// Verdicts on what was asked for.
 const (
 	Accepted = "accepted"
 	Refused  = "refused"
+	Unknown  = "unknown" // it may have taken effect
+)
+
+// Actions that are audited.
+const (
+	Change = "change"
+	Drain  = "drain"
 )
 
 // maxBytes keeps a record within one item of the table service.
@@ -26,10 +33,11 @@
 	At      time.Time             `json:"at"` // by the clock of the daemon that took the change
 	Actor   string                `json:"actor"`
 	Attempt string                `json:"attempt"`
+	Action  string                `json:"action"`
 	Verdict string                `json:"verdict"`
-	Code    carawayspread.Code    `json:"code,omitempty"`    // of a refusal
-	Reason  string                `json:"reason,omitempty"`  // of a refusal
-	Against carawayspread.Version `json:"against"`           // what the operator saw
+	Code    carawayspread.Code    `json:"code,omitempty"`    // of what is not accepted
+	Reason  string                `json:"reason,omitempty"`  // of what is not accepted
+	Against carawayspread.Version `json:"against,omitempty"` // what the operator saw
 	Version carawayspread.Version `json:"version,omitempty"` // what an accepted change made
 	Touches []string              `json:"touches,omitempty"`
 	From    *change.Change        `json:"from,omitempty"` // would undo the change
--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -23,6 +23,7 @@
 	set    values
 	delete names
 	source document.Node // where it was read from; the zero Node otherwise
+	prefix string        // the path at which the text stands in the change
 	read   finding.List  // faults met while it was read
 }
 
--- a/internal/version/change/check.go
+++ b/internal/version/change/check.go
@@ -34,12 +34,15 @@
 
 // add records a finding unless reading has found a fault at the same path.
 func (k *checker) add(path, format string, args ...any) {
-	place := k.change.place(path)
-	if !k.change.read.At(place.Path) {
-		k.findings.Add(place, format, args...)
+	if !k.unread(path) {
+		k.findings.Add(k.change.place(path), format, args...)
 	}
 }
 
+func (k *checker) unread(path string) bool {
+	return k.change.read.At(k.change.place(path).Path)
+}
+
 func (k *checker) classes() {
 	k.names("classes", nameList(k.change.set.classes), k.change.delete.Classes, func(name string) bool {
 		_, ok := k.cfg.Class(name)
@@ -54,7 +57,7 @@
 	if target.FirstToken() < 0 || target.BetweenTokens() < 0 || target.Whole() < 0 {
 		k.add(path, "a duration of a target must not be negative")
 	}
-	unread := k.change.read.At(path+".firstToken") || k.change.read.At(path+".whole")
+	unread := k.unread(path+".firstToken") || k.unread(path+".whole")
 	if target.FirstToken() == 0 && target.Whole() == 0 && !unread {
 		k.add(path, "needs a target for firstToken or whole")
 	}
--- a/internal/version/change/codec.go
+++ b/internal/version/change/codec.go
@@ -1,6 +1,7 @@
 package change
 
 import (
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -118,9 +119,9 @@
 	c := &Change{source: node}
 	node = node.Object("set", "delete")
 	set := node.Field("set").Object("classes", "workspaces", "services")
-	c.set.classes = readAll(set.Field("classes"), readClass)
-	c.set.workspaces = readAll(set.Field("workspaces"), readWorkspace)
-	c.set.services = readAll(set.Field("services"), readService)
+	c.set.classes = readAll(set.Field("classes"), unnamed(readClass))
+	c.set.workspaces = readAll(set.Field("workspaces"), unnamed(readWorkspace))
+	c.set.services = readAll(set.Field("services"), unnamed(readService))
 	deleted := node.Field("delete").Object("classes", "workspaces", "services")
 	c.delete.Classes = readAll(deleted.Field("classes"), document.Node.Text)
 	c.delete.Workspaces = readAll(deleted.Field("workspaces"), document.Node.Text)
@@ -140,15 +141,19 @@
 	return values
 }
 
+func unnamed[T any](read func(string, document.Node) T) func(document.Node) T {
+	return func(node document.Node) T { return read("", node) }
+}
+
 const (
 	minTarget = time.Microsecond
 	maxTarget = 24 * time.Hour
 )
 
-func readClass(node document.Node) carawayspread.Class {
+func readClass(name string, node document.Node) carawayspread.Class {
 	node = node.Object("name", "firstToken", "betweenTokens", "whole", "share", "atMostOnce")
 	return carawayspread.NewClass(
-		node.Need("name").Text(),
+		readName(name, node),
 		carawayspread.NewTarget(
 			node.Field("firstToken").Duration(minTarget, maxTarget),
 			node.Field("betweenTokens").Duration(minTarget, maxTarget),
@@ -159,14 +164,14 @@
 	)
 }
 
-func readWorkspace(node document.Node) carawayspread.Workspace {
-	return carawayspread.NewWorkspace(node.Object("name").Need("name").Text())
+func readWorkspace(name string, node document.Node) carawayspread.Workspace {
+	return carawayspread.NewWorkspace(readName(name, node.Object("name")))
 }
 
-func readService(node document.Node) carawayspread.Service {
+func readService(name string, node document.Node) carawayspread.Service {
 	node = node.Object("name", "kind", "models", "repeatable")
 	return carawayspread.NewService(
-		node.Need("name").Text(),
+		readName(name, node),
 		carawayspread.Kind(node.Need("kind").Text()),
 		readAll(node.Field("models"), document.Node.Text),
 		node.Field("repeatable").Bool(),
@@ -178,5 +183,36 @@
 	if !c.source.Exists() {
 		return finding.Place{Path: path}
 	}
-	return c.source.Find(path).Place()
+	return c.source.Find(strings.TrimPrefix(strings.TrimPrefix(path, c.prefix), ".")).Place()
+}
+
+// ParseOne reads the one value that a change sets; field is classes, workspaces
+// or services. The name is given beside the text, which may repeat it.
+func ParseOne(field, name string, body []byte) *Change {
+	root := document.Parse("", body)
+	c := &Change{source: root}
+	switch field {
+	case "classes":
+		c.set.classes = []carawayspread.Class{readClass(name, root)}
+	case "workspaces":
+		c.set.workspaces = []carawayspread.Workspace{readWorkspace(name, root)}
+	case "services":
+		c.set.services = []carawayspread.Service{readService(name, root)}
+	}
+	c.read = root.Findings()
+	c.prefix = "set." + field + "[0]"
+	return c
+}
+
+// readName returns the name of a value. Where it is known already, the text may
+// leave it out but must not state another.
+func readName(known string, node document.Node) string {
+	if known == "" {
+		return node.Need("name").Text()
+	}
+	field := node.Field("name")
+	if field.Exists() && field.Text() != known {
+		field.Fail("must be %q, which is being set", known)
+	}
+	return known
 }
--- a/internal/version/changelog/append.go
+++ b/internal/version/changelog/append.go
@@ -209,20 +209,38 @@
 	}
 }
 
-// auditWrite fills in what all audit records of an attempt share. The key holds
-// the token, so that a repeated transaction meets its own record.
+// auditWrite fills in what all audit records of an attempt share.
 func auditWrite(a *attempt, line auditrecord.AuditRecord) (carawayspread.Write, error) {
 	line.At = a.at
 	line.Actor = a.Actor
 	line.Attempt = a.token
+	line.Action = auditrecord.Change
 	line.Against = a.Against
 	line.Touches = a.Change.Touches()
+	return noteWrite(line)
+}
+
+// noteWrite puts an audit record. The key holds the token of the attempt, so
+// that a repeated transaction meets its own record.
+func noteWrite(line auditrecord.AuditRecord) (carawayspread.Write, error) {
 	body, err := line.Encode()
 	key := carawayspread.Key{
-		Partition: auditPartition(a.at),
-		Sort:      fmt.Sprintf("%020d-%s", a.at.UnixNano(), a.token),
+		Partition: auditPartition(line.At),
+		Sort:      fmt.Sprintf("%020d-%s", line.At.UnixNano(), line.Attempt),
+	}
+	return carawayspread.Write{Item: carawayspread.Item{Key: key, Token: line.Attempt, Body: body}}, err
+}
+
+// Note writes the audit record of an action that is not a change of the
+// configuration.
+func (l *Log) Note(ctx context.Context, line auditrecord.AuditRecord) error {
+	line.At = l.clock.Now().UTC()
+	line.Attempt = l.newAttempt()
+	write, err := noteWrite(line)
+	if err != nil {
+		return err
 	}
-	return carawayspread.Write{Item: carawayspread.Item{Key: key, Token: a.token, Body: body}}, err
+	return trace.Wrap(l.apply(ctx, []carawayspread.Write{write}))
 }
 
 // snapshot stores the configuration where its version is due.
--- a/internal/version/finding/finding.go
+++ b/internal/version/finding/finding.go
@@ -26,8 +26,11 @@
 // String returns the finding as file:line:column: path: message.
 func (f Finding) String() string {
 	var parts []string
-	if f.File != "" || f.Line > 0 {
+	switch {
+	case f.File != "":
 		parts = append(parts, fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column))
+	case f.Line > 0:
+		parts = append(parts, fmt.Sprintf("%d:%d", f.Line, f.Column))
 	}
 	if f.Path != "" {
 		parts = append(parts, f.Path)
