--- a/decisions.go
+++ b/decisions.go
@@ -20,6 +20,7 @@
 	Schedulers = NewRegistry[func(Environment) Scheduler]("fairQueue")
 	Routers    = NewRegistry[func(Environment) Router]("hashRouter")
 	Limiters   = NewRegistry[func(Environment) Limiter]("gradient")
+	Ejectors   = NewRegistry[func(Environment) Ejector]("outlier")
 )
 
 // Scheduler decides who is served, who waits and who is refused, before one
--- a/internal/process/hashrouter/endpoint.go
+++ b/internal/process/hashrouter/endpoint.go
@@ -14,6 +14,9 @@
 	id   carawayspread.EndpointID
 	own  atomic.Int64
 	last atomic.Pointer[heard] // nil before the first report
+	// crashed is when a report last told of a crash, in Unix nanoseconds; zero
+	// when none did.
+	crashed atomic.Int64
 }
 
 // heard is a report with what was known when it came. It is immutable.
@@ -25,6 +28,9 @@
 // hear keeps the newer of two reports, since datagrams overtake one another.
 // It reports whether the resident models changed.
 func (e *endpoint) hear(report carawayspread.Report) bool {
+	if report.Crashed {
+		e.crashed.Store(report.Taken.UnixNano())
+	}
 	next := &heard{report: report, own: e.own.Load()}
 	for {
 		last := e.last.Load()
--- a/internal/process/hashrouter/pick.go
+++ b/internal/process/hashrouter/pick.go
@@ -28,6 +28,15 @@
 	return p.standing(e.id)
 }
 
+// troubled reports whether the endpoint was lost or crashed lately.
+func (p *pick) troubled(e *endpoint) bool {
+	if e == nil {
+		return false
+	}
+	crashed := e.crashed.Load()
+	return !p.snapshot.byID[e.id].lost.IsZero() || crashed != 0 && p.now.UnixNano()-crashed < int64(lostLife)
+}
+
 // cost weighs load, distance and residency. An endpoint without the model must
 // load it first, which takes seconds: it is chosen only when the other one
 // lacks the model too.
--- a/internal/process/hashrouter/router.go
+++ b/internal/process/hashrouter/router.go
@@ -81,41 +81,20 @@
 }
 
 // SetEndpoints replaces the list. Endpoints that it no longer names keep their
-// place on the ring for lostLife.
+// place on the ring for lostLife, so it is to be called with every reading of
+// the list.
 func (r *Router) SetEndpoints(endpoints []carawayspread.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	old := r.now.Load().byID
-	next := make(map[carawayspread.EndpointID]*member, len(endpoints))
-	for _, listed := range endpoints {
-		next[listed.ID()] = &member{endpoint: known(old, listed.ID()), zone: listed.Zone(), leaving: listed.Leaving()}
-	}
-	for id, m := range old {
-		if _, ok := next[id]; !ok && (m.lost.IsZero() || now.Sub(m.lost) < lostLife) {
-			next[id] = lose(m, now)
-		}
+	next := r.now.Load().next(endpoints, now)
+	if next == nil {
+		return
 	}
 	r.stale.Store(false)
 	r.now.Store(newSnapshot(next, now))
 }
 
-func known(old map[carawayspread.EndpointID]*member, id carawayspread.EndpointID) *endpoint {
-	if m, ok := old[id]; ok {
-		return m.endpoint
-	}
-	return &endpoint{id: id}
-}
-
-func lose(m *member, now time.Time) *member {
-	if !m.lost.IsZero() {
-		return m
-	}
-	lost := *m
-	lost.lost = now
-	return &lost
-}
-
 // Reported takes a report of a known endpoint.
 func (r *Router) Reported(report carawayspread.Report) {
 	m, ok := r.now.Load().byID[report.Endpoint]
@@ -146,20 +125,37 @@
 		return carawayspread.Choice{}
 	}
 	p := pick{snapshot: s, job: job, standing: standing, now: r.clock.Now()}
-	ring := s.ring(job.Model)
-	first, second := r.candidates(ring, job)
+	rings := s.rings(job.Model)
+	first, second := r.candidates(rings.current, job)
 	a, b := p.ask(first), p.ask(second)
+	chosen := first
 	switch {
 	case a == carawayspread.StandingFree && b == carawayspread.StandingFree:
-		return carawayspread.Choice{Endpoint: r.lighter(&p, first, second).id}
+		chosen = r.lighter(&p, first, second)
 	case a == carawayspread.StandingFree:
-		return carawayspread.Choice{Endpoint: first.id}
 	case b == carawayspread.StandingFree && (a == carawayspread.StandingOut || r.overflows(&p)):
-		return carawayspread.Choice{Endpoint: second.id}
+		chosen = second
 	case a == carawayspread.StandingBusy || b == carawayspread.StandingBusy:
 		return carawayspread.Choice{Wait: true}
+	default:
+		return p.displaced(rings.current, second)
+	}
+	return carawayspread.Choice{Endpoint: chosen.id, Displaced: r.replaced(&p, rings, chosen)}
+}
+
+// replaced reports whether the chosen endpoint took the place of a candidate
+// that was lost or crashed lately. A newcomer changes the candidates of some
+// fingerprints; without this a harmful request that brought down its own two
+// would get the newcomer as a third.
+func (r *Router) replaced(p *pick, rings rings, chosen *endpoint) bool {
+	if rings.settled == rings.current {
+		return false
+	}
+	first, second := r.candidates(rings.settled, p.job)
+	if chosen == first || chosen == second {
+		return false
 	}
-	return p.displaced(ring, second)
+	return p.troubled(first) || p.troubled(second)
 }
 
 // overflows reports whether the job may leave its first candidate because of
--- /dev/null
+++ b/internal/process/quarantine/quarantine.go
@@ -0,0 +1,241 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"carawayspread"
+)
+
+const (
+	// defaultTerm is how long a conviction and a suspicion last. It outlasts
+	// callers that send again, and ends by itself when a new version of the
+	// engine can run the request.
+	defaultTerm = 10 * time.Minute
+	// maxVictims is the number of endpoints that one request may crash.
+	maxVictims = 2
+	// sameCrash merges the accounts that sidecar and entry give of one crash.
+	// An engine takes longer than this to start again.
+	sameCrash = 10 * time.Second
+	// maxKnown bounds the memory at about 200 bytes a fingerprint. A crash adds
+	// the requests of one batch.
+	maxKnown = 16384
+)
+
+// Crash is one crash of an endpoint.
+type Crash struct {
+	Endpoint carawayspread.EndpointID
+	At       time.Time
+}
+
+func (c Crash) same(other Crash) bool {
+	return c.Endpoint == other.Endpoint && c.At.Sub(other.At).Abs() < sameCrash
+}
+
+// Attempt is a request that is about to be sent or run.
+type Attempt struct {
+	Fingerprint uint64
+	Displaced   bool // none of its own endpoints is available
+	Claimed     bool // its trial is claimed for this attempt
+	// Endpoint is where a sidecar would run it; empty when an entry asks.
+	Endpoint carawayspread.EndpointID
+}
+
+// Verdict tells what may be done with an attempt.
+type Verdict int
+
+// Verdicts on attempts.
+const (
+	VerdictRun    Verdict = iota // run it as any other
+	VerdictTrial                 // claim the trial first
+	VerdictRefuse                // refuse it; the error is final
+)
+
+// record is what is known of one fingerprint.
+type record struct {
+	crashes   []Crash   // distinct, at most maxVictims
+	convicted time.Time // end of the conviction; zero for suspects
+	ends      time.Time // when it is forgotten
+}
+
+// Quarantine is the memory that one process has of harmful requests. It is
+// safe for concurrent use.
+type Quarantine struct {
+	clock carawayspread.Clock
+	term  time.Duration
+
+	mu    sync.Mutex
+	known *lru.LRU[uint64, *record]
+}
+
+// Option sets an optional part of a Quarantine.
+type Option func(*Quarantine)
+
+// Term sets how long a conviction lasts.
+func Term(d time.Duration) Option { return func(q *Quarantine) { q.term = d } }
+
+// New returns a quarantine that suspects nobody.
+func New(clock carawayspread.Clock, opts ...Option) *Quarantine {
+	known, err := lru.NewLRU[uint64, *record](maxKnown, nil)
+	if err != nil {
+		panic(err) // the size is a constant
+	}
+	q := &Quarantine{clock: clock, term: defaultTerm, known: known}
+	for _, opt := range opts {
+		opt(q)
+	}
+	return q
+}
+
+// Decide tells what may be done with the attempt. An entry asks before it
+// sends, a sidecar before it runs; both must, since either may be the only one
+// that knows.
+func (q *Quarantine) Decide(attempt Attempt) (Verdict, *carawayspread.Error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	r := q.find(attempt.Fingerprint, now)
+	switch {
+	case r != nil && now.Before(r.convicted):
+		return VerdictRefuse, Refusal(r.convicted.Sub(now))
+	case attempt.Claimed && r != nil && r.crashed(attempt.Endpoint):
+		return VerdictTrial, nil
+	case attempt.Claimed:
+		return VerdictRun, nil
+	case r != nil || attempt.Displaced:
+		return VerdictTrial, nil
+	}
+	return VerdictRun, nil
+}
+
+// Refusal returns the final answer to a convicted request.
+func Refusal(left time.Duration) *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeQuarantined, "the request crashed the endpoints that ran it",
+		carawayspread.NotRun(), carawayspread.RetryAfter(left))
+}
+
+// Crashed records that the endpoint crashed while the requests ran. The trial
+// is the fingerprint that ran there as a trial, if any. Reports whether the
+// trial is convicted by it.
+func (q *Quarantine) Crashed(crash Crash, running []uint64, trial *uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	for _, fingerprint := range running {
+		isTrial := trial != nil && *trial == fingerprint
+		r := q.suspect(fingerprint, now)
+		r.add(crash)
+		if isTrial || trial == nil && len(r.crashes) >= maxVictims {
+			r.convicted = now.Add(q.term)
+		}
+	}
+}
+
+// Convicted records what another process found.
+func (q *Quarantine) Convicted(fingerprint uint64, left time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	r := q.suspect(fingerprint, now)
+	r.convicted = now.Add(left)
+	r.ends = later(r.ends, r.convicted)
+}
+
+// Suspected records that the sidecar before the endpoint refused the request
+// as a suspect. An empty endpoint marks the request alone, which a sidecar does
+// before it runs a trial, so that no other copy starts beside it.
+func (q *Quarantine) Suspected(fingerprint uint64, endpoint carawayspread.EndpointID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	r := q.suspect(fingerprint, now)
+	if endpoint != "" {
+		r.add(Crash{Endpoint: endpoint, At: now})
+	}
+}
+
+// Crashes returns the endpoints that the request is known to have crashed. Its
+// trial must go to its other candidate: a copy may run there that nobody who
+// knows of the first crash has seen, and only that sidecar can keep the two
+// apart.
+func (q *Quarantine) Crashes(fingerprint uint64) []carawayspread.EndpointID {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.find(fingerprint, q.clock.Now())
+	if r == nil {
+		return nil
+	}
+	ids := make([]carawayspread.EndpointID, 0, len(r.crashes))
+	for _, crash := range r.crashes {
+		ids = append(ids, crash.Endpoint)
+	}
+	return ids
+}
+
+// Served clears a suspect that was answered.
+func (q *Quarantine) Served(fingerprint uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.find(fingerprint, q.clock.Now())
+	if r != nil && r.convicted.IsZero() {
+		q.known.Remove(fingerprint)
+	}
+}
+
+// Len returns the number of fingerprints that are remembered.
+func (q *Quarantine) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.known.Len()
+}
+
+func (q *Quarantine) find(fingerprint uint64, now time.Time) *record {
+	r, ok := q.known.Get(fingerprint)
+	if !ok {
+		return nil
+	}
+	if now.After(r.ends) {
+		q.known.Remove(fingerprint)
+		return nil
+	}
+	return r
+}
+
+func (q *Quarantine) suspect(fingerprint uint64, now time.Time) *record {
+	r := q.find(fingerprint, now)
+	if r == nil {
+		r = &record{}
+		q.known.Add(fingerprint, r)
+	}
+	r.ends = later(r.ends, now.Add(q.term))
+	return r
+}
+
+func (r *record) add(crash Crash) {
+	for _, known := range r.crashes {
+		if known.same(crash) {
+			return
+		}
+	}
+	if len(r.crashes) < maxVictims {
+		r.crashes = append(r.crashes, crash)
+	}
+}
+
+func (r *record) crashed(endpoint carawayspread.EndpointID) bool {
+	for _, crash := range r.crashes {
+		if crash.Endpoint == endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
