Stand-ins for engine and plain service, request protocol, sidecar

Cause: nothing serves a request yet. Change: the engine stand-in with deterministic answers, resume and orders; the protocol between entry and sidecar, whose trailer proves a whole answer; the sidecar that admits, passes on and notices crashes. Ruled out: trusting HTTP framing alone for a whole answer, since an engine that gives up may close its stream properly. Conclusion: the entry can be built on it.

--- a/engine.go
+++ b/engine.go
@@ -37,6 +37,8 @@
 	Slots    int      `json:"slots"`
 	KVBytes  int64    `json:"kvBytes"`
 	Changing bool     `json:"changing"`
+	// Boot changes whenever the engine starts anew.
+	Boot string `json:"boot"`
 	// PrefillRate and DecodeRate are measured tokens a second.
 	PrefillRate float64 `json:"prefillRate"`
 	DecodeRate  float64 `json:"decodeRate"`
--- /dev/null
+++ b/internal/process/sidecar/sidecar.go
@@ -0,0 +1,179 @@
+// Package sidecar is the process beside the endpoints of one instance, and the
+// only way to them: it admits requests, passes them on, says whether an answer
+// is whole, notices crashes, and drains.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"carawayspread"
+	"carawayspread/internal/connection/sidecarhttp"
+)
+
+const (
+	endpointDialTimeout = 500 * time.Millisecond
+	probeTimeout        = 300 * time.Millisecond
+	idlePerEndpoint     = 64
+	defaultSlots        = 16
+	// refusalRetry is when a caller may come back whose request found the
+	// endpoint full: about the time in which one short answer ends.
+	refusalRetry = time.Second
+)
+
+// Worker describes one endpoint beside the sidecar.
+type Worker struct {
+	ID      carawayspread.EndpointID
+	Service string
+	Kind    carawayspread.Kind
+	Address string // IP number and port
+	Slots   int    // requests that the endpoint runs at once; zero for the default
+}
+
+// Guard decides about requests that may crash their endpoint, and learns what
+// crashed. It must be safe for concurrent use.
+type Guard interface {
+	// Admit returns the refusal of a request that must not run now, or nil.
+	Admit(fingerprint uint64, trial bool) *carawayspread.Error
+	// Crashed reports the requests that were running when an endpoint crashed.
+	Crashed(fingerprints []uint64)
+	// Served reports a request that ran to its end.
+	Served(fingerprint uint64)
+}
+
+// Attempts remembers which attempts were accepted.
+type Attempts interface {
+	// Accept records the attempt; false when it was accepted before.
+	Accept(id string) bool
+}
+
+// Sidecar serves the requests that entries send to its endpoints. It is an
+// http.Handler and safe for concurrent use.
+type Sidecar struct {
+	workers  map[carawayspread.EndpointID]*worker // fixed after New
+	client   *http.Transport
+	once     *http.Transport
+	clock    carawayspread.Clock
+	log      log.Interface
+	guard    Guard
+	attempts Attempts
+	heard    func(carawayspread.Version) // takes versions named by requests
+	draining atomic.Bool
+}
+
+// Option sets a part of a Sidecar.
+type Option func(*Sidecar)
+
+// WithClock sets the clock.
+func WithClock(clock carawayspread.Clock) Option { return func(s *Sidecar) { s.clock = clock } }
+
+// WithLog sets where events are logged.
+func WithLog(l log.Interface) Option { return func(s *Sidecar) { s.log = l } }
+
+// WithGuard sets what decides about requests that may crash their endpoint.
+func WithGuard(g Guard) Option { return func(s *Sidecar) { s.guard = g } }
+
+// WithAttempts sets what remembers accepted attempts.
+func WithAttempts(a Attempts) Option { return func(s *Sidecar) { s.attempts = a } }
+
+// WithHeard sets what takes the configuration versions that requests name.
+func WithHeard(heard func(carawayspread.Version)) Option {
+	return func(s *Sidecar) { s.heard = heard }
+}
+
+// New returns the sidecar of those endpoints.
+func New(workers []Worker, opts ...Option) *Sidecar {
+	client := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: endpointDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerEndpoint,
+		DisableCompression:  true,
+	}
+	// A request that must not run twice gets its own connection: net/http
+	// repeats requests on kept connections that turn out to be closed.
+	once := client.Clone()
+	once.DisableKeepAlives = true
+	s := &Sidecar{
+		workers:  map[carawayspread.EndpointID]*worker{},
+		client:   client,
+		once:     once,
+		clock:    carawayspread.SystemClock(),
+		log:      log.Log,
+		guard:    openGuard{},
+		attempts: openAttempts{},
+		heard:    func(carawayspread.Version) {},
+	}
+	for _, w := range workers {
+		s.workers[w.ID] = newWorker(w)
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Drain refuses new work at one endpoint, or at all when id is empty, and
+// returns how many requests still run there.
+func (s *Sidecar) Drain(id carawayspread.EndpointID) int {
+	running := 0
+	if id == "" {
+		s.draining.Store(true)
+	}
+	for _, w := range s.workers {
+		if id == "" || w.spec.ID == id {
+			w.draining.Store(true)
+			running += int(w.running.Load())
+		}
+	}
+	return running
+}
+
+// Draining reports whether the whole sidecar is leaving.
+func (s *Sidecar) Draining() bool { return s.draining.Load() }
+
+// Running returns the requests that run or wait at all endpoints.
+func (s *Sidecar) Running() int {
+	running := 0
+	for _, w := range s.workers {
+		running += int(w.running.Load()) + int(w.waiting.Load())
+	}
+	return running
+}
+
+// Wait returns when no request runs, or when ctx ends.
+func (s *Sidecar) Wait(ctx context.Context) error {
+	for s.Running() > 0 {
+		select {
+		case <-s.clock.After(drainPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// Close drops the idle connections to the endpoints.
+func (s *Sidecar) Close() {
+	s.client.CloseIdleConnections()
+	s.once.CloseIdleConnections()
+}
+
+type openGuard struct{}
+
+func (openGuard) Admit(uint64, bool) *carawayspread.Error { return nil }
+func (openGuard) Crashed([]uint64)                        {}
+func (openGuard) Served(uint64)                           {}
+
+type openAttempts struct{}
+
+func (openAttempts) Accept(string) bool { return true }
+
+func fingerprintOf(r *http.Request) uint64 {
+	return sidecarhttp.ParseFingerprint(r.Header.Get(sidecarhttp.HeaderFingerprint))
+}
