--- /dev/null
+++ b/internal/process/entry/attempt.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/process/lane"
+	"carawayspread/internal/request/call"
+)
+
+// attempt sends the call to one endpoint and follows its answer to the end.
+func (e *Entry) attempt(ctx context.Context, l *lane.Lane, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int) *carawayspread.Error {
+	trial, refusal := e.suspects.Admit(ctx, c.Job())
+	if refusal != nil {
+		return refusal
+	}
+	place, err := l.Place(ctx, c.Job(), tried, e.placeUntil(c, n))
+	if err != nil {
+		return typed(err)
+	}
+	id := place.Endpoint().ID()
+	tried[id] = true
+	failure, firstByte := e.follow(ctx, c, answer, place, n, trial)
+	if firstByte == 0 {
+		firstByte = e.clock.Now().Sub(place.Taken())
+	}
+	place.Leave(firstByte, outcome(ctx, failure))
+	e.suspects.Ended(c.Job(), trial, failure)
+	return failure
+}
+
+// placeUntil gives a retry, whose target may be missed already, a moment to
+// find a place.
+func (e *Entry) placeUntil(c *call.Call, n int) time.Time {
+	until := latest(c)
+	if n == 1 {
+		return until
+	}
+	if soonest := e.clock.Now().Add(retryPlace); until.Before(soonest) {
+		return soonest
+	}
+	return until
+}
+
+const retryPlace = time.Second
+
+// follow sends the attempt and passes the answer on. It returns the time to
+// the first byte, zero when none came.
+func (e *Entry) follow(ctx context.Context, c *call.Call, answer *relay, place *lane.Place, n int, trial bool) (*carawayspread.Error, time.Duration) {
+	header := c.OutgoingHeader()
+	header.Set(sidecarhttp.HeaderFingerprint, sidecarhttp.FormatFingerprint(c.Job().Fingerprint))
+	header.Set(sidecarhttp.HeaderConfig, strconv.FormatUint(uint64(e.config.Current(ctx).Version()), 10))
+	if trial {
+		header.Set(sidecarhttp.HeaderTrial, "true")
+	}
+	answer.askResume(header)
+	got, err := e.client.Do(ctx, sidecarhttp.Attempt{
+		ID:        c.ID() + "-" + strconv.Itoa(n),
+		Endpoint:  place.Endpoint().ID(),
+		Address:   place.Endpoint().Address(),
+		Method:    c.Method(),
+		Path:      c.Path(),
+		Header:    header,
+		Body:      c.Body(),
+		Remaining: e.placeUntil(c, n).Sub(e.clock.Now()),
+		Once:      c.Once(),
+	})
+	if err != nil {
+		return typed(err), 0
+	}
+	defer func() { _ = got.Body.Close() }()
+	firstByte := e.clock.Now().Sub(place.Taken())
+	if failure := answerFailure(got, c); failure != nil {
+		return failure, firstByte
+	}
+	if err := answer.pass(got); err != nil {
+		return typed(err), firstByte
+	}
+	return nil, firstByte
+}
+
+// answerFailure turns an endpoint's own refusal into a failure where another
+// endpoint may do better. Work that must not run twice keeps the answer: it is
+// what its endpoint made of the request.
+func answerFailure(got *sidecarhttp.Answer, c *call.Call) *carawayspread.Error {
+	if c.Once() || got.Status < http.StatusInternalServerError && got.Status != http.StatusTooManyRequests {
+		return nil
+	}
+	return carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint answers "+strconv.Itoa(got.Status))
+}
+
+func outcome(ctx context.Context, failure *carawayspread.Error) carawayspread.Outcome {
+	switch {
+	case failure == nil:
+		return carawayspread.OutcomeServed
+	case ctx.Err() != nil:
+		return carawayspread.OutcomeCancelled
+	case failure.NotRun():
+		return carawayspread.OutcomeRefused
+	case errors.Is(failure, sidecarhttp.ErrCrashed):
+		return carawayspread.OutcomeCrashed
+	default:
+		return carawayspread.OutcomeFailed
+	}
+}
--- /dev/null
+++ b/internal/process/entry/once.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+
+	"carawayspread"
+	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/request/call"
+)
+
+// Stored is the answer of a finished request as the ledger keeps it.
+type Stored struct {
+	Status int
+	Header map[string]string
+	Body   []byte
+}
+
+// Claim is the right to run one request, held by one entry.
+type Claim interface {
+	// Done records the whole answer. An error means that the record does not
+	// show the answer; the caller is then told what the record shows.
+	Done(ctx context.Context, answer Stored) error
+	// Failed records that the request has not run, so that it may be sent again.
+	Failed(ctx context.Context) error
+	// Unknown records that the outcome cannot be known.
+	Unknown(ctx context.Context) error
+}
+
+// Ledger agrees, for the whole fleet, on who runs a request that must run at
+// most once, and remembers how it ended.
+type Ledger interface {
+	// Begin claims the request, or returns the stored answer of an earlier run,
+	// or the error that is the answer for now or for good.
+	Begin(ctx context.Context, c *call.Call) (Claim, *Stored, error)
+}
+
+type noLedger struct{}
+
+func (noLedger) Begin(context.Context, *call.Call) (Claim, *Stored, error) {
+	return nil, nil, carawayspread.NewError(carawayspread.CodeStoreUnavailable,
+		"this entry has no ledger for idempotency keys", carawayspread.NotRun())
+}
+
+// Suspects agrees, for the whole fleet, on requests that may crash endpoints.
+type Suspects interface {
+	// Admit returns whether the job runs as a trial, or the refusal of a job
+	// that must not run now.
+	Admit(ctx context.Context, job *carawayspread.Job) (trial bool, refusal *carawayspread.Error)
+	// Ended reports how an attempt ended; nil is a whole answer.
+	Ended(job *carawayspread.Job, trial bool, failure *carawayspread.Error)
+}
+
+type noSuspects struct{}
+
+func (noSuspects) Admit(context.Context, *carawayspread.Job) (bool, *carawayspread.Error) {
+	return false, nil
+}
+func (noSuspects) Ended(*carawayspread.Job, bool, *carawayspread.Error) {}
+
+// runOnce runs a request that must run at most once under its idempotency key.
+func (e *Entry) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) {
+	claim, stored, err := e.ledger.Begin(ctx, c)
+	if err != nil {
+		e.refuse(w, r, nil, typed(err))
+		return
+	}
+	if stored != nil {
+		replay(w, stored)
+		return
+	}
+	answer := newRelay(w, c)
+	answer.record = &recorder{}
+	answer.closing = func() error { return answer.record.keep(ctx, claim) }
+	failure := e.serve(ctx, c, answer)
+	if failure == nil {
+		e.finished(c, answer, "served")
+		return
+	}
+	e.fail(w, r, c, answer, e.settle(ctx, claim, failure))
+}
+
+// settle records how a claimed request failed. What the caller is told must
+// not contradict the record: where the record cannot be written, the claim
+// ends by its deadline as unknown, and the caller is told so.
+func (e *Entry) settle(ctx context.Context, claim Claim, failure *carawayspread.Error) *carawayspread.Error {
+	if !failure.NotRun() {
+		_ = claim.Unknown(ctx)
+		return unknown(failure)
+	}
+	if err := claim.Failed(ctx); err != nil {
+		return unknown(failure)
+	}
+	return failure
+}
+
+func replay(w http.ResponseWriter, stored *Stored) {
+	for name, value := range stored.Header {
+		w.Header().Set(name, value)
+	}
+	w.Header().Set("Idempotent-Replayed", "true")
+	w.WriteHeader(stored.Status)
+	_, _ = w.Write(stored.Body)
+}
+
+// storedLimit bounds the answer that is kept for replay. A longer answer is
+// delivered but not kept: its record ends as unknown for a later retry.
+const storedLimit = 4 << 20
+
+// recorder keeps a copy of the answer for the ledger.
+type recorder struct {
+	stored Stored
+	over   bool // the answer is longer than the limit
+}
+
+// keep records how the request ended before its caller is told.
+func (r *recorder) keep(ctx context.Context, claim Claim) error {
+	if r.over {
+		return claim.Unknown(ctx)
+	}
+	return claim.Done(ctx, r.stored)
+}
+
+func (a *relay) recordBytes(p []byte) {
+	if a.record == nil || a.record.over {
+		return
+	}
+	if len(a.record.stored.Body)+len(p) > storedLimit {
+		a.record.over = true
+		a.record.stored.Body = nil
+		return
+	}
+	a.record.stored.Body = append(a.record.stored.Body, p...)
+}
+
+func (a *relay) recordHeader(got *sidecarhttp.Answer) {
+	if a.record == nil {
+		return
+	}
+	a.record.stored.Status = got.Status
+	a.record.stored.Header = map[string]string{"Content-Type": got.Header.Get("Content-Type")}
+}
--- /dev/null
+++ b/internal/process/lane/lane.go
@@ -0,0 +1,193 @@
+// Package lane carries the requests of one service from admission to a place
+// at an endpoint. It connects the decision modules, which know nothing of
+// waiting goroutines, with the goroutines of the requests.
+package lane
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"carawayspread"
+)
+
+// Modules are the decisions of one lane.
+type Modules struct {
+	Scheduler carawayspread.Scheduler
+	Router    carawayspread.Router
+	Ejector   carawayspread.Ejector
+	Budget    carawayspread.RetryBudget
+	Limiter   func() carawayspread.Limiter // for each endpoint
+}
+
+// Lane serves one service. It is safe for concurrent use.
+type Lane struct {
+	modules Modules
+	clock   carawayspread.Clock
+	fleet   atomic.Pointer[fleet] // replaced as a whole
+
+	mu       sync.Mutex // serialises the scheduler
+	tickets  map[*carawayspread.Job]chan *carawayspread.Error
+	inFlight int
+	capacity int
+	freed    chan struct{} // closed and replaced whenever a place is returned
+}
+
+// fleet is what the lane knows of the endpoints; immutable.
+type fleet struct {
+	endpoints map[carawayspread.EndpointID]carawayspread.Endpoint
+	limiters  map[carawayspread.EndpointID]carawayspread.Limiter
+}
+
+// New returns a lane without endpoints.
+func New(modules Modules, clock carawayspread.Clock) *Lane {
+	l := &Lane{
+		modules: modules,
+		clock:   clock,
+		tickets: map[*carawayspread.Job]chan *carawayspread.Error{},
+		freed:   make(chan struct{}),
+	}
+	l.fleet.Store(&fleet{})
+	return l
+}
+
+// Update replaces the endpoints of the service. Limits learnt for endpoints
+// that stay are kept.
+func (l *Lane) Update(endpoints []carawayspread.Endpoint) {
+	old := l.fleet.Load()
+	next := &fleet{
+		endpoints: make(map[carawayspread.EndpointID]carawayspread.Endpoint, len(endpoints)),
+		limiters:  make(map[carawayspread.EndpointID]carawayspread.Limiter, len(endpoints)),
+	}
+	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		next.endpoints[endpoint.ID()] = endpoint
+		next.limiters[endpoint.ID()] = old.limiters[endpoint.ID()]
+		if next.limiters[endpoint.ID()] == nil {
+			next.limiters[endpoint.ID()] = l.modules.Limiter()
+		}
+		ids = append(ids, endpoint.ID())
+	}
+	l.fleet.Store(next)
+	l.modules.Router.SetEndpoints(endpoints)
+	l.modules.Ejector.SetEndpoints(ids)
+	l.Tick()
+}
+
+// Reported passes a load report to the router.
+func (l *Lane) Reported(report carawayspread.Report) { l.modules.Router.Reported(report) }
+
+// Budget returns the retry budget of the service.
+func (l *Lane) Budget() carawayspread.RetryBudget { return l.modules.Budget }
+
+// Tick refuses what can no longer be served in time and takes in changed
+// limits. It is to be called many times a second.
+func (l *Lane) Tick() {
+	capacity := 0
+	known := l.fleet.Load()
+	for id, limiter := range known.limiters {
+		if !known.endpoints[id].Leaving() {
+			capacity += limiter.Limit()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.capacity = capacity
+	l.modules.Scheduler.Capacity(capacity)
+	l.expire()
+	l.pump()
+}
+
+// Wait returns nil when the job may be sent now; Finish must follow. Otherwise
+// it returns the refusal, which is not run.
+func (l *Lane) Wait(ctx context.Context, job *carawayspread.Job) error {
+	ready, err := l.offer(job)
+	if err != nil {
+		return err
+	}
+	select {
+	case refusal := <-ready:
+		return asError(refusal)
+	case <-ctx.Done():
+		return l.withdraw(ctx, job, ready)
+	}
+}
+
+func (l *Lane) offer(job *carawayspread.Job) (chan *carawayspread.Error, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.modules.Scheduler.Offer(job); err != nil {
+		return nil, err
+	}
+	ready := make(chan *carawayspread.Error, 1)
+	l.tickets[job] = ready
+	l.expire()
+	l.pump()
+	return ready, nil
+}
+
+func (l *Lane) withdraw(ctx context.Context, job *carawayspread.Job, ready chan *carawayspread.Error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.modules.Scheduler.Cancel(job) {
+		delete(l.tickets, job)
+	} else if refusal := <-ready; refusal == nil {
+		// The job was chosen in the same moment: its place goes back.
+		l.finish(job, carawayspread.Cost{}, 0)
+	}
+	return carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "the caller has gone or its deadline has passed while the request was queued",
+		carawayspread.NotRun(), carawayspread.CausedBy(context.Cause(ctx)))
+}
+
+// Finish returns the place of a job that Wait let through, with the work that
+// it took.
+func (l *Lane) Finish(job *carawayspread.Job, served carawayspread.Cost, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.finish(job, served, took)
+}
+
+func (l *Lane) finish(job *carawayspread.Job, served carawayspread.Cost, took time.Duration) {
+	l.modules.Scheduler.Done(job, served, took)
+	l.inFlight--
+	l.expire()
+	l.pump()
+}
+
+// pump lets jobs through while there is capacity. The caller holds mu.
+func (l *Lane) pump() {
+	for l.inFlight < l.capacity {
+		job := l.modules.Scheduler.Next()
+		if job == nil {
+			return
+		}
+		l.inFlight++
+		l.tickets[job] <- nil
+		delete(l.tickets, job)
+	}
+}
+
+// expire answers the jobs that the scheduler has given up. The caller holds mu.
+func (l *Lane) expire() {
+	for _, refused := range l.modules.Scheduler.Expired() {
+		if ready, ok := l.tickets[refused.Job]; ok {
+			ready <- refused.Err
+			delete(l.tickets, refused.Job)
+		}
+	}
+}
+
+// Queued returns the number of waiting jobs.
+func (l *Lane) Queued() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.modules.Scheduler.Len()
+}
+
+func asError(e *carawayspread.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
--- /dev/null
+++ b/internal/process/server/server.go
@@ -0,0 +1,81 @@
+// Package server runs HTTP servers in a run group, with a time limit on every
+// part of a request that its peer controls, and a shutdown that cuts nothing.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gravitational/trace"
+)
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// bodyTimeout bounds how long a peer may take to send a request. Answers
+	// have no limit: net/http lifts the deadline when the body has been read.
+	bodyTimeout = 2 * time.Minute
+	idleTimeout = 2 * time.Minute
+	headerLimit = 64 << 10 // bytes
+)
+
+// Server is one HTTP server at an address.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// Listen opens the address; serving begins with Run.
+func Listen(address string, handler http.Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Server{listener: listener, http: &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerLimit,
+	}}, nil
+}
+
+// Address returns IP number and port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Run serves until Shutdown.
+func (s *Server) Run() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// Shutdown stops accepting and waits, without limit but ctx, until every
+// request has its answer.
+func (s *Server) Shutdown(ctx context.Context) error { return trace.Wrap(s.http.Shutdown(ctx)) }
+
+// Observe adds the paths that every daemon has: /healthz answers while the
+// process lives, /readyz while ready returns true, and /metrics.
+func Observe(mux *http.ServeMux, ready func() bool, sets ...*metrics.Set) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = w.Write([]byte("leaving\n"))
+			return
+		}
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		for _, set := range sets {
+			set.WritePrometheus(w)
+		}
+		metrics.WriteProcessMetrics(w)
+	})
+}
