--- /dev/null
+++ b/internal/process/entryd/daemon.go
@@ -0,0 +1,180 @@
+// Package entryd composes the daemon that takes callers' requests: data path,
+// administration, control service, and what it knows of the fleet.
+package entryd
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/entry"
+	"carawayspread/internal/process/server"
+	"carawayspread/internal/process/watch"
+	"carawayspread/internal/version/settings"
+)
+
+// Daemon is one entry process.
+type Daemon struct {
+	settings *settings.Settings
+	clock    carawayspread.Clock
+	log      log.Interface
+	entry    *entry.Entry
+	config   entry.ConfigSource
+	data     *server.Server
+	admin    *server.Server
+	control  *server.Server
+	reports  *report.Socket
+	watch    *watch.Watch
+	known    atomic.Pointer[directory]
+	mu       sync.Mutex // serialises updates of the entry's endpoints
+}
+
+// directory resolves the endpoints that reports name by their hash; immutable.
+type directory struct {
+	instances []carawayspread.Instance
+	byHash    map[string]map[uint32]carawayspread.InstanceEndpoint // by instance
+}
+
+// New opens the daemon's addresses.
+func New(s *settings.Settings, list carawayspread.InstanceList, config entry.ConfigSource, clock carawayspread.Clock, l log.Interface, opts ...entry.Option) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l.WithField("instance", s.ID()), config: config}
+	d.known.Store(&directory{})
+	d.watch = watch.New(list, clock, d.log)
+	opts = append([]entry.Option{
+		entry.WithClock(clock), entry.WithLog(d.log),
+		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
+	}, opts...)
+	d.entry = entry.New(config, decisions(s.Zone(), clock), opts...)
+	return d, trace.Wrap(d.listen())
+}
+
+func (d *Daemon) listen() error {
+	s := d.settings
+	ready := func() bool { return !d.entry.Leaving() }
+	callers := http.NewServeMux()
+	callers.Handle("/", d.entry)
+	server.ObserveHealth(callers, ready)
+	operators := http.NewServeMux()
+	server.Observe(operators, ready, d.entry.Metrics())
+	peers := http.NewServeMux()
+	server.Observe(peers, ready, d.entry.Metrics())
+	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
+	var err error
+	if d.data, err = server.Listen(s.Listen(), callers); err != nil {
+		return err
+	}
+	if d.admin, err = server.Listen(s.Admin(), operators); err != nil {
+		return err
+	}
+	if d.control, err = server.Listen(s.Control(), peers); err != nil {
+		return err
+	}
+	d.reports, err = report.Listen(d.control.Address())
+	return err
+}
+
+// Run serves until ctx ends, then refuses new requests and returns when the
+// last one has its answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	group.Add(d.data.Run, func(error) { _ = d.data.Shutdown(context.Background()) })
+	group.Add(d.admin.Run, func(error) { _ = d.admin.Shutdown(context.Background()) })
+	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
+	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
+	group.Add(func() error { return d.watch.Run(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
+	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
+	d.log.WithField("listen", d.data.Address()).WithField("admin", d.admin.Address()).Info("entry serves")
+	err := group.Run()
+	d.entry.Close()
+	d.log.Info("entry ended")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// leaveAfter returns when ctx has ended and every request has its answer.
+//
+// The lanes and the watch must live until then: a queued request that nobody
+// sends would hold up the shutdown for ever.
+func (d *Daemon) leaveAfter(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return work.Err()
+	}
+	d.entry.Leave()
+	d.log.Info("entry leaves")
+	return d.data.Shutdown(work)
+}
+
+// Refresh applies a changed configuration to the lanes.
+func (d *Daemon) Refresh() { d.update(d.watch.Instances()) }
+
+func (d *Daemon) update(instances []carawayspread.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entry.Update(d.config.Current(context.Background()), watch.Endpoints(instances))
+}
+
+func (d *Daemon) listed(instances []carawayspread.Instance) {
+	next := &directory{instances: instances, byHash: map[string]map[uint32]carawayspread.InstanceEndpoint{}}
+	for _, instance := range instances {
+		byHash := map[uint32]carawayspread.InstanceEndpoint{}
+		for _, endpoint := range instance.Endpoints {
+			byHash[report.Hash(endpoint.ID)] = endpoint
+		}
+		next.byHash[instance.ID] = byHash
+	}
+	d.known.Store(next)
+	d.update(instances)
+}
+
+func (d *Daemon) reported(r *control.LoadReport) {
+	d.config.Heard(carawayspread.Version(r.GetConfigVersion()))
+	byHash := d.known.Load().byHash[r.GetInstance()]
+	now := d.clock.Now()
+	for _, load := range r.GetEndpoints() {
+		endpoint, ok := byHash[load.GetEndpointHash()]
+		if !ok {
+			continue
+		}
+		d.entry.Reported(endpoint.Service, carawayspread.Report{
+			Endpoint:    endpoint.ID,
+			Taken:       now.Add(-time.Duration(load.GetAgeMs()) * time.Millisecond),
+			Running:     int(load.GetRunning()),
+			Waiting:     int(load.GetWaiting()),
+			Slots:       max(1, int(load.GetSlots())),
+			Role:        carawayspread.Role(load.GetRole()),
+			Models:      load.GetModels(),
+			Draining:    load.GetDraining() || r.GetDraining(),
+			Crashed:     load.GetCrashed(),
+			PrefillRate: float64(load.GetPrefillRate()),
+			DecodeRate:  float64(load.GetDecodeRate()),
+		})
+	}
+}
+
+// Instance returns the daemon's row of the instance list, with the addresses
+// that are really open.
+func (d *Daemon) Instance() carawayspread.Instance {
+	row := d.settings.Instance()
+	row.Address = d.data.Address()
+	row.Control = d.control.Address()
+	return row
+}
+
+// Admin returns IP number and port of the administration API.
+func (d *Daemon) Admin() string { return d.admin.Address() }
--- /dev/null
+++ b/internal/process/entryd/decisions.go
@@ -0,0 +1,29 @@
+package entryd
+
+import (
+	"math/rand/v2"
+
+	"carawayspread"
+	"carawayspread/internal/process/lane"
+)
+
+// decisions returns the modules of a service: what the registries fall back to.
+func decisions(zone string, clock carawayspread.Clock) func(carawayspread.Service) lane.Modules {
+	return func(carawayspread.Service) lane.Modules {
+		env := func() carawayspread.Environment {
+			return carawayspread.Environment{Clock: clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Zone: zone}
+		}
+		scheduler, _ := carawayspread.Schedulers.Get("")
+		router, _ := carawayspread.Routers.Get("")
+		limiter, _ := carawayspread.Limiters.Get("")
+		ejector, _ := carawayspread.Ejectors.Get("")
+		budget, _ := carawayspread.RetryBudgets.Get("")
+		return lane.Modules{
+			Scheduler: scheduler(env()),
+			Router:    router(env()),
+			Ejector:   ejector(env()),
+			Budget:    budget(env()),
+			Limiter:   func() carawayspread.Limiter { return limiter(env()) },
+		}
+	}
+}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -61,6 +61,18 @@
 // Observe adds the paths that every daemon has: /healthz answers while the
 // process lives, /readyz while ready returns true, and /metrics.
 func Observe(mux *http.ServeMux, ready func() bool, sets ...*metrics.Set) {
+	ObserveHealth(mux, ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		for _, set := range sets {
+			set.WritePrometheus(w)
+		}
+		metrics.WriteProcessMetrics(w)
+	})
+}
+
+// ObserveHealth adds /healthz and /readyz alone, for the address that the
+// platform's balancer and callers reach.
+func ObserveHealth(mux *http.ServeMux, ready func() bool) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
@@ -72,10 +84,4 @@
 		}
 		_, _ = w.Write([]byte("ok\n"))
 	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		for _, set := range sets {
-			set.WritePrometheus(w)
-		}
-		metrics.WriteProcessMetrics(w)
-	})
 }
--- /dev/null
+++ b/internal/process/sidecar/load.go
@@ -0,0 +1,65 @@
+package sidecar
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/report"
+)
+
+// probeEvery is the time between two readings of an endpoint's state.
+const probeEvery = time.Second
+
+// Run reads the state of the endpoints until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) error {
+	for {
+		s.probeAll(ctx)
+		select {
+		case <-s.clock.After(probeEvery):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Sidecar) probeAll(ctx context.Context) {
+	for _, w := range s.workers {
+		if ctx.Err() != nil {
+			return
+		}
+		w.probe(ctx, s.client, s.clock.Now(), w.life())
+	}
+}
+
+// Load returns what is known of the endpoints, ordered by name.
+func (s *Sidecar) Load() []*control.EndpointLoad {
+	loads := make([]*control.EndpointLoad, 0, len(s.workers))
+	for _, w := range s.workers {
+		loads = append(loads, w.load(s.clock.Now()))
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].GetEndpoint() < loads[j].GetEndpoint() })
+	return loads
+}
+
+func (w *worker) load(now time.Time) *control.EndpointLoad {
+	seen := w.state.Load()
+	load := &control.EndpointLoad{
+		Endpoint:     string(w.spec.ID),
+		EndpointHash: report.Hash(w.spec.ID),
+		Running:      uint32(max(0, w.running.Load())),
+		Waiting:      uint32(max(0, w.waiting.Load())),
+		Slots:        uint32(w.spec.Slots),
+		Role:         string(seen.state.Role),
+		PrefillRate:  float32(seen.state.PrefillRate),
+		DecodeRate:   float32(seen.state.DecodeRate),
+		Crashed:      w.down.Load(),
+		Draining:     w.draining.Load(),
+		Models:       seen.state.Models,
+	}
+	if !seen.at.IsZero() {
+		load.AgeMs = uint32(now.Sub(seen.at).Milliseconds())
+	}
+	return load
+}
