--- a/cmd/carawayspread/daemons.go
+++ b/cmd/carawayspread/daemons.go
@@ -7,7 +7,7 @@
 	"github.com/urfave/cli/v2"
 
 	"carawayspread"
-	"carawayspread/internal/connection/instancelist"
+	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/dev"
 	"carawayspread/internal/process/entryd"
 	"carawayspread/internal/process/sidecard"
@@ -35,7 +35,7 @@
 
 func entryCommand() *cli.Command {
 	return daemonCommand("entry", "run the daemon that takes callers' requests", func(ctx context.Context, s *settings.Settings) error {
-		d, err := entryd.New(s, instanceList(s), carawayspread.SystemClock(), log.Log)
+		d, err := entryd.New(base.New(s, carawayspread.SystemClock(), log.Log))
 		if err != nil {
 			return err
 		}
@@ -45,7 +45,7 @@
 
 func sidecarCommand() *cli.Command {
 	return daemonCommand("sidecar", "run the daemon beside the endpoints of an instance", func(ctx context.Context, s *settings.Settings) error {
-		d, err := sidecard.New(s, instanceList(s), carawayspread.SystemClock(), log.Log)
+		d, err := sidecard.New(base.New(s, carawayspread.SystemClock(), log.Log))
 		if err != nil {
 			return err
 		}
@@ -53,10 +53,6 @@
 	})
 }
 
-func instanceList(s *settings.Settings) carawayspread.InstanceList {
-	return instancelist.New("http://" + s.Platform().InstanceList())
-}
-
 func daemonCommand(name, usage string, run func(context.Context, *settings.Settings) error) *cli.Command {
 	return &cli.Command{
 		Name:  name,
--- /dev/null
+++ b/internal/process/base/base.go
@@ -0,0 +1,121 @@
+// Package base is what every daemon holds: the clients of the platform's
+// services, the instance list and the configuration.
+package base
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"carawayspread"
+	"carawayspread/internal/connection/dynamodb"
+	"carawayspread/internal/connection/instancelist"
+	"carawayspread/internal/connection/s3"
+	"carawayspread/internal/process/confsync"
+	"carawayspread/internal/process/watch"
+	"carawayspread/internal/version/changelog"
+	"carawayspread/internal/version/settings"
+)
+
+// Base is the common part of one daemon.
+type Base struct {
+	settings *settings.Settings
+	clock    carawayspread.Clock
+	log      log.Interface
+	set      *metrics.Set
+	table    carawayspread.Table
+	objects  carawayspread.ObjectStore
+	changes  *changelog.Log
+	config   *confsync.Syncer
+	watch    *watch.Watch
+	adopted  func(*carawayspread.Config) // called with every configuration; set before Run
+}
+
+// New returns the base of the daemon with those settings.
+func New(s *settings.Settings, clock carawayspread.Clock, l log.Interface) *Base {
+	b := &Base{
+		settings: s,
+		clock:    clock,
+		log:      l.WithField("instance", s.ID()),
+		set:      metrics.NewSet(),
+		adopted:  func(*carawayspread.Config) {},
+	}
+	p := s.Platform()
+	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()))
+	b.table = decorate(client, b)
+	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
+	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
+	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log))
+	t := s.Timeouts()
+	b.config = confsync.New(b.changes, clock,
+		confsync.WithInstance(s.ID()), confsync.WithLogger(b.log), confsync.WithPeers(b.peers),
+		confsync.WithTimes(t.ConfigPoll(), t.ConfigFresh(), t.ConfigRefresh()),
+		confsync.WithAdopted(func(cfg *carawayspread.Config) { b.adopted(cfg) }))
+	return b
+}
+
+// OnAdopted sets what is called with every configuration that comes into
+// force. It must be set before Run.
+func (b *Base) OnAdopted(adopted func(*carawayspread.Config)) { b.adopted = adopted }
+
+// peers returns the control addresses to ask for the configuration, those of
+// the own availability zone and then of the own region first. Where no list
+// was read since the start, the settings name the first ones.
+func (b *Base) peers() []string {
+	near, region, far := []string{}, []string{}, []string{}
+	for _, instance := range b.watch.Instances() {
+		if _, err := netip.ParseAddrPort(instance.Control); err != nil || instance.ID == b.settings.ID() {
+			continue
+		}
+		switch {
+		case instance.Zone == b.settings.Zone():
+			near = append(near, instance.Control)
+		case instance.Region == b.settings.Region():
+			region = append(region, instance.Control)
+		default:
+			far = append(far, instance.Control)
+		}
+	}
+	all := append(append(near, region...), far...)
+	return append(all, b.settings.Peers()...)
+}
+
+// RunConfig keeps the configuration current until ctx ends.
+func (b *Base) RunConfig(ctx context.Context) error { return b.config.Run(ctx) }
+
+// RunWatch follows the instance list until ctx ends.
+func (b *Base) RunWatch(ctx context.Context, changed func([]carawayspread.Instance)) error {
+	return b.watch.Run(ctx, changed)
+}
+
+// Settings returns the settings of the daemon.
+func (b *Base) Settings() *settings.Settings { return b.settings }
+
+// Clock returns the clock of the daemon.
+func (b *Base) Clock() carawayspread.Clock { return b.clock }
+
+// Log returns where events are logged, with the name of the instance.
+func (b *Base) Log() log.Interface { return b.log }
+
+// Metrics returns the metrics of the platform's clients.
+func (b *Base) Metrics() *metrics.Set { return b.set }
+
+// Table returns the platform's table service with its safeguards.
+func (b *Base) Table() carawayspread.Table { return b.table }
+
+// Objects returns the platform's object store.
+func (b *Base) Objects() carawayspread.ObjectStore { return b.objects }
+
+// Changes returns the log of configuration changes.
+func (b *Base) Changes() *changelog.Log { return b.changes }
+
+// Config returns what keeps the configuration current.
+func (b *Base) Config() *confsync.Syncer { return b.config }
+
+// Instances returns the newest known instance list; not to be modified.
+func (b *Base) Instances() []carawayspread.Instance { return b.watch.Instances() }
+
+// decorate is replaced by the platform's composition.
+func decorate(client carawayspread.Table, _ *Base) carawayspread.Table { return client }
--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -10,15 +10,18 @@
 	"fmt"
 	"io"
 	"text/template"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
 	"carawayspread"
-	"carawayspread/internal/connection/instancelist"
+	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/entryd"
 	"carawayspread/internal/process/sidecard"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/changelog"
 	"carawayspread/internal/version/settings"
 )
 
@@ -28,6 +31,9 @@
 //go:embed sidecar.jsonc.tmpl
 var sidecarTemplate string
 
+//go:embed config.jsonc
+var firstConfig []byte
+
 // zones are the availability zones of the small fleet.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
@@ -40,7 +46,9 @@
 
 // Fleet is the running small fleet.
 type Fleet struct {
+	clock    carawayspread.Clock
 	platform *platform
+	base     *base.Base // of the entry
 	entry    *entryd.Daemon
 	sidecars []*sidecard.Daemon
 }
@@ -62,7 +70,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	f := &Fleet{platform: p}
+	f := &Fleet{clock: clock, platform: p}
 	for _, zone := range zones {
 		if err := f.addSidecar(zone, clock, l); err != nil {
 			return nil, trace.Wrap(err)
@@ -72,7 +80,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	f.entry, err = entryd.New(s, instancelist.New("http://"+p.InstanceList), clock, l)
+	f.base = base.New(s, clock, l)
+	f.entry, err = entryd.New(f.base)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -89,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := sidecard.New(s, instancelist.New("http://"+f.platform.InstanceList), clock, l)
+	d, err := sidecard.New(base.New(s, clock, l))
 	if err != nil {
 		return err
 	}
@@ -110,12 +119,38 @@
 	return settings.Parse(name, body.Bytes())
 }
 
+// configure has the first configuration accepted and returns when ctx ends.
+func (f *Fleet) configure(ctx context.Context) error {
+	first := change.Parse("config.jsonc", firstConfig)
+	_, _, err := f.base.Changes().Append(ctx, changelog.Proposal{Change: first, Actor: "dev", Held: f.base.Config().Held()})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.base.Config().Heard(1)
+	<-ctx.Done()
+	return nil
+}
+
 // Listen returns IP number and port for callers.
 func (f *Fleet) Listen() string { return f.entry.Instance().Address }
 
 // Admin returns IP number and port of the administration API.
 func (f *Fleet) Admin() string { return f.entry.Admin() }
 
+// Ready returns when the entry knows every endpoint of the fleet.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for f.base.Config().Held().Version() == 0 || f.entry.Known() < len(zones)*(enginesPerZone+1) {
+		select {
+		case <-f.clock.After(readyPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+const readyPoll = 5 * time.Millisecond
+
 // Run serves until ctx ends and every request has its answer.
 func (f *Fleet) Run(ctx context.Context, out io.Writer) error {
 	_, _ = fmt.Fprintf(out, "callers:        http://%s\nadministration: http://%s\n", f.Listen(), f.Admin())
@@ -127,5 +162,6 @@
 		group.Add(func() error { return d.Run(below) }, func(error) { stop() })
 	}
 	group.Add(func() error { return f.platform.run(below) }, func(error) { stop() })
+	group.Add(func() error { return f.configure(below) }, func(error) { stop() })
 	return trace.Wrap(group.Run())
 }
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -25,11 +25,9 @@
 	}
 	id := place.Endpoint().ID()
 	tried[id] = true
+	held := answer.events
 	failure, firstByte := e.follow(ctx, c, answer, place, n, trial)
-	if firstByte == 0 {
-		firstByte = e.clock.Now().Sub(place.Taken())
-	}
-	place.Leave(firstByte, outcome(ctx, failure))
+	place.Leave(e.latency(c, place, firstByte, answer.events-held), outcome(ctx, failure))
 	e.suspects.Ended(c.Job(), trial, failure)
 	return failure
 }
@@ -49,9 +47,27 @@
 
 const retryPlace = time.Second
 
-// follow sends the attempt and passes the answer on. It returns the time to
+// latency returns a measure of the endpoint that is comparable between
+// requests: the mean gap between tokens of an engine, the whole time of a
+// plain service; zero for none.
+func (e *Entry) latency(c *call.Call, place *lane.Place, firstByte time.Time, events int) time.Duration {
+	now := e.clock.Now()
+	switch {
+	case c.Service().Kind() == carawayspread.KindPlain:
+		return now.Sub(place.Taken())
+	case firstByte.IsZero() || events < fewestEvents:
+		return 0
+	default:
+		return now.Sub(firstByte) / time.Duration(events)
+	}
+}
+
+// fewestEvents is how many tokens an answer needs to measure their gap.
+const fewestEvents = 4
+
+// follow sends the attempt and passes the answer on. It returns the time of
 // the first byte, zero when none came.
-func (e *Entry) follow(ctx context.Context, c *call.Call, answer *relay, place *lane.Place, n int, trial bool) (*carawayspread.Error, time.Duration) {
+func (e *Entry) follow(ctx context.Context, c *call.Call, answer *relay, place *lane.Place, n int, trial bool) (*carawayspread.Error, time.Time) {
 	header := c.OutgoingHeader()
 	header.Set(sidecarhttp.HeaderFingerprint, sidecarhttp.FormatFingerprint(c.Job().Fingerprint))
 	header.Set(sidecarhttp.HeaderConfig, strconv.FormatUint(uint64(e.config.Current(ctx).Version()), 10))
@@ -71,10 +87,10 @@
 		Once:      c.Once(),
 	})
 	if err != nil {
-		return typed(err), 0
+		return typed(err), time.Time{}
 	}
 	defer func() { _ = got.Body.Close() }()
-	firstByte := e.clock.Now().Sub(place.Taken())
+	firstByte := e.clock.Now()
 	if failure := answerFailure(got, c); failure != nil {
 		return failure, firstByte
 	}
--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -69,7 +69,7 @@
 		replay(w, stored)
 		return
 	}
-	answer := newRelay(w, c)
+	answer := newRelay(w, c, e.clock)
 	answer.record = &recorder{}
 	answer.closing = func() error { return answer.record.keep(ctx, claim) }
 	failure := e.serve(ctx, c, answer)
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -27,12 +28,14 @@
 	sent    bool           // the status is out
 	events  int            // whole events that the caller has
 	digest  *xxhash.Digest // of their data
-	record  *recorder      // nil unless the answer is to be stored
-	closing func() error   // called before the caller is told that the answer is whole
+	clock   carawayspread.Clock
+	first   time.Time    // of the answer's first byte; zero before it
+	record  *recorder    // nil unless the answer is to be stored
+	closing func() error // called before the caller is told that the answer is whole
 }
 
-func newRelay(w http.ResponseWriter, c *call.Call) *relay {
-	return &relay{w: w, call: c, digest: xxhash.New(), closing: func() error { return nil }}
+func newRelay(w http.ResponseWriter, c *call.Call, clock carawayspread.Clock) *relay {
+	return &relay{w: w, call: c, clock: clock, digest: xxhash.New(), closing: func() error { return nil }}
 }
 
 func (a *relay) started() bool { return a.sent }
@@ -49,18 +52,25 @@
 	header.Set(sidecarhttp.HeaderResumeDigest, strconv.FormatUint(a.digest.Sum64(), 16))
 }
 
-// served returns the work that the answer took, as far as it was seen.
-func (a *relay) served(whole bool) carawayspread.Cost {
+// served returns what the answer took, as far as it was seen.
+func (a *relay) served(whole bool, began, ended time.Time) carawayspread.Served {
 	cost := a.call.Job().Cost
 	if a.call.Stream() || !whole {
 		cost.Decode = a.events
 	}
-	return cost
+	served := carawayspread.Served{Cost: cost, Took: ended.Sub(began)}
+	if !a.first.IsZero() {
+		served.FirstToken = a.first.Sub(began)
+	}
+	return served
 }
 
 // pass hands an endpoint's answer to the caller. It returns nil when the
 // caller has the whole of it.
 func (a *relay) pass(got *sidecarhttp.Answer) error {
+	if a.first.IsZero() {
+		a.first = a.clock.Now()
+	}
 	a.recordHeader(got)
 	if isStream(got) {
 		return a.passEvents(got)
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -34,7 +34,7 @@
 		e.runOnce(ctx, w, r, c)
 		return
 	}
-	e.runAnswered(ctx, w, r, c, newRelay(w, c))
+	e.runAnswered(ctx, w, r, c, newRelay(w, c, e.clock))
 }
 
 // scope returns the context of the run. Work that must not run twice goes on
@@ -71,7 +71,7 @@
 	}
 	began := e.clock.Now()
 	failure := e.attempts(ctx, l, c, answer)
-	l.Finish(c.Job(), answer.served(failure == nil), e.clock.Now().Sub(began))
+	l.Finish(c.Job(), answer.served(failure == nil, began, e.clock.Now()))
 	return failure
 }
 
--- a/internal/process/entryd/control.go
+++ b/internal/process/entryd/control.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/twitchtv/twirp"
-
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 )
@@ -12,16 +10,18 @@
 var _ control.Control = (*Daemon)(nil)
 
 // Changes answers a daemon that asks for configuration changes.
-func (d *Daemon) Changes(context.Context, *control.ChangesRequest) (*control.ChangesResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "no configuration is held here")
+func (d *Daemon) Changes(ctx context.Context, req *control.ChangesRequest) (*control.ChangesResponse, error) {
+	return d.base.Config().Changes(ctx, req)
 }
 
 // Status tells what the entry holds and does.
-func (d *Daemon) Status(ctx context.Context, _ *control.StatusRequest) (*control.StatusResponse, error) {
+func (d *Daemon) Status(_ context.Context, _ *control.StatusRequest) (*control.StatusResponse, error) {
+	age, _ := d.base.Config().EvidenceAge()
 	return &control.StatusResponse{
-		Instance:      d.settings.ID(),
+		EvidenceAgeMs: uint64(age.Milliseconds()),
+		Instance:      d.base.Settings().ID(),
 		Role:          string(carawayspread.InstanceEntry),
-		ConfigVersion: uint64(d.config.Current(ctx).Version()),
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
 		Draining:      d.entry.Leaving(),
 	}, nil
 }
@@ -29,6 +29,6 @@
 // Drain makes the entry refuse new requests.
 func (d *Daemon) Drain(_ context.Context, req *control.DrainRequest) (*control.DrainResponse, error) {
 	d.entry.Leave()
-	d.log.WithField("actor", req.GetActor()).Info("drain ordered")
+	d.base.Log().WithField("actor", req.GetActor()).Info("drain ordered")
 	return &control.DrainResponse{}, nil
 }
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -9,33 +9,29 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/watch"
-	"carawayspread/internal/version/settings"
 )
 
 // Daemon is one entry process.
 type Daemon struct {
-	settings *settings.Settings
-	clock    carawayspread.Clock
-	log      log.Interface
-	entry    *entry.Entry
-	config   entry.ConfigSource
-	data     *server.Server
-	admin    *server.Server
-	control  *server.Server
-	reports  *report.Socket
-	watch    *watch.Watch
-	known    atomic.Pointer[directory]
-	mu       sync.Mutex // serialises updates of the entry's endpoints
+	base    *base.Base
+	entry   *entry.Entry
+	data    *server.Server
+	admin   *server.Server
+	control *server.Server
+	reports *report.Socket
+	known   atomic.Pointer[directory]
+	routed  atomic.Int64 // endpoints that the entry was given
+	mu      sync.Mutex   // serialises updates of the entry's endpoints
 }
 
 // directory resolves the endpoints that reports name by their hash; immutable.
@@ -45,28 +41,29 @@
 }
 
 // New opens the daemon's addresses.
-func New(s *settings.Settings, list carawayspread.InstanceList, config entry.ConfigSource, clock carawayspread.Clock, l log.Interface, opts ...entry.Option) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l.WithField("instance", s.ID()), config: config}
+func New(b *base.Base, opts ...entry.Option) (*Daemon, error) {
+	d := &Daemon{base: b}
 	d.known.Store(&directory{})
-	d.watch = watch.New(list, clock, d.log)
+	s := b.Settings()
 	opts = append([]entry.Option{
-		entry.WithClock(clock), entry.WithLog(d.log),
+		entry.WithClock(b.Clock()), entry.WithLog(b.Log()),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
 	}, opts...)
-	d.entry = entry.New(config, decisions(s.Zone(), clock), opts...)
+	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
+	b.OnAdopted(func(*carawayspread.Config) { d.update() })
 	return d, trace.Wrap(d.listen())
 }
 
 func (d *Daemon) listen() error {
-	s := d.settings
-	ready := func() bool { return !d.entry.Leaving() }
+	s := d.base.Settings()
+	ready := func() bool { return !d.entry.Leaving() && d.base.Config().Ready() }
 	callers := http.NewServeMux()
 	callers.Handle("/", d.entry)
 	server.ObserveHealth(callers, ready)
 	operators := http.NewServeMux()
-	server.Observe(operators, ready, d.entry.Metrics())
+	server.Observe(operators, ready, d.entry.Metrics(), d.base.Metrics())
 	peers := http.NewServeMux()
-	server.Observe(peers, ready, d.entry.Metrics())
+	server.Observe(peers, ready, d.entry.Metrics(), d.base.Metrics())
 	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	var err error
 	if d.data, err = server.Listen(s.Listen(), callers); err != nil {
@@ -92,13 +89,14 @@
 	group.Add(d.admin.Run, func(error) { _ = d.admin.Shutdown(context.Background()) })
 	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
 	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
-	group.Add(func() error { return d.watch.Run(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
 	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
-	d.log.WithField("listen", d.data.Address()).WithField("admin", d.admin.Address()).Info("entry serves")
+	d.base.Log().WithField("listen", d.data.Address()).WithField("admin", d.admin.Address()).WithField("control", d.control.Address()).Info("entry serves")
 	err := group.Run()
 	d.entry.Close()
-	d.log.Info("entry ended")
+	d.base.Log().Info("entry ended")
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -116,17 +114,17 @@
 		return work.Err()
 	}
 	d.entry.Leave()
-	d.log.Info("entry leaves")
+	d.base.Log().Info("entry leaves")
 	return d.data.Shutdown(work)
 }
 
-// Refresh applies a changed configuration to the lanes.
-func (d *Daemon) Refresh() { d.update(d.watch.Instances()) }
-
-func (d *Daemon) update(instances []carawayspread.Instance) {
+// update applies the instance list and the configuration to the entry.
+func (d *Daemon) update() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.entry.Update(d.config.Current(context.Background()), watch.Endpoints(instances))
+	endpoints := watch.Endpoints(d.base.Instances())
+	d.entry.Update(d.base.Config().Held(), endpoints)
+	d.routed.Store(int64(len(endpoints)))
 }
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
@@ -139,13 +137,13 @@
 		next.byHash[instance.ID] = byHash
 	}
 	d.known.Store(next)
-	d.update(instances)
+	d.update()
 }
 
 func (d *Daemon) reported(r *control.LoadReport) {
-	d.config.Heard(carawayspread.Version(r.GetConfigVersion()))
+	d.base.Config().Heard(carawayspread.Version(r.GetConfigVersion()))
 	byHash := d.known.Load().byHash[r.GetInstance()]
-	now := d.clock.Now()
+	now := d.base.Clock().Now()
 	for _, load := range r.GetEndpoints() {
 		endpoint, ok := byHash[load.GetEndpointHash()]
 		if !ok {
@@ -170,7 +168,7 @@
 // Instance returns the daemon's row of the instance list, with the addresses
 // that are really open.
 func (d *Daemon) Instance() carawayspread.Instance {
-	row := d.settings.Instance()
+	row := d.base.Settings().Instance()
 	row.Address = d.data.Address()
 	row.Control = d.control.Address()
 	return row
@@ -178,3 +176,6 @@
 
 // Admin returns IP number and port of the administration API.
 func (d *Daemon) Admin() string { return d.admin.Address() }
+
+// Known returns the number of endpoints that the entry routes to.
+func (d *Daemon) Known() int { return int(d.routed.Load()) }
--- a/internal/process/entryd/decisions.go
+++ b/internal/process/entryd/decisions.go
@@ -2,8 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"carawayspread"
+	_ "carawayspread/internal/process/fairqueue"
+	_ "carawayspread/internal/process/gradient"
+	_ "carawayspread/internal/process/hashrouter"
 	"carawayspread/internal/process/lane"
 )
 
@@ -16,14 +20,21 @@
 		scheduler, _ := carawayspread.Schedulers.Get("")
 		router, _ := carawayspread.Routers.Get("")
 		limiter, _ := carawayspread.Limiters.Get("")
-		ejector, _ := carawayspread.Ejectors.Get("")
-		budget, _ := carawayspread.RetryBudgets.Get("")
 		return lane.Modules{
 			Scheduler: scheduler(env()),
 			Router:    router(env()),
-			Ejector:   ejector(env()),
-			Budget:    budget(env()),
+			Ejector:   allowAll{},
+			Budget:    allowAll{},
 			Limiter:   func() carawayspread.Limiter { return limiter(env()) },
 		}
 	}
 }
+
+type allowAll struct{}
+
+func (allowAll) SetEndpoints([]carawayspread.EndpointID)                                {}
+func (allowAll) Observe(carawayspread.EndpointID, time.Duration, carawayspread.Outcome) {}
+func (allowAll) Allowed(carawayspread.EndpointID) bool                                  { return true }
+func (allowAll) Sent(carawayspread.EndpointID)                                          {}
+func (allowAll) Succeeded()                                                             {}
+func (allowAll) Allow() bool                                                            { return true }
--- a/internal/process/lane/lane.go
+++ b/internal/process/lane/lane.go
@@ -27,17 +27,36 @@
 	clock   carawayspread.Clock
 	fleet   atomic.Pointer[fleet] // replaced as a whole
 
-	mu       sync.Mutex // serialises the scheduler
-	tickets  map[*carawayspread.Job]chan *carawayspread.Error
-	inFlight int
-	capacity int
-	freed    chan struct{} // closed and replaced whenever a place is returned
+	mu      sync.Mutex // serialises the scheduler
+	tickets map[*carawayspread.Job]chan *carawayspread.Error
+	freed   chan struct{} // closed and replaced whenever a place is returned
 }
 
 // fleet is what the lane knows of the endpoints; immutable.
 type fleet struct {
 	endpoints map[carawayspread.EndpointID]carawayspread.Endpoint
-	limiters  map[carawayspread.EndpointID]carawayspread.Limiter
+	slots     map[carawayspread.EndpointID]*slot
+}
+
+// slot counts the attempts of this entry at one endpoint.
+type slot struct {
+	limiter carawayspread.Limiter
+	taken   atomic.Int64
+}
+
+func (s *slot) full() bool { return s.taken.Load() >= int64(s.limiter.Limit()) }
+
+func (s *slot) acquire() bool {
+	if !s.limiter.Acquire() {
+		return false
+	}
+	s.taken.Add(1)
+	return true
+}
+
+func (s *slot) release(latency time.Duration, outcome carawayspread.Outcome) {
+	s.taken.Add(-1)
+	s.limiter.Release(latency, outcome)
 }
 
 // New returns a lane without endpoints.
@@ -58,14 +77,14 @@
 	old := l.fleet.Load()
 	next := &fleet{
 		endpoints: make(map[carawayspread.EndpointID]carawayspread.Endpoint, len(endpoints)),
-		limiters:  make(map[carawayspread.EndpointID]carawayspread.Limiter, len(endpoints)),
+		slots:     make(map[carawayspread.EndpointID]*slot, len(endpoints)),
 	}
 	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		next.endpoints[endpoint.ID()] = endpoint
-		next.limiters[endpoint.ID()] = old.limiters[endpoint.ID()]
-		if next.limiters[endpoint.ID()] == nil {
-			next.limiters[endpoint.ID()] = l.modules.Limiter()
+		next.slots[endpoint.ID()] = old.slots[endpoint.ID()]
+		if next.slots[endpoint.ID()] == nil {
+			next.slots[endpoint.ID()] = &slot{limiter: l.modules.Limiter()}
 		}
 		ids = append(ids, endpoint.ID())
 	}
@@ -86,14 +105,13 @@
 func (l *Lane) Tick() {
 	capacity := 0
 	known := l.fleet.Load()
-	for id, limiter := range known.limiters {
+	for id, slot := range known.slots {
 		if !known.endpoints[id].Leaving() {
-			capacity += limiter.Limit()
+			capacity += slot.limiter.Limit()
 		}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.capacity = capacity
 	l.modules.Scheduler.Capacity(capacity)
 	l.expire()
 	l.pump()
@@ -134,7 +152,7 @@
 		delete(l.tickets, job)
 	} else if refusal := <-ready; refusal == nil {
 		// The job was chosen in the same moment: its place goes back.
-		l.finish(job, carawayspread.Cost{}, 0)
+		l.finish(job, carawayspread.Served{})
 	}
 	return carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "the caller has gone or its deadline has passed while the request was queued",
 		carawayspread.NotRun(), carawayspread.CausedBy(context.Cause(ctx)))
@@ -142,27 +160,25 @@
 
 // Finish returns the place of a job that Wait let through, with the work that
 // it took.
-func (l *Lane) Finish(job *carawayspread.Job, served carawayspread.Cost, took time.Duration) {
+func (l *Lane) Finish(job *carawayspread.Job, served carawayspread.Served) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.finish(job, served, took)
+	l.finish(job, served)
 }
 
-func (l *Lane) finish(job *carawayspread.Job, served carawayspread.Cost, took time.Duration) {
-	l.modules.Scheduler.Done(job, served, took)
-	l.inFlight--
+func (l *Lane) finish(job *carawayspread.Job, served carawayspread.Served) {
+	l.modules.Scheduler.Done(job, served)
 	l.expire()
 	l.pump()
 }
 
 // pump lets jobs through while there is capacity. The caller holds mu.
 func (l *Lane) pump() {
-	for l.inFlight < l.capacity {
+	for {
 		job := l.modules.Scheduler.Next()
 		if job == nil {
 			return
 		}
-		l.inFlight++
 		l.tickets[job] <- nil
 		delete(l.tickets, job)
 	}
--- a/internal/process/lane/place.go
+++ b/internal/process/lane/place.go
@@ -14,27 +14,38 @@
 	// noEndpointRetry is when a caller may come back who met no endpoint: the
 	// time in which the instance list and the reports are renewed.
 	noEndpointRetry = 2 * time.Second
+	// pickAttempts bounds how often a place is lost to another request between
+	// the pick and its taking.
+	pickAttempts = 4
 )
 
 // Place is a place at an endpoint; Leave must be called once.
 type Place struct {
 	lane     *Lane
-	limiter  carawayspread.Limiter
+	slot     *slot
 	job      *carawayspread.Job
 	endpoint carawayspread.Endpoint
 	taken    time.Time
+	// displaced says that the job may meet an endpoint that knows nothing of
+	// its earlier attempts.
+	displaced bool
 }
 
 // Endpoint returns where the place is.
 func (p *Place) Endpoint() carawayspread.Endpoint { return p.endpoint }
 
+// Displaced reports whether none of the job's own endpoints is available.
+func (p *Place) Displaced() bool { return p.displaced }
+
 // Taken returns when the place was taken.
 func (p *Place) Taken() time.Time { return p.taken }
 
-// Leave returns the place with the latency to the first byte that was measured.
+// Leave returns the place with the latency that was measured: the mean gap
+// between tokens of an engine's answer, the whole time of a plain service's,
+// zero for none.
 func (p *Place) Leave(latency time.Duration, outcome carawayspread.Outcome) {
 	id := p.endpoint.ID()
-	p.limiter.Release(latency, outcome)
+	p.slot.release(latency, outcome)
 	p.lane.modules.Router.Ended(id, p.job, outcome)
 	p.lane.modules.Ejector.Observe(id, latency, outcome)
 	if outcome == carawayspread.OutcomeServed {
@@ -57,14 +68,15 @@
 }
 
 // Place finds a place at an endpoint that tried does not name, waiting until
-// latest. Its error is not run.
+// latest while its endpoints are only busy. Its error is not run.
 func (l *Lane) Place(ctx context.Context, job *carawayspread.Job, tried map[carawayspread.EndpointID]bool, latest time.Time) (*Place, error) {
 	for {
 		freed := l.freedSignal()
-		if place := l.tryPlace(job, tried); place != nil {
+		place, wait := l.tryPlace(job, tried)
+		if place != nil {
 			return place, nil
 		}
-		if !l.clock.Now().Before(latest) || !l.hope(tried) {
+		if !wait || !l.clock.Now().Before(latest) {
 			return nil, carawayspread.NewError(carawayspread.CodeNoEndpoint, "no endpoint can take the request now",
 				carawayspread.NotRun(), carawayspread.RetryAfter(noEndpointRetry))
 		}
@@ -78,34 +90,39 @@
 	}
 }
 
-// tryPlace asks the router until an endpoint has a free place or none is left.
-func (l *Lane) tryPlace(job *carawayspread.Job, tried map[carawayspread.EndpointID]bool) *Place {
+// tryPlace asks the router for an endpoint and takes a place there. The second
+// result says that a place may come free.
+func (l *Lane) tryPlace(job *carawayspread.Job, tried map[carawayspread.EndpointID]bool) (*Place, bool) {
 	known := l.fleet.Load()
-	full := map[carawayspread.EndpointID]bool{}
-	exclude := func(id carawayspread.EndpointID) bool {
-		return tried[id] || full[id] || !l.modules.Ejector.Allowed(id)
-	}
-	for range known.endpoints {
-		id, ok := l.modules.Router.Pick(job, exclude)
+	for range pickAttempts {
+		choice := l.modules.Router.Pick(job, func(id carawayspread.EndpointID) carawayspread.Standing {
+			return l.standing(known, tried, id)
+		})
+		slot, ok := known.slots[choice.Endpoint]
 		if !ok {
-			return nil
+			return nil, choice.Wait
 		}
-		limiter, ok := known.limiters[id]
-		if ok && limiter.Acquire() {
-			l.modules.Router.Sent(id, job)
-			return &Place{lane: l, limiter: limiter, job: job, endpoint: known.endpoints[id], taken: l.clock.Now()}
+		if !slot.acquire() {
+			continue // another request took the place in between
 		}
-		full[id] = true
+		l.modules.Router.Sent(choice.Endpoint, job)
+		l.modules.Ejector.Sent(choice.Endpoint)
+		return &Place{
+			lane: l, slot: slot, job: job, endpoint: known.endpoints[choice.Endpoint],
+			displaced: choice.Displaced, taken: l.clock.Now(),
+		}, false
 	}
-	return nil
+	return nil, true
 }
 
-// hope reports whether an endpoint that was not tried may take work later.
-func (l *Lane) hope(tried map[carawayspread.EndpointID]bool) bool {
-	for id, endpoint := range l.fleet.Load().endpoints {
-		if !tried[id] && !endpoint.Leaving() {
-			return true
-		}
+func (l *Lane) standing(known *fleet, tried map[carawayspread.EndpointID]bool, id carawayspread.EndpointID) carawayspread.Standing {
+	slot, ok := known.slots[id]
+	switch {
+	case !ok || tried[id] || !l.modules.Ejector.Allowed(id):
+		return carawayspread.StandingOut
+	case slot.full():
+		return carawayspread.StandingBusy
+	default:
+		return carawayspread.StandingFree
 	}
-	return false
 }
--- a/internal/process/sidecard/control.go
+++ b/internal/process/sidecard/control.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/twitchtv/twirp"
-
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 )
@@ -12,24 +10,27 @@
 var _ control.Control = (*Daemon)(nil)
 
 // Changes answers a daemon that asks for configuration changes.
-func (d *Daemon) Changes(context.Context, *control.ChangesRequest) (*control.ChangesResponse, error) {
-	return nil, twirp.NewError(twirp.Unimplemented, "no configuration is held here")
+func (d *Daemon) Changes(ctx context.Context, req *control.ChangesRequest) (*control.ChangesResponse, error) {
+	return d.base.Config().Changes(ctx, req)
 }
 
 // Status tells what the sidecar holds and does.
 func (d *Daemon) Status(context.Context, *control.StatusRequest) (*control.StatusResponse, error) {
+	age, _ := d.base.Config().EvidenceAge()
 	return &control.StatusResponse{
-		Instance:  d.settings.ID(),
-		Role:      string(carawayspread.InstanceSidecar),
-		Draining:  d.sidecar.Draining(),
-		Endpoints: d.sidecar.Load(),
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
+		EvidenceAgeMs: uint64(age.Milliseconds()),
+		Instance:      d.base.Settings().ID(),
+		Role:          string(carawayspread.InstanceSidecar),
+		Draining:      d.sidecar.Draining(),
+		Endpoints:     d.sidecar.Load(),
 	}, nil
 }
 
 // Drain gives one endpoint, or all, no new work; running requests finish.
 func (d *Daemon) Drain(_ context.Context, req *control.DrainRequest) (*control.DrainResponse, error) {
 	running := d.sidecar.Drain(carawayspread.EndpointID(req.GetEndpoint()))
-	d.log.WithField("endpoint", req.GetEndpoint()).WithField("actor", req.GetActor()).WithField("running", running).Info("drain ordered")
+	d.base.Log().WithField("endpoint", req.GetEndpoint()).WithField("actor", req.GetActor()).WithField("running", running).Info("drain ordered")
 	d.report()
 	return &control.DrainResponse{Running: uint32(running)}, nil
 }
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -8,13 +8,13 @@
 	"net/netip"
 	"sync/atomic"
 
-	"github.com/apex/log"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
 	"carawayspread/internal/process/watch"
@@ -23,14 +23,11 @@
 
 // Daemon is one sidecar process.
 type Daemon struct {
-	settings *settings.Settings
-	clock    carawayspread.Clock
-	log      log.Interface
+	base     *base.Base
 	sidecar  *sidecar.Sidecar
 	data     *server.Server
 	control  *server.Server
 	reports  *report.Socket
-	watch    *watch.Watch
 	entries  atomic.Pointer[[]netip.AddrPort]
 	sidecars atomic.Int64  // sidecars in the instance list
 	sequence atomic.Uint64 // of load reports; starts at the time of the start
@@ -38,18 +35,18 @@
 }
 
 // New opens the daemon's addresses.
-func New(s *settings.Settings, list carawayspread.InstanceList, clock carawayspread.Clock, l log.Interface) (*Daemon, error) {
-	d := &Daemon{settings: s, clock: clock, log: l.WithField("instance", s.ID()), nudge: make(chan struct{}, 1)}
-	d.sequence.Store(uint64(clock.Now().UnixNano()))
+func New(b *base.Base) (*Daemon, error) {
+	d := &Daemon{base: b, nudge: make(chan struct{}, 1)}
+	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
 	d.entries.Store(&[]netip.AddrPort{})
-	d.watch = watch.New(list, clock, d.log)
-	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(clock), sidecar.WithLog(d.log))
+	s := b.Settings()
+	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
 	var err error
 	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
-	server.Observe(mux, func() bool { return !d.sidecar.Draining() })
+	server.Observe(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
 	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	if d.control, err = server.Listen(s.Control(), mux); err != nil {
 		return nil, trace.Wrap(err)
@@ -77,14 +74,15 @@
 	group.Add(d.data.Run, func(error) { _ = d.data.Shutdown(context.Background()) })
 	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
 	group.Add(func() error { return d.sidecar.Run(work) }, func(error) { stop() })
-	group.Add(func() error { return d.watch.Run(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.sendReports(work) }, func(error) { stop() })
 	group.Add(func() error { return d.drainAfter(ctx, work) }, func(error) { stop() })
-	d.log.WithField("listen", d.data.Address()).Info("sidecar serves")
+	d.base.Log().WithField("listen", d.data.Address()).WithField("control", d.control.Address()).Info("sidecar serves")
 	err := group.Run()
 	_ = d.reports.Close()
 	d.sidecar.Close()
-	d.log.Info("sidecar ended")
+	d.base.Log().Info("sidecar ended")
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -98,7 +96,7 @@
 	case <-work.Done():
 		return work.Err()
 	}
-	d.log.WithField("running", d.sidecar.Drain("")).Info("sidecar drains")
+	d.base.Log().WithField("running", d.sidecar.Drain("")).Info("sidecar drains")
 	d.report()
 	return d.sidecar.Wait(work)
 }
@@ -108,8 +106,8 @@
 	d.entries.Store(&entries)
 	d.sidecars.Store(int64(len(watch.Controls(instances, carawayspread.InstanceSidecar))))
 	for _, instance := range instances {
-		if instance.ID == d.settings.ID() && instance.State == carawayspread.InstanceLeaving && !d.sidecar.Draining() {
-			d.log.WithField("running", d.sidecar.Drain("")).Info("sidecar is listed as leaving and drains")
+		if instance.ID == d.base.Settings().ID() && instance.State == carawayspread.InstanceLeaving && !d.sidecar.Draining() {
+			d.base.Log().WithField("running", d.sidecar.Drain("")).Info("sidecar is listed as leaving and drains")
 			d.report()
 		}
 	}
@@ -119,7 +117,7 @@
 	for {
 		d.report()
 		select {
-		case <-d.clock.After(report.Interval(int(d.sidecars.Load()))):
+		case <-d.base.Clock().After(report.Interval(int(d.sidecars.Load()))):
 		case <-d.nudge:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -133,20 +131,21 @@
 		load.Endpoint = ""
 	}
 	err := d.reports.Send(&control.LoadReport{
-		Instance:  d.settings.ID(),
-		Sequence:  d.sequence.Add(1),
-		Draining:  d.sidecar.Draining(),
-		Endpoints: loads,
+		Instance:      d.base.Settings().ID(),
+		Sequence:      d.sequence.Add(1),
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
+		Draining:      d.sidecar.Draining(),
+		Endpoints:     loads,
 	}, *d.entries.Load())
 	if err != nil {
-		d.log.WithError(err).Warn("report not sent")
+		d.base.Log().WithError(err).Warn("report not sent")
 	}
 }
 
 // Instance returns the daemon's row of the instance list, with the addresses
 // that are really open.
 func (d *Daemon) Instance() carawayspread.Instance {
-	row := d.settings.Instance()
+	row := d.base.Settings().Instance()
 	row.Address = d.data.Address()
 	row.Control = d.control.Address()
 	return row
