Failure tests with real processes: kill, pause, crash, drain, store down

Cause: nothing showed that the promises hold between separate processes. Change: a fleet of real entry and sidecar processes before stand-ins of the test: a stream survives the kill or pause of its sidecar and the crash of its engine; a killed entry never shows a complete answer; a graceful shutdown of sidecar or entry with 20 streams cuts none; a paused entry serves its next request under the newer configuration; the table may be down. Ruled out: fixed ports, which two runs at once would fight over; the processes name their addresses.

--- a/cmd/carawayspread/fleet_test.go
+++ b/cmd/carawayspread/fleet_test.go
@@ -21,12 +21,16 @@
 	qt "github.com/frankban/quicktest"
 
 	"carawayspread"
+	"carawayspread/internal/connection/dynamodb"
+	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/standin/engine"
 	"carawayspread/internal/standin/instances"
 	"carawayspread/internal/standin/objects"
 	"carawayspread/internal/standin/plain"
 	"carawayspread/internal/standin/table"
 	"carawayspread/internal/standin/weights"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/changelog"
 )
 
 // binary is the program under test, built once.
@@ -73,16 +77,32 @@
 	table    *table.Table
 	list     *instances.List
 	platform string // the settings' part
+	changes  *changelog.Log
+	config   *carawayspread.Config // the newest that this test had accepted
 }
 
 func newFleet(t *testing.T) *fleet {
 	clock := carawayspread.SystemClock()
 	f := &fleet{t: t, table: table.New(clock), list: instances.New(clock, 0)}
+	tableAt, objectsAt := serve(t, f.table), serve(t, objects.New(clock))
 	f.platform = fmt.Sprintf(`"table": %q, "objects": %q, "instanceList": %q, "weights": %q`,
-		serve(t, f.table), serve(t, objects.New(clock)), serve(t, f.list), serve(t, weights.New(clock, time.Second, 1, 1)))
+		tableAt, objectsAt, serve(t, f.list), serve(t, weights.New(clock, time.Second, 1, 1)))
+	f.changes = changelog.New(dynamodb.New("http://"+tableAt), s3.New("http://"+objectsAt), clock)
+	f.config = carawayspread.NewConfig(0, nil, nil, nil)
+	f.change(testConfig)
 	return f
 }
 
+// change has a change of the configuration accepted.
+func (f *fleet) change(text string) {
+	f.t.Helper()
+	_, cfg, err := f.changes.Append(context.Background(), changelog.Proposal{
+		Change: change.Parse("test", []byte(text)), Against: f.config.Version(), Actor: "test", Held: f.config,
+	})
+	qt.Assert(f.t, err, qt.IsNil)
+	f.config = cfg
+}
+
 func serve(t *testing.T, h http.Handler) string {
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
--- /dev/null
+++ b/cmd/carawayspread/processes_test.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+	"carawayspread/internal/standin/engine"
+	"carawayspread/internal/standin/plain"
+)
+
+const gap = 20 * time.Millisecond // between tokens of the engines under test
+
+// twoEngines starts two sidecars with an engine each, and an entry.
+func twoEngines(t *testing.T) (f *fleet, entry *process, sidecars map[*engine.Engine]*process) {
+	f = newFleet(t)
+	sidecars = map[*engine.Engine]*process{}
+	for _, id := range []string{"1", "2"} {
+		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Hour))
+		sidecars[e] = f.sidecar("sidecar-"+id, model("engine-"+id, e))
+	}
+	return f, f.entry("entry-1"), sidecars
+}
+
+// busy returns the engine that runs a request.
+func busy(sidecars map[*engine.Engine]*process) *engine.Engine {
+	for e := range sidecars {
+		if e.Running() > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// A streamed and a whole completion and a call of a plain service go through
+// separate processes and come back whole.
+func TestWholePath(t *testing.T) {
+	f := newFleet(t)
+	f.sidecar("sidecar-1", model("engine-1", engine.New(engine.ChecksFence())), records("records-1", plain.New(0)))
+	entry := f.entry("entry-1")
+
+	streamed := stream(entry, "vereda", 5, nil)
+	qt.Check(t, streamed.whole(), qt.IsTrue)
+	whole := call(entry, http.MethodPost, "/v1/completions", "interactive", `{"model":"stand-in","prompt":"vereda","max_tokens":5}`, nil)
+	qt.Check(t, whole.status, qt.Equals, http.StatusOK)
+	qt.Check(t, whole.text(), qt.Equals, streamed.text())
+	record := call(entry, http.MethodGet, "/services/records/records/7", "interactive", "", nil)
+	qt.Check(t, record.body, qt.Equals, "{\"record\":\"7\"}\n")
+}
+
+// The caller sees one uninterrupted answer.
+// The sidecar that serves it is killed, paused or its engine crashes after the
+// first tokens; the entry sees the cut, or the silence, and has another engine
+// resume after the last event that the caller has.
+func TestStreamIsResumed(t *testing.T) {
+	tests := map[string]func(e *engine.Engine, sidecar *process){
+		"sidecar killed": func(_ *engine.Engine, sidecar *process) { sidecar.kill() },
+		"sidecar paused": func(_ *engine.Engine, sidecar *process) { sidecar.signal(syscall.SIGSTOP) },
+		"engine crashed": func(e *engine.Engine, _ *process) { e.Crash() },
+	}
+	for name, fail := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, entry, sidecars := twoEngines(t)
+			want := stream(entry, "municipio", 40, nil)
+			got := stream(entry, "municipio", 40, func() {
+				e := busy(sidecars)
+				fail(e, sidecars[e])
+			})
+			qt.Check(t, got.whole(), qt.IsTrue, qt.Commentf("%s", got.body))
+			qt.Check(t, got.text(), qt.Equals, want.text())
+			qt.Check(t, strings.Contains(entry.logged(), "attempt failed"), qt.IsTrue)
+		})
+	}
+}
+
+// The caller never sees a stream that ended early as complete.
+// The entry is killed in the middle of the answer: the client sees a broken
+// connection and no closing event. The same request through another entry is
+// answered whole.
+func TestKilledEntryShowsNoCompleteAnswer(t *testing.T) {
+	f, entry, _ := twoEngines(t)
+	other := f.entry("entry-2")
+	got := stream(entry, "parcel", 40, entry.kill)
+	qt.Check(t, got.err, qt.IsNotNil)
+	qt.Check(t, got.whole(), qt.IsFalse)
+	qt.Check(t, stream(other, "parcel", 40, nil).whole(), qt.IsTrue)
+}
+
+// Callers see every running answer whole and nothing refused.
+// A sidecar, then the entry, is told to end while streams run: it takes no new
+// work and ends after the last of them.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	const streams = 20
+	tests := map[string]func(entry *process, sidecars map[*engine.Engine]*process) *process{
+		"sidecar": func(_ *process, sidecars map[*engine.Engine]*process) *process { return sidecars[busy(sidecars)] },
+		"entry":   func(entry *process, _ map[*engine.Engine]*process) *process { return entry },
+	}
+	for name, choose := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, entry, sidecars := twoEngines(t)
+			answers := make([]answer, streams)
+			var running, first sync.WaitGroup
+			first.Add(streams)
+			for i := range streams {
+				running.Go(func() { answers[i] = stream(entry, strings.Repeat("x", i+1), 40, first.Done) })
+			}
+			first.Wait()
+			leaving := choose(entry, sidecars)
+			leaving.signal(syscall.SIGTERM)
+			running.Wait()
+			for _, a := range answers {
+				qt.Check(t, a.whole(), qt.IsTrue, qt.Commentf("%v %s", a.err, a.body))
+			}
+			<-leaving.ended
+			qt.Check(t, leaving.cmd.ProcessState.ExitCode(), qt.Equals, 0, qt.Commentf("%s", leaving.logged()))
+		})
+	}
+}
+
+// The caller's next request is served under the newer configuration.
+// The entry is paused, a class is deleted, the entry goes on and is asked at
+// once: its evidence of freshness is older than its bound, so it reads the log
+// before it serves, and knows that the class is gone.
+func TestPausedEntryDoesNotServeUnderOldConfiguration(t *testing.T) {
+	f, entry, _ := twoEngines(t)
+	qt.Assert(t, stream(entry, "x", 1, nil).status, qt.Equals, http.StatusOK)
+	entry.signal(syscall.SIGSTOP)
+	f.change(`{"delete": {"classes": ["interactive"]}}`)
+	time.Sleep(2500 * time.Millisecond) // longer than configFresh of the entry's settings
+	entry.signal(syscall.SIGCONT)
+	got := stream(entry, "x", 1, nil)
+	qt.Check(t, got.code(), qt.Equals, string(carawayspread.CodeUnknownClass))
+	qt.Check(t, got.notRun(), qt.IsTrue)
+}
+
+// Callers are served while the table is down, and an entry that starts then
+// gets its configuration from its peers and serves too.
+func TestStoreDown(t *testing.T) {
+	f, entry, _ := twoEngines(t)
+	f.table.SetDown(true)
+	qt.Check(t, stream(entry, "x", 3, nil).whole(), qt.IsTrue)
+	late := f.entry("entry-2")
+	qt.Check(t, stream(late, "x", 3, nil).whole(), qt.IsTrue)
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -145,3 +145,6 @@
 	defer e.mu.Unlock()
 	return e.alive
 }
+
+// Running returns the number of requests in the batch.
+func (e *Engine) Running() int { return len(e.slots) }
