Entries serve the administration API, the command has the operators' verbs

Cause: administration and operators' verbs stood beside the daemons. Change: every entry serves the API over the configuration it holds and the instances it knows; the command carries the verbs. Ruled out: an address of its own for a single administration process: no instance is set aside for control.

--- a/cmd/carawayspread/main.go
+++ b/cmd/carawayspread/main.go
@@ -12,6 +12,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
 	"github.com/urfave/cli/v2"
+
+	"carawayspread/internal/process/operator"
 )
 
 func main() {
@@ -28,10 +30,10 @@
 	return &cli.App{
 		Name:  "carawayspread",
 		Usage: "serve language-model work and plain services from one fixed fleet",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			devCommand(),
 			entryCommand(),
 			sidecarCommand(),
-		},
+		}, operator.Commands()...),
 	}
 }
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -15,8 +15,10 @@
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/admin"
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/entry"
+	"carawayspread/internal/process/fleet"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/watch"
 )
@@ -61,6 +63,7 @@
 	callers.Handle("/", d.entry)
 	server.ObserveHealth(callers, ready)
 	operators := http.NewServeMux()
+	operators.Handle("/admin/", d.administration())
 	server.Observe(operators, ready, d.entry.Metrics(), d.base.Metrics())
 	peers := http.NewServeMux()
 	server.Observe(peers, ready, d.entry.Metrics(), d.base.Metrics())
@@ -79,6 +82,16 @@
 	return err
 }
 
+// administration returns the administration API over what this entry knows.
+func (d *Daemon) administration() http.Handler {
+	listed := func(context.Context) ([]carawayspread.Instance, error) { return d.base.Instances(), nil }
+	client := &http.Client{}
+	dial := func(address string) control.Control {
+		return control.NewControlProtobufClient("http://"+address, client)
+	}
+	return admin.New(d.base.Changes(), d.base.Config(), fleet.New(listed, dial), d.base.Clock(), admin.WithLogger(d.base.Log()))
+}
+
 // Run serves until ctx ends, then refuses new requests and returns when the
 // last one has its answer.
 func (d *Daemon) Run(ctx context.Context) error {
