--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,7 @@
 # Checks the model of the core protocol, and that its broken variants fail.
 spec:
 	@if [ -f spec/check.sh ]; then bash spec/check.sh; fi
+
+# Removes each safeguard in turn and expects its test to turn red.
+mutants:
+	@bash .ci/mutants
