Configuration log: progress of a start is kept; operators checked by porcupine

Cause: a daemon that starts asked the object store first, with the whole timeout of its round. Each broken-off read of a long log also threw away what it had brought. The nearest peer and two random ones are asked, since the three nearest may all have just started. The records held for peers are bounded by values too.

--- a/internal/process/confsync/peers.go
+++ b/internal/process/confsync/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,16 +16,25 @@
 	"carawayspread/internal/version/snapshot"
 )
 
-// askedPeers are asked at once. Three of them, of which the list names the
-// nearest first, are unlikely to be down together; a fleet that asks three each
-// spreads what one busy peer would have to answer.
+// askedPeers are asked at once: the nearest and two others at random. The
+// nearest ones may all be cut off, or have started a moment ago, and know
+// nothing; without the random ones a daemon would ask the same in every round.
 const askedPeers = 3
 
+func (s *Syncer) chosenPeers() []string {
+	peers := slices.Clone(s.peers())
+	if len(peers) <= askedPeers {
+		return peers
+	}
+	others := peers[1:]
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return peers[:askedPeers]
+}
+
 // askPeers asks peers and ends the round with the first proof that is fresh.
 func (s *Syncer) askPeers(ctx context.Context, began stamp, enough context.CancelFunc) {
-	peers := s.peers()
 	var asking sync.WaitGroup
-	for _, address := range peers[:min(len(peers), askedPeers)] {
+	for _, address := range s.chosenPeers() {
 		asking.Go(func() {
 			if err := s.askPeer(ctx, address, began); err != nil {
 				s.logger.WithField("peer", address).WithError(err).Warn("config.peerUnread")
--- a/internal/process/confsync/refresh.go
+++ b/internal/process/confsync/refresh.go
@@ -140,6 +140,7 @@
 func (s *Syncer) readLog(ctx context.Context, began stamp) bool {
 	cfg, records, err := s.source.CatchUp(ctx, s.Held())
 	if err != nil {
+		s.accept(cfg, records, stamp{})
 		s.logger.WithError(err).Warn("config.logUnread")
 		return false
 	}
--- a/internal/process/confsync/syncer.go
+++ b/internal/process/confsync/syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,13 +24,15 @@
 	defaultRoundTimeout  = time.Second
 	defaultSpread        = 500 * time.Millisecond
 	defaultHedge         = 150 * time.Millisecond
-	maxHistory           = 256 // records kept for peers
+	maxHistory           = 256  // records kept for peers
+	maxHistoryValues     = 4096 // in these, about 0.5 MB
 )
 
 // Source is the configuration log.
 type Source interface {
 	// CatchUp returns the newest version with the records that lead to it. The
-	// version was the newest at some moment after the call began.
+	// version was the newest at some moment after the call began. With an error
+	// it returns how far it came, at least from itself.
 	CatchUp(ctx context.Context, from *carawayspread.Config) (*carawayspread.Config, []record.Record, error)
 }
 
@@ -227,7 +230,12 @@
 		}
 		s.history = append(s.history, r)
 	}
-	if excess := len(s.history) - maxHistory; excess > 0 {
-		s.history = append([]record.Record(nil), s.history[excess:]...)
+	values := 0
+	for i := len(s.history) - 1; i >= 0; i-- {
+		values += s.history[i].Change.Len()
+		if len(s.history)-i > maxHistory || values > maxHistoryValues {
+			s.history = slices.Clone(s.history[i+1:])
+			return
+		}
 	}
 }
--- /dev/null
+++ b/internal/version/changelog/linear_test.go
@@ -0,0 +1,143 @@
+package changelog
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+// operation is one proposal or, with an empty actor, one read of the log.
+type operation struct {
+	actor   string
+	against carawayspread.Version
+}
+
+// result is what became of an operation.
+type result struct {
+	version carawayspread.Version // made by an accepted proposal, or read
+	code    carawayspread.Code    // of a refusal
+}
+
+// register is the log as its users may see it: a version that only a proposal
+// against it raises. A proposal whose outcome is unknown may have had its effect
+// or not.
+var register = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{carawayspread.Version(0)} },
+	Step: func(state, input, output any) []any {
+		now, op, r := state.(carawayspread.Version), input.(operation), output.(result)
+		accepted := []any{now + 1}
+		switch {
+		case op.actor == "" && r.version == now:
+			return []any{now}
+		case op.actor == "":
+			return nil
+		case r.code == "" && op.against == now && r.version == now+1:
+			return accepted
+		case r.code == carawayspread.CodeConflict && op.against != now:
+			return []any{now}
+		case r.code == carawayspread.CodeUnknownOutcome && op.against == now:
+			return append(accepted, now)
+		case r.code == carawayspread.CodeUnknownOutcome:
+			return []any{now}
+		}
+		return nil
+	},
+}
+
+// Five operators make changes at once, each against the newest version that it
+// read, while every answer of the table that brings a write may be lost and
+// reads fail. Whatever they are told fits one order of the changes: a version
+// is made by one of them only, nobody is told of a version that goes back, and
+// no change is made that its operator was told is refused.
+func TestOperatorsAreLinearizable(t *testing.T) {
+	p := newPlatform(t)
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	began := time.Now()
+	var mu sync.Mutex
+	var events []porcupine.Operation
+	note := func(client int, call time.Duration, in operation, out result) {
+		done := time.Since(began)
+		if out.code == carawayspread.CodeUnknownOutcome {
+			done = time.Hour // it may take effect later
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		events = append(events, porcupine.Operation{
+			ClientId: client, Input: in, Output: out, Call: int64(call), Return: int64(done),
+		})
+	}
+	var operators sync.WaitGroup
+	for client := range 5 {
+		operators.Go(func() {
+			flaky := &flaky{Table: p.table, every: 3 + client}
+			l := New(flaky, p.objects, instant{}, WithLogger(quiet))
+			held := empty()
+			for range 12 {
+				call := time.Since(began)
+				cfg, _, err := l.CatchUp(context.Background(), held)
+				if err != nil {
+					continue
+				}
+				held = cfg
+				note(client, call, operation{}, result{version: held.Version()})
+				next := proposal(fmt.Sprint("operator-", client), held.Version())
+				next.Held = held
+				call = time.Since(began)
+				r, _, err := l.Append(context.Background(), next)
+				out := result{version: r.Version}
+				if typed, failed := carawayspread.AsError(err); failed {
+					out.code = typed.Code()
+				}
+				if out.code != carawayspread.CodeStoreUnavailable {
+					note(client, call, operation{actor: next.Actor, against: next.Against}, out)
+				}
+			}
+		})
+	}
+	operators.Wait()
+	qt.Assert(t, len(events) > 60, qt.IsTrue)
+	model := register.ToModel()
+	qt.Check(t, porcupine.CheckOperations(model, events), qt.IsTrue)
+}
+
+// flaky loses answers: every nth request fails, a write after it took effect.
+type flaky struct {
+	carawayspread.Table
+	every, n int
+}
+
+func (f *flaky) fails() bool {
+	f.n++
+	return f.n%f.every == 0
+}
+
+func (f *flaky) Query(ctx context.Context, partition, after string, limit int) ([]carawayspread.Item, error) {
+	if f.fails() {
+		return nil, errReset
+	}
+	return f.Table.Query(ctx, partition, after, limit)
+}
+
+func (f *flaky) Get(ctx context.Context, key carawayspread.Key) (carawayspread.Item, error) {
+	if f.fails() {
+		return carawayspread.Item{}, errReset
+	}
+	return f.Table.Get(ctx, key)
+}
+
+func (f *flaky) Apply(ctx context.Context, writes ...carawayspread.Write) error {
+	err := f.Table.Apply(ctx, writes...)
+	if f.fails() {
+		return errReset
+	}
+	return err
+}
--- a/internal/version/changelog/log.go
+++ b/internal/version/changelog/log.go
@@ -80,20 +80,21 @@
 // with the records that lead to it. The records have no gap but may start later
 // than from, where a snapshot was nearer. Reads are consistent: the version
 // returned was the newest at some moment after the call began.
+//
+// With an error it returns how far it came, which proves nothing about what is
+// newest. A daemon that starts far behind keeps the progress of each try;
+// without that, a long log would have to be read within one timeout.
 func (l *Log) CatchUp(ctx context.Context, from *carawayspread.Config) (*carawayspread.Config, []record.Record, error) {
 	cfg := from
-	if cfg.Version() == 0 {
-		cfg = l.nearer(ctx, cfg)
-	}
 	var records []record.Record
 	for {
 		next, err := l.readPage(ctx, cfg.Version())
 		if err != nil {
-			return nil, nil, trace.Wrap(err)
+			return cfg, records, trace.Wrap(err)
 		}
 		for _, r := range next {
 			if cfg, err = r.Apply(cfg); err != nil {
-				return nil, nil, trace.Wrap(err)
+				return from, nil, trace.Wrap(err)
 			}
 		}
 		records = append(records, next...)
@@ -107,9 +108,15 @@
 }
 
 // nearer returns the snapshot where it is newer than cfg. A snapshot only saves
-// time: the log alone leads to the same configuration.
+// time: the log alone leads to the same configuration. It may take a quarter of
+// the time that is left, so that a slow object store does not use up what the
+// table needs.
 func (l *Log) nearer(ctx context.Context, cfg *carawayspread.Config) *carawayspread.Config {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	timeout := l.timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline)/4)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := l.objects.Get(ctx, snapshotName)
 	if errors.Is(err, carawayspread.ErrNoObject) {
