--- /dev/null
+++ b/internal/process/sidecard/daemon.go
@@ -0,0 +1,152 @@
+// Package sidecard composes the daemon beside the endpoints of an instance:
+// data path, control service, load reports and the state of the endpoints.
+package sidecard
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/base"
+	"carawayspread/internal/process/server"
+	"carawayspread/internal/process/sidecar"
+	"carawayspread/internal/process/watch"
+	"carawayspread/internal/version/settings"
+)
+
+// Daemon is one sidecar process.
+type Daemon struct {
+	base     *base.Base
+	sidecar  *sidecar.Sidecar
+	data     *server.Server
+	control  *server.Server
+	reports  *report.Socket
+	entries  atomic.Pointer[[]netip.AddrPort]
+	sidecars atomic.Int64  // sidecars in the instance list
+	sequence atomic.Uint64 // of load reports; starts at the time of the start
+	nudge    chan struct{} // asks for a report at once
+}
+
+// New opens the daemon's addresses.
+func New(b *base.Base) (*Daemon, error) {
+	d := &Daemon{base: b, nudge: make(chan struct{}, 1)}
+	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
+	d.entries.Store(&[]netip.AddrPort{})
+	s := b.Settings()
+	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
+	var err error
+	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	server.Observe(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
+	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
+	if d.control, err = server.Listen(s.Control(), mux); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if d.reports, err = report.Listen(d.control.Address()); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return d, nil
+}
+
+func workers(s *settings.Settings) []sidecar.Worker {
+	list := []sidecar.Worker{}
+	for _, e := range s.Endpoints() {
+		list = append(list, sidecar.Worker{ID: e.ID(), Service: e.Service(), Kind: e.Kind(), Address: e.Address(), Slots: e.Slots()})
+	}
+	return list
+}
+
+// Run serves until ctx ends, then drains: it takes no new work, tells every
+// entry, and returns when the last request has its answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	group.Add(d.data.Run, func(error) { _ = d.data.Shutdown(context.Background()) })
+	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
+	group.Add(func() error { return d.sidecar.Run(work) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
+	group.Add(func() error { return d.sendReports(work) }, func(error) { stop() })
+	group.Add(func() error { return d.drainAfter(ctx, work) }, func(error) { stop() })
+	d.base.Log().WithField("listen", d.data.Address()).WithField("control", d.control.Address()).Info("sidecar serves")
+	err := group.Run()
+	_ = d.reports.Close()
+	d.sidecar.Close()
+	d.base.Log().Info("sidecar ended")
+	if ctx.Err() != nil {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// drainAfter returns when ctx has ended and no request runs any more.
+func (d *Daemon) drainAfter(ctx, work context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return work.Err()
+	}
+	d.base.Log().WithField("running", d.sidecar.Drain("")).Info("sidecar drains")
+	d.report()
+	return d.sidecar.Wait(work)
+}
+
+func (d *Daemon) listed(instances []carawayspread.Instance) {
+	entries := watch.Controls(instances, carawayspread.InstanceEntry)
+	d.entries.Store(&entries)
+	d.sidecars.Store(int64(len(watch.Controls(instances, carawayspread.InstanceSidecar))))
+	for _, instance := range instances {
+		if instance.ID == d.base.Settings().ID() && instance.State == carawayspread.InstanceLeaving && !d.sidecar.Draining() {
+			d.base.Log().WithField("running", d.sidecar.Drain("")).Info("sidecar is listed as leaving and drains")
+			d.report()
+		}
+	}
+}
+
+func (d *Daemon) sendReports(ctx context.Context) error {
+	for {
+		d.report()
+		select {
+		case <-d.base.Clock().After(report.Interval(int(d.sidecars.Load()))):
+		case <-d.nudge:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *Daemon) report() {
+	loads := d.sidecar.Load()
+	for _, load := range loads {
+		load.Endpoint = ""
+	}
+	err := d.reports.Send(&control.LoadReport{
+		Instance:      d.base.Settings().ID(),
+		Sequence:      d.sequence.Add(1),
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
+		Draining:      d.sidecar.Draining(),
+		Endpoints:     loads,
+	}, *d.entries.Load())
+	if err != nil {
+		d.base.Log().WithError(err).Warn("report not sent")
+	}
+}
+
+// Instance returns the daemon's row of the instance list, with the addresses
+// that are really open.
+func (d *Daemon) Instance() carawayspread.Instance {
+	row := d.base.Settings().Instance()
+	row.Address = d.data.Address()
+	row.Control = d.control.Address()
+	return row
+}
