--- a/internal/process/fairqueue/doc.go
+++ b/internal/process/fairqueue/doc.go
@@ -24,7 +24,8 @@
 //
 // Bound: a queued job is sent or refused by its latest moment, and a workspace
 // with a queued job is passed over by each other workspace for at most the
-// window, the credit and one job.
+// window, the credit and two jobs: the one that it ended last and the one that
+// takes it beyond the window.
 //
 // Refusal: a job is refused at once when the work that goes before it, at the
 // measured drain rate, leaves it too late. What became late while queued is
--- a/internal/process/fairqueue/rates.go
+++ b/internal/process/fairqueue/rates.go
@@ -159,4 +159,11 @@
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/process/fairqueue/scheduler.go
+++ b/internal/process/fairqueue/scheduler.go
@@ -22,6 +22,9 @@
 	// parkedFor is how long a job that could not be placed waits at most for
 	// the next attempt: a place that another process freed is not seen here.
 	parkedFor = 20 * time.Millisecond
+	// grace lets a job that found a free slot be sent although it is estimated
+	// to be late.
+	grace = 50 * time.Millisecond
 	// caution is the factor on a predicted wait. A wait varies round its
 	// prediction: at 1.2 times the capacity a factor of 1.5 left 6.8% of the
 	// jobs to be refused late, 2 leaves 3.8%, at the same goodput; 3 leaves 1%
@@ -94,6 +97,7 @@
 // Offer queues the job or refuses it at once.
 func (s *Scheduler) Offer(job *carawayspread.Job) error {
 	now := s.tick()
+	s.rates.age(now)
 	i := &item{
 		job:      job,
 		flow:     s.shares.flow(job.Workspace),
@@ -102,7 +106,6 @@
 		inFlow:   -1,
 		inLatest: -1,
 	}
-	i.slot = s.ahead.slot(now, i.latest)
 	if err := s.admit(now, i); err != nil {
 		return err
 	}
@@ -117,7 +120,13 @@
 // and its answer corrects an estimate that would otherwise refuse every job
 // and never be measured again.
 func (s *Scheduler) admit(now time.Time, i *item) *carawayspread.Error {
-	if len(s.items) == 0 && len(s.running) < s.drain.slots {
+	idle := len(s.items) == 0 && len(s.running) < s.drain.slots
+	expired := !i.job.Deadline.IsZero() && i.job.Deadline.Before(now)
+	if idle && !expired {
+		i.latest = later(i.latest, now.Add(grace))
+	}
+	i.slot = s.ahead.slot(now, i.latest)
+	if idle && !expired {
 		return nil
 	}
 	late := now.Add(s.wait(now, i)).Sub(i.latest)
@@ -155,12 +164,16 @@
 	if largest == i.flow || largest.end() <= max(i.flow.tag, s.shares.virtual)+i.flow.queued+i.work {
 		return s.refusal(now, i, over)
 	}
-	evicted := largest.newest()
-	s.forget(evicted)
-	s.refused = append(s.refused, carawayspread.Refused{Job: evicted.job, Err: s.refusal(now, evicted, over)})
+	s.refuse(now, largest.newest(), over)
 	return nil
 }
 
+// refuse ends a queued or parked job.
+func (s *Scheduler) refuse(now time.Time, i *item, late time.Duration) {
+	s.forget(i)
+	s.refused = append(s.refused, carawayspread.Refused{Job: i.job, Err: s.refusal(now, i, late)})
+}
+
 // Next returns the job that is to be sent now.
 func (s *Scheduler) Next() *carawayspread.Job {
 	now := s.tick()
@@ -194,6 +207,19 @@
 	i.slot = s.ahead.slot(now, i.latest)
 	i.parking = s.parked.PushBack(i)
 	s.count(i)
+	if len(s.items) > s.maxJobs {
+		s.shrink(now)
+	}
+}
+
+// shrink makes room for a job that came back while others took its place.
+func (s *Scheduler) shrink(now time.Time) {
+	over := seconds(s.queued / s.drain.rate())
+	if s.shares.backlogged() > 0 {
+		s.refuse(now, s.shares.ends.top().newest(), over)
+		return
+	}
+	s.refuse(now, s.parked.Back().Value.(*item), over)
 }
 
 // Done frees the slot of the job and replaces its estimate by what it took.
@@ -249,9 +275,7 @@
 
 func (s *Scheduler) expire(now time.Time) {
 	for s.byLatest.Len() > 0 && s.byLatest.top().latest.Before(now) {
-		i := s.byLatest.top()
-		s.forget(i)
-		s.refused = append(s.refused, carawayspread.Refused{Job: i.job, Err: s.refusal(now, i, 0)})
+		s.refuse(now, s.byLatest.top(), 0)
 	}
 }
 
--- a/internal/process/hashrouter/router.go
+++ b/internal/process/hashrouter/router.go
@@ -22,7 +22,7 @@
 	// in which callers send a request again.
 	lostLife = 10 * time.Minute
 	// rebuildAfter bounds how often changed residency rebuilds the rings.
-	rebuildAfter = time.Second
+	rebuildAfter = 5 * time.Second
 	// defaultSpread is the number of second candidates of one prefix. A prefix
 	// with a quarter of the load of 32 endpoints got 75% of its callers served
 	// in time with 1, 87% with 4, 97% with 16 and 99.9% with 512; prefixes that
--- a/internal/process/overload/router_test.go
+++ b/internal/process/overload/router_test.go
@@ -28,7 +28,7 @@
 	// turn, each engine sees all prefixes and evicts them before they return:
 	// the engines compute prompts again and again, and callers are refused.
 	"prefixes": {
-		engines: 8, sent: time.Minute, without: modules{"fairQueue", "roundRobin", "gradient"},
+		engines: 8, sent: time.Minute, without: modules{"fairQueue", "roundRobin", "gradient", "outlier"},
 		load: func(w *world) { w.send(prompts(8, 4*cacheSize, 0.7, time.Minute)) },
 		check: func(t *testing.T, got, without *world) {
 			qt.Check(t, goodput(got, "") > 0.9, qt.IsTrue)
@@ -37,7 +37,7 @@
 	},
 	// A third of the prompts share one prefix, more than one engine can serve.
 	"hot key": {
-		engines: 8, sent: time.Minute, without: modules{"fairQueue", "roundRobin", "gradient"},
+		engines: 8, sent: time.Minute, without: modules{"fairQueue", "roundRobin", "gradient", "outlier"},
 		load: func(w *world) {
 			w.send(prompts(8, 4*cacheSize, 0.45, time.Minute))
 			hot := prompts(8, 1, 0.25, time.Minute)
@@ -50,9 +50,41 @@
 			qt.Check(t, goodput(without, "") < goodput(got, "")-0.05, qt.IsTrue)
 		},
 	},
+	// One engine of eight gets twenty times slower, then well again. Its answers
+	// are late, and those that its queue holds as well.
+	"slow endpoint": {
+		engines: 8, sent: 2 * time.Minute, without: modules{"fairQueue", "hashRouter", "gradient", "never"},
+		load: func(w *world) {
+			w.send(rulings(8, 0.7, 2*time.Minute)...)
+			w.at(30*time.Second, func() { w.engines[3].slow = 20 })
+			w.at(80*time.Second, func() { w.engines[3].slow = 1 })
+		},
+		check: func(t *testing.T, got, without *world) {
+			late, lateWithout := got.sum(nil).late, without.sum(nil).late
+			qt.Check(t, goodput(got, "") > 0.99, qt.IsTrue)
+			qt.Check(t, late < lateWithout/2, qt.IsTrue, qt.Commentf("%d, without %d", late, lateWithout))
+			qt.Check(t, got.engines[3].served > got.engines[2].served/4, qt.IsTrue) // it came back
+		},
+	},
+	// One engine of eight fails everything at once, and so looks idle. Without
+	// ejection it gets more than its share and spends the retry budget.
+	"failing endpoint": {
+		engines: 8, sent: 2 * time.Minute, without: modules{"fairQueue", "hashRouter", "gradient", "never"},
+		load: func(w *world) {
+			w.send(rulings(8, 0.7, 2*time.Minute)...)
+			w.at(30*time.Second, func() { w.engines[3].fails = true })
+			w.at(80*time.Second, func() { w.engines[3].fails = false })
+		},
+		check: func(t *testing.T, got, without *world) {
+			failed, failedWithout := got.sum(nil).failed, without.sum(nil).failed
+			qt.Check(t, goodput(got, "") > 0.99, qt.IsTrue)
+			qt.Check(t, failed < failedWithout/10, qt.IsTrue, qt.Commentf("%d, without %d", failed, failedWithout))
+			qt.Check(t, got.engines[3].served > got.engines[2].served/4, qt.IsTrue) // it came back
+		},
+	},
 	// No report ever comes, and answers alone tell of the load.
 	"missing reports": {
-		engines: 8, sent: time.Minute, without: modules{"fifo", "hashRouter", "gradient"},
+		engines: 8, sent: time.Minute, without: modules{"fifo", "hashRouter", "gradient", "outlier"},
 		load: func(w *world) {
 			w.reports = 0
 			w.send(rulings(8, 1.2, time.Minute)...)
--- /dev/null
+++ b/internal/process/overload/silence_test.go
@@ -0,0 +1,178 @@
+package overload_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+	"carawayspread/internal/process/ejection"
+	"carawayspread/internal/process/fairqueue"
+	"carawayspread/internal/process/gradient"
+	"carawayspread/internal/process/hashrouter"
+	"carawayspread/internal/process/quarantine"
+	"carawayspread/internal/request/retrybudget"
+)
+
+// Reports and store fall silent for a minute, then for an hour. Callers are
+// still served: what was measured before is used or forgotten as each module
+// states, and nothing is refused or emptied because of the silence alone.
+func TestSilence(t *testing.T) {
+	for _, silence := range []time.Duration{time.Minute, time.Hour} {
+		t.Run(silence.String(), func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			env := carawayspread.Environment{Clock: clock, Rand: rand.New(rand.NewPCG(1, 2))}
+			scheduler, router, limiter := fairqueue.New(env), hashrouter.New(env), gradient.New(env)
+			ejector, budget, memory := ejection.New(env), retrybudget.New(clock), quarantine.New(clock)
+			job := func() *carawayspread.Job {
+				return &carawayspread.Job{Workspace: "w", Class: ruling, Arrived: clock.Now(), Cost: rulingCost, Prefix: 5, Fingerprint: rand.Uint64()}
+			}
+			var ids []carawayspread.EndpointID
+			var listed []carawayspread.Endpoint
+			for n := range 10 {
+				ids = append(ids, carawayspread.EndpointID(fmt.Sprint("e", n)))
+				listed = append(listed, carawayspread.NewEndpoint(ids[n], "llm", "a", "", false))
+			}
+			router.SetEndpoints(listed)
+			ejector.SetEndpoints(ids)
+			scheduler.Capacity(4)
+			free := func(carawayspread.EndpointID) carawayspread.Standing { return carawayspread.StandingFree }
+			before := map[carawayspread.EndpointID]int{}
+			for n, id := range ids {
+				router.Reported(carawayspread.Report{Endpoint: id, Taken: clock.Now(), Running: 4 * n, Slots: 16, Crashed: n == 9})
+			}
+			for range 20 { // measured as so slow that no ruling is in time
+				late := job()
+				_ = scheduler.Offer(late)
+				scheduler.Done(scheduler.Next(), carawayspread.Served{Cost: rulingCost, FirstToken: time.Minute, Took: time.Minute})
+				limiter.Acquire()
+				limiter.Release(time.Second, carawayspread.OutcomeServed)
+				ejector.Observe(ids[0], 0, carawayspread.OutcomeFailed)
+				budget.Allow()
+			}
+			memory.Crashed(quarantine.Crash{Endpoint: ids[0], At: clock.Now()}, []uint64{1}, nil)
+			memory.Convicted(2, 10*time.Minute)
+			limit := limiter.Limit()
+			fixed := job()
+			for range 50 {
+				before[router.Pick(fixed, free).Endpoint]++
+			}
+			qt.Check(t, ejector.Allowed(ids[0]), qt.IsFalse)
+
+			clock.Advance(silence)
+
+			for range 4 {
+				qt.Check(t, scheduler.Offer(job()), qt.IsNil)
+				qt.Check(t, scheduler.Next(), qt.IsNotNil)
+			}
+			qt.Check(t, scheduler.Offer(job()), qt.IsNil) // waits, though the old rates would refuse it
+			for range 50 {
+				choice := router.Pick(fixed, free)
+				qt.Check(t, choice.Displaced, qt.IsFalse)
+				qt.Check(t, before[choice.Endpoint] > 0 || len(before) == 1, qt.IsTrue) // the same candidates
+			}
+			picked := map[carawayspread.EndpointID]int{}
+			for range 1000 {
+				picked[router.Pick(&carawayspread.Job{Fingerprint: rand.Uint64()}, free).Endpoint]++
+			}
+			for _, id := range ids { // old load and the crash count no more
+				qt.Check(t, picked[id] > 20, qt.IsTrue, qt.Commentf("%s: %d", id, picked[id]))
+			}
+			qt.Check(t, limiter.Limit(), qt.Equals, limit)
+			qt.Check(t, ejector.Allowed(ids[0]), qt.IsTrue)
+			qt.Check(t, budget.Allow(), qt.IsTrue)
+			suspect, _ := memory.Decide(quarantine.Attempt{Fingerprint: 1})
+			convict, _ := memory.Decide(quarantine.Attempt{Fingerprint: 2})
+			qt.Check(t, suspect == quarantine.VerdictRun, qt.Equals, silence > 10*time.Minute)
+			qt.Check(t, convict == quarantine.VerdictRun, qt.Equals, silence > 10*time.Minute)
+		})
+	}
+}
+
+// This process loses its network, so that every endpoint seems to fail. The
+// fleet is never emptied by it, a lone endpoint is never sent away, and one
+// that keeps failing on trial stays away longer each time.
+func TestEjectionIsBounded(t *testing.T) {
+	for n, most := range map[int]int{1: 0, 2: 1, 3: 1, 20: 4, 1300: 260} {
+		clock := clockwork.NewFakeClock()
+		e := ejection.New(carawayspread.Environment{Clock: clock})
+		var ids []carawayspread.EndpointID
+		for i := range n {
+			ids = append(ids, carawayspread.EndpointID(fmt.Sprint("e", i)))
+		}
+		e.SetEndpoints(ids)
+		away := 0
+		for _, id := range ids {
+			for range 20 {
+				e.Observe(id, 0, carawayspread.OutcomeFailed)
+			}
+			if !e.Allowed(id) {
+				away++
+			}
+		}
+		qt.Check(t, away, qt.Equals, most)
+		if most == 0 {
+			continue
+		}
+		last := time.Duration(0)
+		for range 4 {
+			took := time.Duration(0)
+			for ; !e.Allowed(ids[0]); took += time.Second {
+				clock.Advance(time.Second)
+			}
+			qt.Check(t, took > last, qt.IsTrue)
+			last = took
+			e.Sent(ids[0])
+			qt.Check(t, e.Allowed(ids[0]), qt.IsFalse) // one trial at a time
+			e.Observe(ids[0], 0, carawayspread.OutcomeFailed)
+		}
+	}
+}
+
+// Half of all attempts fail for a minute, and each failure asks for a retry.
+// Retries stay within a tenth of what succeeds, one a second and the reserve.
+func TestRetriesAreBounded(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	budget := retrybudget.New(clock)
+	retries, successes := 0, 0
+	for range 60 {
+		for range 100 {
+			successes++
+			budget.Succeeded()
+			if budget.Allow() {
+				retries++
+			}
+		}
+		clock.Advance(time.Second)
+	}
+	qt.Check(t, retries <= successes/10+60+20, qt.IsTrue, qt.Commentf("%d", retries))
+	qt.Check(t, retries >= successes/10+50, qt.IsTrue, qt.Commentf("%d", retries))
+}
+
+// An endpoint slows down tenfold under the same use. Its limit falls to one
+// within a hundred answers and never below, and rises again once it is well.
+func TestLimitFollowsLatency(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := gradient.New(carawayspread.Environment{Clock: clock}, gradient.Max(64))
+	use := func(latency time.Duration, times int) int {
+		for range times {
+			for l.Acquire() {
+			}
+			for range l.Limit() {
+				l.Release(latency, carawayspread.OutcomeServed)
+			}
+			clock.Advance(latency)
+		}
+		return l.Limit()
+	}
+	well := use(10*time.Millisecond, 200)
+	qt.Check(t, well, qt.Equals, 64)
+	slow := use(100*time.Millisecond, 100)
+	qt.Check(t, slow < 4, qt.IsTrue, qt.Commentf("%d", slow))
+	qt.Check(t, slow >= 1, qt.IsTrue)
+	qt.Check(t, use(10*time.Millisecond, 200), qt.Equals, 64)
+}
--- a/internal/process/overload/world_test.go
+++ b/internal/process/overload/world_test.go
@@ -12,13 +12,16 @@
 	"time"
 
 	"carawayspread"
+	_ "carawayspread/internal/process/ejection"
 	_ "carawayspread/internal/process/fairqueue"
 	_ "carawayspread/internal/process/fifo"
 	_ "carawayspread/internal/process/gradient"
 	_ "carawayspread/internal/process/hashrouter"
 	_ "carawayspread/internal/process/leastoutstanding"
+	_ "carawayspread/internal/process/neverejects"
 	_ "carawayspread/internal/process/roundrobin"
 	_ "carawayspread/internal/process/unlimited"
+	"carawayspread/internal/request/retrybudget"
 )
 
 // event is something that happens at a moment; equal moments keep their order.
@@ -44,11 +47,11 @@
 }
 
 // modules names what decides; the rest of a world is the same for each.
-type modules struct{ scheduler, router, limiter string }
+type modules struct{ scheduler, router, limiter, ejector string }
 
 var (
-	ours     = modules{"fairQueue", "hashRouter", "gradient"}
-	withFIFO = modules{"fifo", "hashRouter", "gradient"}
+	ours     = modules{"fairQueue", "hashRouter", "gradient", "outlier"}
+	withFIFO = modules{"fifo", "hashRouter", "gradient", "outlier"}
 )
 
 const (
@@ -90,7 +93,7 @@
 }
 
 // tally counts what callers receive.
-type tally struct{ offered, inTarget, late, atOnce, later, lost, doubled int }
+type tally struct{ offered, inTarget, late, atOnce, later, failed, lost, doubled int }
 
 func (t *tally) goodput() float64 { return float64(t.inTarget) / float64(max(1, t.offered)) }
 
@@ -111,6 +114,7 @@
 			total.late += t.late
 			total.atOnce += t.atOnce
 			total.later += t.later
+			total.failed += t.failed
 			total.lost += t.lost
 			total.doubled += t.doubled
 		}
@@ -147,6 +151,7 @@
 	slots   int
 	slow    float64 // factor on its times
 	gone    bool    // leaves the list; what runs ends
+	fails   bool    // answers nothing, at once
 	running int
 	waiting []func()
 	cache   []uint64 // prefixes, the one used last at the end
@@ -162,7 +167,11 @@
 
 // send refuses a job that would wait behind more than a quarter of the slots,
 // as a sidecar does.
-func (e *engine) send(job *carawayspread.Job, done func(first time.Duration)) bool {
+func (e *engine) send(job *carawayspread.Job, done func(first time.Duration), fail func()) bool {
+	if e.fails {
+		e.w.at(5*time.Millisecond, fail)
+		return true
+	}
 	if len(e.waiting) >= queueBound {
 		return false
 	}
@@ -216,6 +225,8 @@
 	scheduler carawayspread.Scheduler
 	router    carawayspread.Router
 	limiters  map[carawayspread.EndpointID]carawayspread.Limiter
+	ejector   carawayspread.Ejector
+	budget    carawayspread.RetryBudget
 }
 
 func (n *entry) offer(job *carawayspread.Job) {
@@ -243,6 +254,9 @@
 	full := map[carawayspread.EndpointID]bool{}
 	for {
 		choice := n.router.Pick(job, func(id carawayspread.EndpointID) carawayspread.Standing {
+			if !n.ejector.Allowed(id) {
+				return carawayspread.StandingOut
+			}
 			if full[id] || !n.free(id) {
 				return carawayspread.StandingBusy
 			}
@@ -273,12 +287,13 @@
 	accepted := engine.send(job, func(first time.Duration) {
 		took := n.w.now.Sub(sent)
 		n.finished(id, job, took+first, took)
-	})
+	}, func() { n.failed(id, job) })
 	if !accepted {
 		n.router.Reported(engine.report())
 		return false
 	}
 	n.limiters[id].Acquire()
+	n.ejector.Sent(id)
 	n.router.Sent(id, job)
 	return true
 }
@@ -286,7 +301,10 @@
 func (n *entry) finished(id carawayspread.EndpointID, job *carawayspread.Job, first, took time.Duration) {
 	n.router.Ended(id, job, carawayspread.OutcomeServed)
 	n.router.Reported(n.w.engine(id).report())
-	n.limiters[id].Release(took/time.Duration(1+job.Cost.Decode), carawayspread.OutcomeServed)
+	latency := took / time.Duration(1+job.Cost.Decode)
+	n.limiters[id].Release(latency, carawayspread.OutcomeServed)
+	n.ejector.Observe(id, latency, carawayspread.OutcomeServed)
+	n.budget.Succeeded()
 	n.scheduler.Done(job, carawayspread.Served{Cost: job.Cost, FirstToken: first, Took: took})
 	n.w.answered[job]++
 	t, target := n.w.tally(job.Workspace, job.Class.Name()), job.Class.Target()
@@ -299,6 +317,19 @@
 	n.pump()
 }
 
+// failed retries within the budget, or tells the caller.
+func (n *entry) failed(id carawayspread.EndpointID, job *carawayspread.Job) {
+	n.router.Ended(id, job, carawayspread.OutcomeFailed)
+	n.limiters[id].Release(0, carawayspread.OutcomeFailed)
+	n.ejector.Observe(id, 0, carawayspread.OutcomeFailed)
+	n.scheduler.Done(job, carawayspread.Served{})
+	if !n.budget.Allow() || n.scheduler.Offer(job) != nil {
+		n.w.tally(job.Workspace, job.Class.Name()).failed++
+		n.w.answered[job]++
+	}
+	n.pump()
+}
+
 func newWorld(m modules, entries, engines int) *world {
 	w := &world{
 		now:      time.Unix(1_000_000, 0),
@@ -323,7 +354,11 @@
 	scheduler, _ := carawayspread.Schedulers.Get(m.scheduler)
 	router, _ := carawayspread.Routers.Get(m.router)
 	limiter, _ := carawayspread.Limiters.Get(m.limiter)
-	n := &entry{w: w, scheduler: scheduler(env), router: router(env), limiters: map[carawayspread.EndpointID]carawayspread.Limiter{}}
+	ejector, _ := carawayspread.Ejectors.Get(m.ejector)
+	n := &entry{
+		w: w, scheduler: scheduler(env), router: router(env), ejector: ejector(env), budget: retrybudget.New(w),
+		limiters: map[carawayspread.EndpointID]carawayspread.Limiter{},
+	}
 	for _, e := range w.engines {
 		n.limiters[e.id] = limiter(env)
 	}
@@ -349,8 +384,13 @@
 			slots += e.slots
 		}
 	}
+	var ids []carawayspread.EndpointID
+	for _, l := range listed {
+		ids = append(ids, l.ID())
+	}
 	for _, n := range w.entries {
 		n.router.SetEndpoints(listed)
+		n.ejector.SetEndpoints(ids)
 		n.scheduler.Capacity(max(1, int(headroom*float64(slots)/float64(len(w.entries)))))
 		n.pump()
 	}
