Order guard, orders to an engine, plan of a service

Cause: a check of the lease before the send does not stop a process that is paused between the two; an engine that crashes in mid change, or whose answer is lost, must not get a second order before the first is known to have ended. Ruled out: the fencing number alone for engines that forget it in a crash (model: CHECKS FORGETS is found); a settle wait by time alone; judging an order by the id that the engine saw last (red: crash in mid change). Change: exclusive listener with a settle wait that counts only while the engine answers; one order at a time, read back and repeated under its id; first order raises the fence; plans written with the lease's check. Not run here: real processes killed or paused.

--- a/spec/fence.pml
+++ b/spec/fence.pml
@@ -8,16 +8,21 @@
  * only its own timers, and an order stays unread for at most FLIGHT ticks of an
  * awake engine.
  *
- * -DCHECKS  the engine refuses an order with an old fencing number.
- *           Otherwise it ignores the number, and the sidecars use the order
- *           guard and the settle wait before they take the lease.
+ * -DCHECKS   the engine refuses an order with an old fencing number.
+ *            Otherwise it ignores the number, and the sidecars use the order
+ *            guard and the settle wait before they take the lease.
+ * -DFORGETS  an engine that crashes forgets the number and the ids it has seen.
+ * -DGUARD    with CHECKS: the sidecars use the guard and the wait as well.
  *
  * Broken variants: NOFENCE, NORAISE, NOGUARD, NOWAIT, NOPROBE, NOREADBACK,
  * FROMANSWER. REACH asks whether a successor gets its orders through at all.
  */
 #define LEASE   1
 #define FLIGHT  1
-#ifdef CHECKS
+#if !defined(CHECKS) && !defined(NOGUARD)
+#define GUARD
+#endif
+#if defined(CHECKS) && !defined(GUARD)
 #define CAP     2
 #define SLEEPS  0 /* the fence needs no bound on the flight */
 #else
@@ -90,13 +95,17 @@
 	:: atomic { changing && crashes < 1 ->
 		crashes++;
 		changing = false;
+#ifdef FORGETS
+		fence = 0;
+		done[1] = false; done[2] = false; done[4] = false; done[5] = false;
+#endif
 		lose(0); lose(1); lose(2); lose(3); lose(4); lose(5) }
 	:: atomic { awake && sleeps < SLEEPS -> sleeps++; awake = false }
 	:: atomic { !awake -> awake = true }
 	od
 }
 
-#ifdef CHECKS
+#if defined(CHECKS) && !defined(GUARD)
 #define late(s) false
 #define grow(s) skip
 #else
@@ -154,7 +163,7 @@
 proctype Sidecar(byte me) {
 	byte epoch, rev, k = 1, renewals, tries;
 	{
-#if !defined(CHECKS) && !defined(NOGUARD)
+#ifdef GUARD
 		atomic { guard == NOBODY -> guard = me };
 #ifndef NOWAIT
 		d_step { settling[me] = true; settled[me] = 0 };
@@ -176,7 +185,7 @@
 				recEpoch++;
 				recRev++;
 				epoch = recEpoch;
-#ifndef CHECKS
+#if defined(GUARD) || !defined(CHECKS)
 				authority = epoch
 #endif
 			:: else -> goto acquire
