--- a/internal/process/entryd/control.go
+++ b/internal/process/entryd/control.go
@@ -15,7 +15,8 @@
 }
 
 // Status tells what the entry holds and does.
-func (d *Daemon) Status(_ context.Context, _ *control.StatusRequest) (*control.StatusResponse, error) {
+func (d *Daemon) Status(_ context.Context, req *control.StatusRequest) (*control.StatusResponse, error) {
+	d.base.Config().Heard(carawayspread.Version(req.GetConfigVersion()))
 	age, _ := d.base.Config().EvidenceAge()
 	return &control.StatusResponse{
 		EvidenceAgeMs: uint64(age.Milliseconds()),
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -35,7 +35,8 @@
 }
 
 // Status asks every listed instance for its state and whether it holds the
-// version or a newer one.
+// version or a newer one. The question is a hint too: an instance that does not
+// hold the version reads the log at once.
 func (f *Fleet) Status(ctx context.Context, version carawayspread.Version) ([]adminapi.Instance, error) {
 	listed, err := f.list(ctx)
 	if err != nil {
@@ -62,7 +63,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.timeout)
 	defer cancel()
-	answer, err := f.dial(instance.Control).Status(ctx, &control.StatusRequest{})
+	answer, err := f.dial(instance.Control).Status(ctx, &control.StatusRequest{ConfigVersion: uint64(version)})
 	switch {
 	case err != nil:
 		state.Reason = reason(ctx, err)
