Table client: connections are no longer closed under an answer

Cause: the SDK closes the request body as soon as the answer begins. Its WriteTo then returns io.EOF as an error, which net/http takes for a failed write while it checks the end of the body, and closes the connection while the answer is read. Ruled out: our contexts and timeouts (none had ended), the stand-in closing (the close is local, from the transport's writeLoop). Change: the transport sees the body by its Read alone, where io.EOF is the end.

--- a/internal/connection/dynamodb/sender.go
+++ b/internal/connection/dynamodb/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -22,8 +23,20 @@
 func (e *notSentError) Unwrap() error        { return e.cause }
 func (e *notSentError) Is(target error) bool { return target == errNotSent }
 
+// plainBody shows the transport a body by its Read alone. The SDK closes the
+// body as soon as the answer begins, and its WriteTo then returns io.EOF as an
+// error. A transport that was about to check the end of the body takes this for
+// a failed write and closes the connection under the answer: symptom, a read
+// that fails with "use of closed network connection", or a write of unknown
+// outcome, at a service that is well. Read returns io.EOF too, where it means
+// what it should, the end.
+type plainBody struct{ io.ReadCloser }
+
 // Do sends the request once.
 func (s *sender) Do(r *http.Request) (*http.Response, error) {
+	if r.Body != nil && r.Body != http.NoBody {
+		r.Body = plainBody{r.Body}
+	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := s.client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
