Configuration: one read of the table for each daemon and change

Cause: 360 daemons read the table 547 to 563 times for one change (BenchmarkInForce): a hint that arrived during the read woke the daemon again for the version that it had just got. Change: after the spread, a daemon reads only if what it heard of is still newer and unsettled; the poll's timer goes on meanwhile.

--- a/internal/process/confsync/refresh.go
+++ b/internal/process/confsync/refresh.go
@@ -19,18 +19,39 @@
 func (s *Syncer) Run(ctx context.Context) error {
 	for {
 		s.refresh(ctx)
+		s.awaitTurn(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// awaitTurn waits until the next poll is due or a version heard of calls for one.
+func (s *Syncer) awaitTurn(ctx context.Context) {
+	due := s.clock.After(jitter(s.poll))
+	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-s.clock.After(jitter(s.poll)):
+			return
+		case <-due:
+			return
 		case <-s.nudge:
-			// Every daemon hears of a change in the same second; the spread
-			// keeps their reads from arriving at the table at once.
-			s.pause(ctx, time.Duration(rand.Int64N(int64(s.spread)+1)))
+		}
+		// Every daemon hears of a change in the same second; the spread keeps
+		// their reads from arriving at the table at once.
+		s.pause(ctx, time.Duration(rand.Int64N(int64(s.spread)+1)))
+		if s.wanting(s.heard.Load()) {
+			return
 		}
 	}
 }
 
+// wanting reports whether a version heard of is newer than the held one and not
+// settled by a read of the log.
+func (s *Syncer) wanting(version uint64) bool {
+	return version > uint64(s.Held().Version()) && version > s.tried.Load()
+}
+
 // jitter spreads d by a quarter to both sides, so that daemons started together
 // do not read the log together.
 func jitter(d time.Duration) time.Duration {
@@ -47,11 +68,10 @@
 // Heard tells that another daemon holds a version, and wakes Run where it is
 // newer. A version that the log has not confirmed wakes it once only.
 func (s *Syncer) Heard(version carawayspread.Version) {
-	v := uint64(version)
-	if version <= s.Held().Version() || v <= s.tried.Load() {
+	if !s.wanting(uint64(version)) {
 		return
 	}
-	raise(&s.heard, v)
+	raise(&s.heard, uint64(version))
 	select {
 	case s.nudge <- struct{}{}:
 	default:
