--- a/internal/process/fleet/bench_test.go
+++ b/internal/process/fleet/bench_test.go
@@ -62,7 +62,7 @@
 		b.Run(name, func(b *testing.B) {
 			ctx, cancel := context.WithCancel(context.Background())
 			tables := table.New(carawayspread.SystemClock())
-			members := startMembers(b, ctx, tables, daemons)
+			members := startMembers(ctx, b, tables, daemons)
 			f := New(listOf(members), func(address string) control.Control {
 				return control.NewControlProtobufClient("http://"+address, http.DefaultClient)
 			})
@@ -73,7 +73,7 @@
 				for _, m := range members[daemons-cut:] {
 					m.cut.Store(true)
 				}
-				version := accept(b, ctx, members[0])
+				version := accept(ctx, b, members[0])
 				inForce = max(inForce, awaitForce(b, f, version, daemons-cut))
 				for _, m := range members[daemons-cut:] {
 					m.cut.Store(false)
@@ -89,7 +89,7 @@
 	}
 }
 
-func startMembers(b *testing.B, ctx context.Context, tables *table.Table, n int) []*member {
+func startMembers(ctx context.Context, b *testing.B, tables *table.Table, n int) []*member {
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	tableServer := httptest.NewServer(tables)
 	storeServer := httptest.NewServer(objects.New(carawayspread.SystemClock()))
@@ -125,7 +125,7 @@
 }
 
 // accept makes one change through a daemon and returns its version.
-func accept(b *testing.B, ctx context.Context, m *member) carawayspread.Version {
+func accept(ctx context.Context, b *testing.B, m *member) carawayspread.Version {
 	held := m.syncer.Held()
 	add := change.New(change.SetWorkspace(carawayspread.NewWorkspace(fmt.Sprint("workspace-", held.Version()))))
 	r, cfg, err := m.log.Append(ctx, changelog.Proposal{Change: add, Against: held.Version(), Actor: "ana", Held: held})
