--- a/internal/connection/dynamodb/codec.go
+++ b/internal/connection/dynamodb/codec.go
@@ -35,10 +35,18 @@
 	attributes := encodeKey(w.Item.Key)
 	attributes[attributeRev] = number(w.IfRev + 1)
 	attributes[attributeToken] = text(w.Item.Token)
-	attributes[attributeBody] = &types.AttributeValueMemberB{Value: w.Item.Body}
+	attributes[attributeBody] = &types.AttributeValueMemberB{Value: bodyOf(w.Item)}
 	return attributes
 }
 
+// bodyOf returns the body; the SDK sends a nil one as a value of no type.
+func bodyOf(item carawayspread.Item) []byte {
+	if item.Body == nil {
+		return []byte{}
+	}
+	return item.Body
+}
+
 func decodeItems(rows []map[string]types.AttributeValue) ([]carawayspread.Item, error) {
 	items := make([]carawayspread.Item, 0, len(rows))
 	for _, row := range rows {
--- a/internal/connection/dynamodb/errors.go
+++ b/internal/connection/dynamodb/errors.go
@@ -11,6 +11,13 @@
 	"carawayspread"
 )
 
+const maxBodyBytes = 64 << 10
+
+var (
+	errKey  = errors.New("a write needs a partition and a sort key")
+	errBody = errors.New("the body of an item exceeds 64 KiB")
+)
+
 const reasonConditionFailed = "ConditionalCheckFailed"
 
 // rejections are the answers by which the service says that it did not carry
@@ -74,10 +81,16 @@
 	return fmt.Errorf("%w: %w", carawayspread.ErrUnavailable, cause)
 }
 
-// ended reports a context that has ended before anything was sent.
-func ended(ctx context.Context) error {
-	if err := ctx.Err(); err != nil {
-		return unavailable(err)
+// refuse finds reasons for which nothing is sent. A body beyond the limit would
+// have the service refuse all other writes of the transaction with it.
+func refuse(ctx context.Context, writes []carawayspread.Write) error {
+	for _, w := range writes {
+		if w.Item.Key.Partition == "" || w.Item.Key.Sort == "" {
+			return errKey
+		}
+		if len(w.Item.Body) > maxBodyBytes {
+			return errBody
+		}
 	}
-	return nil
+	return ctx.Err()
 }
--- a/internal/connection/dynamodb/table.go
+++ b/internal/connection/dynamodb/table.go
@@ -136,8 +136,8 @@
 
 // Apply carries out all writes or none.
 func (t *Table) Apply(ctx context.Context, writes ...carawayspread.Write) error {
-	if err := ended(ctx); err != nil {
-		return err
+	if err := refuse(ctx, writes); err != nil {
+		return unavailable(err)
 	}
 	if len(writes) == 0 {
 		return nil
--- /dev/null
+++ b/internal/connection/platform/linearizable_test.go
@@ -0,0 +1,136 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+const keys = 3
+
+// content is what a key holds; a revision of zero is a free key.
+type content struct {
+	rev   uint64
+	token string
+}
+
+type contents [keys]content
+
+// call is a read of one key, or writes with the revisions that they expect.
+type call struct {
+	read   int
+	token  string
+	writes map[int]uint64 // nil for a read
+}
+
+// answer is what the caller was told.
+type answer struct {
+	err  error
+	seen content
+}
+
+// step is the table as callers may rely on it. An unknown outcome may be either,
+// at any time: its call never returns in the history.
+func step(state, input, output any) (bool, any) {
+	s, in, out := state.(contents), input.(call), output.(answer)
+	if in.writes == nil {
+		return out.err != nil || s[in.read] == out.seen, s
+	}
+	next, holds := s, true
+	for key, ifRev := range in.writes {
+		holds = holds && s[key].rev == ifRev
+		next[key] = content{rev: ifRev + 1, token: in.token}
+	}
+	switch {
+	case out.err == nil:
+		return holds, next
+	case errors.Is(out.err, carawayspread.ErrCondition):
+		return !holds, s
+	case errors.Is(out.err, carawayspread.ErrUnavailable) || !holds:
+		return true, s
+	}
+	return true, next
+}
+
+// Callers race for three keys, alone and in transactions, through all
+// decorators. The store loses answers after the writes took effect, and callers
+// go away while their writes are in flight. Whatever they are told has to fit
+// one order of events, in which a failed condition or "not written" is true.
+func TestLinearizableUnderLostAnswers(t *testing.T) {
+	table, service := start(t)
+	began := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	record := func(client int, in call, do func() answer) answer {
+		op := porcupine.Operation{ClientId: client, Input: in, Call: int64(time.Since(began))}
+		out := do()
+		op.Output, op.Return = out, int64(time.Since(began))
+		if in.writes != nil && unknown(out.err) {
+			op.Return = math.MaxInt64
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, op)
+		return out
+	}
+	var wg sync.WaitGroup
+	for client := range 6 {
+		wg.Go(func() {
+			random := rand.New(rand.NewPCG(7, uint64(client)))
+			for n := range 40 {
+				writes := map[int]uint64{}
+				for _, key := range random.Perm(keys)[:1+n%4/3] { // every fourth is a transaction
+					seen := record(client, call{read: key}, func() answer { return read(table, key) })
+					writes[key] = seen.seen.rev
+				}
+				if random.IntN(4) == 0 {
+					service.LoseAnswers(1)
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				if random.IntN(10) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(6))*time.Millisecond, cancel)
+				}
+				in := call{token: fmt.Sprintf("%d/%d", client, n), writes: writes}
+				record(client, in, func() answer { return answer{err: table.Apply(ctx, in.encode()...)} })
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	model := porcupine.Model{Init: func() any { return contents{} }, Step: step}
+	qt.Check(t, porcupine.CheckOperationsTimeout(model, history, 30*time.Second), qt.Equals, porcupine.Ok)
+}
+
+func unknown(err error) bool {
+	return err != nil && !errors.Is(err, carawayspread.ErrCondition) && !errors.Is(err, carawayspread.ErrUnavailable)
+}
+
+func read(table carawayspread.Table, key int) answer {
+	item, err := table.Get(context.Background(), keyOf(key))
+	if errors.Is(err, carawayspread.ErrNoItem) {
+		err = nil
+	}
+	return answer{err: err, seen: content{rev: item.Rev, token: item.Token}}
+}
+
+func keyOf(key int) carawayspread.Key {
+	return carawayspread.Key{Partition: "p", Sort: fmt.Sprint(key)}
+}
+
+func (c call) encode() []carawayspread.Write {
+	var writes []carawayspread.Write
+	for key, ifRev := range c.writes {
+		writes = append(writes, carawayspread.Write{Item: carawayspread.Item{Key: keyOf(key), Token: c.token}, IfRev: ifRev})
+	}
+	return writes
+}
--- /dev/null
+++ b/internal/connection/platform/table_test.go
@@ -0,0 +1,96 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+
+	"carawayspread"
+	"carawayspread/internal/connection/dynamodb"
+	"carawayspread/internal/standin/table"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t testing.TB, opts ...Option) (carawayspread.Table, *table.Table) {
+	client, service := startClient(t, carawayspread.SystemClock())
+	return NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), opts...), service
+}
+
+func startClient(t testing.TB, clock carawayspread.Clock) (*dynamodb.Table, *table.Table) {
+	service := table.New(clock)
+	server := httptest.NewServer(service)
+	client := dynamodb.New(server.URL)
+	t.Cleanup(func() { client.Close(); server.Close() })
+	return client, service
+}
+
+func claim(sort string) carawayspread.Write {
+	item := carawayspread.Item{Key: carawayspread.Key{Partition: "claim", Sort: sort}, Token: sort}
+	return carawayspread.Write{Item: item}
+}
+
+// The store accepts connections and never answers. A caller's write is given
+// up after its timeout while the store still holds it. "Not written" would be
+// false: the write takes effect once the store goes on. So the caller is told
+// unknown.
+func TestSlowStoreHoldsTheWrite(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	client, service := startClient(t, clock)
+	table := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithTimeouts(20*time.Millisecond, 20*time.Millisecond))
+	service.SetSlow(time.Hour)
+	err := table.Apply(context.Background(), claim("slow"), claim("with it")) // goes round the group commit, which has a timeout of its own
+	qt.Check(t, unknown(err), qt.IsTrue, qt.Commentf("%v", err))
+	service.Clear()
+	clock.Advance(time.Hour)
+	item, err := client.Get(context.Background(), claim("slow").Item.Key)
+	for errors.Is(err, carawayspread.ErrNoItem) { // the held write is being carried out
+		item, err = client.Get(context.Background(), claim("slow").Item.Key)
+	}
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, item.Rev, qt.Equals, uint64(1))
+}
+
+// The store goes down. What was under way is unknown; what comes later is
+// refused at once, as not run and with the time to come back. When the store
+// returns, so does the service, without a restart.
+func TestStoreDownAndBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	client, service := startClient(t, carawayspread.SystemClock())
+	set := metrics.NewSet()
+	ctx := context.Background()
+	table := NewTable(client, &instant{clock}, set)
+	service.SetDown(true)
+	var refusal *carawayspread.Error
+	for refusal == nil {
+		err := table.Apply(ctx, claim("down"))
+		refusal, _ = carawayspread.AsError(err)
+	}
+	qt.Check(t, refusal.Code(), qt.Equals, carawayspread.CodeStoreUnavailable)
+	qt.Check(t, refusal.NotRun() && refusal.RetryAfter() > 0, qt.IsTrue)
+	service.Clear()
+	clock.Advance(trialLimit)
+	qt.Check(t, table.Apply(ctx, claim("back")), qt.IsNil)
+	var page bytes.Buffer
+	set.WritePrometheus(&page)
+	want := `carawayspread_table_requests_total{layer="caller",operation="apply",outcome="ok"} 1`
+	qt.Check(t, strings.Contains(page.String(), want), qt.IsTrue, qt.Commentf("%s", &page))
+}
+
+// instant is a clock that stands still and whose waits are over at once.
+type instant struct{ *clockwork.FakeClock }
+
+func (instant) After(time.Duration) <-chan time.Time {
+	over := make(chan time.Time, 1)
+	over <- time.Time{}
+	return over
+}
--- a/internal/standin/table/operations.go
+++ b/internal/standin/table/operations.go
@@ -163,6 +163,9 @@
 	if item.Put != nil && item.Put.Item.size() > maxItemBytes {
 		return false, invalid("Item size has exceeded the maximum allowed size")
 	}
+	if item.Put != nil && !item.Put.Item.valid() {
+		return false, invalid("Supplied AttributeValue is empty")
+	}
 	found, _ := t.records.Get(key)
 	req := item.request()
 	return req.holds(req.ConditionExpression, found.item)
@@ -179,12 +182,30 @@
 	}
 }
 
+// valid reports whether each value has exactly one member.
+func (a attributes) valid() bool {
+	for _, v := range a {
+		members := 0
+		for _, text := range []*string{v.S, v.N, v.B} {
+			if text != nil {
+				members++
+			}
+		}
+		if members != 1 {
+			return false
+		}
+	}
+	return true
+}
+
 func (a attributes) size() int {
 	n := 0
 	for name, v := range a {
-		n += len(name) + len(v.B)
-		if v.S != nil {
-			n += len(*v.S)
+		n += len(name)
+		for _, text := range []*string{v.S, v.N, v.B} {
+			if text != nil {
+				n += len(*text)
+			}
 		}
 	}
 	return n
--- a/internal/standin/table/wire.go
+++ b/internal/standin/table/wire.go
@@ -14,7 +14,7 @@
 type value struct {
 	S *string `json:"S,omitempty"`
 	N *string `json:"N,omitempty"`
-	B []byte  `json:"B,omitempty"`
+	B *string `json:"B,omitempty"` // in base64
 }
 
 type attributes map[string]value
