--- /dev/null
+++ b/internal/process/sidecard/control.go
@@ -0,0 +1,36 @@
+package sidecard
+
+import (
+	"context"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+)
+
+var _ control.Control = (*Daemon)(nil)
+
+// Changes answers a daemon that asks for configuration changes.
+func (d *Daemon) Changes(ctx context.Context, req *control.ChangesRequest) (*control.ChangesResponse, error) {
+	return d.base.Config().Changes(ctx, req)
+}
+
+// Status tells what the sidecar holds and does.
+func (d *Daemon) Status(context.Context, *control.StatusRequest) (*control.StatusResponse, error) {
+	age, _ := d.base.Config().EvidenceAge()
+	return &control.StatusResponse{
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
+		EvidenceAgeMs: uint64(age.Milliseconds()),
+		Instance:      d.base.Settings().ID(),
+		Role:          string(carawayspread.InstanceSidecar),
+		Draining:      d.sidecar.Draining(),
+		Endpoints:     d.sidecar.Load(),
+	}, nil
+}
+
+// Drain gives one endpoint, or all, no new work; running requests finish.
+func (d *Daemon) Drain(_ context.Context, req *control.DrainRequest) (*control.DrainResponse, error) {
+	running := d.sidecar.Drain(carawayspread.EndpointID(req.GetEndpoint()))
+	d.base.Log().WithField("endpoint", req.GetEndpoint()).WithField("actor", req.GetActor()).WithField("running", running).Info("drain ordered")
+	d.report()
+	return &control.DrainResponse{Running: uint32(running)}, nil
+}
--- a/internal/version/finding/finding.go
+++ b/internal/version/finding/finding.go
@@ -13,7 +13,7 @@
 type Place struct {
 	File   string `json:"file,omitempty"`
 	Line   int    `json:"line,omitempty"`   // from 1; zero when the value was not read from text
-	Column int    `json:"column,omitempty"` // from 1, in characters
+	Column int    `json:"column,omitempty"` // from 1, in bytes
 	Path   string `json:"path,omitempty"`   // such as endpoints[2].address
 }
 
@@ -26,8 +26,11 @@
 // String returns the finding as file:line:column: path: message.
 func (f Finding) String() string {
 	var parts []string
-	if f.File != "" || f.Line > 0 {
+	switch {
+	case f.File != "":
 		parts = append(parts, fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column))
+	case f.Line > 0:
+		parts = append(parts, fmt.Sprintf("%d:%d", f.Line, f.Column))
 	}
 	if f.Path != "" {
 		parts = append(parts, f.Path)
@@ -43,6 +46,11 @@
 	*l = append(*l, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
 }
 
+// At reports whether a finding stands at the path.
+func (l List) At(path string) bool {
+	return slices.ContainsFunc(l, func(f Finding) bool { return f.Path == path })
+}
+
 // Sort orders the findings by line, column and path.
 func (l List) Sort() {
 	slices.SortStableFunc(l, func(a, b Finding) int {
