inflight: a window for what one entry has at the endpoints of a service

Ruled out: taking free slots from reports, since every entry would see and take the same ones. Change: a window from the equal part upwards, by additive increase and a decrease for each refusal of an endpoint.

--- a/decisions.go
+++ b/decisions.go
@@ -34,7 +34,7 @@
 	// through Done or Requeue once.
 	Next() *Job
 	// Requeue puts back a job that could not be placed. Next returns it again
-	// after the next Done or Capacity.
+	// after the next Done, after a larger Capacity or a little later.
 	Requeue(job *Job)
 	// Expired removes and returns the jobs that can no longer meet their
 	// target or had to make room, each with its refusal.
--- a/internal/process/fairqueue/scheduler.go
+++ b/internal/process/fairqueue/scheduler.go
@@ -18,7 +18,7 @@
 	// unparkEach bounds the attempts at placing jobs again after each change.
 	// The others stay aside, so that jobs which wait for one busy endpoint do
 	// not hold those that can go elsewhere.
-	unparkEach = 16
+	unparkEach = 4
 	// parkedFor is how long a job that could not be placed waits at most for
 	// the next attempt: a place that another process freed is not seen here.
 	parkedFor = 20 * time.Millisecond
@@ -239,11 +239,16 @@
 	s.unpark(now)
 }
 
-// Capacity sets the slots. Jobs that run beyond them end undisturbed.
+// Capacity sets the slots. Jobs that run beyond them end undisturbed. Only more
+// slots let parked jobs try again: a caller that lowers the capacity with every
+// job that it cannot place would get the same jobs for ever.
 func (s *Scheduler) Capacity(slots int) {
 	now := s.tick()
+	grew := slots > s.drain.slots
 	s.drain.slots = max(0, slots)
-	s.unpark(now)
+	if grew {
+		s.unpark(now)
+	}
 }
 
 // Cancel removes a queued job.
--- a/internal/process/overload/scheduler_test.go
+++ b/internal/process/overload/scheduler_test.go
@@ -169,6 +169,20 @@
 	},
 }
 
+// The balancer gives one of six entries everything. With an equal part of the
+// slots five sixths of the fleet idle while its callers are refused; the
+// window takes what the others leave.
+func TestOneBusyEntry(t *testing.T) {
+	const sent = 30 * time.Second
+	w := newWorld(ours, 6, 8)
+	w.skew = true
+	w.send(rulings(8, 0.8, sent)...)
+	w.settle(sent)
+	t.Logf("%+v, %d refused by engines", w.sum(nil), w.bounced)
+	qt.Check(t, goodput(w, "") > 0.9, qt.IsTrue)
+	qt.Check(t, w.bounced < w.sum(nil).offered, qt.IsTrue)
+}
+
 func TestScheduler(t *testing.T) {
 	for name, s := range schedulerScenarios {
 		t.Run(name, func(t *testing.T) { s.check(t, s.run(t, ours), s.run(t, s.without)) })
--- a/internal/process/overload/world_test.go
+++ b/internal/process/overload/world_test.go
@@ -17,6 +17,7 @@
 	_ "carawayspread/internal/process/fifo"
 	_ "carawayspread/internal/process/gradient"
 	_ "carawayspread/internal/process/hashrouter"
+	"carawayspread/internal/process/inflight"
 	_ "carawayspread/internal/process/leastoutstanding"
 	_ "carawayspread/internal/process/neverejects"
 	_ "carawayspread/internal/process/roundrobin"
@@ -56,8 +57,7 @@
 
 const (
 	slotsEach  = 8
-	queueBound = 2    // jobs that wait before an engine
-	headroom   = 1.25 // of the slots that entries fill, so that no engine idles
+	queueBound = 2 // jobs that wait before an engine
 )
 
 // world holds entries and engines on one clock.
@@ -71,7 +71,9 @@
 	answered map[*carawayspread.Job]int
 	tallies  map[string]*tally // by workspace/class
 	reports  time.Duration     // between reports, which arrive one interval late; zero: none come
-	hits     int               // prompts found in a prefix cache
+	bounced  int               // attempts that an engine refused as full
+	skew     bool
+	hits     int // prompts found in a prefix cache
 }
 
 func (w *world) Now() time.Time                       { return w.now }
@@ -227,6 +229,8 @@
 	limiters  map[carawayspread.EndpointID]carawayspread.Limiter
 	ejector   carawayspread.Ejector
 	budget    carawayspread.RetryBudget
+	window    inflight.Window
+	running   int
 }
 
 func (n *entry) offer(job *carawayspread.Job) {
@@ -289,9 +293,13 @@
 		n.finished(id, job, took+first, took)
 	}, func() { n.failed(id, job) })
 	if !accepted {
+		n.window.Refused()
+		n.scheduler.Capacity(n.window.Size())
+		n.w.bounced++
 		n.router.Reported(engine.report())
 		return false
 	}
+	n.running++
 	n.limiters[id].Acquire()
 	n.ejector.Sent(id)
 	n.router.Sent(id, job)
@@ -299,6 +307,9 @@
 }
 
 func (n *entry) finished(id carawayspread.EndpointID, job *carawayspread.Job, first, took time.Duration) {
+	n.window.Served(n.running)
+	n.scheduler.Capacity(n.window.Size())
+	n.running--
 	n.router.Ended(id, job, carawayspread.OutcomeServed)
 	n.router.Reported(n.w.engine(id).report())
 	latency := took / time.Duration(1+job.Cost.Decode)
@@ -319,6 +330,7 @@
 
 // failed retries within the budget, or tells the caller.
 func (n *entry) failed(id carawayspread.EndpointID, job *carawayspread.Job) {
+	n.running--
 	n.router.Ended(id, job, carawayspread.OutcomeFailed)
 	n.limiters[id].Release(0, carawayspread.OutcomeFailed)
 	n.ejector.Observe(id, 0, carawayspread.OutcomeFailed)
@@ -391,7 +403,8 @@
 	for _, n := range w.entries {
 		n.router.SetEndpoints(listed)
 		n.ejector.SetEndpoints(ids)
-		n.scheduler.Capacity(max(1, int(headroom*float64(slots)/float64(len(w.entries)))))
+		n.window.Fleet(slots, len(w.entries))
+		n.scheduler.Capacity(n.window.Size())
 		n.pump()
 	}
 }
@@ -432,6 +445,9 @@
 				job.Prefix = uint64(len(s.workspace))<<32 + uint64(w.random.IntN(s.prefixes)) + 1
 			}
 			n := w.entries[w.random.IntN(len(w.entries))]
+			if w.skew {
+				n = w.entries[0]
+			}
 			w.at(at, func() { n.offer(job) })
 		}
 	}
