Benchmarks of the added time and of a drain, and a network that can be cut

Cause: nothing measured what the path adds, and no test cut the network. Change: open-loop benchmarks against a direct call of the same engine in the same run; a link between entry and sidecar that loses every byte; the resumed stream is also proved behind a cut link. Ruled out: one engine with 200 slots for the drain: a limiter begins with eight places, so the scheduler refused 152 of 200 streams, all before they ran.

--- a/cmd/carawayspread/fleet_test.go
+++ b/cmd/carawayspread/fleet_test.go
@@ -50,6 +50,9 @@
 	os.Exit(code)
 }
 
+// terminate asks a daemon to leave.
+const terminate = syscall.SIGTERM
+
 const (
 	testConfig = `{"set": {
 	"classes": [
@@ -73,7 +76,7 @@
 
 // fleet is real entry and sidecar processes before stand-ins of this process.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	table    *table.Table
 	list     *instances.List
 	platform string // the settings' part
@@ -81,7 +84,7 @@
 	config   *carawayspread.Config // the newest that this test had accepted
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	clock := carawayspread.SystemClock()
 	f := &fleet{t: t, table: table.New(clock), list: instances.New(clock, 0)}
 	tableAt, objectsAt := serve(t, f.table), serve(t, objects.New(clock))
@@ -103,7 +106,7 @@
 	f.config = cfg
 }
 
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -111,10 +114,11 @@
 
 // process is one daemon.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	cmd     *exec.Cmd
 	row     carawayspread.Instance
 	admin   string
+	link    *link // between the entries and a sidecar, where there is one
 	mu      sync.Mutex
 	log     bytes.Buffer
 	started chan string // the line in which it names its addresses
@@ -188,7 +192,7 @@
 	rows, parts := []carawayspread.InstanceEndpoint{}, []string{}
 	for _, e := range endpoints {
 		rows = append(rows, carawayspread.InstanceEndpoint{ID: carawayspread.EndpointID(e.id), Service: e.service})
-		parts = append(parts, fmt.Sprintf(`{"id": %q, "service": %q, "kind": %q, "address": %q, "checksFence": true, "slots": 32}`,
+		parts = append(parts, fmt.Sprintf(`{"id": %q, "service": %q, "kind": %q, "address": %q, "checksFence": true, "slots": 256}`,
 			e.id, e.service, e.kind, serve(f.t, e.handler)))
 	}
 	return f.start(carawayspread.InstanceSidecar, id, fmt.Sprintf(sidecarSettings, id, f.platform, strings.Join(parts, ",")), rows...)
--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -24,6 +24,7 @@
 	for _, id := range []string{"1", "2"} {
 		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Hour))
 		sidecars[e] = f.sidecar("sidecar-"+id, model("engine-"+id, e))
+		sidecars[e].link = f.between(sidecars[e])
 	}
 	return f, f.entry("entry-1"), sidecars
 }
@@ -55,13 +56,14 @@
 }
 
 // The caller sees one uninterrupted answer.
-// The sidecar that serves it is killed, paused or its engine crashes after the
-// first tokens; the entry sees the cut, or the silence, and has another engine
+// The sidecar that serves it is killed, paused or cut off, or its engine
+// crashes, after the first tokens; the entry sees the cut, or the silence, and has another engine
 // resume after the last event that the caller has.
 func TestStreamIsResumed(t *testing.T) {
 	tests := map[string]func(e *engine.Engine, sidecar *process){
 		"sidecar killed": func(_ *engine.Engine, sidecar *process) { sidecar.kill() },
 		"sidecar paused": func(_ *engine.Engine, sidecar *process) { sidecar.signal(syscall.SIGSTOP) },
+		"network cut":    func(_ *engine.Engine, sidecar *process) { sidecar.link.cut.Store(true) },
 		"engine crashed": func(e *engine.Engine, _ *process) { e.Crash() },
 	}
 	for name, fail := range tests {
@@ -112,7 +114,7 @@
 			}
 			first.Wait()
 			leaving := choose(entry, sidecars)
-			leaving.signal(syscall.SIGTERM)
+			leaving.signal(terminate)
 			running.Wait()
 			for _, a := range answers {
 				qt.Check(t, a.whole(), qt.IsTrue, qt.Commentf("%v %s", a.err, a.body))
