--- /dev/null
+++ b/internal/connection/report/report_test.go
@@ -0,0 +1,48 @@
+package report
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"carawayspread/internal/connection/control"
+)
+
+// An entry hears that an endpoint drains, and then an older report that it is
+// free, which the network delayed. Without the order of sequence numbers the
+// entry would send work to the draining endpoint until the next report.
+func TestOvertakenReportIsDropped(t *testing.T) {
+	newest := map[string]uint64{}
+	qt.Check(t, inOrder(newest, &control.LoadReport{Instance: "a", Sequence: 2}), qt.IsTrue)
+	qt.Check(t, inOrder(newest, &control.LoadReport{Instance: "a", Sequence: 1}), qt.IsFalse)
+	qt.Check(t, inOrder(newest, &control.LoadReport{Instance: "b", Sequence: 1}), qt.IsTrue)
+}
+
+func TestIntervalKeepsTheBudget(t *testing.T) {
+	tests := map[string]struct {
+		sidecars int
+		want     time.Duration
+	}{
+		"today":       {sidecars: 23, want: time.Second},
+		"target size": {sidecars: 325, want: 325 * time.Second / 30},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, Interval(test.sidecars).Round(time.Millisecond), qt.Equals, test.want.Round(time.Millisecond))
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	datagram, _ := proto.Marshal(&control.LoadReport{Instance: "a", Sequence: 1, Endpoints: []*control.EndpointLoad{{Slots: 4}}})
+	f.Add(datagram)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		report, ok := Decode(datagram)
+		if ok && (report.GetInstance() == "" || report.GetSequence() == 0) {
+			t.Fatal("accepted without instance or sequence")
+		}
+	})
+}
