A small fleet is ready when its endpoints are routed under a configuration

Cause: TestClientLibrary failed once in a landing: the instance list was known before the first configuration, so the entry had endpoints but no services. Ruled out: the scheduler and the router, which had not been asked. Change: what counts as known is an endpoint whose service is configured. Conclusion: mended in the readiness, the test stays as it was.

--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -139,7 +139,7 @@
 
 // Ready returns when the entry knows every endpoint of the fleet.
 func (f *Fleet) Ready(ctx context.Context) error {
-	for f.base.Config().Held().Version() == 0 || f.entry.Known() < len(zones)*(enginesPerZone+1) {
+	for f.entry.Known() < len(zones)*(enginesPerZone+1) {
 		select {
 		case <-f.clock.After(readyPoll):
 		case <-ctx.Done():
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -135,9 +135,16 @@
 func (d *Daemon) update() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	cfg := d.base.Config().Held()
 	endpoints := watch.Endpoints(d.base.Instances())
-	d.entry.Update(d.base.Config().Held(), endpoints)
-	d.routed.Store(int64(len(endpoints)))
+	d.entry.Update(cfg, endpoints)
+	routed := 0
+	for _, endpoint := range endpoints {
+		if _, ok := cfg.Service(endpoint.Service()); ok {
+			routed++
+		}
+	}
+	d.routed.Store(int64(routed))
 }
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
