--- a/internal/connection/report/report.go
+++ b/internal/connection/report/report.go
@@ -123,3 +123,9 @@
 	}
 	return report, report.GetInstance() != "" && report.GetSequence() > 0
 }
+
+// packetHeader is what IP and UDP add to a datagram.
+const packetHeader = 28
+
+// Size returns the bytes that a report takes on the network.
+func Size(report *control.LoadReport) int { return proto.Size(report) + packetHeader }
