Quarantine, ejection and retry budget on the request's path

Cause: a request that crashes its endpoint was retried on the next one, without bound across calls and entries. Change: entry and sidecar ask the quarantine before they send or run; a suspect runs only as a trial claimed in the table and never where it crashed before; a sidecar tells the fleet what ran when its endpoint crashed. The registered ejector and the retry budget replace the stubs. Ruled out: deciding at the entry alone: the second entry does not know of the first one's crash, the sidecar does.

--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -14,22 +14,20 @@
 )
 
 // attempt sends the call to one endpoint and follows its answer to the end.
-func (e *Entry) attempt(ctx context.Context, l *lane.Lane, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int) *carawayspread.Error {
-	trial, refusal := e.suspects.Admit(ctx, c.Job())
+// final says that no other attempt may follow the failure.
+func (e *Entry) attempt(ctx context.Context, l *lane.Lane, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int) (failure *carawayspread.Error, final bool) {
+	place, trial, refusal := e.taken(ctx, l, c, tried, n)
 	if refusal != nil {
-		return refusal
-	}
-	place, err := l.Place(ctx, c.Job(), tried, e.placeUntil(c, n))
-	if err != nil {
-		return typed(err)
+		return refusal, true
 	}
 	id := place.Endpoint().ID()
 	tried[id] = true
 	held := answer.events
 	failure, firstByte := e.follow(ctx, c, answer, place, n, trial)
-	place.Leave(e.latency(c, place, firstByte, answer.events-held), outcome(ctx, failure))
-	e.suspects.Ended(c.Job(), trial, failure)
-	return failure
+	ended := outcome(ctx, failure)
+	place.Leave(e.latency(c, place, firstByte, answer.events-held), ended)
+	e.learn(ctx, c, id, trial, failure, ended)
+	return failure, false
 }
 
 // placeUntil gives a retry, whose target may be missed already, a moment to
@@ -45,7 +43,11 @@
 	return until
 }
 
-const retryPlace = time.Second
+const (
+	retryPlace = time.Second
+	// recordTimeout bounds a write to the table at the end of an attempt.
+	recordTimeout = 2 * time.Second
+)
 
 // latency returns a measure of the endpoint that is comparable between
 // requests: the mean gap between tokens of an engine, the whole time of a
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -16,6 +16,7 @@
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/process/lane"
+	"carawayspread/internal/process/quarantine"
 	"carawayspread/internal/request/call"
 )
 
@@ -52,7 +53,8 @@
 	limits   call.Limits
 	stall    time.Duration
 	ledger   Ledger
-	suspects Suspects
+	suspects *quarantine.Quarantine
+	trials   Trials
 	lanes    atomic.Pointer[map[string]*lane.Lane] // by service, replaced as a whole
 	leaving  atomic.Bool
 	counters *counters
@@ -79,8 +81,8 @@
 // WithLedger sets what agrees on work that runs at most once.
 func WithLedger(l Ledger) Option { return func(e *Entry) { e.ledger = l } }
 
-// WithSuspects sets what agrees on requests that may crash their endpoint.
-func WithSuspects(s Suspects) Option { return func(e *Entry) { e.suspects = s } }
+// WithTrials sets what agrees on requests that may crash their endpoint.
+func WithTrials(t Trials) Option { return func(e *Entry) { e.trials = t } }
 
 // New returns an entry. modules gives the decision modules of a service.
 func New(config ConfigSource, modules func(carawayspread.Service) lane.Modules, opts ...Option) *Entry {
@@ -94,13 +96,14 @@
 		limits:   call.Limits{Body: defaultBodyLimit},
 		stall:    defaultStall,
 		ledger:   noLedger{},
-		suspects: noSuspects{},
+		trials:   noTrials{},
 		counters: newCounters(),
 	}
 	e.lanes.Store(&map[string]*lane.Lane{})
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.suspects = quarantine.New(e.clock)
 	e.client = sidecarhttp.NewClient(e.stall)
 	e.mux.HandleFunc("/v1/models", only(http.MethodGet, e.listModels))
 	e.mux.HandleFunc("/v1/chat/completions", only(http.MethodPost, e.run))
--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -42,22 +42,6 @@
 		"this entry has no ledger for idempotency keys", carawayspread.NotRun())
 }
 
-// Suspects agrees, for the whole fleet, on requests that may crash endpoints.
-type Suspects interface {
-	// Admit returns whether the job runs as a trial, or the refusal of a job
-	// that must not run now.
-	Admit(ctx context.Context, job *carawayspread.Job) (trial bool, refusal *carawayspread.Error)
-	// Ended reports how an attempt ended; nil is a whole answer.
-	Ended(job *carawayspread.Job, trial bool, failure *carawayspread.Error)
-}
-
-type noSuspects struct{}
-
-func (noSuspects) Admit(context.Context, *carawayspread.Job) (bool, *carawayspread.Error) {
-	return false, nil
-}
-func (noSuspects) Ended(*carawayspread.Job, bool, *carawayspread.Error) {}
-
 // runOnce runs a request that must run at most once under its idempotency key.
 func (e *Entry) runOnce(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call.Call) {
 	claim, stored, err := e.ledger.Begin(ctx, c)
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -82,7 +82,7 @@
 	tried := map[carawayspread.EndpointID]bool{}
 	mayHaveRun := false
 	for n := 1; ; n++ {
-		failure := e.attempt(ctx, l, c, answer, tried, n)
+		failure, final := e.attempt(ctx, l, c, answer, tried, n)
 		if failure == nil {
 			return nil
 		}
@@ -91,7 +91,7 @@
 		switch {
 		case ctx.Err() != nil:
 			return gone(ctx, failure, mayHaveRun)
-		case !answer.resumable():
+		case final || !answer.resumable():
 			return honest(failure, mayHaveRun)
 		}
 		switch retry.Decide(failure, c.Once(), n, l.Budget()) {
--- /dev/null
+++ b/internal/process/entry/suspects.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"carawayspread"
+	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/process/lane"
+	"carawayspread/internal/process/quarantine"
+	"carawayspread/internal/request/call"
+)
+
+// Trials agrees, for the whole fleet, on who runs a request that is suspected
+// of crashing endpoints.
+type Trials interface {
+	Claim(ctx context.Context, fingerprint uint64) ([]carawayspread.EndpointID, *carawayspread.Error)
+	End(ctx context.Context, fingerprint uint64, outcome carawayspread.Outcome) error
+	Crashed(ctx context.Context, endpoint carawayspread.EndpointID, running ...uint64) error
+}
+
+type noTrials struct{}
+
+func (noTrials) Claim(context.Context, uint64) ([]carawayspread.EndpointID, *carawayspread.Error) {
+	return nil, carawayspread.NewError(carawayspread.CodeStoreUnavailable,
+		"this entry cannot claim a trial", carawayspread.NotRun(), carawayspread.RetryAfter(leavingRetry))
+}
+
+func (noTrials) End(context.Context, uint64, carawayspread.Outcome) error           { return nil }
+func (noTrials) Crashed(context.Context, carawayspread.EndpointID, ...uint64) error { return nil }
+
+// clear decides whether the call may run at the place. It returns whether it
+// runs as a trial, which it then has claimed, or the final refusal.
+func (e *Entry) clear(ctx context.Context, c *call.Call, place *lane.Place, tried map[carawayspread.EndpointID]bool) (trial bool, refusal *carawayspread.Error) {
+	fingerprint := c.Job().Fingerprint
+	verdict, refusal := e.suspects.Decide(quarantine.Attempt{Fingerprint: fingerprint, Displaced: place.Displaced()})
+	switch verdict {
+	case quarantine.VerdictRun:
+		return false, nil
+	case quarantine.VerdictRefuse:
+		return false, refusal
+	}
+	victims, refusal := e.trials.Claim(ctx, fingerprint)
+	if refusal != nil {
+		if refusal.Code() == carawayspread.CodeQuarantined {
+			e.suspects.Convicted(fingerprint, refusal.RetryAfter())
+		}
+		return false, refusal
+	}
+	for _, id := range append(victims, e.suspects.Crashes(fingerprint)...) {
+		tried[id] = true
+	}
+	return true, nil
+}
+
+// taken finds a place for the call and clears it to run there. A trial never
+// goes to an endpoint that the request has crashed before.
+func (e *Entry) taken(ctx context.Context, l *lane.Lane, c *call.Call, tried map[carawayspread.EndpointID]bool, n int) (*lane.Place, bool, *carawayspread.Error) {
+	place, err := l.Place(ctx, c.Job(), tried, e.placeUntil(c, n))
+	if err != nil {
+		return nil, false, typed(err)
+	}
+	trial, refusal := e.clear(ctx, c, place, tried)
+	if refusal != nil {
+		place.Leave(0, carawayspread.OutcomeRefused)
+		return nil, false, refusal
+	}
+	if !trial || !tried[place.Endpoint().ID()] {
+		return place, trial, nil
+	}
+	place.Leave(0, carawayspread.OutcomeRefused)
+	place, err = l.Place(ctx, c.Job(), tried, e.placeUntil(c, n))
+	if err != nil {
+		e.endTrial(ctx, c, carawayspread.OutcomeRefused)
+		return nil, false, typed(err)
+	}
+	return place, true, nil
+}
+
+// learn takes what the end of an attempt says about the request.
+func (e *Entry) learn(ctx context.Context, c *call.Call, id carawayspread.EndpointID, trial bool, failure *carawayspread.Error, ended carawayspread.Outcome) {
+	fingerprint := c.Job().Fingerprint
+	if trial {
+		e.endTrial(ctx, c, ended)
+	}
+	switch {
+	case failure == nil:
+		e.suspects.Served(fingerprint)
+	case errors.Is(failure, sidecarhttp.ErrCrashed):
+		e.suspects.Crashed(quarantine.Crash{Endpoint: id, At: e.clock.Now()}, []uint64{fingerprint}, trialOf(trial, fingerprint))
+		if !trial {
+			e.tell(ctx, c, id)
+		}
+	case failure.Code() == carawayspread.CodeSuspect:
+		e.suspects.Suspected(fingerprint, id)
+	}
+}
+
+func trialOf(trial bool, fingerprint uint64) *uint64 {
+	if !trial {
+		return nil
+	}
+	return &fingerprint
+}
+
+// endTrial records the result of a trial even when its caller has gone.
+func (e *Entry) endTrial(ctx context.Context, c *call.Call, ended carawayspread.Outcome) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err := e.trials.End(ctx, c.Job().Fingerprint, ended); err != nil {
+		e.event(c).WithError(err).Warn("trial not recorded")
+	}
+}
+
+func (e *Entry) tell(ctx context.Context, c *call.Call, id carawayspread.EndpointID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err := e.trials.Crashed(ctx, id, c.Job().Fingerprint); err != nil {
+		e.event(c).WithError(err).Warn("crash not recorded")
+	}
+}
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -20,6 +21,7 @@
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/fleet"
 	"carawayspread/internal/process/server"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
 )
 
@@ -50,6 +52,7 @@
 	opts = append([]entry.Option{
 		entry.WithClock(b.Clock()), entry.WithLog(b.Log()),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
+		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 	}, opts...)
 	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
 	b.OnAdopted(func(*carawayspread.Config) { d.update() })
--- a/internal/process/entryd/decisions.go
+++ b/internal/process/entryd/decisions.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"carawayspread"
 	"carawayspread/internal/process/lane"
 
+	"carawayspread/internal/request/retrybudget"
+
 	// The modules that daemons run register themselves.
+	_ "carawayspread/internal/process/ejection"
 	_ "carawayspread/internal/process/fairqueue"
 	_ "carawayspread/internal/process/gradient"
 	_ "carawayspread/internal/process/hashrouter"
@@ -22,21 +24,13 @@
 		scheduler, _ := carawayspread.Schedulers.Get("")
 		router, _ := carawayspread.Routers.Get("")
 		limiter, _ := carawayspread.Limiters.Get("")
+		ejector, _ := carawayspread.Ejectors.Get("")
 		return lane.Modules{
 			Scheduler: scheduler(env()),
 			Router:    router(env()),
-			Ejector:   allowAll{},
-			Budget:    allowAll{},
+			Ejector:   ejector(env()),
+			Budget:    retrybudget.New(clock),
 			Limiter:   func() carawayspread.Limiter { return limiter(env()) },
 		}
 	}
 }
-
-type allowAll struct{}
-
-func (allowAll) SetEndpoints([]carawayspread.EndpointID)                                {}
-func (allowAll) Observe(carawayspread.EndpointID, time.Duration, carawayspread.Outcome) {}
-func (allowAll) Allowed(carawayspread.EndpointID) bool                                  { return true }
-func (allowAll) Sent(carawayspread.EndpointID)                                          {}
-func (allowAll) Succeeded()                                                             {}
-func (allowAll) Allow() bool                                                            { return true }
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -75,8 +75,7 @@
 	if w.draining.Load() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
-	trial := r.Header.Get(sidecarhttp.HeaderTrial) != ""
-	if refusal := s.guard.Admit(fingerprintOf(r), trial); refusal != nil {
+	if refusal := s.judge(r, w.spec.ID); refusal != nil {
 		return refusal
 	}
 	left, stated := sidecarhttp.Remaining(r.Header)
@@ -99,7 +98,7 @@
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, worker *worker, path string) {
 	fingerprint := fingerprintOf(r)
 	life := worker.life()
-	worker.began(fingerprint)
+	worker.began(fingerprint, isTrial(r))
 	defer worker.ended(fingerprint)
 	var connected atomic.Bool
 	ctx, cancel := context.WithCancel(r.Context())
@@ -122,7 +121,7 @@
 		end = sidecarhttp.EndCrashed
 	}
 	if end == sidecarhttp.EndWhole {
-		s.guard.Served(fingerprint)
+		s.suspects.Served(fingerprint)
 	}
 	s.finish(w, end)
 }
@@ -263,19 +262,6 @@
 	}
 }
 
-// crashed reports whether that life of the endpoint has ended, and has the
-// requests on it noted as suspects.
-func (s *Sidecar) crashed(worker *worker, life string) bool {
-	if worker.probe(context.Background(), s.once, s.clock.Now(), life) {
-		return false
-	}
-	if suspects := worker.suspects(life); len(suspects) > 0 {
-		s.guard.Crashed(suspects)
-		s.log.WithField("endpoint", worker.spec.ID).WithField("suspects", len(suspects)).Warn("endpoint crashed")
-	}
-	return true
-}
-
 // failed answers a request that got no answer from its endpoint.
 func (s *Sidecar) failed(w http.ResponseWriter, r *http.Request, worker *worker, life string, connected bool, err error) {
 	if !connected {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/process/quarantine"
 )
 
 const (
@@ -35,15 +36,10 @@
 	Slots   int    // requests that the endpoint runs at once; zero for the default
 }
 
-// Guard decides about requests that may crash their endpoint, and learns what
-// crashed. It must be safe for concurrent use.
-type Guard interface {
-	// Admit returns the refusal of a request that must not run now, or nil.
-	Admit(fingerprint uint64, trial bool) *carawayspread.Error
-	// Crashed reports the requests that were running when an endpoint crashed.
-	Crashed(fingerprints []uint64)
-	// Served reports a request that ran to its end.
-	Served(fingerprint uint64)
+// Victims tells the whole fleet which requests were running when an endpoint
+// crashed.
+type Victims interface {
+	Crashed(ctx context.Context, endpoint carawayspread.EndpointID, running ...uint64) error
 }
 
 // Attempts remembers which attempts were accepted.
@@ -60,7 +56,8 @@
 	once     *http.Transport
 	clock    carawayspread.Clock
 	log      log.Interface
-	guard    Guard
+	suspects *quarantine.Quarantine
+	victims  Victims
 	attempts Attempts
 	heard    func(carawayspread.Version) // takes versions named by requests
 	draining atomic.Bool
@@ -75,8 +72,8 @@
 // WithLog sets where events are logged.
 func WithLog(l log.Interface) Option { return func(s *Sidecar) { s.log = l } }
 
-// WithGuard sets what decides about requests that may crash their endpoint.
-func WithGuard(g Guard) Option { return func(s *Sidecar) { s.guard = g } }
+// WithVictims sets what tells the fleet of crashes.
+func WithVictims(v Victims) Option { return func(s *Sidecar) { s.victims = v } }
 
 // WithAttempts sets what remembers accepted attempts.
 func WithAttempts(a Attempts) Option { return func(s *Sidecar) { s.attempts = a } }
@@ -103,7 +100,7 @@
 		once:     once,
 		clock:    carawayspread.SystemClock(),
 		log:      log.Log,
-		guard:    openGuard{},
+		victims:  silent{},
 		attempts: openAttempts{},
 		heard:    func(carawayspread.Version) {},
 	}
@@ -113,6 +110,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.suspects = quarantine.New(s.clock)
 	return s
 }
 
@@ -164,11 +162,9 @@
 	s.once.CloseIdleConnections()
 }
 
-type openGuard struct{}
+type silent struct{}
 
-func (openGuard) Admit(uint64, bool) *carawayspread.Error { return nil }
-func (openGuard) Crashed([]uint64)                        {}
-func (openGuard) Served(uint64)                           {}
+func (silent) Crashed(context.Context, carawayspread.EndpointID, ...uint64) error { return nil }
 
 type openAttempts struct{}
 
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -23,6 +23,7 @@
 
 	mu     sync.Mutex
 	onIt   map[uint64]int  // running requests by fingerprint
+	trials map[uint64]bool // those of them that run as trials
 	blamed map[string]bool // lives of the endpoint whose crash was reported
 }
 
@@ -40,6 +41,7 @@
 		spec:   spec,
 		slots:  make(chan struct{}, spec.Slots),
 		onIt:   map[uint64]int{},
+		trials: map[uint64]bool{},
 		blamed: map[string]bool{},
 	}
 	w.state.Store(&observed{})
@@ -76,11 +78,14 @@
 
 func (w *worker) leave() { <-w.slots }
 
-func (w *worker) began(fingerprint uint64) {
+func (w *worker) began(fingerprint uint64, trial bool) {
 	w.running.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.onIt[fingerprint]++
+	if trial {
+		w.trials[fingerprint] = true
+	}
 }
 
 func (w *worker) ended(fingerprint uint64) {
@@ -89,26 +94,30 @@
 	defer w.mu.Unlock()
 	if w.onIt[fingerprint]--; w.onIt[fingerprint] <= 0 {
 		delete(w.onIt, fingerprint)
+		delete(w.trials, fingerprint)
 	}
 }
 
 // suspects returns the requests that were running when that life of the
-// endpoint ended; nil when they were reported already.
-func (w *worker) suspects(life string) []uint64 {
+// endpoint ended, and the one of them that ran as a trial; nil when they were
+// reported already.
+func (w *worker) suspects(life string) (running []uint64, trial *uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.blamed[life] {
-		return nil
+		return nil, nil
 	}
 	clear(w.blamed)
 	w.blamed[life] = true
-	fingerprints := make([]uint64, 0, len(w.onIt))
 	for fingerprint := range w.onIt {
 		if fingerprint != 0 {
-			fingerprints = append(fingerprints, fingerprint)
+			running = append(running, fingerprint)
 		}
 	}
-	return fingerprints
+	for fingerprint := range w.trials {
+		trial = &fingerprint
+	}
+	return running, trial
 }
 
 // probe asks the endpoint for its state and reports whether it still lives the
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -17,6 +18,7 @@
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/settings"
 )
@@ -40,7 +42,8 @@
 	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
 	d.entries.Store(&[]netip.AddrPort{})
 	s := b.Settings()
-	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
+	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
+		sidecar.WithVictims(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())))
 	var err error
 	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -39,6 +39,7 @@
 	done    map[string]bool               // ids of carried out orders
 	cancels map[string]context.CancelFunc // running requests by id
 	down    time.Time                     // crashed until then
+	crashes int
 	runs    map[string]int                // starts by request id
 	events  []cacheEvent
 	alive   context.Context // ends with a crash
@@ -121,6 +122,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.down = time.Now().Add(e.restart)
+	e.crashes++
 	e.kill()
 	e.boot()
 }
@@ -148,3 +150,10 @@
 
 // Running returns the number of requests in the batch.
 func (e *Engine) Running() int { return len(e.slots) }
+
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
