Ledger: requests that run at most once; memory of attempts

Cause: a caller that gets no answer sends again through another entry, and an answer of the store can be lost after the write.

--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -16,10 +16,12 @@
 	Body   []byte
 }
 
-// Claim is the right to run one request, held by one entry.
+// Claim is the right to run one request, held by one entry. Its methods return
+// nil where the caller may be told what was recorded, and else the error that
+// the caller is told: what the record shows.
 type Claim interface {
-	// Done records the whole answer. An error means that the record does not
-	// show the answer; the caller is then told what the record shows.
+	// Done records the whole answer. After an error Unknown is called, and its
+	// verdict holds.
 	Done(ctx context.Context, answer Stored) error
 	// Failed records that the request has not run, so that it may be sent again.
 	Failed(ctx context.Context) error
@@ -80,18 +82,21 @@
 	e.fail(w, r, c, answer, e.settle(ctx, claim, failure))
 }
 
-// settle records how a claimed request failed. What the caller is told must
-// not contradict the record: where the record cannot be written, the claim
-// ends by its deadline as unknown, and the caller is told so.
+// settle records how a claimed request failed and returns what its caller is
+// told, which must not contradict what a retry will read from the record.
 func (e *Entry) settle(ctx context.Context, claim Claim, failure *carawayspread.Error) *carawayspread.Error {
+	final, record := failure, claim.Failed
 	if !failure.NotRun() {
-		_ = claim.Unknown(ctx)
-		return unknown(failure)
+		final, record = unknown(failure), claim.Unknown
 	}
-	if err := claim.Failed(ctx); err != nil {
-		return unknown(failure)
+	err := record(ctx)
+	if err == nil {
+		return final
 	}
-	return failure
+	if shown, ok := carawayspread.AsError(err); ok {
+		return shown
+	}
+	return unknown(failure)
 }
 
 func replay(w http.ResponseWriter, stored *Stored) {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -72,6 +72,12 @@
 // admit checks everything that can still be refused as not run, and takes a
 // slot of the endpoint.
 func (s *Sidecar) admit(r *http.Request, w *worker) *carawayspread.Error {
+	// First of all checks: a second delivery of an attempt that was refused must
+	// not run after its caller was told that it has not. The first delivery may
+	// also be running, so that nothing is claimed here.
+	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
+		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
+	}
 	if w.draining.Load() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
@@ -86,11 +92,6 @@
 	if left <= 0 {
 		return carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "no time is left", carawayspread.NotRun())
 	}
-	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
-		// The first delivery of the attempt may be running: nothing is claimed
-		// about it here.
-		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
-	}
 	return w.enter(r.Context(), s.clock, left)
 }
 
