--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -21,6 +21,7 @@
 	"carawayspread/internal/process/fleet"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/watch"
+	"carawayspread/internal/request/ledger"
 )
 
 // Daemon is one entry process.
@@ -31,6 +32,7 @@
 	admin   *server.Server
 	control *server.Server
 	reports *report.Socket
+	ledger  *ledger.Ledger
 	known   atomic.Pointer[directory]
 	routed  atomic.Int64 // endpoints that the entry was given
 	mu      sync.Mutex   // serialises updates of the entry's endpoints
@@ -47,8 +49,9 @@
 	d := &Daemon{base: b}
 	d.known.Store(&directory{})
 	s := b.Settings()
+	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock())
 	opts = append([]entry.Option{
-		entry.WithClock(b.Clock()), entry.WithLog(b.Log()),
+		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
 	}, opts...)
 	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
@@ -103,6 +106,7 @@
 	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
 	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.ledger.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
 	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -14,6 +14,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/attempts"
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
@@ -40,7 +41,8 @@
 	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
 	d.entries.Store(&[]netip.AddrPort{})
 	s := b.Settings()
-	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
+	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
+		sidecar.WithAttempts(attempts.New(b.Clock())))
 	var err error
 	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/request/ledger/later.go
+++ b/internal/request/ledger/later.go
@@ -55,13 +55,15 @@
 	return taken
 }
 
-// Run writes the ends that could not be written at once, until ctx ends.
+// Run writes the ends that could not be written at once, until ctx ends, and
+// tries once more then.
 func (l *Ledger) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-l.clock.After(laterEvery):
 			l.catchUp(ctx)
 		case <-ctx.Done():
+			l.catchUp(context.WithoutCancel(ctx))
 			return nil
 		}
 	}
