--- a/decisions.go
+++ b/decisions.go
@@ -79,8 +79,8 @@
 // RoleState is what a RolePolicy knows of one engine.
 type RoleState struct {
 	Endpoint EndpointID
-	Role     Role
-	Changing bool // is already changing its role
+	Role     Role // while it changes, the one to come
+	Changing bool
 	Leaving  bool // drains, is down or is not heard of: it is neither counted nor changed
 	Running  int  // requests that a change must move or wait for
 	KVBytes  int64
--- /dev/null
+++ b/internal/process/rolepolicy/doc.go
@@ -0,0 +1,15 @@
+// Package rolepolicy decides which engines of one service change between the
+// roles prefill, decode and both.
+//
+// Load pattern: the mix of work swings within minutes between long prompts
+// with short answers and short prompts with long answers, and the fleet is
+// fixed. Without a policy one phase queues while engines of the other idle;
+// with a policy that follows the load at once, engines spend the swing
+// changing roles.
+//
+// A change takes an engine away for seconds and moves its running work. It is
+// made only when the work that it saves within the time for which the mix is
+// expected to last exceeds that price. How dear a change is follows from the
+// class targets alone; see tolerance. Figures that are not derived from the
+// targets are options, each with its grounds.
+package rolepolicy
