Settings: nothing is read that has no effect

Cause: of 18 limits and timeouts in the settings, 12 were checked and used by nothing (counted by their accessors' callers), so that an operator who set them changed nothing. The file with ten mistakes has idle in place of drain: the field is gone, the mistake is the same.

--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"carawayspread/internal/connection/instancelist"
 	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/process/confsync"
+	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/changelog"
 	"carawayspread/internal/version/settings"
@@ -47,8 +49,8 @@
 	b.table = decorate(client, b)
 	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
 	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
-	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log))
 	t := s.Timeouts()
+	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log), changelog.WithTimeout(t.Table()))
 	b.config = confsync.New(b.changes, clock,
 		confsync.WithInstance(s.ID()), confsync.WithLogger(b.log), confsync.WithPeers(b.peers),
 		confsync.WithTimes(t.ConfigPoll(), t.ConfigFresh(), t.ConfigRefresh()),
@@ -90,6 +92,14 @@
 	return b.watch.Run(ctx, changed)
 }
 
+// Listen opens an address of the daemon with the limits of its settings.
+func (b *Base) Listen(address string, handler http.Handler) (*server.Server, error) {
+	t := b.settings.Timeouts()
+	return server.Listen(address, handler,
+		server.WithTimeouts(t.ReadHeader(), t.ReadBody(), t.Idle()),
+		server.WithHeaderLimit(b.settings.Limits().HeaderBytes()))
+}
+
 // Settings returns the settings of the daemon.
 func (b *Base) Settings() *settings.Settings { return b.settings }
 
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -69,13 +69,13 @@
 	server.Observe(peers, ready, d.entry.Metrics(), d.base.Metrics())
 	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	var err error
-	if d.data, err = server.Listen(s.Listen(), callers); err != nil {
+	if d.data, err = d.base.Listen(s.Listen(), callers); err != nil {
 		return err
 	}
-	if d.admin, err = server.Listen(s.Admin(), operators); err != nil {
+	if d.admin, err = d.base.Listen(s.Admin(), operators); err != nil {
 		return err
 	}
-	if d.control, err = server.Listen(s.Control(), peers); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), peers); err != nil {
 		return err
 	}
 	d.reports, err = report.Listen(d.control.Address())
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -13,13 +13,12 @@
 	"github.com/gravitational/trace"
 )
 
+// Defaults of a Server.
 const (
 	readHeaderTimeout = 10 * time.Second
-	// bodyTimeout bounds how long a peer may take to send a request. Answers
-	// have no limit: net/http lifts the deadline when the body has been read.
-	bodyTimeout = 2 * time.Minute
-	idleTimeout = 2 * time.Minute
-	headerLimit = 64 << 10 // bytes
+	bodyTimeout       = 2 * time.Minute
+	idleTimeout       = 2 * time.Minute
+	headerLimit       = 64 << 10 // bytes
 )
 
 // Server is one HTTP server at an address.
@@ -28,19 +27,38 @@
 	http     *http.Server
 }
 
+// Option sets a limit of a Server.
+type Option func(*http.Server)
+
+// WithTimeouts bounds how long a peer may take to send the header, and the
+// whole, of a request, and how long an unused connection is kept. Answers have
+// no limit: net/http lifts the deadline when the body has been read.
+func WithTimeouts(header, body, idle time.Duration) Option {
+	return func(s *http.Server) {
+		s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout = header, body, idle
+	}
+}
+
+// WithHeaderLimit bounds the header of a request in bytes.
+func WithHeaderLimit(n int) Option { return func(s *http.Server) { s.MaxHeaderBytes = n } }
+
 // Listen opens the address; serving begins with Run.
-func Listen(address string, handler http.Handler) (*Server, error) {
+func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Server{listener: listener, http: &http.Server{
+	s := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
-	}}, nil
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return &Server{listener: listener, http: s}, nil
 }
 
 // Address returns IP number and port.
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -42,13 +42,13 @@
 	s := b.Settings()
 	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
 	var err error
-	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
+	if d.data, err = d.base.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
 	server.Observe(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
 	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
-	if d.control, err = server.Listen(s.Control(), mux); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), mux); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if d.reports, err = report.Listen(d.control.Address()); err != nil {
--- a/internal/version/settings/parse.go
+++ b/internal/version/settings/parse.go
@@ -17,10 +17,12 @@
 	maxBodyBytes   = 1 << 30
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
-	maxConnections = 1 << 20
 	maxSlots       = 4096
 	minTimeout     = time.Millisecond
 	maxTimeout     = 24 * time.Hour
+	// minSilence exceeds the second between two heartbeats of a sidecar; a
+	// shorter bound would cut every request that waits for its first byte.
+	minSilence = 1500 * time.Millisecond
 )
 
 // Parse checks a settings file. Its error lists every finding.
@@ -102,16 +104,13 @@
 }
 
 func (l *Limits) read(node document.Node) {
-	node = node.Object("bodyBytes", "headerBytes", "connections")
+	node = node.Object("bodyBytes", "headerBytes")
 	overlay(&l.bodyBytes, node.Field("bodyBytes"), func(n document.Node) int64 {
 		return n.Int(minBodyBytes, maxBodyBytes)
 	})
 	overlay(&l.headerBytes, node.Field("headerBytes"), func(n document.Node) int {
 		return int(n.Int(minHeaderBytes, maxHeaderBytes))
 	})
-	overlay(&l.connections, node.Field("connections"), func(n document.Node) int {
-		return int(n.Int(1, maxConnections))
-	})
 }
 
 func (t *Timeouts) read(node document.Node) {
@@ -119,13 +118,8 @@
 		"readHeader":    &t.readHeader,
 		"readBody":      &t.readBody,
 		"idle":          &t.idle,
-		"connect":       &t.connect,
-		"firstByte":     &t.firstByte,
 		"betweenBytes":  &t.betweenBytes,
 		"table":         &t.table,
-		"objects":       &t.objects,
-		"control":       &t.control,
-		"drain":         &t.drain,
 		"configPoll":    &t.configPoll,
 		"configFresh":   &t.configFresh,
 		"configRefresh": &t.configRefresh,
@@ -137,6 +131,9 @@
 	node = node.Object(names...)
 	for name, target := range fields {
 		overlay(target, node.Field(name), func(n document.Node) time.Duration {
+			if name == "betweenBytes" {
+				return n.Duration(minSilence, maxTimeout)
+			}
 			return n.Duration(minTimeout, maxTimeout)
 		})
 	}
--- a/internal/version/settings/parts.go
+++ b/internal/version/settings/parts.go
@@ -77,7 +77,6 @@
 type Limits struct {
 	bodyBytes   int64
 	headerBytes int
-	connections int
 }
 
 // BodyBytes returns the size of the largest request body.
@@ -86,14 +85,11 @@
 // HeaderBytes returns the size of the largest request header.
 func (l Limits) HeaderBytes() int { return l.headerBytes }
 
-// Connections returns how many connections one listener holds at once.
-func (l Limits) Connections() int { return l.connections }
-
 // Timeouts bounds waiting. Each is positive.
 type Timeouts struct {
-	readHeader, readBody, idle, connect, firstByte time.Duration
-	betweenBytes, table, objects, control          time.Duration
-	drain, configPoll, configFresh, configRefresh  time.Duration
+	readHeader, readBody, idle, betweenBytes time.Duration
+	table                                    time.Duration
+	configPoll, configFresh, configRefresh   time.Duration
 }
 
 // ReadHeader bounds the reading of a request's header.
@@ -105,27 +101,13 @@
 // Idle bounds how long an unused connection is kept.
 func (t Timeouts) Idle() time.Duration { return t.idle }
 
-// Connect bounds the setting up of a connection.
-func (t Timeouts) Connect() time.Duration { return t.connect }
-
-// FirstByte bounds the wait for the first byte of an answer.
-func (t Timeouts) FirstByte() time.Duration { return t.firstByte }
-
-// BetweenBytes bounds the silence within an answer.
+// BetweenBytes bounds the silence of a sidecar that runs a request; its
+// heartbeats count.
 func (t Timeouts) BetweenBytes() time.Duration { return t.betweenBytes }
 
 // Table bounds one request to the table service.
 func (t Timeouts) Table() time.Duration { return t.table }
 
-// Objects bounds one request to the object store.
-func (t Timeouts) Objects() time.Duration { return t.objects }
-
-// Control bounds one call of another daemon's control service.
-func (t Timeouts) Control() time.Duration { return t.control }
-
-// Drain bounds how long a graceful shutdown waits for running requests.
-func (t Timeouts) Drain() time.Duration { return t.drain }
-
 // ConfigPoll is the mean time between two reads of the configuration log.
 func (t Timeouts) ConfigPoll() time.Duration { return t.configPoll }
 
--- a/internal/version/settings/settings_test.go
+++ b/internal/version/settings/settings_test.go
@@ -23,7 +23,7 @@
 	qt.Check(t, s.Platform().TableName(), qt.Equals, "carawayspread")
 	qt.Check(t, s.Endpoints()[1].OrderGuard(), qt.Equals, "127.0.0.1:7302")
 	qt.Check(t, s.Limits().BodyBytes(), qt.Equals, int64(8<<20))
-	qt.Check(t, s.Timeouts().Drain(), qt.Equals, 5*time.Minute)
+	qt.Check(t, s.Timeouts().Idle(), qt.Equals, 5*time.Minute)
 	qt.Check(t, s.Instance().Endpoints, qt.HasLen, 2)
 }
 
@@ -33,6 +33,7 @@
 	tests := map[string]struct{ findings int }{
 		"tenMistakes": {findings: 10},
 		"malformed":   {findings: 1},
+		"entry":       {findings: 3},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
