--- /dev/null
+++ b/internal/process/confsync/peers.go
@@ -0,0 +1,137 @@
+package confsync
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/version/record"
+	"carawayspread/internal/version/snapshot"
+)
+
+// askedPeers are asked at once: the nearest and two others at random. The
+// nearest ones may all be cut off, or have started a moment ago, and know
+// nothing; without the random ones a daemon would ask the same in every round.
+const askedPeers = 3
+
+func (s *Syncer) chosenPeers() []string {
+	peers := slices.Clone(s.peers())
+	if len(peers) <= askedPeers {
+		return peers
+	}
+	others := peers[1:]
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return peers[:askedPeers]
+}
+
+// askPeers asks peers and ends the round with the first proof that is fresh.
+func (s *Syncer) askPeers(ctx context.Context, began stamp, enough context.CancelFunc) {
+	var asking sync.WaitGroup
+	for _, address := range s.chosenPeers() {
+		asking.Go(func() {
+			if err := s.askPeer(ctx, address, began); err != nil {
+				s.logger.WithField("peer", address).WithError(err).Warn("config.peerUnread")
+				return
+			}
+			if s.state.Load().proved.within(s.clock.Now(), s.freshFor) {
+				enough()
+			}
+		})
+	}
+	asking.Wait()
+}
+
+func (s *Syncer) askPeer(ctx context.Context, address string, began stamp) error {
+	held := s.Held()
+	request := &control.ChangesRequest{After: uint64(held.Version()), Instance: s.instance}
+	answer, err := s.dial(address).Changes(ctx, request)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.take(held, answer, began)
+}
+
+// take accepts a peer's answer. The evidence is the peer's, as old as the peer
+// says by the moment before it was asked. It speaks of the peer's version: an
+// answer that does not lead there, through a gap, proves nothing.
+func (s *Syncer) take(cfg *carawayspread.Config, answer *control.ChangesResponse, began stamp) error {
+	if len(answer.GetSnapshot()) > 0 {
+		whole, err := snapshot.Decode(answer.GetSnapshot())
+		if err != nil {
+			return err
+		}
+		if whole.Version() > cfg.Version() {
+			cfg = whole
+		}
+	}
+	var records []record.Record
+	for _, change := range answer.GetChanges() {
+		r, err := record.Decode(change.GetBody())
+		if err != nil {
+			return err
+		}
+		if r.Version <= cfg.Version() {
+			continue
+		}
+		if cfg, err = r.Apply(cfg); err != nil {
+			return err
+		}
+		records = append(records, r)
+	}
+	if cfg.Version() < carawayspread.Version(answer.GetVersion()) {
+		return trace.CompareFailed("peer holds version %d, its answer leads to %d", answer.GetVersion(), cfg.Version())
+	}
+	age := time.Duration(answer.GetEvidenceAgeMs()) * time.Millisecond
+	s.accept(cfg, records, stamp{at: began.at.Add(-age)})
+	return nil
+}
+
+// Changes answers a peer: the records after its version, or a snapshot where
+// they are no longer held. It implements that method of control.Control.
+func (s *Syncer) Changes(_ context.Context, request *control.ChangesRequest) (*control.ChangesResponse, error) {
+	s.Heard(carawayspread.Version(request.GetAfter()))
+	held, records, known := s.since(carawayspread.Version(request.GetAfter()))
+	if held.proved.zero() {
+		return nil, twirp.NewError(twirp.Unavailable, "no configuration is known here")
+	}
+	answer := &control.ChangesResponse{
+		Version:       uint64(held.cfg.Version()),
+		EvidenceAgeMs: uint64(held.proved.age(s.clock.Now()).Milliseconds()) + 1, // rounded up
+	}
+	if !known {
+		body, err := snapshot.Encode(held.cfg)
+		answer.Snapshot = body
+		return answer, trace.Wrap(err)
+	}
+	for _, r := range records {
+		body, err := r.Encode()
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		answer.Changes = append(answer.Changes, &control.Change{Version: uint64(r.Version), Body: body})
+	}
+	return answer, nil
+}
+
+// since returns the state with the records after a version; known is false
+// where some of them are no longer held.
+func (s *Syncer) since(after carawayspread.Version) (held *state, records []record.Record, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held = s.state.Load()
+	if after >= held.cfg.Version() {
+		return held, nil, true
+	}
+	n := len(s.history)
+	if n == 0 || s.history[0].Version > after+1 || s.history[n-1].Version != held.cfg.Version() {
+		return held, nil, false
+	}
+	return held, s.history[after+1-s.history[0].Version:], true
+}
--- /dev/null
+++ b/internal/process/dev/dev.go
@@ -0,0 +1,167 @@
+// Package dev runs a whole small fleet on loopback in one process: an entry,
+// a sidecar in each availability zone, and stand-ins for the platform and the
+// endpoints. It is meant for a first look and for tests, never for service.
+package dev
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"text/template"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+
+	"carawayspread"
+	"carawayspread/internal/process/base"
+	"carawayspread/internal/process/entryd"
+	"carawayspread/internal/process/sidecard"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/changelog"
+	"carawayspread/internal/version/settings"
+)
+
+//go:embed entry.jsonc.tmpl
+var entryTemplate string
+
+//go:embed sidecar.jsonc.tmpl
+var sidecarTemplate string
+
+//go:embed config.jsonc
+var firstConfig []byte
+
+// zones are the availability zones of the small fleet.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// Options are the addresses that callers and operators use.
+type Options struct {
+	Listen      string // IP number and port for callers
+	AdminListen string // IP number and port of the administration API
+	Out         io.Writer
+}
+
+// Fleet is the running small fleet.
+type Fleet struct {
+	clock    carawayspread.Clock
+	platform *platform
+	base     *base.Base // of the entry
+	entry    *entryd.Daemon
+	sidecars []*sidecard.Daemon
+}
+
+type place struct {
+	Options
+	Platform  *platform
+	Zone      string
+	Endpoints []endpointRow
+}
+
+type endpointRow struct {
+	ID, Service, Kind, Address string
+}
+
+// New opens all addresses of the fleet.
+func New(opts Options, clock carawayspread.Clock, l log.Interface) (*Fleet, error) {
+	p, err := newPlatform(clock)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f := &Fleet{clock: clock, platform: p}
+	for _, zone := range zones {
+		if err := f.addSidecar(zone, clock, l); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	s, err := render("entry", entryTemplate, place{Options: opts, Platform: p, Zone: zones[0]})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	f.base = base.New(s, clock, l)
+	f.entry, err = entryd.New(f.base)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.list.Put(f.entry.Instance())
+	return f, nil
+}
+
+func (f *Fleet) addSidecar(zone string, clock carawayspread.Clock, l log.Interface) error {
+	endpoints, err := f.platform.addEndpoints(zone)
+	if err != nil {
+		return err
+	}
+	s, err := render("sidecar", sidecarTemplate, place{Platform: f.platform, Zone: zone, Endpoints: endpoints})
+	if err != nil {
+		return err
+	}
+	d, err := sidecard.New(base.New(s, clock, l))
+	if err != nil {
+		return err
+	}
+	f.platform.list.Put(d.Instance())
+	f.sidecars = append(f.sidecars, d)
+	return nil
+}
+
+func render(name, text string, data place) (*settings.Settings, error) {
+	t, err := template.New(name).Parse(text)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	var body bytes.Buffer
+	if err := t.Execute(&body, data); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return settings.Parse(name, body.Bytes())
+}
+
+// configure has the first configuration accepted and returns when ctx ends.
+func (f *Fleet) configure(ctx context.Context) error {
+	first := change.Parse("config.jsonc", firstConfig)
+	_, _, err := f.base.Changes().Append(ctx, changelog.Proposal{Change: first, Actor: "dev", Held: f.base.Config().Held()})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.base.Config().Heard(1)
+	<-ctx.Done()
+	return nil
+}
+
+// Listen returns IP number and port for callers.
+func (f *Fleet) Listen() string { return f.entry.Instance().Address }
+
+// Admin returns IP number and port of the administration API.
+func (f *Fleet) Admin() string { return f.entry.Admin() }
+
+// Ready returns when the entry knows every endpoint of the fleet.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for f.base.Config().Held().Version() == 0 || f.entry.Known() < len(zones)*(enginesPerZone+1) {
+		select {
+		case <-f.clock.After(readyPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+const readyPoll = 5 * time.Millisecond
+
+// Run serves until ctx ends and every request has its answer.
+func (f *Fleet) Run(ctx context.Context, out io.Writer) error {
+	_, _ = fmt.Fprintf(out, "callers:        http://%s\nadministration: http://%s\n", f.Listen(), f.Admin())
+	below, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group run.Group
+	group.Add(func() error { return f.entry.Run(ctx) }, func(error) {})
+	for _, d := range f.sidecars {
+		group.Add(func() error { return d.Run(below) }, func(error) { stop() })
+	}
+	group.Add(func() error { return f.platform.run(below) }, func(error) { stop() })
+	group.Add(func() error { return f.configure(below) }, func(error) { stop() })
+	return trace.Wrap(group.Run())
+}
--- /dev/null
+++ b/internal/process/entryd/control.go
@@ -0,0 +1,35 @@
+package entryd
+
+import (
+	"context"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+)
+
+var _ control.Control = (*Daemon)(nil)
+
+// Changes answers a daemon that asks for configuration changes.
+func (d *Daemon) Changes(ctx context.Context, req *control.ChangesRequest) (*control.ChangesResponse, error) {
+	return d.base.Config().Changes(ctx, req)
+}
+
+// Status tells what the entry holds and does.
+func (d *Daemon) Status(_ context.Context, req *control.StatusRequest) (*control.StatusResponse, error) {
+	d.base.Config().Heard(carawayspread.Version(req.GetConfigVersion()))
+	age, _ := d.base.Config().EvidenceAge()
+	return &control.StatusResponse{
+		EvidenceAgeMs: uint64(age.Milliseconds()),
+		Instance:      d.base.Settings().ID(),
+		Role:          string(carawayspread.InstanceEntry),
+		ConfigVersion: uint64(d.base.Config().Held().Version()),
+		Draining:      d.entry.Leaving(),
+	}, nil
+}
+
+// Drain makes the entry refuse new requests.
+func (d *Daemon) Drain(_ context.Context, req *control.DrainRequest) (*control.DrainResponse, error) {
+	d.entry.Leave()
+	d.base.Log().WithField("actor", req.GetActor()).Info("drain ordered")
+	return &control.DrainResponse{}, nil
+}
