Comparison of the decision modules over the registries, as make measure

Cause: whether the modules meet their targets together was not measured. Change: internal/measure, in test files: fakes of engines at the interface, the two users' fleets and mixes, the modules taken from the registries by name. RolePolicies is a registry like the others.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 # Removes each safeguard in turn and expects its test to turn red.
 mutants:
 	@bash .ci/mutants
+
+# The tables of docs/MEASUREMENTS.md, from fixed seeds.
+measure:
+	MEASURE=1 $(GO) test -run TestMeasure -count=1 -v ./internal/measure
--- a/decisions.go
+++ b/decisions.go
@@ -21,6 +21,8 @@
 	Routers    = NewRegistry[func(Environment) Router]("hashRouter")
 	Limiters   = NewRegistry[func(Environment) Limiter]("gradient")
 	Ejectors   = NewRegistry[func(Environment) Ejector]("outlier")
+	// RolePolicies holds baselines beside the fallback.
+	RolePolicies = NewRegistry[func(Environment) RolePolicy]("forecast")
 )
 
 // Scheduler decides who is served, who waits and who is refused, before one
--- /dev/null
+++ b/internal/measure/engine_test.go
@@ -0,0 +1,318 @@
+package measure
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"carawayspread"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sim runs events in the order of their time. It is the clock of all modules.
+type sim struct {
+	now    time.Duration
+	events events
+	seq    int
+}
+
+type event struct {
+	at  time.Duration
+	seq int // events of one moment run in the order in which they were set
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+func (s *sim) Now() time.Time                       { return epoch.Add(s.now) }
+func (s *sim) After(time.Duration) <-chan time.Time { panic("decision modules do not wait") }
+
+func (s *sim) in(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, event{s.now + d, s.seq, run})
+}
+
+// every runs f after each period until the run ends.
+func (s *sim) every(period time.Duration, f func()) {
+	s.in(period, func() { f(); s.every(period, f) })
+}
+
+func (s *sim) run(until time.Duration) {
+	for len(s.events) > 0 && s.events[0].at <= until {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+}
+
+// hardware gives the speeds of one kind of endpoint.
+type hardware struct {
+	prefillRate  float64       // prompt tokens a second
+	base, step   time.Duration // gap between tokens: base + step for each running answer
+	slots        int
+	stall        float64 // part of the decode speed lost while a prompt is prefilled
+	mixedPrefill float64 // prefill speed while answers run
+	prefixes     int     // prompt prefixes that the cache holds
+	perToken     time.Duration
+	down         time.Duration // seconds lost to a role change
+}
+
+// gpu prefills in chunks of 2,048 tokens, 256 ms each: a batch whose step takes
+// 40 ms decodes at 40/296 of its speed meanwhile, and the chunk at 256/296.
+var gpu = hardware{
+	prefillRate: 8000, base: 12 * time.Millisecond, step: 700 * time.Microsecond, slots: 64,
+	stall: 0.85, mixedPrefill: 0.85, prefixes: 12,
+	perToken: 16 * time.Microsecond, // 160 KB of KV cache at 10 GB/s
+	down:     8 * time.Second,
+}
+
+var records = hardware{prefillRate: 1e9, base: time.Millisecond, step: 100 * time.Microsecond, slots: 16, mixedPrefill: 1, prefixes: 1}
+
+// engine is a fake endpoint. Between two events all of its answers decode at
+// one rate, so that a single counter of tokens tells when each one ends.
+type engine struct {
+	*sim
+	id       carawayspread.EndpointID
+	hw       hardware
+	speed    float64 // 1 is full speed
+	role     carawayspread.Role
+	changing bool
+	next     carawayspread.Role // while changing
+
+	touched  time.Duration // when counters were last brought up to date
+	decoded  float64       // tokens that an answer running since the start would have
+	prompts  []*call       // by priority; the first one is prefilled, until one more urgent arrives
+	left     float64       // prompt tokens left of the first
+	running  byEnd
+	waiting  []*call // for a slot
+	cache    *lru.Cache[uint64, bool]
+	epoch    int    // outdates events set earlier
+	onChange func() // runs once no prompt is left
+}
+
+func newEngine(s *sim, id carawayspread.EndpointID, hw hardware) *engine {
+	cache, _ := lru.New[uint64, bool](hw.prefixes)
+	return &engine{sim: s, id: id, hw: hw, speed: 1, role: carawayspread.RoleBoth, cache: cache}
+}
+
+type byEnd []*call
+
+func (b byEnd) Len() int           { return len(b) }
+func (b byEnd) Less(i, j int) bool { return b[i].endsAt < b[j].endsAt }
+func (b byEnd) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
+func (b *byEnd) Push(x any)        { *b = append(*b, x.(*call)) }
+func (b *byEnd) Pop() any {
+	last := len(*b) - 1
+	x := (*b)[last]
+	*b = (*b)[:last]
+	return x
+}
+
+// gap returns the time between two tokens now.
+func (e *engine) gap() float64 {
+	g := (e.hw.base + time.Duration(len(e.running))*e.hw.step).Seconds() / e.speed
+	if len(e.prompts) > 0 {
+		g /= 1 - e.hw.stall
+	}
+	return g
+}
+
+func (e *engine) rate() float64 {
+	if len(e.running) > 0 {
+		return e.hw.prefillRate * e.speed * e.hw.mixedPrefill
+	}
+	return e.hw.prefillRate * e.speed
+}
+
+// touch brings the counters up to date; it comes before every change.
+func (e *engine) touch() {
+	dt := (e.now - e.touched).Seconds()
+	e.touched = e.now
+	if len(e.prompts) > 0 {
+		e.left -= dt * e.rate()
+	}
+	if len(e.running) > 0 {
+		e.decoded += dt / e.gap()
+	}
+}
+
+// plan sets the event of what ends next; it comes after every change.
+func (e *engine) plan() {
+	e.epoch++
+	next := -1.0
+	if len(e.prompts) > 0 {
+		next = max(0, e.left/e.rate())
+	}
+	if len(e.running) > 0 {
+		if t := max(0, (e.running[0].endsAt-e.decoded)*e.gap()); next < 0 || t < next {
+			next = t
+		}
+	}
+	if next < 0 {
+		return
+	}
+	epoch := e.epoch
+	e.in(time.Duration(next*1e9)+1, func() {
+		if epoch == e.epoch {
+			e.touch()
+			e.ended()
+		}
+	})
+}
+
+const almost = 1e-4 // tokens
+
+func (e *engine) ended() {
+	var done []*call
+	for len(e.running) > 0 && e.running[0].endsAt <= e.decoded+almost {
+		c := heap.Pop(&e.running).(*call)
+		c.left = 0
+		done = append(done, c)
+	}
+	var prefilled *call
+	if len(e.prompts) > 0 && e.left <= almost {
+		prefilled = e.prompts[0]
+		e.prompts = e.prompts[1:]
+		e.startPrompt()
+	}
+	for len(e.waiting) > 0 && len(e.running) < e.hw.slots {
+		e.decode(e.waiting[0])
+		e.waiting = e.waiting[1:]
+	}
+	if prefilled != nil {
+		e.cache.Add(prefilled.prefix, true)
+		prefilled.firstToken(e)
+	}
+	e.plan()
+	for _, c := range done {
+		c.finish(e)
+	}
+	if e.onChange != nil && len(e.prompts) == 0 {
+		off := e.onChange
+		e.onChange = nil
+		off()
+	}
+}
+
+// submit takes a prompt; false is a refusal that proves that it did not run.
+func (e *engine) submit(c *call) bool {
+	if e.changing || e.role == carawayspread.RoleDecode {
+		return false
+	}
+	e.touch()
+	c.toPrefill = c.prompt
+	if e.cache.Contains(c.prefix) {
+		c.toPrefill -= c.shared
+	}
+	c.left = c.toPrefill
+	if len(e.prompts) > 0 {
+		e.prompts[0].left = e.left
+	}
+	at := len(e.prompts)
+	for at > 0 && c.priority < e.prompts[at-1].priority {
+		at--
+	}
+	e.prompts = slices.Insert(e.prompts, at, c)
+	e.left = e.prompts[0].left
+	e.plan()
+	return true
+}
+
+func (e *engine) startPrompt() {
+	if len(e.prompts) == 0 {
+		return
+	}
+	e.left = e.prompts[0].left
+}
+
+// resume takes an answer whose KV cache has arrived.
+func (e *engine) resume(c *call) bool {
+	if e.changing || e.role == carawayspread.RolePrefill {
+		return false
+	}
+	e.touch()
+	e.admit(c)
+	e.plan()
+	return true
+}
+
+func (e *engine) admit(c *call) {
+	if len(e.running) >= e.hw.slots {
+		e.waiting = append(e.waiting, c)
+		return
+	}
+	e.decode(c)
+}
+
+func (e *engine) decode(c *call) {
+	c.endsAt = e.decoded + c.left
+	heap.Push(&e.running, c)
+}
+
+// change carries out a role change: no new work, running answers move with
+// their KV cache, the prompt under way ends, and then the engine is away.
+func (e *engine) change(to carawayspread.Role) {
+	e.touch()
+	e.changing, e.next = true, to
+	moved := append([]*call{}, e.waiting...)
+	for _, c := range e.running {
+		c.left = max(0, c.endsAt-e.decoded)
+		moved = append(moved, c)
+	}
+	e.running, e.waiting = nil, nil
+	var unstarted []*call
+	if len(e.prompts) > 1 {
+		unstarted = append(unstarted, e.prompts[1:]...)
+		e.prompts = e.prompts[:1:1]
+	}
+	e.onChange = func() {
+		e.in(e.hw.down, func() { e.role, e.changing = to, false })
+	}
+	if len(e.prompts) == 0 {
+		off := e.onChange
+		e.onChange = nil
+		off()
+	}
+	e.plan()
+	for _, c := range moved {
+		c.move(e)
+	}
+	for _, c := range unstarted {
+		c.refusedBy(e)
+	}
+}
+
+func (e *engine) kvTokens() (tokens float64) {
+	for _, c := range e.running {
+		tokens += c.prompt
+	}
+	return tokens
+}
+
+func (e *engine) report() carawayspread.Report {
+	slots := e.hw.slots
+	if e.role == carawayspread.RolePrefill {
+		slots = 4 // prompts one after the other
+	}
+	return carawayspread.Report{
+		Endpoint: e.id, Taken: e.Now(), Running: len(e.running) + min(1, len(e.prompts)),
+		Waiting: len(e.waiting) + max(0, len(e.prompts)-1), Slots: slots, Role: e.role,
+		Draining: e.changing, PrefillRate: e.hw.prefillRate, DecodeRate: decodeRate,
+	}
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,129 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"carawayspread"
+)
+
+func class(name string, first, gap, whole time.Duration, share float64) carawayspread.Class {
+	return carawayspread.NewClass(name, carawayspread.NewTarget(first, gap, whole, share), false)
+}
+
+func toponimia() fleet {
+	return fleet{
+		name: "Toponimia 20+3, 3 entries", engines: 20, records: 3, entries: 3, workspaces: 20,
+		kinds: []kind{
+			{class: class("register", 0, 0, time.Minute, .9), prompt: 12000, shared: 4000, answer: 300, prefixes: 40},
+			{class: class("disambig", time.Second, 50*time.Millisecond, 0, .95), prompt: 600, shared: 200, answer: 250, prefixes: 40},
+			{class: class("ruling", 0, 0, 1500*time.Millisecond, .99), prompt: 300, shared: 100, answer: 5, prefixes: 4},
+			{class: class("lookup", 0, 0, 300*time.Millisecond, .99), plain: true, prompt: 1, answer: 20},
+		},
+		mixes: [][]float64{{.70, .22, .08, .3}, {.15, .75, .10, .6}},
+		phase: 4 * time.Minute, length: 16 * time.Minute, busy: .8, seed: 1,
+	}
+}
+
+func vanua() fleet {
+	return fleet{
+		name: "Vanua 10+3, 3 entries", engines: 10, records: 3, entries: 3, workspaces: 12,
+		kinds: []kind{
+			{class: class("claimFile", 5*time.Second, 60*time.Millisecond, 0, .9), prompt: 10000, shared: 1000, answer: 250, prefixes: 30},
+			{class: class("rentRule", 950*time.Millisecond, 40*time.Millisecond, 0, .95), prompt: 500, shared: 300, answer: 350, prefixes: 10},
+			{class: class("eligible", 0, 0, 1500*time.Millisecond, .99), prompt: 800, shared: 300, answer: 3, prefixes: 4},
+			{class: class("receipt", 0, 0, 500*time.Millisecond, .99), plain: true, prompt: 1, answer: 30},
+		},
+		mixes: [][]float64{{.65, .25, .10, .3}, {.12, .80, .08, .6}},
+		phase: 4 * time.Minute, length: 16 * time.Minute, busy: .75, seed: 2,
+	}
+}
+
+func large() fleet {
+	f := toponimia()
+	f.name, f.engines, f.records, f.entries, f.workspaces, f.seed = "large 200+30, 6 entries", 200, 30, 6, 200, 3
+	f.phase, f.length = 2*time.Minute, 8*time.Minute
+	return f
+}
+
+// parts sets the first engines to prefill and the next to decode.
+func parts(prefill, decode float64) func([]*engine) {
+	return func(engines []*engine) {
+		n := float64(len(engines))
+		p, d := int(math.Round(prefill*n)), int(math.Round(decode*n))
+		for i, g := range engines {
+			switch {
+			case i < p:
+				g.role = carawayspread.RolePrefill
+			case i < p+d:
+				g.role = carawayspread.RoleDecode
+			}
+		}
+	}
+}
+
+func plain(name, router, roles string, split func([]*engine)) variant {
+	return variant{
+		name: name, scheduler: "fifo", router: router, limiter: "unlimited", ejector: "never", roles: roles, split: split,
+	}
+}
+
+func ours(name, roles string, split func([]*engine)) variant {
+	return variant{name: name, roles: roles, budget: true, urgent: true, split: split}
+}
+
+func variants() []variant {
+	return []variant{
+		plain("a round robin, FIFO", "roundRobin", "static", nil),
+		plain("b least outstanding", "leastOutstanding", "static", parts(.4, .6)),
+		plain("c threshold roles", "leastOutstanding", "threshold", parts(.4, .6)),
+		ours("d ours", "forecast", nil),
+		ours("d with threshold roles", "threshold", nil),
+		ours("d without role changes", "static", nil),
+	}
+}
+
+// hindsight returns the best of all static splits, tried with our modules.
+func hindsight(f fleet) result {
+	var tries []variant
+	for _, s := range [][2]float64{{0, 0}, {.1, 0}, {.1, .2}, {.2, 0}, {.2, .2}, {.2, .4}, {.3, .2}, {.3, .4}, {.3, .5}, {.3, .7}, {.4, .3}, {.4, .5}, {.4, .6}, {.5, .5}} {
+		name := fmt.Sprintf("e static %.0f/%.0f%%", 100*s[0], 100*s[1])
+		tries = append(tries, ours(name, "static", parts(s[0], s[1])))
+	}
+	results := f.playAll(tries)
+	return slices.MaxFunc(results, func(a, b result) int { return cmp.Compare(a.work(), b.work()) })
+}
+
+// playAll plays the variants, a few at a time.
+func (f fleet) playAll(variants []variant) []result {
+	results := make([]result, len(variants))
+	var group errgroup.Group
+	group.SetLimit(4)
+	for i, v := range variants {
+		group.Go(func() error { results[i] = f.play(v); return nil })
+	}
+	_ = group.Wait()
+	return results
+}
+
+func TestMeasure(t *testing.T) {
+	if os.Getenv("MEASURE") == "" {
+		t.Skip("prints tables; run by make measure")
+	}
+	for _, f := range []fleet{toponimia(), vanua()} {
+		for i, r := range f.playAll(variants()) {
+			if i == 0 {
+				fmt.Println(r.header())
+			}
+			fmt.Println(r.row())
+		}
+		fmt.Println(hindsight(f).row())
+	}
+}
--- a/internal/process/rolepolicy/baselines.go
+++ b/internal/process/rolepolicy/baselines.go
@@ -7,26 +7,18 @@
 	"carawayspread"
 )
 
-// Factory makes a policy that reads the clock.
-type Factory func(clock carawayspread.Clock) carawayspread.RolePolicy
-
-// Names of the registered policies.
-const (
-	Forecast  = "forecast"
-	Static    = "static"
-	Threshold = "threshold"
+var (
+	_ = carawayspread.RolePolicies.Register("forecast", func(env carawayspread.Environment) carawayspread.RolePolicy {
+		return New(env)
+	})
+	_ = carawayspread.RolePolicies.Register("static", func(carawayspread.Environment) carawayspread.RolePolicy {
+		return static{}
+	})
+	_ = carawayspread.RolePolicies.Register("threshold", func(carawayspread.Environment) carawayspread.RolePolicy {
+		return threshold{}
+	})
 )
 
-// Registry holds the policies by name. The ones beside Forecast are baselines
-// to measure against.
-var Registry = carawayspread.NewRegistry[Factory](Forecast)
-
-func init() {
-	Registry.Register(Forecast, func(clock carawayspread.Clock) carawayspread.RolePolicy { return New(clock) })
-	Registry.Register(Static, func(carawayspread.Clock) carawayspread.RolePolicy { return static{} })
-	Registry.Register(Threshold, func(carawayspread.Clock) carawayspread.RolePolicy { return threshold{} })
-}
-
 // static never changes a role.
 type static struct{}
 
--- a/internal/process/rolepolicy/rolepolicy.go
+++ b/internal/process/rolepolicy/rolepolicy.go
@@ -67,10 +67,10 @@
 // second.
 func WithMoveRate(bytes float64) Option { return func(p *Policy) { p.moveRate = bytes } }
 
-// New returns a policy that reads the clock.
-func New(clock carawayspread.Clock, options ...Option) *Policy {
+// New returns a policy that has seen nothing yet.
+func New(env carawayspread.Environment, options ...Option) *Policy {
 	p := &Policy{
-		clock:    clock,
+		clock:    env.Clock,
 		down:     defaultDown,
 		baseGap:  defaultBaseGap,
 		stall:    defaultStall,
--- a/internal/process/rolepolicy/rolepolicy_test.go
+++ b/internal/process/rolepolicy/rolepolicy_test.go
@@ -31,9 +31,9 @@
 
 func newBench(name string, n int) *bench {
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
-	factory, _ := Registry.Get(name)
+	factory, _ := carawayspread.RolePolicies.Get(name)
 	b := &bench{
-		clock: clock, policy: factory(clock),
+		clock: clock, policy: factory(carawayspread.Environment{Clock: clock}),
 		until: map[carawayspread.EndpointID]time.Time{}, last: map[carawayspread.EndpointID]time.Time{},
 	}
 	for i := range n {
@@ -100,7 +100,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(Forecast, 20)
+			b := newBench("forecast", 20)
 			for range 8 {
 				b.step(b.demand(patient, .2, .3))
 			}
@@ -123,7 +123,7 @@
 // An outage of an hour passes: the averages must not compare the load of now
 // with that of before, and the first demand after it says little.
 func TestPlanStartsAnewAfterGap(t *testing.T) {
-	b := newBench(Forecast, 20)
+	b := newBench("forecast", 20)
 	for range 24 {
 		b.step(b.demand(patient, .1, .3))
 	}
@@ -135,7 +135,7 @@
 // The load calls for changes, but every engine has just changed: taking one
 // away again so soon would cost callers more than the targets allow.
 func TestPlanLeavesRolesForDwell(t *testing.T) {
-	b := newBench(Forecast, 20)
+	b := newBench("forecast", 20)
 	p := b.policy.(*Policy)
 	start := b.clock.Now()
 	for _, engine := range b.engines {
@@ -151,8 +151,8 @@
 // The same work under targets that leave less slack and fewer misses must get
 // fewer changes at a time and a longer dwell. Nothing but targets differs.
 func TestTargetsSetThePrice(t *testing.T) {
-	b := newBench(Forecast, 20)
-	p := New(b.clock)
+	b := newBench("forecast", 20)
+	p := New(carawayspread.Environment{Clock: b.clock})
 	before := math.Inf(1)
 	dwell := time.Duration(0)
 	for _, long := range []carawayspread.Target{
@@ -189,7 +189,7 @@
 func TestPlanKeepsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n, long, period, prefill, decode := swing(t)
-		b := newBench(Forecast, n)
+		b := newBench("forecast", n)
 		for at := time.Duration(0); at < 20*time.Minute; at += pace {
 			demand := b.demand(long, prefill, .1)
 			if at/period%2 == 1 {
@@ -227,7 +227,7 @@
 		n, long, period, prefill, decode := swing(t)
 		adverse := rapid.Bool().Draw(t, "adverse")
 		var sides []bool // as our policy provoked them
-		ours, side, turned := newBench(Forecast, n), false, time.Duration(0)
+		ours, side, turned := newBench("forecast", n), false, time.Duration(0)
 		load := func(b *bench, side bool) carawayspread.Demand {
 			if side {
 				return b.demand(long, .05, decode)
@@ -241,7 +241,7 @@
 				side, turned = !side, at
 			}
 		}
-		still, others := newBench(Static, n), newBench(Threshold, n)
+		still, others := newBench("static", n), newBench("threshold", n)
 		for _, side := range sides {
 			still.step(load(still, side))
 			others.step(load(others, side))
@@ -261,7 +261,7 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{20, 200, 1300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			bench := newBench(Forecast, n)
+			bench := newBench("forecast", n)
 			for i := range 400 {
 				bench.step(bench.demand(patient, .1+.5*float64(i/50%2), .3))
 			}
