Stored changes are read without places, and unknown fields are ignored

It was also strict: a field stored by a newer daemon would have stopped an older one at its version. Change: stored changes are read by encoding/json into the wire structs. What operators send is checked with places as before.

--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -86,6 +86,18 @@
 	qt.Check(t, err, qt.IsNil)
 }
 
+// A newer daemon stores a change with a field that this one does not know. The
+// change is applied all the same, and so are those after it; were it refused,
+// this daemon would stay at its version until it is replaced.
+func TestStoredChangeOfNewerDaemon(t *testing.T) {
+	var stored Change
+	body := `{"set": {"classes": [{"name": "rulings", "whole": "1s", "share": 1, "patience": "2s"}], "quotas": []}}`
+	qt.Assert(t, json.Unmarshal([]byte(body), &stored), qt.IsNil)
+	class, ok := stored.Replay(sample(0)).Class("rulings")
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, class.Target().Whole(), qt.Equals, time.Second)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"set": {"classes": [{"name": "a", "firstToken": "1s", "share": 1}]}, "delete": {"workspaces": ["b"]}}`))
 	f.Add([]byte(`{"set": {"services": [{"name": "a", "kind": "model", "models": ["m"]}]}}`))
@@ -142,14 +154,37 @@
 	return int64(stats.HeapAlloc)
 }
 
+// BenchmarkParse reads a snapshot, as a daemon does that starts.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{10, 1000, 6800} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			body, _ := json.Marshal(Of(sample(n)))
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := json.Unmarshal(body, &Change{}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkResident reports the heap bytes of one configuration for each
-// workspace, and the bytes of a stored change and of a snapshot.
+// workspace and class, and the bytes of a stored change and of a snapshot.
 func BenchmarkResident(b *testing.B) {
 	const n = 6800
 	for b.Loop() {
 		before := heap()
 		cfg := sample(n)
 		b.ReportMetric(float64(heap()-before)/n, "B/workspace")
+		before = heap()
+		classes := map[string]carawayspread.Class{}
+		for i := range n {
+			name := fmt.Sprintf("class-%05d", i)
+			classes[name] = carawayspread.NewClass(name, carawayspread.NewTarget(time.Second, 0, 0, 1), false)
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/class")
+		runtime.KeepAlive(classes)
 		snapshot, _ := json.Marshal(Of(cfg))
 		b.ReportMetric(float64(len(snapshot))/n, "snapshot-B/workspace")
 		class, _ := cfg.Class("rulings")
--- a/internal/version/change/codec.go
+++ b/internal/version/change/codec.go
@@ -4,8 +4,6 @@
 	"strings"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"carawayspread"
 	"carawayspread/internal/version/document"
 	"carawayspread/internal/version/finding"
@@ -104,17 +102,6 @@
 	return c
 }
 
-// UnmarshalJSON reads a change that was checked before it was kept; the first
-// fault is an error.
-func (c *Change) UnmarshalJSON(body []byte) error {
-	parsed := Parse("change", body)
-	if err := parsed.read.Err(); err != nil {
-		return trace.BadParameter("stored change: %v", err)
-	}
-	*c = Change{set: parsed.set, delete: parsed.delete}
-	return nil
-}
-
 func read(node document.Node) *Change {
 	c := &Change{source: node}
 	node = node.Object("set", "delete")
--- /dev/null
+++ b/internal/version/change/stored.go
@@ -0,0 +1,67 @@
+package change
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+)
+
+// UnmarshalJSON reads a change that was checked before it was stored. Places
+// are not kept, which saves most of the time and memory that the start of a
+// daemon takes. Unknown fields are ignored: a daemon that stopped at
+// what a newer one stored would never have the versions after it.
+func (c *Change) UnmarshalJSON(body []byte) error {
+	var wire wireChange
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return trace.BadParameter("stored change: %v", err)
+	}
+	stored := Change{}
+	if wire.Delete != nil {
+		stored.delete = *wire.Delete
+	}
+	if wire.Set != nil {
+		var err error
+		if stored.set, err = wire.Set.values(); err != nil {
+			return err
+		}
+	}
+	*c = stored
+	return nil
+}
+
+func (w *wireValues) values() (values, error) {
+	var v values
+	for _, class := range w.Classes {
+		target, err := class.target()
+		if err != nil {
+			return values{}, trace.BadParameter("stored class %s: %v", class.Name, err)
+		}
+		v.classes = append(v.classes, carawayspread.NewClass(class.Name, target, class.AtMostOnce))
+	}
+	for _, workspace := range w.Workspaces {
+		v.workspaces = append(v.workspaces, carawayspread.NewWorkspace(workspace.Name))
+	}
+	for _, s := range w.Services {
+		service := carawayspread.NewService(s.Name, carawayspread.Kind(s.Kind), s.Models, s.Repeatable)
+		v.services = append(v.services, service)
+	}
+	return v, nil
+}
+
+func (c Class) target() (carawayspread.Target, error) {
+	var parts [3]time.Duration
+	for i, text := range []string{c.FirstToken, c.BetweenTokens, c.Whole} {
+		if text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return carawayspread.Target{}, err
+		}
+		parts[i] = d
+	}
+	return carawayspread.NewTarget(parts[0], parts[1], parts[2], c.Share), nil
+}
