--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -23,6 +23,7 @@
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
+	"carawayspread/internal/request/ledger"
 )
 
 // Daemon is one entry process.
@@ -33,6 +34,7 @@
 	admin   *server.Server
 	control *server.Server
 	reports *report.Socket
+	ledger  *ledger.Ledger
 	known   atomic.Pointer[directory]
 	routed  atomic.Int64 // endpoints that the entry was given
 	mu      sync.Mutex   // serialises updates of the entry's endpoints
@@ -49,8 +51,9 @@
 	d := &Daemon{base: b}
 	d.known.Store(&directory{})
 	s := b.Settings()
+	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock())
 	opts = append([]entry.Option{
-		entry.WithClock(b.Clock()), entry.WithLog(b.Log()),
+		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
 		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 	}, opts...)
@@ -72,13 +75,13 @@
 	server.Observe(peers, ready, d.entry.Metrics(), d.base.Metrics())
 	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	var err error
-	if d.data, err = server.Listen(s.Listen(), callers); err != nil {
+	if d.data, err = d.base.Listen(s.Listen(), callers); err != nil {
 		return err
 	}
-	if d.admin, err = server.Listen(s.Admin(), operators); err != nil {
+	if d.admin, err = d.base.Listen(s.Admin(), operators); err != nil {
 		return err
 	}
-	if d.control, err = server.Listen(s.Control(), peers); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), peers); err != nil {
 		return err
 	}
 	d.reports, err = report.Listen(d.control.Address())
@@ -106,6 +109,7 @@
 	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
 	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.ledger.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
 	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
