Ledger: claims of an entry that is gone end at once

Cause: a killed entry left its claims in progress for 16 minutes. Ruled out: short claims with renewals, which turn running work into unknown in every outage and cost a write each. Change: a claim names its instance; 30 s old and no longer listed, it ends as unknown by whoever asks.

--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,7 @@
 	d := &Daemon{base: b}
 	d.known.Store(&directory{})
 	s := b.Settings()
-	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock())
+	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
 	opts = append([]entry.Option{
 		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
@@ -59,6 +60,12 @@
 	return d, trace.Wrap(d.listen())
 }
 
+// isListed reports whether the instance is in the list; true while none is known.
+func (d *Daemon) isListed(id string) bool {
+	instances := d.base.Instances()
+	return len(instances) == 0 || slices.ContainsFunc(instances, func(i carawayspread.Instance) bool { return i.ID == id })
+}
+
 func (d *Daemon) listen() error {
 	s := d.base.Settings()
 	ready := func() bool { return !d.entry.Leaving() && d.base.Config().Ready() }
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -19,6 +19,8 @@
 	// defaultKeep is how long an ended record is kept. A retry after that is a
 	// new request.
 	defaultKeep = 24 * time.Hour
+	// listLag is how long a new instance may be missing from the instance list.
+	listLag = 30 * time.Second
 	// skew is how far the clocks of two instances may be apart without a claim
 	// becoming unknown while its claimant is in time.
 	skew = 5 * time.Second
@@ -43,7 +45,9 @@
 	clock   carawayspread.Clock
 	lease   time.Duration
 	keep    time.Duration
-	later   *later // ends that could not be written yet
+	self    string                     // the instance, as listed
+	listed  func(instance string) bool // by the platform's list, which lags
+	later   *later                     // ends that could not be written yet
 }
 
 var _ entry.Ledger = (*Ledger)(nil)
@@ -57,10 +61,19 @@
 // WithKeep sets how long ended records are kept.
 func WithKeep(d time.Duration) Option { return func(l *Ledger) { l.keep = d } }
 
+// WithInstances names this instance and tells which others are listed. A claim
+// whose claimant is gone from the list ends before its deadline.
+func WithInstances(self string, listed func(instance string) bool) Option {
+	return func(l *Ledger) { l.self, l.listed = self, listed }
+}
+
 // New returns a ledger that keeps records in the table and long answers in the
 // object store.
 func New(table carawayspread.Table, objects carawayspread.ObjectStore, clock carawayspread.Clock, opts ...Option) *Ledger {
-	l := &Ledger{table: table, objects: objects, clock: clock, lease: defaultLease, keep: defaultKeep, later: newLater()}
+	l := &Ledger{
+		table: table, objects: objects, clock: clock, lease: defaultLease, keep: defaultKeep,
+		listed: func(string) bool { return true }, later: newLater(),
+	}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -121,7 +134,8 @@
 // and where it cannot be read the claim is withdrawn later.
 func (b *beginning) claim(ctx context.Context, rev uint64) (*Claim, error) {
 	l := b.ledger
-	r := record{State: claimed, Hash: b.hash, Deadline: l.clock.Now().Add(l.lease + skew)}
+	now := l.clock.Now()
+	r := record{State: claimed, Hash: b.hash, Claimant: l.self, Began: now, Deadline: now.Add(l.lease + skew)}
 	err := l.put(ctx, b.key, rev, b.token, r)
 	if err == nil {
 		return b.claimed(rev+1, r), nil
@@ -157,7 +171,7 @@
 		return stored, nil, err
 	case r.State == unknown:
 		return nil, nil, unknownOutcome()
-	case now.Before(r.Deadline):
+	case now.Before(r.Deadline) && !l.lost(r, now):
 		return nil, nil, carawayspread.NewError(carawayspread.CodeInProgress,
 			"a request with this idempotency key is running", carawayspread.RetryAfter(busyRetry))
 	}
@@ -167,6 +181,12 @@
 	return nil, nil, unknownOutcome()
 }
 
+// lost reports whether the claimant's instance has ended, as far as the list
+// tells. Where the list is wrong, the claimant is told unknown at its end.
+func (l *Ledger) lost(r record, now time.Time) bool {
+	return now.After(r.Began.Add(listLag)) && !l.listed(r.Claimant)
+}
+
 // orCondition has the record read again after a write whose outcome is unknown.
 func orCondition(err error) error {
 	if errors.Is(err, carawayspread.ErrUnavailable) {
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -125,11 +125,15 @@
 		end    func(entry.Claim) error
 		after  time.Duration
 		body   string
+		gone   bool // the first entry is not listed
 		stored *entry.Stored
 		code   carawayspread.Code // empty where the request is claimed again
 	}{
 		"running":       {end: func(entry.Claim) error { return nil }, code: carawayspread.CodeInProgress},
 		"entry lost":    {end: func(entry.Claim) error { return nil }, after: time.Hour, code: carawayspread.CodeUnknownOutcome},
+		"entry new":     {end: func(entry.Claim) error { return nil }, gone: true, code: carawayspread.CodeInProgress},
+		"entry gone":    {end: func(entry.Claim) error { return nil }, gone: true, after: time.Minute, code: carawayspread.CodeUnknownOutcome},
+		"entry listed":  {end: func(entry.Claim) error { return nil }, after: time.Minute, code: carawayspread.CodeInProgress},
 		"done":          {end: func(c entry.Claim) error { return c.Done(t.Context(), answer) }, stored: &answer},
 		"done and long": {end: func(c entry.Claim) error { return c.Done(t.Context(), long) }, stored: &long},
 		"not run":       {end: func(c entry.Claim) error { return c.Failed(t.Context()) }},
@@ -145,7 +149,9 @@
 			qt.Assert(t, test.end(claim), qt.IsNil)
 			clock.Advance(test.after)
 			for range 2 {
-				again, stored, err := newLedger().Begin(t.Context(), request(t, "k", test.body))
+				other := newLedger()
+				WithInstances("entry-2", func(string) bool { return !test.gone })(other)
+				again, stored, err := other.Begin(t.Context(), request(t, "k", test.body))
 				qt.Check(t, code(err), qt.Equals, test.code)
 				qt.Check(t, stored, qt.DeepEquals, test.stored)
 				if again == nil {
--- a/internal/request/ledger/record.go
+++ b/internal/request/ledger/record.go
@@ -25,11 +25,13 @@
 // record is the body of an item.
 type record struct {
 	State    state         `json:"state"`
-	Hash     uint64        `json:"hash"`              // of the request that the key stands for
-	Deadline time.Time     `json:"deadline,omitzero"` // of a claim
-	Expires  time.Time     `json:"expires,omitzero"`  // of an end
-	Answer   *entry.Stored `json:"answer,omitempty"`  // where it is short
-	Object   string        `json:"object,omitempty"`  // holds the answer where it is long
+	Hash     uint64        `json:"hash"`               // of the request that the key stands for
+	Claimant string        `json:"claimant,omitempty"` // the instance that claimed it
+	Began    time.Time     `json:"began,omitzero"`     // of a claim
+	Deadline time.Time     `json:"deadline,omitzero"`  // of a claim
+	Expires  time.Time     `json:"expires,omitzero"`   // of an end
+	Answer   *entry.Stored `json:"answer,omitempty"`   // where it is short
+	Object   string        `json:"object,omitempty"`   // holds the answer where it is long
 }
 
 func decode(item carawayspread.Item) (record, error) {
