--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -12,8 +13,10 @@
 	"carawayspread"
 	"carawayspread/internal/connection/dynamodb"
 	"carawayspread/internal/connection/instancelist"
+	"carawayspread/internal/connection/platform"
 	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/process/confsync"
+	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/changelog"
 	"carawayspread/internal/version/settings"
@@ -44,11 +47,11 @@
 	}
 	p := s.Platform()
 	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()))
-	b.table = decorate(client, b)
+	b.table = platform.NewTable(client, clock, b.set, platform.WithTimeouts(s.Timeouts().Table(), s.Timeouts().Table()))
 	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
 	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
-	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log))
 	t := s.Timeouts()
+	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log), changelog.WithTimeout(t.Table()))
 	b.config = confsync.New(b.changes, clock,
 		confsync.WithInstance(s.ID()), confsync.WithLogger(b.log), confsync.WithPeers(b.peers),
 		confsync.WithTimes(t.ConfigPoll(), t.ConfigFresh(), t.ConfigRefresh()),
@@ -90,6 +93,14 @@
 	return b.watch.Run(ctx, changed)
 }
 
+// Listen opens an address of the daemon with the limits of its settings.
+func (b *Base) Listen(address string, handler http.Handler) (*server.Server, error) {
+	t := b.settings.Timeouts()
+	return server.Listen(address, handler,
+		server.WithTimeouts(t.ReadHeader(), t.ReadBody(), t.Idle()),
+		server.WithHeaderLimit(b.settings.Limits().HeaderBytes()))
+}
+
 // Settings returns the settings of the daemon.
 func (b *Base) Settings() *settings.Settings { return b.settings }
 
@@ -116,6 +127,3 @@
 
 // Instances returns the newest known instance list; not to be modified.
 func (b *Base) Instances() []carawayspread.Instance { return b.watch.Instances() }
-
-// decorate is replaced by the platform's composition.
-func decorate(client carawayspread.Table, _ *Base) carawayspread.Table { return client }
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -20,7 +22,9 @@
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/fleet"
 	"carawayspread/internal/process/server"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
+	"carawayspread/internal/request/ledger"
 )
 
 // Daemon is one entry process.
@@ -31,6 +35,7 @@
 	admin   *server.Server
 	control *server.Server
 	reports *report.Socket
+	ledger  *ledger.Ledger
 	known   atomic.Pointer[directory]
 	routed  atomic.Int64 // endpoints that the entry was given
 	mu      sync.Mutex   // serialises updates of the entry's endpoints
@@ -47,18 +52,26 @@
 	d := &Daemon{base: b}
 	d.known.Store(&directory{})
 	s := b.Settings()
+	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
 	opts = append([]entry.Option{
-		entry.WithClock(b.Clock()), entry.WithLog(b.Log()),
+		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
+		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 	}, opts...)
 	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
 	b.OnAdopted(func(*carawayspread.Config) { d.update() })
 	return d, trace.Wrap(d.listen())
 }
 
+// isListed reports whether the instance is in the list; true while none is known.
+func (d *Daemon) isListed(id string) bool {
+	instances := d.base.Instances()
+	return len(instances) == 0 || slices.ContainsFunc(instances, func(i carawayspread.Instance) bool { return i.ID == id })
+}
+
 func (d *Daemon) listen() error {
 	s := d.base.Settings()
-	ready := func() bool { return !d.entry.Leaving() && d.base.Config().Ready() }
+	ready := func() bool { return !d.entry.Leaving() && d.Known() > 0 }
 	callers := http.NewServeMux()
 	callers.Handle("/", d.entry)
 	server.ObserveHealth(callers, ready)
@@ -69,13 +82,13 @@
 	server.Observe(peers, ready, d.entry.Metrics(), d.base.Metrics())
 	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	var err error
-	if d.data, err = server.Listen(s.Listen(), callers); err != nil {
+	if d.data, err = d.base.Listen(s.Listen(), callers); err != nil {
 		return err
 	}
-	if d.admin, err = server.Listen(s.Admin(), operators); err != nil {
+	if d.admin, err = d.base.Listen(s.Admin(), operators); err != nil {
 		return err
 	}
-	if d.control, err = server.Listen(s.Control(), peers); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), peers); err != nil {
 		return err
 	}
 	d.reports, err = report.Listen(d.control.Address())
@@ -103,6 +116,7 @@
 	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
 	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
+	group.Add(func() error { return d.ledger.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
 	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
@@ -135,9 +149,16 @@
 func (d *Daemon) update() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	cfg := d.base.Config().Held()
 	endpoints := watch.Endpoints(d.base.Instances())
-	d.entry.Update(d.base.Config().Held(), endpoints)
-	d.routed.Store(int64(len(endpoints)))
+	d.entry.Update(cfg, endpoints)
+	routed := 0
+	for _, endpoint := range endpoints {
+		if _, ok := cfg.Service(endpoint.Service()); ok {
+			routed++
+		}
+	}
+	d.routed.Store(int64(routed))
 }
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -8,15 +8,18 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/attempts"
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/settings"
 )
@@ -40,15 +43,17 @@
 	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
 	d.entries.Store(&[]netip.AddrPort{})
 	s := b.Settings()
-	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard))
+	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
+		sidecar.WithVictims(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
+		sidecar.WithAttempts(attempts.New(b.Clock())))
 	var err error
-	if d.data, err = server.Listen(s.Listen(), d.sidecar); err != nil {
+	if d.data, err = d.base.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
 	server.Observe(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
 	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
-	if d.control, err = server.Listen(s.Control(), mux); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), mux); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if d.reports, err = report.Listen(d.control.Address()); err != nil {
