hashRouter: an endpoint that just refused is spared for a moment

Change: an endpoint whose own account, at most 20 ms old, shows a queue of a quarter of its slots counts as busy. The fifo baseline tries a job that could not be placed again after 20 ms, as the interface says; with a busy mark that passes by time it otherwise held its queue for ever.

--- a/internal/process/fifo/scheduler.go
+++ b/internal/process/fifo/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"container/list"
+	"time"
 
 	"carawayspread"
 )
@@ -14,16 +15,22 @@
 	queue   list.List // of *carawayspread.Job, the oldest first
 	places  map[*carawayspread.Job]*list.Element
 	running map[*carawayspread.Job]bool
-	parked  []*carawayspread.Job // put back, until the next Done or Capacity
+	parked  []*carawayspread.Job // put back, until the next Done, Capacity or parkedFor
+	clock   carawayspread.Clock
+	since   time.Time // when the last job was put back
 }
 
-var _ = carawayspread.Schedulers.Register("fifo", func(carawayspread.Environment) carawayspread.Scheduler {
-	return New()
+// parkedFor is how long a job that could not be placed holds the queue at most.
+const parkedFor = 20 * time.Millisecond
+
+var _ = carawayspread.Schedulers.Register("fifo", func(env carawayspread.Environment) carawayspread.Scheduler {
+	return New(env)
 })
 
 // New returns an empty queue with one slot.
-func New() *Scheduler {
+func New(env carawayspread.Environment) *Scheduler {
 	return &Scheduler{
+		clock:   env.Clock,
 		slots:   1,
 		places:  map[*carawayspread.Job]*list.Element{},
 		running: map[*carawayspread.Job]bool{},
@@ -38,6 +45,9 @@
 
 // Next returns the oldest job while slots are free.
 func (s *Scheduler) Next() *carawayspread.Job {
+	if len(s.parked) > 0 && s.clock.Now().Sub(s.since) >= parkedFor {
+		s.unpark()
+	}
 	oldest := s.queue.Front()
 	if oldest == nil || len(s.running) >= s.slots || len(s.parked) > 0 {
 		return nil
@@ -52,6 +62,7 @@
 func (s *Scheduler) Requeue(job *carawayspread.Job) {
 	delete(s.running, job)
 	s.parked = append(s.parked, job)
+	s.since = s.clock.Now()
 }
 
 // Expired returns nothing: no job is ever refused.
--- a/internal/process/hashrouter/endpoint.go
+++ b/internal/process/hashrouter/endpoint.go
@@ -60,6 +60,13 @@
 	return max(0, weight*told+(1-weight)*float64(own)) / slots
 }
 
+// full reports whether the endpoint said a moment ago that its queue is long.
+// Refusals carry the load, so that an entry does not ask again at once.
+func (e *endpoint) full(now time.Time) bool {
+	last := e.last.Load()
+	return last != nil && now.Sub(last.report.Taken) < fullLife && e.load(now) >= fullLoad
+}
+
 // down reports whether the endpoint said that it takes no work. A report of a
 // crash is believed for a while only: the sidecar may be gone and its endpoint
 // back under another one.
--- a/internal/process/hashrouter/pick.go
+++ b/internal/process/hashrouter/pick.go
@@ -25,6 +25,9 @@
 	if m.leaving || !m.lost.IsZero() || e.down(p.now) {
 		return carawayspread.StandingOut
 	}
+	if e.full(p.now) {
+		return carawayspread.StandingBusy
+	}
 	return p.standing(e.id)
 }
 
--- a/internal/process/hashrouter/router.go
+++ b/internal/process/hashrouter/router.go
@@ -15,6 +15,11 @@
 	reportLife = 15 * time.Second
 	// crashLife bounds how long a crash is believed without a newer report.
 	crashLife = 30 * time.Second
+	// fullLoad and fullLife say when an endpoint is spared a request that its
+	// sidecar would refuse: its queue exceeds a quarter of its slots, and the
+	// account of it is no older than a place takes to come free.
+	fullLoad = 1.25
+	fullLife = 20 * time.Millisecond
 	// unknownSlots stands for the slots of an endpoint that never reported.
 	unknownSlots = 16
 	// lostLife is how long a lost endpoint keeps its place on the ring, so
