Daemons reach the table through all its safeguards

Cause: base handed out the bare client; a lost answer reached the callers. Change: platform.NewTable takes the place of the empty decorate.

--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -12,6 +12,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/dynamodb"
 	"carawayspread/internal/connection/instancelist"
+	"carawayspread/internal/connection/platform"
 	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/process/confsync"
 	"carawayspread/internal/process/watch"
@@ -44,7 +45,7 @@
 	}
 	p := s.Platform()
 	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()))
-	b.table = decorate(client, b)
+	b.table = platform.NewTable(client, clock, b.set)
 	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
 	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
 	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log))
@@ -116,6 +117,3 @@
 
 // Instances returns the newest known instance list; not to be modified.
 func (b *Base) Instances() []carawayspread.Instance { return b.watch.Instances() }
-
-// decorate is replaced by the platform's composition.
-func decorate(client carawayspread.Table, _ *Base) carawayspread.Table { return client }
