--- /dev/null
+++ b/internal/connection/platform/bench_test.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"carawayspread"
+	"carawayspread/internal/connection/groupcommit"
+)
+
+// storeTime is what the stand-in adds to each request, as a near table service.
+const storeTime = 5 * time.Millisecond
+
+var claims atomic.Uint64
+
+func nextClaim() carawayspread.Write { return claim(fmt.Sprint(claims.Add(1))) }
+
+// BenchmarkOperation times one operation after the other on loopback, with the
+// stand-in's own share, through the client alone and through all decorators.
+func BenchmarkOperation(b *testing.B) {
+	client, _ := startClient(b, carawayspread.SystemClock())
+	ctx := context.Background()
+	whole := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithWindow(time.Nanosecond)))
+	for name, table := range map[string]carawayspread.Table{"client": client, "decorated": whole} {
+		known := nextClaim()
+		if err := table.Apply(ctx, known); err != nil {
+			b.Fatal(err)
+		}
+		operations := map[string]func() error{
+			"get":           func() error { _, err := table.Get(ctx, known.Item.Key); return err },
+			"query":         func() error { _, err := table.Query(ctx, "claim", "", 10); return err },
+			"put":           func() error { return table.Apply(ctx, nextClaim()) },
+			"transaction10": func() error { return table.Apply(ctx, manyClaims(10)...) },
+		}
+		for operation, do := range operations {
+			b.Run(name+"/"+operation, func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					if err := do(); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func manyClaims(n int) []carawayspread.Write {
+	writes := make([]carawayspread.Write, n)
+	for i := range writes {
+		writes[i] = nextClaim()
+	}
+	return writes
+}
+
+// BenchmarkWritesAtOnce lets 200 callers write one claim after the other to a
+// store of 5 ms, grouped and singly.
+func BenchmarkWritesAtOnce(b *testing.B) {
+	const callers = 200
+	for _, grouped := range []bool{false, true} {
+		b.Run(fmt.Sprintf("grouped=%v", grouped), func(b *testing.B) {
+			client, service := startClient(b, carawayspread.SystemClock())
+			service.SetSlow(storeTime)
+			var table carawayspread.Table = client
+			if grouped {
+				table = NewTable(client, carawayspread.SystemClock(), metrics.NewSet())
+			}
+			var wg sync.WaitGroup
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			for range callers {
+				wg.Go(func() {
+					for left.Add(-1) >= 0 {
+						if err := table.Apply(context.Background(), nextClaim()); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "writes/s")
+			b.ReportMetric(float64(service.Writes())/float64(b.N), "requests/write")
+		})
+	}
+}
+
+// BenchmarkPacedWrites lets writes arrive at random instants at the rate of one
+// entry and counts the requests at the platform, by window.
+func BenchmarkPacedWrites(b *testing.B) {
+	for _, rate := range []int{20, 130, 500} {
+		for _, window := range []time.Duration{3, 20, 50} {
+			window *= time.Millisecond
+			b.Run(fmt.Sprintf("rate=%d/window=%v", rate, window), func(b *testing.B) {
+				client, service := startClient(b, carawayspread.SystemClock())
+				service.SetSlow(storeTime)
+				table := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithWindow(window)))
+				random := rand.New(rand.NewPCG(1, 2))
+				var wg sync.WaitGroup
+				var waited atomic.Int64
+				next := time.Now()
+				for range b.N {
+					next = next.Add(time.Duration(random.ExpFloat64() / float64(rate) * float64(time.Second)))
+					time.Sleep(time.Until(next))
+					wg.Go(func() {
+						began := time.Now()
+						if err := table.Apply(context.Background(), nextClaim()); err != nil {
+							b.Error(err)
+						}
+						waited.Add(int64(time.Since(began)))
+					})
+				}
+				wg.Wait()
+				b.ReportMetric(float64(service.Writes())/float64(b.N), "requests/write")
+				b.ReportMetric(float64(waited.Load())/float64(b.N)/1e6, "ms/write")
+			})
+		}
+	}
+}
