Group commit keeps a spacing between groups

Cause: with a fixed wait of 3 ms, requests at the platform grow with the number of entries. Measured at a store of 5 ms (BenchmarkPacedWrites, 250 writes): at 130 writes a second from one entry 0.73 requests for each write, so 35 entries would send 3,300 requests a second. Ruled out: a longer fixed wait. 50 ms brings 0.12 requests for each write, but a quiet entry (20 writes a second) then waits 43 ms for each. Change: a group leaves 3 ms after its first write, but at the earliest 100 ms after the group before it. After, at 130 writes a second: 0.076 requests for each write and 56 ms in place of 9 ms for one; at 50 ms spacing 0.148 and 31 ms. Ten groups a second for each process bound 35 entries to 350 requests a second. TestSpacingBoundsRequests is red without the spacing.

--- a/internal/connection/groupcommit/doc.go
+++ b/internal/connection/groupcommit/doc.go
@@ -5,8 +5,11 @@
 // it is sent, and the table service takes several hundred requests a second
 // from the whole fleet. Without the grouping that number bounds such requests.
 //
-// The first write of a group waits a few milliseconds for others; a full group
-// leaves at once. When all places for groups in flight are taken, the group
+// The first write of a group waits a few milliseconds for others, and as long as
+// it takes to keep the spacing to the group before: a quiet process answers
+// fast, a busy one sends a bounded number of requests, where a fixed wait would
+// let the requests grow with the number of processes. A full group leaves at
+// once. When all places for groups in flight are taken, the group
 // goes on growing, so that groups are large when the store is slow.
 //
 // A failed condition fails only its own write: the others, which the
--- a/internal/connection/groupcommit/table.go
+++ b/internal/connection/groupcommit/table.go
@@ -15,7 +15,10 @@
 	maxBytes = 3 << 20 // the service's limit is 4 MiB, and a body adds up to 64 KiB
 	// defaultWindow costs a claim little beside a store that takes 5 ms or
 	// more, and gathers the claims that arrive within that time.
-	defaultWindow   = 3 * time.Millisecond
+	defaultWindow = 3 * time.Millisecond
+	// defaultSpacing bounds a process to ten groups a second, so 35 entries to
+	// 350 requests a second whatever their callers send.
+	defaultSpacing  = 100 * time.Millisecond
 	defaultInFlight = 4
 	// defaultWaiting holds a second of the store's whole rate of writes.
 	defaultWaiting = 1000
@@ -30,14 +33,16 @@
 type Table struct {
 	carawayspread.Table
 	clock    carawayspread.Clock
-	window   time.Duration
+	window   time.Duration // not negative
+	spacing  time.Duration // between departures of groups that are not full; not negative
 	timeout  time.Duration
 	waiting  int           // at most so many writes wait or are in flight
 	inFlight chan struct{} // one element for each group in flight
 
 	mu      sync.Mutex
-	pending int    // writes that wait or are in flight
-	open    *group // takes further writes; nil when there is none
+	pending int       // writes that wait or are in flight
+	open    *group    // takes further writes; nil when there is none
+	departs time.Time // when the newest group leaves, unless it is full before
 }
 
 // Option sets an optional part of a Table.
@@ -46,6 +51,9 @@
 // WithWindow sets how long the first write of a group waits for others.
 func WithWindow(d time.Duration) Option { return func(t *Table) { t.window = d } }
 
+// WithSpacing sets the least time between two groups that are not full.
+func WithSpacing(d time.Duration) Option { return func(t *Table) { t.spacing = d } }
+
 // WithInFlight sets how many groups are in flight at most.
 func WithInFlight(n int) Option {
 	return func(t *Table) { t.inFlight = make(chan struct{}, n) }
@@ -63,6 +71,7 @@
 		Table:    inner,
 		clock:    clock,
 		window:   defaultWindow,
+		spacing:  defaultSpacing,
 		timeout:  defaultTimeout,
 		waiting:  defaultWaiting,
 		inFlight: make(chan struct{}, defaultInFlight),
@@ -111,7 +120,7 @@
 	}
 	if t.open == nil {
 		t.open = newGroup()
-		go t.lead(t.open)
+		go t.lead(t.open, t.schedule())
 	}
 	t.pending++
 	e := t.open.add(w)
@@ -121,6 +130,18 @@
 	return e, nil
 }
 
+// schedule returns how long a new group waits for further writes. The caller
+// holds mu.
+func (t *Table) schedule() time.Duration {
+	now := t.clock.Now()
+	earliest := t.departs.Add(t.spacing)
+	t.departs = now.Add(t.window)
+	if t.departs.Before(earliest) {
+		t.departs = earliest
+	}
+	return t.departs.Sub(now)
+}
+
 // closeGroup lets a group take no further writes. The caller holds mu.
 func (t *Table) closeGroup(g *group) {
 	if t.open == g {
@@ -130,10 +151,10 @@
 }
 
 // lead waits for the group to fill and for a place in flight, and sends it.
-func (t *Table) lead(g *group) {
+func (t *Table) lead(g *group, wait time.Duration) {
 	select {
 	case <-g.full:
-	case <-t.clock.After(t.window):
+	case <-t.clock.After(wait):
 	}
 	t.inFlight <- struct{}{}
 	t.mu.Lock()
--- a/internal/connection/groupcommit/table_test.go
+++ b/internal/connection/groupcommit/table_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 
 	"carawayspread"
@@ -92,7 +93,7 @@
 func TestCallersThatGoAway(t *testing.T) {
 	inner, service := start(t)
 	h := held{Table: inner, arrived: make(chan struct{}, 3), release: make(chan struct{})}
-	table := New(h, carawayspread.SystemClock(), WithWindow(time.Microsecond), WithInFlight(1), WithWaiting(2))
+	table := New(h, carawayspread.SystemClock(), WithWindow(0), WithSpacing(0), WithInFlight(1), WithWaiting(2))
 	apply := func(ctx context.Context, sort string) chan error {
 		result := make(chan error, 1)
 		go func() { result <- table.Apply(ctx, write(sort, 0)) }()
@@ -140,3 +141,20 @@
 	}
 	qt.Check(t, won, qt.Equals, 2)
 }
+
+// Writes come one by one, each soon after the last was answered: every one
+// would be a request of its own at the platform. From the second on they keep
+// the spacing, however many there are.
+func TestSpacingBoundsRequests(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	table := New(nil, clock, WithSpacing(time.Second))
+	var left time.Duration
+	for range 10 {
+		wait := table.schedule()
+		clock.Advance(wait)
+		left += wait
+	}
+	qt.Check(t, left, qt.Equals, defaultWindow+9*time.Second)
+	clock.Advance(time.Minute)
+	qt.Check(t, table.schedule(), qt.Equals, defaultWindow)
+}
--- a/internal/connection/platform/bench_test.go
+++ b/internal/connection/platform/bench_test.go
@@ -27,7 +27,7 @@
 func BenchmarkOperation(b *testing.B) {
 	client, _ := startClient(b, carawayspread.SystemClock())
 	ctx := context.Background()
-	whole := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithWindow(time.Nanosecond)))
+	whole := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithWindow(0), groupcommit.WithSpacing(0)))
 	for name, table := range map[string]carawayspread.Table{"client": client, "decorated": whole} {
 		known := nextClaim()
 		if err := table.Apply(ctx, known); err != nil {
@@ -92,15 +92,15 @@
 }
 
 // BenchmarkPacedWrites lets writes arrive at random instants at the rate of one
-// entry and counts the requests at the platform, by window.
+// entry and counts the requests at the platform, by spacing.
 func BenchmarkPacedWrites(b *testing.B) {
 	for _, rate := range []int{20, 130, 500} {
-		for _, window := range []time.Duration{3, 20, 50} {
-			window *= time.Millisecond
-			b.Run(fmt.Sprintf("rate=%d/window=%v", rate, window), func(b *testing.B) {
+		for _, spacing := range []time.Duration{0, 20, 50, 100} {
+			spacing *= time.Millisecond
+			b.Run(fmt.Sprintf("rate=%d/spacing=%v", rate, spacing), func(b *testing.B) {
 				client, service := startClient(b, carawayspread.SystemClock())
 				service.SetSlow(storeTime)
-				table := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithWindow(window)))
+				table := NewTable(client, carawayspread.SystemClock(), metrics.NewSet(), WithGroups(groupcommit.WithSpacing(spacing)))
 				random := rand.New(rand.NewPCG(1, 2))
 				var wg sync.WaitGroup
 				var waited atomic.Int64
