--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -47,7 +47,7 @@
 	}
 	p := s.Platform()
 	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()))
-	b.table = platform.NewTable(client, clock, b.set)
+	b.table = platform.NewTable(client, clock, b.set, platform.WithTimeouts(s.Timeouts().Table(), s.Timeouts().Table()))
 	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
 	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
 	t := s.Timeouts()
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -15,6 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
+
 	"carawayspread"
 	"carawayspread/internal/connection/sidecarhttp"
 )
@@ -81,8 +83,7 @@
 	if w.draining.Load() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
-	trial := r.Header.Get(sidecarhttp.HeaderTrial) != ""
-	if refusal := s.guard.Admit(fingerprintOf(r), trial); refusal != nil {
+	if refusal := s.judge(r, w.spec.ID); refusal != nil {
 		return refusal
 	}
 	left, stated := sidecarhttp.Remaining(r.Header)
@@ -100,7 +101,7 @@
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, worker *worker, path string) {
 	fingerprint := fingerprintOf(r)
 	life := worker.life()
-	worker.began(fingerprint)
+	worker.began(fingerprint, isTrial(r))
 	defer worker.ended(fingerprint)
 	var connected atomic.Bool
 	ctx, cancel := context.WithCancel(r.Context())
@@ -123,7 +124,7 @@
 		end = sidecarhttp.EndCrashed
 	}
 	if end == sidecarhttp.EndWhole {
-		s.guard.Served(fingerprint)
+		s.suspects.Served(fingerprint)
 	}
 	s.finish(w, end)
 }
@@ -197,6 +198,9 @@
 	sum := sidecarhttp.NewSum()
 	tail, err := copyFlushing(w, resp.Body, sum)
 	end := ending(resp, tail, err)
+	if end != sidecarhttp.EndWhole {
+		s.event(r).WithField("status", resp.StatusCode).WithField("error", err).Info("answer cut")
+	}
 	sum.Write(header, end)
 	return end
 }
@@ -264,23 +268,10 @@
 	}
 }
 
-// crashed reports whether that life of the endpoint has ended, and has the
-// requests on it noted as suspects.
-func (s *Sidecar) crashed(worker *worker, life string) bool {
-	if worker.probe(context.Background(), s.once, s.clock.Now(), life) {
-		return false
-	}
-	if suspects := worker.suspects(life); len(suspects) > 0 {
-		s.guard.Crashed(suspects)
-		s.log.WithField("endpoint", worker.spec.ID).WithField("suspects", len(suspects)).Warn("endpoint crashed")
-	}
-	return true
-}
-
 // failed answers a request that got no answer from its endpoint.
 func (s *Sidecar) failed(w http.ResponseWriter, r *http.Request, worker *worker, life string, connected bool, err error) {
 	if !connected {
-		worker.down.Store(true)
+		worker.setDown(true, err)
 		s.refuse(w, r, carawayspread.NewError(carawayspread.CodeNoEndpoint, "the endpoint cannot be reached",
 			carawayspread.NotRun(), carawayspread.CausedBy(err)))
 		return
@@ -292,11 +283,18 @@
 	s.refuse(w, r, failure)
 }
 
+func (s *Sidecar) event(r *http.Request) log.Interface {
+	return s.log.WithFields(log.Fields{
+		"requestId": r.Header.Get(sidecarhttp.HeaderRequest),
+		"attempt":   r.Header.Get(sidecarhttp.HeaderAttempt),
+		"class":     r.Header.Get(sidecarhttp.HeaderClass),
+		"workspace": r.Header.Get(sidecarhttp.HeaderWorkspace),
+	})
+}
+
 // refuse sends an error of the sidecar's own.
 func (s *Sidecar) refuse(w http.ResponseWriter, r *http.Request, e *carawayspread.Error) {
-	s.log.WithField("requestId", r.Header.Get(sidecarhttp.HeaderRequest)).
-		WithField("attempt", r.Header.Get(sidecarhttp.HeaderAttempt)).
-		WithField("code", e.Code()).WithField("notRun", e.NotRun()).Info("request refused")
+	s.event(r).WithField("code", e.Code()).WithField("notRun", e.NotRun()).Info("request refused")
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(sidecarhttp.HeaderRefused, string(e.Code()))
