Roles are planned by one entry and carried out by the sidecars

Cause: role policy, lease, plan and orders stood beside the daemons. Change: every entry that is set to plan runs a planner for each model service, and the table's lease lets one of them plan; it feeds the policy with the load reports and the arriving work, and writes the plan under its lease. A sidecar reads the plan, empties the engine by refusing new work as not run, and gives the order under its own lease, behind the order guard where the engine ignores fencing numbers. Without a word in the settings no role is planned: requests go whole to one engine, and KV hand-over between a prefill and a decode engine is not built. Ruled out: a planner on an instance of its own; every entry writing plans.

--- a/cmd/carawayspread/fleet_test.go
+++ b/cmd/carawayspread/fleet_test.go
@@ -66,6 +66,7 @@
 	"instance": {"id": %q, "role": "entry", "region": "local", "zone": "zone-a"},
 	"addresses": {"listen": "127.0.0.1:0", "control": "127.0.0.1:0", "admin": "127.0.0.1:0"},
 	"platform": {%s},
+	"rolePolicy": "threshold",
 	"timeouts": {"betweenBytes": "1500ms", "configPoll": "500ms", "configFresh": "2s"}}`
 	sidecarSettings = `{
 	"instance": {"id": %q, "role": "sidecar", "region": "local", "zone": "zone-a"},
--- /dev/null
+++ b/cmd/carawayspread/roles_test.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+	"carawayspread/internal/standin/engine"
+)
+
+// Callers see every answer whole while engines change their roles.
+// Long prompts with short answers arrive through the entry that plans; its
+// plan goes through the table to the sidecars, and each empties its engine
+// before it orders the change, once, under its lease.
+func TestRoleChangeCutsNothing(t *testing.T) {
+	f := newFleet(t)
+	engines := []*engine.Engine{}
+	for i := range 3 {
+		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.RoleChange(200*time.Millisecond), engine.PrefillRate(20_000))
+		id := fmt.Sprint(i)
+		f.sidecar("sidecar-"+id, model("engine-"+id, e))
+		engines = append(engines, e)
+	}
+	entry := f.entry("entry-1")
+	var running sync.WaitGroup
+	var done atomic.Bool
+	var cut atomic.Pointer[answer]
+	for caller := range 6 {
+		running.Go(func() {
+			for i := 0; !done.Load(); i++ {
+				if got := stream(entry, fmt.Sprintf("register %d %d %4000d", caller, i, 0), 10, nil); !got.whole() {
+					cut.Store(&got)
+				}
+			}
+		})
+	}
+	f.eventually(func() bool {
+		for _, e := range engines {
+			if len(roleOrders(e)) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	done.Store(true)
+	running.Wait()
+	if got := cut.Load(); got != nil {
+		t.Errorf("%v %s\n%s", got.err, got.body, entry.logged())
+	}
+	for _, e := range engines {
+		for _, order := range roleOrders(e) {
+			qt.Check(t, order.Fence > 0, qt.IsTrue)
+			qt.Check(t, e.RunningAtOrder(order.ID), qt.Equals, 0)
+		}
+	}
+}
+
+func roleOrders(e *engine.Engine) []carawayspread.Order {
+	found := []carawayspread.Order{}
+	for _, order := range e.Orders() {
+		if order.Kind == carawayspread.OrderSetRole {
+			found = append(found, order)
+		}
+	}
+	return found
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -175,6 +175,9 @@
 	e.lanes.Store(&next)
 }
 
+// Lane returns the lane of a service; nil where the service is not known.
+func (e *Entry) Lane(service string) *lane.Lane { return (*e.lanes.Load())[service] }
+
 // Reported passes a load report to the lane of the service.
 func (e *Entry) Reported(service string, report carawayspread.Report) {
 	if l, ok := (*e.lanes.Load())[service]; ok {
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -36,6 +36,7 @@
 	control *server.Server
 	reports *report.Socket
 	ledger  *ledger.Ledger
+	changed chan struct{} // holds one word that the configuration changed
 	known   atomic.Pointer[directory]
 	routed  atomic.Int64 // endpoints that the entry was given
 	mu      sync.Mutex   // serialises updates of the entry's endpoints
@@ -49,7 +50,7 @@
 
 // New opens the daemon's addresses.
 func New(b *base.Base, opts ...entry.Option) (*Daemon, error) {
-	d := &Daemon{base: b}
+	d := &Daemon{base: b, changed: make(chan struct{}, 1)}
 	d.known.Store(&directory{})
 	s := b.Settings()
 	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
@@ -59,7 +60,7 @@
 		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 	}, opts...)
 	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
-	b.OnAdopted(func(*carawayspread.Config) { d.update() })
+	b.OnAdopted(func(*carawayspread.Config) { d.adopted() })
 	return d, trace.Wrap(d.listen())
 }
 
@@ -119,6 +120,7 @@
 	group.Add(func() error { return d.ledger.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
 	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
+	group.Add(func() error { return d.planRoles(work) }, func(error) { stop() })
 	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
 	d.base.Log().WithField("listen", d.data.Address()).WithField("admin", d.admin.Address()).WithField("control", d.control.Address()).Info("entry serves")
 	err := group.Run()
@@ -145,6 +147,14 @@
 	return d.data.Shutdown(work)
 }
 
+func (d *Daemon) adopted() {
+	d.update()
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
 // update applies the instance list and the configuration to the entry.
 func (d *Daemon) update() {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/process/entryd/roles.go
@@ -0,0 +1,54 @@
+package entryd
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"carawayspread"
+	"carawayspread/internal/process/planner"
+	"carawayspread/internal/process/watch"
+
+	// The role policies register themselves.
+	_ "carawayspread/internal/process/rolepolicy"
+)
+
+// staticPolicy is the policy under which no role changes, so that nobody plans.
+const staticPolicy = "static"
+
+// planRoles runs a planner for every model service until ctx ends.
+func (d *Daemon) planRoles(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	planned := map[string]bool{}
+	for d.base.Settings().RolePolicy() != staticPolicy {
+		for _, service := range d.base.Config().Held().Services() {
+			if service.Kind() == carawayspread.KindModel && !planned[service.Name()] {
+				planned[service.Name()] = true
+				running.Go(func() { _ = d.planner(service.Name()).Run(ctx) })
+			}
+		}
+		select {
+		case <-d.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (d *Daemon) planner(service string) *planner.Planner {
+	newPolicy, _ := carawayspread.RolePolicies.Get(d.base.Settings().RolePolicy())
+	policy := newPolicy(carawayspread.Environment{
+		Clock: d.base.Clock(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Zone: d.base.Settings().Zone(),
+	})
+	view := func() planner.View {
+		if l := d.entry.Lane(service); l != nil {
+			return l
+		}
+		return nil
+	}
+	entries := func() int { return len(watch.Controls(d.base.Instances(), carawayspread.InstanceEntry)) }
+	return planner.New(service, view, entries, policy, d.base.Table(), d.base.Clock(), d.base.Log())
+}
--- a/internal/process/lane/lane.go
+++ b/internal/process/lane/lane.go
@@ -26,6 +26,7 @@
 	modules Modules
 	clock   carawayspread.Clock
 	fleet   atomic.Pointer[fleet] // replaced as a whole
+	demand  demand
 
 	mu      sync.Mutex // serialises the scheduler
 	tickets map[*carawayspread.Job]chan *carawayspread.Error
@@ -42,6 +43,7 @@
 type slot struct {
 	limiter carawayspread.Limiter
 	taken   atomic.Int64
+	seen    atomic.Pointer[carawayspread.Report] // nil before the first
 }
 
 func (s *slot) full() bool { return s.taken.Load() >= int64(s.limiter.Limit()) }
@@ -95,7 +97,12 @@
 }
 
 // Reported passes a load report to the router.
-func (l *Lane) Reported(report carawayspread.Report) { l.modules.Router.Reported(report) }
+func (l *Lane) Reported(report carawayspread.Report) {
+	if slot, ok := l.fleet.Load().slots[report.Endpoint]; ok {
+		slot.seen.Store(&report)
+	}
+	l.modules.Router.Reported(report)
+}
 
 // Budget returns the retry budget of the service.
 func (l *Lane) Budget() carawayspread.RetryBudget { return l.modules.Budget }
@@ -120,6 +127,7 @@
 // Wait returns nil when the job may be sent now; Finish must follow. Otherwise
 // it returns the refusal, which is not run.
 func (l *Lane) Wait(ctx context.Context, job *carawayspread.Job) error {
+	l.demand.add(job)
 	ready, err := l.offer(job)
 	if err != nil {
 		return err
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -83,6 +83,9 @@
 	if w.draining.Load() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
+	if w.quiet.Load() {
+		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "the endpoint changes its role", carawayspread.NotRun())
+	}
 	if refusal := s.judge(r, w.spec.ID); refusal != nil {
 		return refusal
 	}
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -130,6 +130,28 @@
 	return running
 }
 
+// Quiet returns what stops new work at one endpoint until no request runs
+// there, and admits it again. Refused requests go to other endpoints.
+func (s *Sidecar) Quiet(id carawayspread.EndpointID) func(ctx context.Context) (resume func(), err error) {
+	return func(ctx context.Context) (func(), error) {
+		w, ok := s.workers[id]
+		if !ok {
+			return func() {}, nil
+		}
+		w.quiet.Store(true)
+		resume := func() { w.quiet.Store(false) }
+		for w.running.Load()+w.waiting.Load() > 0 {
+			select {
+			case <-s.clock.After(drainPoll):
+			case <-ctx.Done():
+				resume()
+				return nil, ctx.Err()
+			}
+		}
+		return resume, nil
+	}
+}
+
 // Draining reports whether the whole sidecar is leaving.
 func (s *Sidecar) Draining() bool { return s.draining.Load() }
 
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -22,6 +22,7 @@
 	running  atomic.Int64
 	waiting  atomic.Int64
 	draining atomic.Bool
+	quiet    atomic.Bool  // a role change waits for the running requests
 	down     atomic.Bool  // the last probe failed
 	late     atomic.Int64 // probes in a row that timed out
 	state    atomic.Pointer[observed]
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -14,9 +14,13 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/engine"
 	"carawayspread/internal/connection/report"
 	"carawayspread/internal/process/attempts"
 	"carawayspread/internal/process/base"
+	"carawayspread/internal/process/follower"
+	"carawayspread/internal/process/lease"
+	"carawayspread/internal/process/orders"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
 	"carawayspread/internal/process/trial"
@@ -31,6 +35,8 @@
 	data     *server.Server
 	control  *server.Server
 	reports  *report.Socket
+	lease    *lease.Lease // over all engines beside the sidecar
+	follower *follower.Follower
 	entries  atomic.Pointer[[]netip.AddrPort]
 	sidecars atomic.Int64  // sidecars in the instance list
 	sequence atomic.Uint64 // of load reports; starts at the time of the start
@@ -46,6 +52,7 @@
 	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
 		sidecar.WithVictims(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 		sidecar.WithAttempts(attempts.New(b.Clock())))
+	d.command()
 	var err error
 	if d.data, err = d.base.Listen(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
@@ -62,6 +69,46 @@
 	return d, nil
 }
 
+// command prepares the orders to the engines beside the sidecar.
+func (d *Daemon) command() {
+	b := d.base
+	services := map[string]bool{}
+	d.lease = lease.New(b.Table(), b.Clock(), "sidecar/"+b.Settings().ID())
+	for _, e := range b.Settings().Endpoints() {
+		services[e.Service()] = e.Kind() == carawayspread.KindModel
+	}
+	names := []string{}
+	for name, model := range services {
+		if model {
+			names = append(names, name)
+		}
+	}
+	d.follower = follower.New(b.Table(), b.Clock(), b.Log(), names...)
+	client := &http.Client{}
+	for _, e := range b.Settings().Endpoints() {
+		if e.Kind() != carawayspread.KindModel {
+			continue
+		}
+		opts := []orders.Option{orders.WithQuiet(d.sidecar.Quiet(e.ID()))}
+		if e.ChecksFence() {
+			opts = append(opts, orders.WithFence())
+		} else {
+			opts = append(opts, orders.WithGuard(e.OrderGuard()))
+		}
+		d.follower.Add(e.ID(), e.Service(), orders.New(engine.New(e.Address(), client), shared{d.lease}, b.Clock(), opts...))
+	}
+}
+
+// shared is the sidecar's lease in the hands of one engine's orders: the
+// daemon itself keeps it.
+type shared struct{ *lease.Lease }
+
+// Run waits until ctx ends.
+func (shared) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
 func workers(s *settings.Settings) []sidecar.Worker {
 	list := []sidecar.Worker{}
 	for _, e := range s.Endpoints() {
@@ -81,6 +128,8 @@
 	group.Add(func() error { return d.sidecar.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
+	group.Add(func() error { return d.lease.Run(work) }, func(error) { stop() })
+	group.Add(func() error { return d.follower.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.sendReports(work) }, func(error) { stop() })
 	group.Add(func() error { return d.drainAfter(ctx, work) }, func(error) { stop() })
 	d.base.Log().WithField("listen", d.data.Address()).WithField("control", d.control.Address()).Info("sidecar serves")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -37,6 +37,7 @@
 	state   carawayspread.EngineState
 	orders  []carawayspread.Order         // carried out, in order
 	done    map[string]bool               // ids of carried out orders
+	during  map[string]int                // requests that ran when an order came, by its id
 	cancels map[string]context.CancelFunc // running requests by id
 	down    time.Time                     // crashed until then
 	crashes int
@@ -77,6 +78,7 @@
 		models:  []string{"stand-in"},
 		slots:   make(chan struct{}, 16),
 		done:    map[string]bool{},
+		during:  map[string]int{},
 		cancels: map[string]context.CancelFunc{},
 		runs:    map[string]int{},
 	}
@@ -157,3 +159,10 @@
 	defer e.mu.Unlock()
 	return e.crashes
 }
+
+// RunningAtOrder returns how many requests ran when the order came.
+func (e *Engine) RunningAtOrder(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.during[id]
+}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -88,6 +88,7 @@
 		return true
 	}
 	e.done[order.ID] = true
+	e.during[order.ID] = len(e.slots)
 	e.orders = append(e.orders, order)
 	e.state.LastID = order.ID
 	e.apply(order)
--- a/internal/version/settings/parse.go
+++ b/internal/version/settings/parse.go
@@ -37,13 +37,14 @@
 	}
 
 	root := document.Parse(name, body)
-	root = root.Object("instance", "addresses", "platform", "peers", "endpoints", "limits", "timeouts")
+	root = root.Object("instance", "addresses", "platform", "peers", "endpoints", "limits", "timeouts", "rolePolicy")
 	s.readInstance(root.Need("instance"))
 	s.readAddresses(root.Need("addresses"))
 	s.platform.read(root.Need("platform"), s.role)
 	s.limits.read(root.Field("limits"))
 	s.timeouts.read(root.Field("timeouts"))
 	s.readPeers(root.Field("peers"))
+	s.readRolePolicy(root.Field("rolePolicy"))
 	s.readEndpoints(root)
 	if err := root.Err(); err != nil {
 		return nil, err
@@ -78,6 +79,16 @@
 	}
 }
 
+// readRolePolicy reads how the roles of engines are planned. Without a word of
+// the deployment that its engines serve whole requests in every role, none is
+// planned.
+func (s *Settings) readRolePolicy(node document.Node) {
+	s.rolePolicy = "static"
+	if node.Exists() {
+		s.rolePolicy = node.OneOf("static", "threshold", "forecast")
+	}
+}
+
 func (s *Settings) readPeers(node document.Node) {
 	seen := map[string]string{}
 	items, _ := node.Items()
--- a/internal/version/settings/settings.go
+++ b/internal/version/settings/settings.go
@@ -30,6 +30,8 @@
 	endpoints []Endpoint
 	limits    Limits
 	timeouts  Timeouts
+
+	rolePolicy string // a registered policy
 }
 
 // Read checks the settings file with that name.
@@ -72,6 +74,9 @@
 // Endpoints returns the endpoints beside a sidecar; not to be modified.
 func (s *Settings) Endpoints() []Endpoint { return s.endpoints }
 
+// RolePolicy returns the name of the policy that plans the engines' roles.
+func (s *Settings) RolePolicy() string { return s.rolePolicy }
+
 // Limits returns the bounds on what is read from others.
 func (s *Settings) Limits() Limits { return s.limits }
 
