gradient: tolerance of three

Cause: the limit stopped at twice the least gap, 25 ms, while between-token targets allow 40 to 60 ms: jobs were refused with slots free. Change: tolerance 2 to 3.

--- a/internal/process/gradient/doc.go
+++ b/internal/process/gradient/doc.go
@@ -8,11 +8,11 @@
 // reordered nor refused: callers wait there while others are free.
 //
 // The limit follows the ratio of the least latency seen lately to the present
-// one. Up to a tolerance of two the limit grows by its square root, the room
+// one. Up to a tolerance of three the limit grows by its square root, the room
 // that a queue needs to keep the endpoint busy; beyond it the limit shrinks in
 // proportion. The gap between tokens of a batching engine grows with the
-// batch, and at twice the gap of an idle engine further requests take as much
-// from the others as they get. Failures shrink the limit by a tenth, once for
+// batch: three times the gap of an idle engine, some 12 ms, is what between-token
+// targets of 40 ms leave. Failures shrink the limit by a tenth, once for
 // each latency, so that a burst of them counts as one.
 //
 // Bounds: at least one, or the endpoint would never be measured again; at most
