--- a/internal/process/gradient/limiter.go
+++ b/internal/process/gradient/limiter.go
@@ -13,7 +13,7 @@
 	defaultInitial = 8
 	// defaultMax is above what an engine batches; it bounds a wrong measurement.
 	defaultMax = 256
-	tolerance = 3.0
+	tolerance  = 3.0
 	// smoothing weighs one measurement, so that about ten settle the limit.
 	smoothing = 0.1
 	// steepest bounds what one measurement may take away.
