Sidecars carry out the plans of their services

Cause: plans, leases and orders stood beside the daemons. Ruled out: a lease held all the time, which costs 325 sidecars more than a hundred writes a second to do nothing. Change: a follower for each service reads the plan and orders its engines; an endpoint is emptied by taking all its slots.

--- a/internal/process/orders/orders.go
+++ b/internal/process/orders/orders.go
@@ -51,6 +51,9 @@
 	timeout time.Duration
 	repeats int
 
+	held   *orderguard.Guard // nil until acquired; used by Run alone
+	waited bool              // the settle wait after it is over; used by Run alone
+
 	turn   chan struct{} // holds one token; whoever has it orders
 	newest uint64        // the newest plan begun; guarded by turn
 	raised uint64        // the number that the engine is known to hold; guarded by turn
@@ -92,18 +95,29 @@
 	return o
 }
 
-// Run acquires the authority over the engine and keeps it until ctx ends.
+// Run acquires the authority over the engine and keeps it until ctx ends. The
+// guard stays with the process; runs follow one another, never overlap.
 func (o *Orders) Run(ctx context.Context) error {
-	if o.guard != "" {
-		guard, err := orderguard.Acquire(ctx, o.guard, o.clock, o.flight...)
-		if err != nil {
-			return err
-		}
-		if err := guard.Settle(ctx, o.engine); err != nil {
+	if err := o.acquire(ctx); err != nil {
+		return err
+	}
+	return o.lease.Run(ctx)
+}
+
+func (o *Orders) acquire(ctx context.Context) (err error) {
+	if o.guard == "" || o.waited {
+		return nil
+	}
+	if o.held == nil {
+		if o.held, err = orderguard.Acquire(ctx, o.guard, o.clock, o.flight...); err != nil {
 			return err
 		}
 	}
-	return o.lease.Run(ctx)
+	if err = o.held.Settle(ctx, o.engine); err != nil {
+		return err
+	}
+	o.waited = true
+	return nil
 }
 
 // Do carries out an order of a plan and returns the engine's state after it.
--- a/internal/process/sidecar/load.go
+++ b/internal/process/sidecar/load.go
@@ -55,7 +55,7 @@
 		PrefillRate:  float32(seen.state.PrefillRate),
 		DecodeRate:   float32(seen.state.DecodeRate),
 		Crashed:      w.down.Load(),
-		Draining:     w.draining.Load(),
+		Draining:     w.closed(),
 		Models:       seen.state.Models,
 	}
 	if !seen.at.IsZero() {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -78,7 +78,7 @@
 	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
 		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
 	}
-	if w.draining.Load() {
+	if w.closed() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
 	trial := r.Header.Get(sidecarhttp.HeaderTrial) != ""
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/gravitational/trace"
 
 	"carawayspread"
 	"carawayspread/internal/connection/sidecarhttp"
@@ -132,6 +133,16 @@
 	return running
 }
 
+// Quiet stops new work at an endpoint and returns when none runs there. Work
+// is admitted again by resume.
+func (s *Sidecar) Quiet(ctx context.Context, id carawayspread.EndpointID) (resume func(), err error) {
+	w, ok := s.workers[id]
+	if !ok {
+		return nil, trace.NotFound("there is no endpoint %v", id)
+	}
+	return w.empty(ctx)
+}
+
 // Draining reports whether the whole sidecar is leaving.
 func (s *Sidecar) Draining() bool { return s.draining.Load() }
 
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -18,7 +18,8 @@
 	running  atomic.Int64
 	waiting  atomic.Int64
 	draining atomic.Bool
-	down     atomic.Bool // the last probe failed
+	quiet    atomic.Int32 // changes that want the endpoint empty; not negative
+	down     atomic.Bool  // the last probe failed
 	state    atomic.Pointer[observed]
 
 	mu     sync.Mutex
@@ -76,6 +77,32 @@
 
 func (w *worker) leave() { <-w.slots }
 
+// closed reports whether the endpoint takes no new work.
+func (w *worker) closed() bool { return w.draining.Load() || w.quiet.Load() > 0 }
+
+// empty refuses new work and takes every slot as it becomes free: whoever has
+// all of them knows that no request runs and that none can begin.
+func (w *worker) empty(ctx context.Context) (resume func(), err error) {
+	w.quiet.Add(1)
+	taken := 0
+	resume = func() {
+		for range taken {
+			w.leave()
+		}
+		w.quiet.Add(-1)
+	}
+	for taken < cap(w.slots) {
+		select {
+		case w.slots <- struct{}{}:
+			taken++
+		case <-ctx.Done():
+			resume()
+			return nil, ctx.Err()
+		}
+	}
+	return resume, nil
+}
+
 func (w *worker) began(fingerprint uint64) {
 	w.running.Add(1)
 	w.mu.Lock()
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -78,6 +78,9 @@
 	group.Add(func() error { return d.sidecar.Run(work) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
 	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
+	for _, follower := range d.followers() {
+		group.Add(func() error { return follower.Run(work) }, func(error) { stop() })
+	}
 	group.Add(func() error { return d.sendReports(work) }, func(error) { stop() })
 	group.Add(func() error { return d.drainAfter(ctx, work) }, func(error) { stop() })
 	d.base.Log().WithField("listen", d.data.Address()).WithField("control", d.control.Address()).Info("sidecar serves")
