--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -24,6 +24,7 @@
 	for _, id := range []string{"1", "2"} {
 		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Hour))
 		sidecars[e] = f.sidecar("sidecar-"+id, model("engine-"+id, e))
+		sidecars[e].link = f.between(sidecars[e])
 	}
 	return f, f.entry("entry-1"), sidecars
 }
@@ -38,6 +39,14 @@
 	return nil
 }
 
+func logs(entry *process, sidecars map[*engine.Engine]*process) string {
+	all := entry.logged()
+	for _, sidecar := range sidecars {
+		all += sidecar.logged()
+	}
+	return all
+}
+
 // A streamed and a whole completion and a call of a plain service go through
 // separate processes and come back whole.
 func TestWholePath(t *testing.T) {
@@ -55,24 +64,30 @@
 }
 
 // The caller sees one uninterrupted answer.
-// The sidecar that serves it is killed, paused or its engine crashes after the
-// first tokens; the entry sees the cut, or the silence, and has another engine
+// The sidecar that serves it is killed, paused or cut off, or its engine
+// crashes, after the first tokens; the entry sees the cut, or the silence, and has another engine
 // resume after the last event that the caller has.
 func TestStreamIsResumed(t *testing.T) {
 	tests := map[string]func(e *engine.Engine, sidecar *process){
 		"sidecar killed": func(_ *engine.Engine, sidecar *process) { sidecar.kill() },
 		"sidecar paused": func(_ *engine.Engine, sidecar *process) { sidecar.signal(syscall.SIGSTOP) },
+		"network cut":    func(_ *engine.Engine, sidecar *process) { sidecar.link.cut.Store(true) },
 		"engine crashed": func(e *engine.Engine, _ *process) { e.Crash() },
 	}
 	for name, fail := range tests {
 		t.Run(name, func(t *testing.T) {
 			_, entry, sidecars := twoEngines(t)
 			want := stream(entry, "municipio", 40, nil)
+			qt.Assert(t, want.whole(), qt.IsTrue, qt.Commentf("%s", want.body))
 			got := stream(entry, "municipio", 40, func() {
 				e := busy(sidecars)
+				if e == nil {
+					t.Error(entry.logged())
+					return
+				}
 				fail(e, sidecars[e])
 			})
-			qt.Check(t, got.whole(), qt.IsTrue, qt.Commentf("%s", got.body))
+			qt.Check(t, got.whole(), qt.IsTrue, qt.Commentf("%s\n%s", got.body, logs(entry, sidecars)))
 			qt.Check(t, got.text(), qt.Equals, want.text())
 			qt.Check(t, strings.Contains(entry.logged(), "attempt failed"), qt.IsTrue)
 		})
@@ -112,7 +127,7 @@
 			}
 			first.Wait()
 			leaving := choose(entry, sidecars)
-			leaving.signal(syscall.SIGTERM)
+			leaving.signal(terminate)
 			running.Wait()
 			for _, a := range answers {
 				qt.Check(t, a.whole(), qt.IsTrue, qt.Commentf("%v %s", a.err, a.body))
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -21,6 +22,7 @@
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/fleet"
 	"carawayspread/internal/process/server"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/request/ledger"
 )
@@ -54,6 +56,7 @@
 	opts = append([]entry.Option{
 		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
+		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 	}, opts...)
 	d.entry = entry.New(b.Config(), decisions(s.Zone(), b.Clock()), opts...)
 	b.OnAdopted(func(*carawayspread.Config) { d.update() })
@@ -68,7 +71,7 @@
 
 func (d *Daemon) listen() error {
 	s := d.base.Settings()
-	ready := func() bool { return !d.entry.Leaving() && d.base.Config().Ready() }
+	ready := func() bool { return !d.entry.Leaving() && d.Known() > 0 }
 	callers := http.NewServeMux()
 	callers.Handle("/", d.entry)
 	server.ObserveHealth(callers, ready)
@@ -146,9 +149,16 @@
 func (d *Daemon) update() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	cfg := d.base.Config().Held()
 	endpoints := watch.Endpoints(d.base.Instances())
-	d.entry.Update(d.base.Config().Held(), endpoints)
-	d.routed.Store(int64(len(endpoints)))
+	d.entry.Update(cfg, endpoints)
+	routed := 0
+	for _, endpoint := range endpoints {
+		if _, ok := cfg.Service(endpoint.Service()); ok {
+			routed++
+		}
+	}
+	d.routed.Store(int64(routed))
 }
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 
@@ -18,6 +19,7 @@
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
+	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/settings"
 )
@@ -42,6 +44,7 @@
 	d.entries.Store(&[]netip.AddrPort{})
 	s := b.Settings()
 	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
+		sidecar.WithVictims(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 		sidecar.WithAttempts(attempts.New(b.Clock())))
 	var err error
 	if d.data, err = d.base.Listen(s.Listen(), d.sidecar); err != nil {
