--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/gravitational/trace"
 
 	"carawayspread"
 	"carawayspread/internal/connection/sidecarhttp"
@@ -130,26 +131,14 @@
 	return running
 }
 
-// Quiet returns what stops new work at one endpoint until no request runs
-// there, and admits it again. Refused requests go to other endpoints.
-func (s *Sidecar) Quiet(id carawayspread.EndpointID) func(ctx context.Context) (resume func(), err error) {
-	return func(ctx context.Context) (func(), error) {
-		w, ok := s.workers[id]
-		if !ok {
-			return func() {}, nil
-		}
-		w.quiet.Store(true)
-		resume := func() { w.quiet.Store(false) }
-		for w.running.Load()+w.waiting.Load() > 0 {
-			select {
-			case <-s.clock.After(drainPoll):
-			case <-ctx.Done():
-				resume()
-				return nil, ctx.Err()
-			}
-		}
-		return resume, nil
+// Quiet stops new work at an endpoint and returns when none runs there. Work
+// is admitted again by resume.
+func (s *Sidecar) Quiet(ctx context.Context, id carawayspread.EndpointID) (resume func(), err error) {
+	w, ok := s.workers[id]
+	if !ok {
+		return nil, trace.NotFound("there is no endpoint %v", id)
 	}
+	return w.empty(ctx)
 }
 
 // Draining reports whether the whole sidecar is leaving.
