Load reports carry the load alone; what seldom changes travels in one of six

Cause: a report of four endpoints takes about 175 bytes, not the 100 that the interval assumed, so that an entry before 325 sidecars received 5,252 B/s, more than its 4 KB/s. Its age was that of the engine's figures, although the counts are the sidecar's own; a report of a crash could so look older than the one before and be dropped. Ruled out: only a longer interval (19 s for full reports of today's size, more than the 15 s after which the router gives a report no weight). Change: partial reports, that name the full one they follow; a change and a new entry get two full ones at once; roles by number; the counts are dated by their arrival; the interval follows from the measured size, for 2,500 B/s.

--- a/cmd/carawayspread/capacity_test.go
+++ b/cmd/carawayspread/capacity_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/process/reporter"
 	"carawayspread/internal/standin/engine"
 )
 
@@ -21,6 +23,7 @@
 	workersBeside = 4
 	settle        = 6 * time.Second // for garbage of the start to be returned
 	observed      = 10 * time.Second
+	warmUp        = 3                     // reports of each sidecar; the first are full ones
 	clockTick     = 10 * time.Millisecond // of /proc/<pid>/stat
 )
 
@@ -117,38 +120,48 @@
 	socket, err := report.Listen("127.0.0.1:0")
 	qt.Assert(b, err, qt.IsNil)
 	to := []netip.AddrPort{netip.MustParseAddrPort(entry.row.Control)}
-	bytes := 0
+	reporters := make([]*reporter.Reporter, len(rows))
+	for i, row := range rows {
+		reporters[i] = reporter.New(row.ID, time.Now())
+		for range warmUp + i%warmUp {
+			_ = socket.Send(reporters[i].Next(loadsOf(row), 1, false), to)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	var bytes atomic.Int64
 	done, ended := make(chan struct{}), make(chan struct{})
-	pause := report.Interval(len(rows)) / time.Duration(len(rows))
-	began := time.Now()
 	go func() {
 		defer close(ended)
 		for i := 0; ; i++ {
+			from := i % len(rows)
+			next := reporters[from].Next(loadsOf(rows[from]), 1, false)
+			bytes.Add(int64(report.Size(next)))
+			_ = socket.Send(next, to)
 			select {
 			case <-done:
 				return
-			case <-time.After(time.Until(began.Add(time.Duration(i) * pause))):
+			case <-time.After(report.Interval(len(rows), reporters[from].Bytes()) / time.Duration(len(rows))):
 			}
-			datagram := loadReport(rows[i%len(rows)], uint64(i+1))
-			bytes += report.Size(datagram)
-			_ = socket.Send(datagram, to)
 		}
 	}()
+	time.Sleep(settle)
+	began, before := time.Now(), bytes.Load()
 	return func() {
+		b.ReportMetric(float64(bytes.Load()-before)/time.Since(began).Seconds(), "report-B/s")
+		b.ReportMetric(report.Interval(len(rows), reporters[0].Bytes()).Seconds(), "report-interval-s")
 		close(done)
 		<-ended
-		b.ReportMetric(float64(bytes)/time.Since(began).Seconds(), "report-B/s")
 		_ = socket.Close()
 	}
 }
 
-func loadReport(row carawayspread.Instance, sequence uint64) *control.LoadReport {
+func loadsOf(row carawayspread.Instance) []*control.EndpointLoad {
 	loads := []*control.EndpointLoad{}
 	for _, e := range row.Endpoints {
 		loads = append(loads, &control.EndpointLoad{
-			EndpointHash: report.Hash(e.ID), Running: 12, Waiting: 3, Slots: 16, Role: "both",
+			Endpoint: string(e.ID), Running: 12, Waiting: 3, Slots: 16, Role: "both",
 			PrefillRate: 20000, DecodeRate: 3200, AgeMs: 500,
 		})
 	}
-	return &control.LoadReport{Instance: row.ID, Sequence: sequence, ConfigVersion: 1, Endpoints: loads}
+	return loads
 }
--- a/internal/connection/report/report.go
+++ b/internal/connection/report/report.go
@@ -3,9 +3,9 @@
 //
 // Load pattern: every entry hears of every endpoint every few seconds. A
 // report is a hint: a lost one is replaced by the next, and one that arrives
-// late or out of order is dropped. Endpoints are named by a hash of four bytes
-// and models only travel when they changed, since 325 sidecars share the 4
-// KB/s that an entry may receive.
+// late or out of order is dropped. Endpoints are named by a hash of four bytes,
+// and what seldom changes travels in few of the reports, since 325 sidecars
+// share the 4 KB/s that an entry may receive.
 package report
 
 import (
@@ -24,10 +24,9 @@
 
 const (
 	datagramLimit = 1400 // bytes; fits into one packet
-	// datagramBytes is the size of a usual report with its packet header, and
-	// inboundBudget what an entry spends on reports of its 4 KB/s.
-	datagramBytes = 100
-	inboundBudget = 3000
+	// inboundBudget is what an entry spends on reports of its 4 KB/s. Polls of
+	// the configuration and of the instance list take the rest.
+	inboundBudget = 2500
 	shortest      = time.Second
 )
 
@@ -35,9 +34,10 @@
 func Hash(id carawayspread.EndpointID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
 
 // Interval returns the time between two reports of a sidecar, such that all
-// sidecars together stay within an entry's budget.
-func Interval(sidecars int) time.Duration {
-	interval := time.Duration(sidecars) * datagramBytes * time.Second / inboundBudget
+// sidecars together stay within an entry's budget where each report takes so
+// many bytes on the network.
+func Interval(sidecars, bytes int) time.Duration {
+	interval := time.Duration(sidecars) * time.Duration(bytes) * time.Second / inboundBudget
 	return max(shortest, interval)
 }
 
--- a/internal/connection/report/report_test.go
+++ b/internal/connection/report/report_test.go
@@ -22,21 +22,21 @@
 
 func TestIntervalKeepsTheBudget(t *testing.T) {
 	tests := map[string]struct {
-		sidecars int
-		want     time.Duration
+		sidecars, bytes int
+		want            time.Duration
 	}{
-		"today":       {sidecars: 23, want: time.Second},
-		"target size": {sidecars: 325, want: 325 * time.Second / 30},
+		"today":       {sidecars: 23, bytes: 100, want: time.Second},
+		"target size": {sidecars: 325, bytes: 100, want: 13 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Check(t, Interval(test.sidecars).Round(time.Millisecond), qt.Equals, test.want.Round(time.Millisecond))
+			qt.Check(t, Interval(test.sidecars, test.bytes).Round(time.Millisecond), qt.Equals, test.want.Round(time.Millisecond))
 		})
 	}
 }
 
 func FuzzDecode(f *testing.F) {
-	datagram, _ := proto.Marshal(&control.LoadReport{Instance: "a", Sequence: 1, Endpoints: []*control.EndpointLoad{{Slots: 4}}})
+	datagram, _ := proto.Marshal(&control.LoadReport{Instance: "a", Sequence: 1, Endpoints: []*control.EndpointState{{Slots: 4}}})
 	f.Add(datagram)
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, datagram []byte) {
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -21,6 +21,7 @@
 	"carawayspread/internal/process/base"
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/fleet"
+	"carawayspread/internal/process/loads"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/trial"
 	"carawayspread/internal/process/watch"
@@ -37,6 +38,7 @@
 	reports *report.Socket
 	ledger  *ledger.Ledger
 	known   atomic.Pointer[directory]
+	loads   *loads.Loads // used by reported alone
 	routed  atomic.Int64 // endpoints that the entry was given
 	mu      sync.Mutex   // serialises updates of the entry's endpoints
 }
@@ -49,7 +51,7 @@
 
 // New opens the daemon's addresses.
 func New(b *base.Base, opts ...entry.Option) (*Daemon, error) {
-	d := &Daemon{base: b}
+	d := &Daemon{base: b, loads: loads.New()}
 	d.known.Store(&directory{})
 	s := b.Settings()
 	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
@@ -174,31 +176,47 @@
 	d.update()
 }
 
+// reported passes a load report on. Its calls do not overlap. The loads are
+// those that the sidecar counted itself when it sent the report.
 func (d *Daemon) reported(r *control.LoadReport) {
 	d.base.Config().Heard(carawayspread.Version(r.GetConfigVersion()))
+	if !d.loads.Complete(r) {
+		return
+	}
 	byHash := d.known.Load().byHash[r.GetInstance()]
 	now := d.base.Clock().Now()
-	for _, load := range r.GetEndpoints() {
-		endpoint, ok := byHash[load.GetEndpointHash()]
-		if !ok {
-			continue
+	for i, state := range r.GetEndpoints() {
+		if endpoint, ok := byHash[state.GetEndpointHash()]; ok {
+			d.entry.Reported(endpoint.Service, reportOf(r, i, endpoint.ID, now))
 		}
-		d.entry.Reported(endpoint.Service, carawayspread.Report{
-			Endpoint:    endpoint.ID,
-			Taken:       now.Add(-time.Duration(load.GetAgeMs()) * time.Millisecond),
-			Running:     int(load.GetRunning()),
-			Waiting:     int(load.GetWaiting()),
-			Slots:       max(1, int(load.GetSlots())),
-			Role:        carawayspread.Role(load.GetRole()),
-			Models:      load.GetModels(),
-			Draining:    load.GetDraining() || r.GetDraining(),
-			Crashed:     load.GetCrashed(),
-			PrefillRate: float64(load.GetPrefillRate()),
-			DecodeRate:  float64(load.GetDecodeRate()),
-		})
 	}
 }
 
+// reportOf returns the report of the endpoint at that place.
+func reportOf(r *control.LoadReport, i int, id carawayspread.EndpointID, now time.Time) carawayspread.Report {
+	state := r.GetEndpoints()[i]
+	seen := carawayspread.Report{
+		Endpoint:    id,
+		Taken:       now,
+		Running:     int(r.GetRunning()[i]),
+		Slots:       max(1, int(state.GetSlots())),
+		Role:        report.DecodeRole(state.GetRole()),
+		Models:      state.GetModels(),
+		Draining:    r.GetDraining(),
+		PrefillRate: float64(state.GetPrefillRate()),
+		DecodeRate:  float64(state.GetDecodeRate()),
+	}
+	if len(r.GetWaiting()) > 0 {
+		seen.Waiting = int(r.GetWaiting()[i])
+	}
+	if len(r.GetFlags()) > 0 {
+		flag := r.GetFlags()[i]
+		seen.Draining = seen.Draining || flag&control.EndpointFlag_ENDPOINT_FLAG_DRAINING != 0
+		seen.Crashed = flag&control.EndpointFlag_ENDPOINT_FLAG_CRASHED != 0
+	}
+	return seen
+}
+
 // Instance returns the daemon's row of the instance list, with the addresses
 // that are really open.
 func (d *Daemon) Instance() carawayspread.Instance {
--- /dev/null
+++ b/internal/process/reporter/reporter.go
@@ -0,0 +1,153 @@
+// Package reporter makes the load reports of a sidecar: most carry the load
+// alone, and a full one with what seldom changes comes now and then.
+//
+// Grounds for its figures: four endpoints take 70 bytes in a partial report and
+// 120 or more in a full one. With a full one in six an entry that lost one is
+// without the sidecar's load for at most five reports.
+package reporter
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/report"
+)
+
+const (
+	// fullEvery is the number of reports among which one is full.
+	fullEvery = 6
+	// repeats is how many full reports in a row tell of a change, since one
+	// may be lost.
+	repeats = 2
+	// rateChange is the part by which a measured rate must change to be told
+	// before the next full report; rates swing with every prompt.
+	rateChange = 0.2
+)
+
+// Reporter makes the reports of one sidecar. It is safe for concurrent use.
+type Reporter struct {
+	instance string
+
+	mu        sync.Mutex
+	sequence  uint64 // of the last report; starts at the time of the start
+	sinceFull uint32 // reports since the full one
+	owed      int    // full reports that are still to be sent at once
+	told      []*control.EndpointState
+	fullBytes int // size of the last full report; zero before the first
+	loadBytes int // size of the last report without endpoints
+}
+
+// New returns the reporter of an instance that starts now. A sidecar that is
+// started again counts on above its predecessor, which made fewer than a
+// thousand reports a second.
+func New(instance string, now time.Time) *Reporter {
+	return &Reporter{instance: instance, sequence: uint64(now.UnixMilli()), owed: repeats}
+}
+
+// Renew makes the next reports full ones, for entries that are new.
+func (r *Reporter) Renew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.owed = repeats
+}
+
+// Next returns the next report. The loads are always in the same order.
+func (r *Reporter) Next(loads []*control.EndpointLoad, held carawayspread.Version, draining bool) *control.LoadReport {
+	next := &control.LoadReport{Instance: r.instance, ConfigVersion: uint64(held), Draining: draining}
+	addLoads(next, loads)
+	states := statesOf(loads)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	next.Sequence = r.sequence
+	if !slices.EqualFunc(r.told, states, same) {
+		r.owed = repeats
+	}
+	r.loadBytes = report.Size(next)
+	if r.owed > 0 || r.sinceFull+1 >= fullEvery {
+		r.makeFull(next, states)
+		return next
+	}
+	r.sinceFull++
+	next.SinceFull = r.sinceFull
+	return next
+}
+
+// makeFull makes the report a full one. The caller holds mu.
+func (r *Reporter) makeFull(next *control.LoadReport, states []*control.EndpointState) {
+	next.Endpoints = states
+	r.told = states
+	r.sinceFull = 0
+	r.owed = max(0, r.owed-1)
+	r.fullBytes = report.Size(next)
+}
+
+// Bytes returns the mean size of the reports on the network.
+func (r *Reporter) Bytes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return (r.fullBytes + (fullEvery-1)*r.loadBytes) / fullEvery
+}
+
+func addLoads(to *control.LoadReport, loads []*control.EndpointLoad) {
+	waits, flagged := false, false
+	for _, load := range loads {
+		to.Running = append(to.Running, load.GetRunning())
+		to.Waiting = append(to.Waiting, load.GetWaiting())
+		to.Flags = append(to.Flags, flagOf(load))
+		waits = waits || load.GetWaiting() > 0
+		flagged = flagged || flagOf(load) != control.EndpointFlag_ENDPOINT_FLAG_NONE
+	}
+	if !waits {
+		to.Waiting = nil
+	}
+	if !flagged {
+		to.Flags = nil
+	}
+}
+
+func flagOf(load *control.EndpointLoad) control.EndpointFlag {
+	flag := control.EndpointFlag_ENDPOINT_FLAG_NONE
+	if load.GetDraining() {
+		flag |= control.EndpointFlag_ENDPOINT_FLAG_DRAINING
+	}
+	if load.GetCrashed() {
+		flag |= control.EndpointFlag_ENDPOINT_FLAG_CRASHED
+	}
+	return flag
+}
+
+func statesOf(loads []*control.EndpointLoad) []*control.EndpointState {
+	states := make([]*control.EndpointState, len(loads))
+	for i, load := range loads {
+		states[i] = &control.EndpointState{
+			EndpointHash: report.Hash(carawayspread.EndpointID(load.GetEndpoint())),
+			Slots:        load.GetSlots(),
+			Role:         report.EncodeRole(carawayspread.Role(load.GetRole())),
+			PrefillRate:  load.GetPrefillRate(),
+			DecodeRate:   load.GetDecodeRate(),
+			Models:       load.GetModels(),
+		}
+	}
+	return states
+}
+
+// same reports whether the next full report may be waited for.
+func same(told, state *control.EndpointState) bool {
+	if !near(told.GetPrefillRate(), state.GetPrefillRate()) || !near(told.GetDecodeRate(), state.GetDecodeRate()) {
+		return false
+	}
+	compared := proto.CloneOf(state)
+	compared.PrefillRate, compared.DecodeRate = told.GetPrefillRate(), told.GetDecodeRate()
+	return proto.Equal(told, compared)
+}
+
+func near(told, rate float32) bool {
+	return math.Abs(float64(rate-told)) <= rateChange*math.Abs(float64(told))
+}
--- a/internal/process/sidecar/load.go
+++ b/internal/process/sidecar/load.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"carawayspread/internal/connection/control"
-	"carawayspread/internal/connection/report"
 )
 
 // probeEvery is the time between two readings of an endpoint's state.
@@ -46,17 +45,16 @@
 func (w *worker) load(now time.Time) *control.EndpointLoad {
 	seen := w.state.Load()
 	load := &control.EndpointLoad{
-		Endpoint:     string(w.spec.ID),
-		EndpointHash: report.Hash(w.spec.ID),
-		Running:      uint32(max(0, w.running.Load())),
-		Waiting:      uint32(max(0, w.waiting.Load())),
-		Slots:        uint32(w.spec.Slots),
-		Role:         string(seen.state.Role),
-		PrefillRate:  float32(seen.state.PrefillRate),
-		DecodeRate:   float32(seen.state.DecodeRate),
-		Crashed:      w.down.Load(),
-		Draining:     w.draining.Load(),
-		Models:       seen.state.Models,
+		Endpoint:    string(w.spec.ID),
+		Running:     uint32(max(0, w.running.Load())),
+		Waiting:     uint32(max(0, w.waiting.Load())),
+		Slots:       uint32(w.spec.Slots),
+		Role:        string(seen.state.Role),
+		PrefillRate: float32(seen.state.PrefillRate),
+		DecodeRate:  float32(seen.state.DecodeRate),
+		Crashed:     w.down.Load(),
+		Draining:    w.draining.Load(),
+		Models:      seen.state.Models,
 	}
 	if !seen.at.IsZero() {
 		load.AgeMs = uint32(now.Sub(seen.at).Milliseconds())
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"github.com/google/uuid"
@@ -17,6 +18,7 @@
 	"carawayspread/internal/connection/report"
 	"carawayspread/internal/process/attempts"
 	"carawayspread/internal/process/base"
+	"carawayspread/internal/process/reporter"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/process/sidecar"
 	"carawayspread/internal/process/trial"
@@ -32,15 +34,15 @@
 	control  *server.Server
 	reports  *report.Socket
 	entries  atomic.Pointer[[]netip.AddrPort]
-	sidecars atomic.Int64  // sidecars in the instance list
-	sequence atomic.Uint64 // of load reports; starts at the time of the start
+	sidecars atomic.Int64 // sidecars in the instance list
+	reporter *reporter.Reporter
 	nudge    chan struct{} // asks for a report at once
 }
 
 // New opens the daemon's addresses.
 func New(b *base.Base) (*Daemon, error) {
 	d := &Daemon{base: b, nudge: make(chan struct{}, 1)}
-	d.sequence.Store(uint64(b.Clock().Now().UnixNano()))
+	d.reporter = reporter.New(b.Settings().ID(), b.Clock().Now())
 	d.entries.Store(&[]netip.AddrPort{})
 	s := b.Settings()
 	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithHeard(b.Config().Heard),
@@ -108,7 +110,9 @@
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
 	entries := watch.Controls(instances, carawayspread.InstanceEntry)
-	d.entries.Store(&entries)
+	if old := d.entries.Swap(&entries); !slices.Equal(*old, entries) {
+		d.reporter.Renew()
+	}
 	d.sidecars.Store(int64(len(watch.Controls(instances, carawayspread.InstanceSidecar))))
 	for _, instance := range instances {
 		if instance.ID == d.base.Settings().ID() && instance.State == carawayspread.InstanceLeaving && !d.sidecar.Draining() {
@@ -122,7 +126,7 @@
 	for {
 		d.report()
 		select {
-		case <-d.base.Clock().After(report.Interval(int(d.sidecars.Load()))):
+		case <-d.base.Clock().After(report.Interval(int(d.sidecars.Load()), d.reporter.Bytes())):
 		case <-d.nudge:
 		case <-ctx.Done():
 			return ctx.Err()
@@ -131,17 +135,8 @@
 }
 
 func (d *Daemon) report() {
-	loads := d.sidecar.Load()
-	for _, load := range loads {
-		load.Endpoint = ""
-	}
-	err := d.reports.Send(&control.LoadReport{
-		Instance:      d.base.Settings().ID(),
-		Sequence:      d.sequence.Add(1),
-		ConfigVersion: uint64(d.base.Config().Held().Version()),
-		Draining:      d.sidecar.Draining(),
-		Endpoints:     loads,
-	}, *d.entries.Load())
+	next := d.reporter.Next(d.sidecar.Load(), d.base.Config().Held().Version(), d.sidecar.Draining())
+	err := d.reports.Send(next, *d.entries.Load())
 	if err != nil {
 		d.base.Log().WithError(err).Warn("report not sent")
 	}
