Load of an endpoint rides on its answers

Cause: reports within 4 KB/s come every 10 s at 325 sidecars; an entry hears late of the endpoints that it uses. Change: the sidecar states running, waiting and slots in a header of each answer; the lane renews the last report with them. Role, models, drain and crash are left to reports. The header is optional. Not measured: what it adds to goodput.

--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -47,6 +47,7 @@
 	Status int
 	Header http.Header
 	Length int64 // -1 when the endpoint did not announce it
+	Load   *Load // nil when the sidecar did not tell it
 	Body   io.ReadCloser
 }
 
@@ -115,7 +116,7 @@
 		_ = body.Close()
 		return nil, carawayspread.NewError(carawayspread.CodeEndpointFailed, "the answer belongs to another attempt")
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announced(resp), Body: body}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announced(resp), Load: ParseLoad(resp.Header), Body: body}, nil
 }
 
 func (c *Client) transport(a Attempt) *http.Transport {
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -93,6 +93,9 @@
 	}
 	defer func() { _ = got.Body.Close() }()
 	firstByte := e.clock.Now()
+	if got.Load != nil {
+		place.Loaded(got.Load.Running, got.Load.Waiting, got.Load.Slots)
+	}
 	if failure := answerFailure(got, c); failure != nil {
 		return failure, firstByte
 	}
--- a/internal/process/lane/lane.go
+++ b/internal/process/lane/lane.go
@@ -42,6 +42,9 @@
 type slot struct {
 	limiter carawayspread.Limiter
 	taken   atomic.Int64
+
+	mu   sync.Mutex           // serialises what the router is told of the endpoint
+	last carawayspread.Report // zero before the first report; guarded by mu
 }
 
 func (s *slot) full() bool { return s.taken.Load() >= int64(s.limiter.Limit()) }
@@ -94,9 +97,6 @@
 	l.Tick()
 }
 
-// Reported passes a load report to the router.
-func (l *Lane) Reported(report carawayspread.Report) { l.modules.Router.Reported(report) }
-
 // Budget returns the retry budget of the service.
 func (l *Lane) Budget() carawayspread.RetryBudget { return l.modules.Budget }
 
--- /dev/null
+++ b/internal/process/lane/load.go
@@ -0,0 +1,42 @@
+package lane
+
+import "carawayspread"
+
+// Reported passes a load report to the router. The reports of an endpoint must
+// come in order.
+func (l *Lane) Reported(report carawayspread.Report) {
+	slot, ok := l.fleet.Load().slots[report.Endpoint]
+	if !ok {
+		l.modules.Router.Reported(report)
+		return
+	}
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	// Failure: a load from an answer was told while this report waited here.
+	// Symptom: the router takes the report for the older one and drops it with
+	// its mark that the endpoint drains. It is dated after that load.
+	if !report.Taken.After(slot.last.Taken) {
+		report.Taken = slot.last.Taken.Add(1)
+	}
+	slot.last = report
+	l.modules.Router.Reported(report)
+}
+
+// Loaded tells the load that came with an answer. It renews the last report,
+// which says what an answer does not: role, models, rates and drain.
+//
+// A crash is cleared by a report alone, since the answer may have begun before.
+// Without any report nothing is told: a report that names no models would draw
+// the work of every model to the endpoint.
+func (p *Place) Loaded(running, waiting, slots int) {
+	p.slot.mu.Lock()
+	defer p.slot.mu.Unlock()
+	now := p.lane.clock.Now()
+	if p.slot.last.Endpoint == "" || p.slot.last.Crashed || !now.After(p.slot.last.Taken) {
+		return
+	}
+	next := p.slot.last
+	next.Taken, next.Running, next.Waiting, next.Slots = now, running, waiting, slots
+	p.slot.last = next
+	p.lane.modules.Router.Reported(next)
+}
--- a/internal/process/sidecar/load.go
+++ b/internal/process/sidecar/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/sidecarhttp"
 )
 
 // probeEvery is the time between two readings of an endpoint's state.
@@ -61,3 +62,8 @@
 	}
 	return load
 }
+
+// onAnswer returns the load that travels with an answer.
+func (w *worker) onAnswer() sidecarhttp.Load {
+	return sidecarhttp.Load{Running: int(max(0, w.running.Load())), Waiting: int(max(0, w.waiting.Load())), Slots: w.spec.Slots}
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -119,7 +119,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	end := s.answer(w, r, resp)
+	end := s.answer(w, r, worker, resp)
 	if end == sidecarhttp.EndCut && r.Context().Err() == nil && s.crashed(worker, life) {
 		end = sidecarhttp.EndCrashed
 	}
@@ -179,13 +179,14 @@
 }
 
 // answer copies the endpoint's answer and says how it ended.
-func (s *Sidecar) answer(w http.ResponseWriter, r *http.Request, resp *http.Response) string {
+func (s *Sidecar) answer(w http.ResponseWriter, r *http.Request, worker *worker, resp *http.Response) string {
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
 	}
 	header.Del("Content-Length")
 	header.Set(sidecarhttp.HeaderAttempt, r.Header.Get(sidecarhttp.HeaderAttempt))
+	worker.onAnswer().Write(header)
 	if resp.ContentLength >= 0 {
 		header.Set(sidecarhttp.HeaderLength, strconv.FormatInt(resp.ContentLength, 10))
 	}
