--- a/internal/process/lane/demand.go
+++ b/internal/process/lane/demand.go
@@ -61,7 +61,7 @@
 	engines := make([]carawayspread.RoleState, 0, len(known.slots))
 	for id, slot := range known.slots {
 		state := carawayspread.RoleState{Endpoint: id, Role: carawayspread.RoleBoth, Leaving: true}
-		if seen := slot.seen.Load(); seen != nil {
+		if seen := slot.lastReport(); !seen.Taken.IsZero() {
 			state.Leaving = known.endpoints[id].Leaving() || seen.Draining || seen.Crashed || now.Sub(seen.Taken) > silentAfter
 			state.Running = seen.Running
 			state.PrefillRate, state.DecodeRate = seen.PrefillRate, seen.DecodeRate
