Operators are named by the system's user where no variable names them

Cause: the README's first change of a target failed where USER is not set: the actor was missing. Ruled out: an unnamed actor, which the audit trail must not have.

--- a/internal/process/operator/operator.go
+++ b/internal/process/operator/operator.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os/user"
 	"strings"
 	"time"
 
@@ -49,11 +50,20 @@
 func commonFlags(more ...cli.Flag) []cli.Flag {
 	return append(more,
 		&cli.StringFlag{Name: flagServer, Value: defaultServer, EnvVars: []string{"CARAWAYSPREAD_SERVER"}, DefaultText: defaultServer, Usage: "the administration API of any entry"},
-		&cli.StringFlag{Name: flagActor, EnvVars: []string{"CARAWAYSPREAD_ACTOR", "USER"}, DefaultText: "your user name", Usage: "who asks; kept in the audit trail"},
+		&cli.StringFlag{Name: flagActor, EnvVars: []string{"CARAWAYSPREAD_ACTOR"}, Value: userName(), DefaultText: "your user name", Usage: "who asks; kept in the audit trail"},
 		&cli.BoolFlag{Name: flagJSON, Usage: "print the answer as JSON"},
 	)
 }
 
+// userName returns the name of who runs the command; empty where the system
+// knows none, and the API then asks for one.
+func userName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
 // changeFlags are taken by every command that makes a change.
 func changeFlags(more ...cli.Flag) []cli.Flag {
 	return commonFlags(append(more,
