--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -80,7 +80,7 @@
 	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
 		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
 	}
-	if w.draining.Load() {
+	if w.closed() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
 	if refusal := s.judge(r, w.spec.ID); refusal != nil {
@@ -99,6 +99,7 @@
 // run passes the request on. From here on only an endpoint that was never
 // connected proves that the request has not run.
 func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, worker *worker, path string) {
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	fingerprint := fingerprintOf(r)
 	life := worker.life()
 	worker.began(fingerprint, isTrial(r))
@@ -119,7 +120,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	end := s.answer(w, r, resp)
+	end := s.answer(w, r, worker, resp)
 	if end == sidecarhttp.EndCut && r.Context().Err() == nil && s.crashed(worker, life) {
 		end = sidecarhttp.EndCrashed
 	}
@@ -137,11 +138,7 @@
 }
 
 func (s *Sidecar) outgoing(ctx context.Context, r *http.Request, worker *worker, path string) (*http.Request, error) {
-	body := io.Reader(r.Body)
-	if r.ContentLength == 0 {
-		body = nil
-	}
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+worker.spec.Address+path, body)
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+worker.spec.Address+path, outgoingBody(r))
 	if err != nil {
 		return nil, err
 	}
@@ -155,6 +152,24 @@
 	return req, nil
 }
 
+// outgoingBody returns the body of r for the endpoint.
+//
+// Failure: a transport that has sent the announced bytes reads once more, to
+// see the body's end; once the answer has begun, that read of a served request
+// fails. Symptom: the transport closes the connection under the answer, which
+// ends early. The reader here ends by itself after the announced bytes, so that
+// nothing is read once more, and the server leaves the body alone (see run).
+func outgoingBody(r *http.Request) io.Reader {
+	switch {
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength > 0:
+		return io.NopCloser(io.LimitReader(r.Body, r.ContentLength))
+	default:
+		return r.Body
+	}
+}
+
 type roundTrip struct {
 	resp *http.Response
 	err  error
@@ -179,13 +194,14 @@
 }
 
 // answer copies the endpoint's answer and says how it ended.
-func (s *Sidecar) answer(w http.ResponseWriter, r *http.Request, resp *http.Response) string {
+func (s *Sidecar) answer(w http.ResponseWriter, r *http.Request, worker *worker, resp *http.Response) string {
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
 	}
 	header.Del("Content-Length")
 	header.Set(sidecarhttp.HeaderAttempt, r.Header.Get(sidecarhttp.HeaderAttempt))
+	worker.onAnswer().Write(header)
 	if resp.ContentLength >= 0 {
 		header.Set(sidecarhttp.HeaderLength, strconv.FormatInt(resp.ContentLength, 10))
 	}
