hashRouter: candidates by role

Ruled out: load alone (the pair must hold a fitting engine first). Change: Job.Phase says which part an attempt asks for; pools of members by role. Test seen red without the pools.

--- a/internal/measure/entry_test.go
+++ b/internal/measure/entry_test.go
@@ -177,7 +177,12 @@
 // place sends a call to an engine whose role is not the one named. An answer
 // that has begun goes before the limit: it can't be refused any more.
 func (e *entry) place(c *call, not carawayspread.Role) bool {
-	choice := e.router.Pick(c.job, func(id carawayspread.EndpointID) carawayspread.Standing {
+	job := *c.job
+	job.Phase = carawayspread.RolePrefill
+	if not == carawayspread.RolePrefill {
+		job.Phase = carawayspread.RoleDecode
+	}
+	choice := e.router.Pick(&job, func(id carawayspread.EndpointID) carawayspread.Standing {
 		switch k := e.known[id]; {
 		case k.Role == not || k.Draining || !e.ejector.Allowed(id):
 			return carawayspread.StandingOut
--- a/internal/process/hashrouter/doc.go
+++ b/internal/process/hashrouter/doc.go
@@ -17,6 +17,10 @@
 // as displaced. A lost endpoint keeps its place for ten minutes, or its work
 // would silently get new candidates and a harmful request new victims.
 //
+// Where engines have roles, the candidates of each phase come from the engines
+// that take it: long prompts from those that only prefill, then those with both
+// roles; answers that are handed over from those that decode.
+//
 // With nothing new: a report loses its weight over 15 s, after which own
 // attempts alone count; a draining mark stays until a newer report; a crash is
 // believed for 30 s. After an hour the two candidates are still the same.
--- a/internal/process/hashrouter/endpoint.go
+++ b/internal/process/hashrouter/endpoint.go
@@ -26,7 +26,7 @@
 }
 
 // hear keeps the newer of two reports, since datagrams overtake one another.
-// It reports whether the resident models changed.
+// It reports whether the role or the resident models changed.
 func (e *endpoint) hear(report carawayspread.Report) bool {
 	if report.Crashed {
 		e.crashed.Store(report.Taken.UnixNano())
@@ -38,7 +38,10 @@
 			return false
 		}
 		if e.last.CompareAndSwap(last, next) {
-			return last == nil && report.Models != nil || last != nil && !slices.Equal(last.report.Models, report.Models)
+			if last == nil {
+				return report.Models != nil || report.Role != ""
+			}
+			return report.Role != last.report.Role || !slices.Equal(last.report.Models, report.Models)
 		}
 	}
 }
@@ -74,6 +77,15 @@
 	return last.report.Crashed && now.Sub(last.report.Taken) < crashLife
 }
 
+// role returns the reported role; an endpoint that reported none takes all.
+func (e *endpoint) role() carawayspread.Role {
+	last := e.last.Load()
+	if last == nil || last.report.Role == "" {
+		return carawayspread.RoleBoth
+	}
+	return last.report.Role
+}
+
 // holds reports whether the model is resident, as far as known.
 func (e *endpoint) holds(model string) bool {
 	last := e.last.Load()
--- /dev/null
+++ b/internal/process/hashrouter/roles_test.go
@@ -0,0 +1,51 @@
+package hashrouter
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+// Half of the engines only prefill. An answer that is handed over must reach an
+// engine that decodes without being displaced, since a displaced job asks the
+// table for a trial first, and a long prompt goes to one that only prefills.
+func TestPickByRole(t *testing.T) {
+	roles := map[carawayspread.EndpointID]carawayspread.Role{}
+	var ids []carawayspread.EndpointID
+	for n := range 8 {
+		id := carawayspread.EndpointID(fmt.Sprint("e", n))
+		ids = append(ids, id)
+		roles[id] = []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleBoth}[n%2]
+	}
+	r, clock := newTestRouter(1, ids...)
+	for range 2 {
+		clock.Advance(rebuildAfter)
+		for _, id := range ids {
+			r.Reported(carawayspread.Report{Endpoint: id, Taken: clock.Now(), Slots: 8, Role: roles[id]})
+		}
+	}
+	tests := map[string]struct {
+		phase   carawayspread.Role
+		prefill int
+		want    carawayspread.Role
+	}{
+		"whole":        {prefill: 2 * long, want: carawayspread.RoleBoth},
+		"answer":       {phase: carawayspread.RoleDecode, want: carawayspread.RoleBoth},
+		"short prompt": {phase: carawayspread.RolePrefill, prefill: long / 8, want: carawayspread.RoleBoth},
+		"long prompt":  {phase: carawayspread.RolePrefill, prefill: 2 * long, want: carawayspread.RolePrefill},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for n := range uint64(200) {
+				job := &carawayspread.Job{Phase: test.phase, Prefix: n % 16, Fingerprint: n}
+				job.Cost.Prefill = test.prefill
+				choice := r.Pick(job, without())
+				qt.Assert(t, choice.Displaced, qt.IsFalse)
+				qt.Assert(t, roles[choice.Endpoint], qt.Equals, test.want)
+			}
+		})
+	}
+}
--- a/internal/process/hashrouter/router.go
+++ b/internal/process/hashrouter/router.go
@@ -126,8 +126,9 @@
 		return carawayspread.Choice{}
 	}
 	p := pick{snapshot: s, job: job, standing: standing, now: r.clock.Now()}
-	rings := s.rings(job.Model)
-	first, second := r.candidates(rings.current, job)
+	near, far := s.pools(job)
+	home, other := near.rings(job.Model), far.rings(job.Model)
+	first, second := r.candidates(home.current, other.current, job)
 	a, b := p.ask(first), p.ask(second)
 	chosen := first
 	switch {
@@ -139,20 +140,20 @@
 	case a == carawayspread.StandingBusy || b == carawayspread.StandingBusy:
 		return carawayspread.Choice{Wait: true}
 	default:
-		return p.displaced(rings.current, s.all.current)
+		return p.displaced(home.current, s.any.all.current)
 	}
-	return carawayspread.Choice{Endpoint: chosen.id, Displaced: r.replaced(&p, rings, chosen)}
+	return carawayspread.Choice{Endpoint: chosen.id, Displaced: r.replaced(&p, home, other, chosen)}
 }
 
 // replaced reports whether the chosen endpoint took the place of a candidate
 // that was lost or crashed lately. A newcomer changes the candidates of some
 // fingerprints; without this a harmful request that brought down its own two
 // would get the newcomer as a third.
-func (r *Router) replaced(p *pick, rings rings, chosen *endpoint) bool {
-	if rings.settled == rings.current {
+func (r *Router) replaced(p *pick, home, other rings, chosen *endpoint) bool {
+	if home.settled == home.current && other.settled == other.current {
 		return false
 	}
-	first, second := r.candidates(rings.settled, p.job)
+	first, second := r.candidates(home.settled, other.settled, p.job)
 	if chosen == first || chosen == second {
 		return false
 	}
@@ -176,13 +177,13 @@
 // first follows from the prefix, so that its cache is found again. The second
 // also follows from the body: a hot prefix overflows onto many endpoints, and
 // still each of its requests has one second candidate.
-func (r *Router) candidates(ring *ring, job *carawayspread.Job) (first, second *endpoint) {
+func (r *Router) candidates(home, other *ring, job *carawayspread.Job) (first, second *endpoint) {
 	if job.Prefix == 0 {
-		first = ring.after(mix(job.Fingerprint, 0))
-		return first, ring.after(mix(job.Fingerprint, 1), first)
+		first = home.after(mix(job.Fingerprint, 0))
+		return first, other.after(mix(job.Fingerprint, 1), first)
 	}
-	first = ring.after(mix(job.Prefix, 0))
-	return first, ring.after(mix(job.Prefix, 1+job.Fingerprint%r.spread), first)
+	first = home.after(mix(job.Prefix, 0))
+	return first, other.after(mix(job.Prefix, 1+job.Fingerprint%r.spread), first)
 }
 
 // lighter chooses between two available candidates.
--- a/internal/process/hashrouter/snapshot.go
+++ b/internal/process/hashrouter/snapshot.go
@@ -30,24 +30,77 @@
 type snapshot struct {
 	byID   map[carawayspread.EndpointID]*member
 	listed int // members that are not lost
-	all    rings
-	// byModel holds the rings of each model that reports name, with the members
-	// whose models are not known: after a start the first report would else
-	// draw all work to one endpoint. A model that no report names is sought on
-	// all.
-	byModel map[string]rings
-	built   time.Time
+	// pools hold the members by what their roles let them take. Those whose
+	// role is not known take everything.
+	whole, prompts, answers, any *pool
+	built                        time.Time
 }
 
 func newSnapshot(byID map[carawayspread.EndpointID]*member, now time.Time) *snapshot {
-	s := &snapshot{byID: byID, byModel: map[string]rings{}, built: now}
-	var all, unknown []*member
-	holders := map[string][]*member{}
+	s := &snapshot{byID: byID, built: now}
+	byRole := map[carawayspread.Role][]*member{}
+	var all []*member
 	for _, m := range byID {
 		all = append(all, m)
 		if m.lost.IsZero() {
 			s.listed++
 		}
+		byRole[m.role()] = append(byRole[m.role()], m)
+	}
+	s.any = newPool(all, now)
+	s.whole, s.prompts, s.answers = s.any, s.any, s.any
+	if len(byRole[carawayspread.RoleBoth]) < len(all) {
+		both := byRole[carawayspread.RoleBoth]
+		s.whole = newPool(both, now)
+		s.prompts = newPool(byRole[carawayspread.RolePrefill], now)
+		s.answers = newPool(append(byRole[carawayspread.RoleDecode], both...), now)
+	}
+	return s
+}
+
+// long is the prompt from which on prefilling stalls the answers of an engine
+// for more than one step.
+const long = 2048
+
+// pools returns where the first and the second candidate of a job come from.
+// Long prompts go to engines that only prefill, while those are not loaded more
+// than one that decodes as well; short ones would wait behind them there.
+func (s *snapshot) pools(job *carawayspread.Job) (first, second *pool) {
+	first, second = s.whole, s.whole
+	switch {
+	case job.Phase == carawayspread.RoleDecode:
+		first, second = s.answers, s.answers
+	case job.Phase == carawayspread.RolePrefill && job.Cost.Prefill >= long:
+		first = s.prompts
+	}
+	if first.size == 0 {
+		first = second
+	}
+	if second.size == 0 {
+		second = first
+	}
+	if first.size == 0 {
+		return s.any, s.any
+	}
+	return first, second
+}
+
+// pool is a set of members with its rings. It is immutable.
+type pool struct {
+	size int
+	all  rings
+	// byModel holds the rings of each model that reports name, with the members
+	// whose models are not known: after a start the first report would else
+	// draw all work to one endpoint. A model that no report names is sought on
+	// all.
+	byModel map[string]rings
+}
+
+func newPool(members []*member, now time.Time) *pool {
+	p := &pool{size: len(members), byModel: map[string]rings{}}
+	var unknown []*member
+	holders := map[string][]*member{}
+	for _, m := range members {
 		last := m.last.Load()
 		if last == nil || last.report.Models == nil {
 			unknown = append(unknown, m)
@@ -57,11 +110,11 @@
 			holders[model] = append(holders[model], m)
 		}
 	}
-	s.all = newRings(all, now)
-	for model, members := range holders {
-		s.byModel[model] = newRings(append(members, unknown...), now)
+	p.all = newRings(members, now)
+	for model, holding := range holders {
+		p.byModel[model] = newRings(append(holding, unknown...), now)
 	}
-	return s
+	return p
 }
 
 func newRings(members []*member, now time.Time) rings {
@@ -80,11 +133,11 @@
 	return r
 }
 
-func (s *snapshot) rings(model string) rings {
-	if r, ok := s.byModel[model]; ok {
+func (p *pool) rings(model string) rings {
+	if r, ok := p.byModel[model]; ok {
 		return r
 	}
-	return s.all
+	return p.all
 }
 
 // next returns the members after the list was read, or nil when nothing
--- a/job.go
+++ b/job.go
@@ -20,6 +20,10 @@
 	Arrived   time.Time
 	Deadline  time.Time // the caller's own; zero means none
 	Cost      Cost
+	// Phase is the part of the work that an attempt asks for: RolePrefill when
+	// another engine may take over the answer, RoleDecode for that one. Empty
+	// means the whole.
+	Phase Role
 	// Prefix is the hash of the leading part of the prompt, for cache locality.
 	Prefix uint64
 	// Fingerprint is the hash of workspace, path and whole body: the same for
