--- a/internal/process/hashrouter/roles_test.go
+++ b/internal/process/hashrouter/roles_test.go
@@ -40,7 +40,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for n := range uint64(200) {
-				job := &carawayspread.Job{Phase: test.phase, Prefix: n % 16, Fingerprint: n}
+				job := &carawayspread.Job{Phase: test.phase, Prefix: 1 + n%16, Fingerprint: n}
 				job.Cost.Prefill = test.prefill
 				choice := r.Pick(job, without())
 				qt.Assert(t, choice.Displaced, qt.IsFalse)
