--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 # The tables of docs/MEASUREMENTS.md, from fixed seeds.
 measure:
 	MEASURE=1 $(GO) test -run TestMeasure -count=1 -v ./internal/measure
+
+# The slopes of docs/CAPACITY.md; four minutes on an idle machine.
+capacity:
+	@bash .ci/capacity
