An instance that cannot be reached is put aside at once

Cause, found while working out what a lost instance costs at 35 entries before 1,300 endpoints: an attempt that met no sidecar counted as a refusal, which the ejector passes over. The endpoint looked idle, went on getting its share until the list dropped it, and the retries used up the retry budget of the service. Ruled out: five failures in a row as for others, since an entry of that size sends to one endpoint three times a minute. Change: such an attempt has an outcome of its own. It ejects at once, shrinks the limit as a failure does, and leaves the trial claim of a suspect open as a refusal does. Callers are still told that it has not run. The line for trial claims has no test of its own.

--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -164,3 +165,23 @@
 	late := f.entry("entry-2")
 	qt.Check(t, stream(late, "x", 3, nil).whole(), qt.IsTrue)
 }
+
+// Every request is answered whole, and the first one alone meets the instance
+// that is gone.
+// A sidecar is killed and stays in the instance list. What is sent there cannot
+// be delivered, so the entry sends it elsewhere and puts the endpoint aside; a
+// trial after some seconds may meet it once more.
+func TestInstanceGoneIsPutAside(t *testing.T) {
+	f := newFleet(t)
+	gone := f.sidecar("sidecar-1", model("engine-1", engine.New()))
+	f.sidecar("sidecar-2", model("engine-2", engine.New()))
+	entry := f.entry("entry-1")
+	gone.kill()
+	for i := range 100 {
+		got := stream(entry, fmt.Sprint(i, " vereda"), 1, nil)
+		qt.Assert(t, got.whole(), qt.IsTrue, qt.Commentf("%d: %s", i, got.body))
+	}
+	entry.signal(terminate)
+	<-entry.ended
+	qt.Check(t, strings.Count(entry.logged(), "attempt failed") <= 3, qt.IsTrue, qt.Commentf("%s", entry.logged()))
+}
--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -152,7 +152,7 @@
 	if !connected {
 		// Without a connection no byte has left this process.
 		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "the endpoint's sidecar cannot be reached",
-			carawayspread.NotRun(), carawayspread.CausedBy(err))
+			carawayspread.NotRun(), carawayspread.CausedBy(errors.Join(ErrUnreachable, err)))
 	}
 	if errors.Is(cause, errStalled) {
 		return carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint's sidecar has fallen silent",
@@ -199,3 +199,7 @@
 // ErrCrashed is in the chain of an error when the endpoint crashed while it
 // ran the request.
 var ErrCrashed = trace.Errorf("the endpoint crashed while it ran the request")
+
+// ErrUnreachable is in the chain of an error when no connection to the sidecar
+// came about.
+var ErrUnreachable = trace.Errorf("no connection to the sidecar")
--- a/internal/process/ejection/doc.go
+++ b/internal/process/ejection/doc.go
@@ -9,7 +9,7 @@
 // and one slow endpoint of twenty spoils one answer in twenty.
 //
 // An endpoint is ejected after five failures in a row, when more than four in
-// ten of its recent attempts failed, at once when it crashed, or when its
+// ten of its recent attempts failed, at once when it crashed or cannot be reached, or when its
 // smoothed latency exceeds three times the median of its peers. The time away
 // starts at five seconds, doubles with each ejection up to five minutes, and
 // is halved again for every five minutes without one. Then single trial
--- a/internal/process/ejection/endpoint.go
+++ b/internal/process/ejection/endpoint.go
@@ -68,13 +68,24 @@
 	if outcome != carawayspread.OutcomeServed {
 		e.row++
 		e.failures++
-		return outcome == carawayspread.OutcomeCrashed || e.row >= rowOfFailures || e.failing()
+		return lost(outcome) || e.row >= rowOfFailures || e.failing()
 	}
 	e.row = 0
 	e.measure(latency.Seconds())
 	return e.slow(median) || e.failing()
 }
 
+// lost reports whether a single attempt is evidence enough.
+//
+// Failure: an instance is gone and the list still names it. Symptom: it looks
+// idle, and every entry keeps sending it a part of its requests, each of which
+// loses the time of a connect and a retry. At 35 entries before 1,300 endpoints
+// an entry sends to one endpoint three times a minute, so that five failures in
+// a row take longer than the list lags.
+func lost(outcome carawayspread.Outcome) bool {
+	return outcome == carawayspread.OutcomeCrashed || outcome == carawayspread.OutcomeUnreachable
+}
+
 func (e *endpoint) failing() bool {
 	return e.outcomes >= enough/2 && e.failures > failingShare*e.outcomes
 }
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -121,6 +121,8 @@
 		return carawayspread.OutcomeServed
 	case ctx.Err() != nil:
 		return carawayspread.OutcomeCancelled
+	case errors.Is(failure, sidecarhttp.ErrUnreachable):
+		return carawayspread.OutcomeUnreachable
 	case failure.NotRun():
 		return carawayspread.OutcomeRefused
 	case errors.Is(failure, sidecarhttp.ErrCrashed):
--- a/internal/process/gradient/limiter.go
+++ b/internal/process/gradient/limiter.go
@@ -82,7 +82,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch outcome {
-	case carawayspread.OutcomeFailed, carawayspread.OutcomeCrashed:
+	case carawayspread.OutcomeFailed, carawayspread.OutcomeCrashed, carawayspread.OutcomeUnreachable:
 		l.fail()
 	case carawayspread.OutcomeServed:
 		if latency > 0 {
--- a/internal/process/trial/claims.go
+++ b/internal/process/trial/claims.go
@@ -173,7 +173,7 @@
 		switch outcome {
 		case carawayspread.OutcomeServed:
 			*s = state{}
-		case carawayspread.OutcomeRefused, carawayspread.OutcomeCancelled:
+		case carawayspread.OutcomeRefused, carawayspread.OutcomeCancelled, carawayspread.OutcomeUnreachable:
 			s.ClaimedBy, s.ClaimEnds = "", time.Time{}
 		default:
 			s.convict(now.Add(c.term))
--- a/job.go
+++ b/job.go
@@ -32,9 +32,10 @@
 
 // Outcomes of attempts.
 const (
-	OutcomeServed    Outcome = iota // whole answer
-	OutcomeRefused                  // proved not run
-	OutcomeFailed                   // ran or may have run, no whole answer
-	OutcomeCrashed                  // the endpoint crashed while it ran
-	OutcomeCancelled                // the caller went away
+	OutcomeServed      Outcome = iota // whole answer
+	OutcomeRefused                    // proved not run
+	OutcomeFailed                     // ran or may have run, no whole answer
+	OutcomeCrashed                    // the endpoint crashed while it ran
+	OutcomeCancelled                  // the caller went away
+	OutcomeUnreachable                // proved not run, as nothing could be sent
 )
