--- a/internal/process/lane/load.go
+++ b/internal/process/lane/load.go
@@ -40,3 +40,10 @@
 	p.slot.last = next
 	p.lane.modules.Router.Reported(next)
 }
+
+// lastReport returns the last report; its time is zero before the first.
+func (s *slot) lastReport() carawayspread.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
