Leaving endpoints, shutdown without the table, and refusals after a cut

Cause: the table of proofs had no test for a leaving endpoint, for a shutdown or a resume while the table is down, and none for a refusal after an attempt that may have run. Change: an endpoint that leaves in any of three ways starts nothing new, also when the table and every load report are lost; the resumed stream and the shutdown run without the table too; a refusal after a cut claims nothing.

--- a/cmd/carawayspread/crash_test.go
+++ b/cmd/carawayspread/crash_test.go
@@ -44,6 +44,7 @@
 	for i := range 12 {
 		got := stream(entries[i%2], engine.CrashMarker, 5, nil)
 		qt.Check(t, got.whole(), qt.IsFalse)
+		qt.Check(t, got.notRun(), qt.Equals, i > 0) // the first one ran
 		last = got.code()
 	}
 	qt.Check(t, last, qt.Equals, string(carawayspread.CodeQuarantined))
--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -65,7 +67,7 @@
 
 // The caller sees one uninterrupted answer.
 // The sidecar that serves it is killed, paused or cut off, or its engine
-// crashes, after the first tokens; the entry sees the cut, or the silence, and has another engine
+// crashes, after the first tokens, most of them while the table is down too; the entry sees the cut, or the silence, and has another engine
 // resume after the last event that the caller has.
 func TestStreamIsResumed(t *testing.T) {
 	tests := map[string]func(e *engine.Engine, sidecar *process){
@@ -76,9 +78,11 @@
 	}
 	for name, fail := range tests {
 		t.Run(name, func(t *testing.T) {
-			_, entry, sidecars := twoEngines(t)
+			f, entry, sidecars := twoEngines(t)
 			want := stream(entry, "municipio", 40, nil)
 			qt.Assert(t, want.whole(), qt.IsTrue, qt.Commentf("%s", want.body))
+			// A crash makes a suspect, whose trial needs the table.
+			f.table.SetDown(name != "engine crashed")
 			got := stream(entry, "municipio", 40, func() {
 				e := busy(sidecars)
 				if e == nil {
@@ -113,12 +117,14 @@
 func TestGracefulShutdownCutsNothing(t *testing.T) {
 	const streams = 20
 	tests := map[string]func(entry *process, sidecars map[*engine.Engine]*process) *process{
-		"sidecar": func(_ *process, sidecars map[*engine.Engine]*process) *process { return sidecars[busy(sidecars)] },
-		"entry":   func(entry *process, _ map[*engine.Engine]*process) *process { return entry },
+		"sidecar":                       func(_ *process, sidecars map[*engine.Engine]*process) *process { return sidecars[busy(sidecars)] },
+		"entry":                         func(entry *process, _ map[*engine.Engine]*process) *process { return entry },
+		"entry while the table is down": func(entry *process, _ map[*engine.Engine]*process) *process { return entry },
 	}
 	for name, choose := range tests {
 		t.Run(name, func(t *testing.T) {
-			_, entry, sidecars := twoEngines(t)
+			f, entry, sidecars := twoEngines(t)
+			f.table.SetDown(name == "entry while the table is down")
 			answers := make([]answer, streams)
 			var running, first sync.WaitGroup
 			first.Add(streams)
@@ -164,3 +170,77 @@
 	late := f.entry("entry-2")
 	qt.Check(t, stream(late, "x", 3, nil).whole(), qt.IsTrue)
 }
+
+// The caller is not told that its request has not run when it may have.
+// The only sidecar is killed while its engine runs the request, so the second
+// attempt finds no endpoint and for itself has rightly not run; the first may
+// have, and the claim is about both.
+func TestRefusalAfterCutDoesNotClaimNotRun(t *testing.T) {
+	f := newFleet(t)
+	e := engine.New(engine.TokenEvery(gap), engine.ChecksFence())
+	sidecar := f.sidecar("sidecar-1", model("engine-1", e))
+	entry := f.entry("entry-1")
+	got := make(chan answer, 1)
+	go func() {
+		got <- call(entry, http.MethodPost, "/v1/completions", "interactive", `{"model":"stand-in","prompt":"x","max_tokens":500}`, nil)
+	}()
+	f.eventually(func() bool { return e.Running() > 0 })
+	sidecar.kill()
+	a := <-got
+	qt.Check(t, a.status >= http.StatusInternalServerError, qt.IsTrue)
+	qt.Check(t, a.notRun(), qt.IsFalse, qt.Commentf("%s", a.body))
+}
+
+// Callers are served and the leaving endpoint starts none of their requests.
+// It is listed as leaving, drained by an operator, or its sidecar is told to
+// end, while a long stream still runs there; the table may be down and every
+// load report may be lost, so that the entry hears of it from refusals alone.
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	ways := map[string]func(f *fleet, entry, sidecar *process){
+		"listed": func(f *fleet, _, sidecar *process) {
+			row := sidecar.row
+			row.State = carawayspread.InstanceLeaving
+			f.list.Put(row)
+		},
+		"drained": func(_ *fleet, entry, sidecar *process) {
+			_ = exec.Command(binary, "drain", "--instance", sidecar.row.ID, "--server", "http://"+entry.admin, "--actor", "ana").Run()
+		},
+		"ended": func(_ *fleet, _, sidecar *process) { sidecar.signal(terminate) },
+	}
+	for way, leave := range ways {
+		for _, lost := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reports and table lost %v", way, lost), func(t *testing.T) {
+				t.Parallel()
+				f, entry, sidecars := twoEngines(t)
+				if lost {
+					row := entry.row
+					row.Control = "127.0.0.1:9"
+					f.list.Put(row)
+					f.table.SetDown(true)
+				}
+				var long sync.WaitGroup
+				begun, kept := make(chan *engine.Engine, 1), answer{}
+				long.Go(func() { kept = stream(entry, "long", 200, func() { begun <- busy(sidecars) }) })
+				e := <-begun
+				leave(f, entry, sidecars[e])
+				f.eventually(func() bool { return !ready(sidecars[e]) })
+				before := e.Starts()
+				for i := range 20 {
+					qt.Check(t, stream(entry, fmt.Sprint("new ", i), 1, nil).whole(), qt.IsTrue)
+				}
+				qt.Check(t, e.Starts(), qt.Equals, before)
+				long.Wait()
+				qt.Check(t, kept.whole(), qt.IsTrue)
+			})
+		}
+	}
+}
+
+func ready(p *process) bool {
+	resp, err := http.Get("http://" + p.row.Control + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -157,3 +157,14 @@
 	defer e.mu.Unlock()
 	return e.crashes
 }
+
+// Starts returns how many requests the engine has started.
+func (e *Engine) Starts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	starts := 0
+	for _, n := range e.runs {
+		starts += n
+	}
+	return starts
+}
