--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -243,6 +243,8 @@
 	}
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
+}
+
 // Every request is answered whole, and the first one alone meets the instance
 // that is gone.
 // A sidecar is killed and stays in the instance list. What is sent there cannot
