Breaker: a refusal says nothing of the caller's request

Cause: the refusal was a carawayspread.Error marked not run. The ledger passes such errors on as final, also where a claim past its deadline could not be turned into unknown: a retry of a request that may have run would have been told "not run". Ruled out: taking the mark off and keeping the type, which is still passed on as the final answer in place of store_unavailable with the ledger's own text. Change: a type of its own that matches ErrUnavailable and names the time to come back; the retry recognises it by that.

--- a/internal/connection/breaker/table.go
+++ b/internal/connection/breaker/table.go
@@ -68,7 +68,7 @@
 
 func (t *Table) guard(ctx context.Context, send func() error) error {
 	if wait := t.admit(); wait > 0 {
-		return refusal(wait)
+		return &refusal{wait: wait}
 	}
 	err := send()
 	t.ended(ctx, err)
@@ -115,8 +115,3 @@
 func answered(err error) bool {
 	return err == nil || errors.Is(err, carawayspread.ErrNoItem) || errors.Is(err, carawayspread.ErrCondition)
 }
-
-func refusal(wait time.Duration) error {
-	return carawayspread.NewError(carawayspread.CodeStoreUnavailable, "the table service is down",
-		carawayspread.NotRun(), carawayspread.RetryAfter(wait), carawayspread.CausedBy(carawayspread.ErrUnavailable))
-}
--- a/internal/connection/retry/table.go
+++ b/internal/connection/retry/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"carawayspread"
 	"carawayspread/internal/connection/backoff"
@@ -63,11 +64,11 @@
 // its own effect and report a failed condition for a write that succeeded.
 func writeAgain(err error) bool { return errors.Is(err, carawayspread.ErrUnavailable) }
 
-// isOutage finds a refusal by the breaker: the store is known to be down, and
-// the caller is told at once.
+// isOutage finds a refusal that names its own time to come back, as the breaker
+// does while the store is known to be down: the caller is told at once.
 func isOutage(err error) bool {
-	typed, ok := carawayspread.AsError(err)
-	return ok && typed.Code() == carawayspread.CodeStoreUnavailable
+	var timed interface{ RetryAfter() time.Duration }
+	return errors.As(err, &timed)
 }
 
 func (t *Table) repeat(ctx context.Context, again func(error) bool, send func() error) error {
