Table stand-in and client: shorter functions, queries start at their key

Read as a newcomer: transact did four things, Close guessed a type, and a limit on response headers was described as one on pages (removed; it bounded nothing that matters). A query read its partition from the start; it starts at the sort key now.

--- a/internal/connection/dynamodb/table.go
+++ b/internal/connection/dynamodb/table.go
@@ -14,16 +14,16 @@
 )
 
 const (
-	defaultTable     = "carawayspread"
-	defaultRegion    = "local"
-	idleConnections  = 16 // one process has few requests in flight; group commit bounds its writes
-	idleConnTimeout  = 90 * time.Second
-	maxResponseBytes = 1 << 20 // the service's own limit on a page
+	defaultTable    = "carawayspread"
+	defaultRegion   = "local"
+	idleConnections = 16 // one process has few requests in flight; group commit bounds its writes
+	idleConnTimeout = 90 * time.Second
 )
 
 // Table is the platform's table service. It is safe for concurrent use.
 type Table struct {
 	client *dynamodb.Client
+	sender *sender
 	name   string // of the one physical table
 }
 
@@ -54,29 +54,27 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
+	sender := &sender{client: &http.Client{Transport: newTransport()}}
 	client := dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(baseURL),
 		Region:       s.region,
 		Credentials:  credentials.NewStaticCredentialsProvider(s.id, s.secret, ""),
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   &sender{client: &http.Client{Transport: newTransport()}},
+		HTTPClient:   sender,
 	})
-	return &Table{client: client, name: s.table}
+	return &Table{client: client, sender: sender, name: s.table}
 }
 
 func newTransport() *http.Transport {
 	return &http.Transport{
-		MaxIdleConnsPerHost:    idleConnections,
-		IdleConnTimeout:        idleConnTimeout,
-		MaxResponseHeaderBytes: maxResponseBytes,
-		DisableCompression:     true,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
 	}
 }
 
 // Close closes idle connections.
-func (t *Table) Close() {
-	t.client.Options().HTTPClient.(*sender).client.CloseIdleConnections()
-}
+func (t *Table) Close() { t.sender.client.CloseIdleConnections() }
 
 // Get reads one item consistently, or returns carawayspread.ErrNoItem.
 func (t *Table) Get(ctx context.Context, key carawayspread.Key) (carawayspread.Item, error) {
--- a/internal/connection/metered/doc.go
+++ b/internal/connection/metered/doc.go
@@ -5,6 +5,7 @@
 //	carawayspread_table_request_seconds{layer,operation}         seconds of one request
 //	carawayspread_table_items_total{layer,operation}             items read or written
 //
-// Layers name the place of the decorator; see package platform. Operations are get, query and apply. Outcomes are ok, noItem, condition,
-// unavailable and unknown.
+// Layers name the place of the decorator; see package platform. Operations are
+// get, query and apply. Outcomes are ok, noItem, condition, unavailable and
+// unknown.
 package metered
--- a/internal/standin/table/operations.go
+++ b/internal/standin/table/operations.go
@@ -28,16 +28,15 @@
 	if req.Limit <= 0 || req.Limit > maxPage {
 		req.Limit = maxPage
 	}
-	partition, err := req.queriedPartition()
+	start, err := req.queryStart()
 	if err != nil {
 		return nil, err
 	}
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	page := queryAnswer{Items: []attributes{}}
-	start := record{table: req.TableName, partition: partition}
 	t.records.AscendGreaterOrEqual(start, func(r record) bool {
-		if r.table != start.table || r.partition != partition {
+		if r.table != start.table || r.partition != start.partition {
 			return false
 		}
 		if len(page.Items) == req.Limit {
@@ -54,18 +53,24 @@
 	return page, err
 }
 
-// queriedPartition finds the partition in a key condition, which opens with
-// "name = :value" on the partition.
-func (r *request) queriedPartition() (string, *failure) {
+// queryStart returns the least record that a key condition may hold for. The
+// condition is "partition = :value", then " AND sort > :value" or nothing.
+func (r *request) queryStart() (record, *failure) {
 	parts := strings.Fields(r.KeyConditionExpression)
 	if len(parts) < 3 || r.name(parts[0]) != partitionAttribute || parts[1] != "=" {
-		return "", invalid("the key condition must open with the partition")
+		return record{}, invalid("the key condition must open with the partition")
 	}
-	v := r.ExpressionAttributeValues[parts[2]]
-	if v.S == nil {
-		return "", invalid("the partition must be a string")
+	partition := r.ExpressionAttributeValues[parts[2]].S
+	if partition == nil {
+		return record{}, invalid("the partition must be a string")
 	}
-	return *v.S, nil
+	start := record{table: r.TableName, partition: *partition}
+	if len(parts) == 7 && r.name(parts[4]) == sortAttribute && parts[5] == ">" {
+		if after := r.ExpressionAttributeValues[parts[6]].S; after != nil {
+			start.sort = *after
+		}
+	}
+	return start, nil
 }
 
 func lastKey(items []attributes) attributes {
@@ -93,10 +98,28 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if err := distinct(items); err != nil {
+		return err
+	}
+	reasons, err := t.checkAll(items)
+	if err != nil {
+		return err
+	}
+	if reasons != nil {
+		cancelled := failed("TransactionCanceledException", "Transaction cancelled")
+		cancelled.CancellationReasons = reasons
+		return cancelled
+	}
+	for _, item := range items {
+		t.store(item)
+	}
+	return nil
+}
+
+// distinct refuses a transaction with two operations on one item.
+func distinct(items []transactItem) *failure {
 	seen := map[itemKey]bool{}
-	reasons := make([]reason, len(items))
-	cancelled := false
-	for i, item := range items {
+	for _, item := range items {
 		key, err := item.key()
 		if err != nil {
 			return err
@@ -105,9 +128,18 @@
 			return invalid("Transaction request cannot include multiple operations on one item")
 		}
 		seen[key.name()] = true
+	}
+	return nil
+}
+
+// checkAll returns a reason for each item where any condition failed, else nil.
+func (t *Table) checkAll(items []transactItem) ([]reason, *failure) {
+	reasons := make([]reason, len(items))
+	cancelled := false
+	for i, item := range items {
 		ok, err := t.check(item)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		reasons[i].Code = "None"
 		if !ok {
@@ -115,15 +147,10 @@
 			cancelled = true
 		}
 	}
-	if cancelled {
-		err := failed("TransactionCanceledException", "Transaction cancelled")
-		err.CancellationReasons = reasons
-		return err
+	if !cancelled {
+		return nil, nil
 	}
-	for _, item := range items {
-		t.store(item)
-	}
-	return nil
+	return reasons, nil
 }
 
 // itemKey names one record.
