--- a/internal/process/lane/lane.go
+++ b/internal/process/lane/lane.go
@@ -26,6 +26,7 @@
 	modules Modules
 	clock   carawayspread.Clock
 	fleet   atomic.Pointer[fleet] // replaced as a whole
+	demand  demand
 
 	mu      sync.Mutex // serialises the scheduler
 	tickets map[*carawayspread.Job]chan *carawayspread.Error
@@ -120,6 +121,7 @@
 // Wait returns nil when the job may be sent now; Finish must follow. Otherwise
 // it returns the refusal, which is not run.
 func (l *Lane) Wait(ctx context.Context, job *carawayspread.Job) error {
+	l.demand.add(job)
 	ready, err := l.offer(job)
 	if err != nil {
 		return err
