--- a/internal/process/sidecard/orders.go
+++ b/internal/process/sidecard/orders.go
@@ -14,7 +14,8 @@
 	"carawayspread/internal/version/settings"
 )
 
-// orderTimeout bounds an order: loading a model takes far longer than a state.
+// orderTimeout bounds the wait for one answer. The outcome of an order that
+// takes longer, as loading a model does, is read back from the engine's state.
 const orderTimeout = 2 * time.Second
 
 // followers returns what carries out the plans, one for each service of the
