--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,6 @@
 measure:
 	MEASURE=1 $(GO) test -run TestMeasure -count=1 -v ./internal/measure
 
-# The slopes of docs/CAPACITY.md; four minutes on an idle machine.
+# The slopes of docs/CAPACITY.md.
 capacity:
 	@bash .ci/capacity
