--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -46,9 +46,12 @@
 		adopted:  func(*carawayspread.Config) {},
 	}
 	p := s.Platform()
-	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()))
+	id, secret := credentials()
+	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()),
+		dynamodb.WithCredentials(id, secret))
 	b.table = platform.NewTable(client, clock, b.set, platform.WithTimeouts(s.Timeouts().Table(), s.Timeouts().Table()))
-	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()))
+	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()),
+		s3.WithCredentials(id, secret))
 	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
 	t := s.Timeouts()
 	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log), changelog.WithTimeout(t.Table()))
