One run group for both daemons

Cause: the two daemons repeated how actors start, outlive the word to end, and stop. Change: base.Group has it once. Ruled out: a common daemon type, which would hide what differs.

--- a/internal/process/base/base.go
+++ b/internal/process/base/base.go
@@ -3,7 +3,6 @@
 package base
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 
@@ -88,14 +87,6 @@
 	return append(all, b.settings.Peers()...)
 }
 
-// RunConfig keeps the configuration current until ctx ends.
-func (b *Base) RunConfig(ctx context.Context) error { return b.config.Run(ctx) }
-
-// RunWatch follows the instance list until ctx ends.
-func (b *Base) RunWatch(ctx context.Context, changed func([]carawayspread.Instance)) error {
-	return b.watch.Run(ctx, changed)
-}
-
 // Listen opens an address of the daemon with the limits of its settings.
 func (b *Base) Listen(address string, handler http.Handler) (*server.Server, error) {
 	t := b.settings.Timeouts()
--- a/internal/process/entryd/daemon.go
+++ b/internal/process/entryd/daemon.go
@@ -12,7 +12,6 @@
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
-	"github.com/oklog/run"
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
@@ -111,26 +110,16 @@
 // Run serves until ctx ends, then refuses new requests and returns when the
 // last one has its answer.
 func (d *Daemon) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group run.Group
-	group.Add(d.data.Run, func(error) { _ = d.data.Shutdown(context.Background()) })
-	group.Add(d.admin.Run, func(error) { _ = d.admin.Shutdown(context.Background()) })
-	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
-	group.Add(func() error { return d.entry.Run(work) }, func(error) { stop() })
-	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
-	group.Add(func() error { return d.ledger.Run(work) }, func(error) { stop() })
-	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
-	group.Add(func() error { return d.reports.Receive(work, d.reported) }, func(error) { stop() })
-	group.Add(func() error { return d.planRoles(work) }, func(error) { stop() })
-	group.Add(func() error { return d.leaveAfter(ctx, work) }, func(error) {})
+	group := d.base.Group(ctx, d.listed, d.data, d.admin, d.control)
+	group.Go(d.entry.Run)
+	group.Go(d.ledger.Run)
+	group.Go(func(work context.Context) error { return d.reports.Receive(work, d.reported) })
+	group.Go(d.planRoles)
+	group.Go(func(work context.Context) error { return d.leaveAfter(ctx, work) })
 	d.base.Log().WithField("listen", d.data.Address()).WithField("admin", d.admin.Address()).WithField("control", d.control.Address()).Info("entry serves")
-	err := group.Run()
+	err := group.Wait(ctx)
 	d.entry.Close()
 	d.base.Log().Info("entry ended")
-	if ctx.Err() != nil {
-		return nil
-	}
 	return trace.Wrap(err)
 }
 
--- a/internal/process/sidecard/daemon.go
+++ b/internal/process/sidecard/daemon.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
-	"github.com/oklog/run"
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
@@ -75,27 +74,18 @@
 // Run serves until ctx ends, then drains: it takes no new work, tells every
 // entry, and returns when the last request has its answer.
 func (d *Daemon) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group run.Group
-	group.Add(d.data.Run, func(error) { _ = d.data.Shutdown(context.Background()) })
-	group.Add(d.control.Run, func(error) { _ = d.control.Shutdown(context.Background()) })
-	group.Add(func() error { return d.sidecar.Run(work) }, func(error) { stop() })
-	group.Add(func() error { return d.base.RunWatch(work, d.listed) }, func(error) { stop() })
-	group.Add(func() error { return d.base.RunConfig(work) }, func(error) { stop() })
+	group := d.base.Group(ctx, d.listed, d.data, d.control)
+	group.Go(d.sidecar.Run)
 	for _, follower := range d.followers() {
-		group.Add(func() error { return follower.Run(work) }, func(error) { stop() })
+		group.Go(follower.Run)
 	}
-	group.Add(func() error { return d.sendReports(work) }, func(error) { stop() })
-	group.Add(func() error { return d.drainAfter(ctx, work) }, func(error) { stop() })
+	group.Go(d.sendReports)
+	group.Go(func(work context.Context) error { return d.drainAfter(ctx, work) })
 	d.base.Log().WithField("listen", d.data.Address()).WithField("control", d.control.Address()).Info("sidecar serves")
-	err := group.Run()
+	err := group.Wait(ctx)
 	_ = d.reports.Close()
 	d.sidecar.Close()
 	d.base.Log().Info("sidecar ended")
-	if ctx.Err() != nil {
-		return nil
-	}
 	return trace.Wrap(err)
 }
 
