--- a/cmd/carawayspread/bench_test.go
+++ b/cmd/carawayspread/bench_test.go
@@ -106,9 +106,10 @@
 }
 
 // BenchmarkDrain ends a sidecar with 200 running streams and counts the cut
-// ones. A limiter begins with eight places, so 25 engines stand beside it.
+// ones. A limiter begins with eight places and a request has two endpoints, so
+// that 60 engines stand beside the sidecar.
 func BenchmarkDrain(b *testing.B) {
-	const streams, engines = 200, 25
+	const streams, engines = 200, 60
 	for b.Loop() {
 		f := newFleet(b)
 		beside := []endpoint{}
