--- a/cmd/carawayspread/crash_test.go
+++ b/cmd/carawayspread/crash_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -11,13 +12,11 @@
 	"carawayspread/internal/standin/engine"
 )
 
-const engineCount = 6
-
 // crashFleet starts an engine beside each of six sidecars, and two entries.
 // The engines are back soon after a crash, so that each could be a victim.
 func crashFleet(t *testing.T) (f *fleet, entries []*process, engines []*engine.Engine) {
 	f = newFleet(t)
-	for i := range engineCount {
+	for i := range 6 {
 		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Millisecond))
 		id := string(rune('1' + i))
 		f.sidecar("sidecar-"+id, model("engine-"+id, e))
@@ -61,13 +60,8 @@
 	}
 	running.Wait()
 	stream(entries[0], engine.CrashMarker, 5, nil)
-	victims := 0
-	for _, e := range engines {
-		if e.Crashes() > 0 {
-			victims++
-		}
-	}
-	qt.Check(t, victims <= 2, qt.IsTrue, qt.Commentf("%d endpoints crashed", victims))
+	victims := slices.DeleteFunc(engines, func(e *engine.Engine) bool { return e.Crashes() == 0 })
+	qt.Check(t, len(victims) <= 2, qt.IsTrue, qt.Commentf("%d endpoints crashed", len(victims)))
 }
 
 // An innocent request shares the engine with one that crashes it.
--- a/cmd/carawayspread/roles_test.go
+++ b/cmd/carawayspread/roles_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,12 +41,7 @@
 		})
 	}
 	f.eventually(func() bool {
-		for _, e := range engines {
-			if len(roleOrders(e)) > 0 {
-				return true
-			}
-		}
-		return false
+		return slices.ContainsFunc(engines, func(e *engine.Engine) bool { return len(roleOrders(e)) > 0 })
 	})
 	done.Store(true)
 	running.Wait()
@@ -60,11 +56,5 @@
 }
 
 func roleOrders(e *engine.Engine) []carawayspread.Order {
-	found := []carawayspread.Order{}
-	for _, order := range e.Orders() {
-		if order.Kind == carawayspread.OrderSetRole {
-			found = append(found, order)
-		}
-	}
-	return found
+	return slices.DeleteFunc(e.Orders(), func(o carawayspread.Order) bool { return o.Kind != carawayspread.OrderSetRole })
 }
--- a/cmd/carawayspread/session_test.go
+++ b/cmd/carawayspread/session_test.go
@@ -69,9 +69,8 @@
 }
 
 const (
-	chatPath  = "/v1/chat/completions"
-	chatBody  = `{"model":"stand-in","messages":[{"role":"user","content":"Is Chia one place?"}],"max_tokens":3%s}`
-	streaming = `,"stream":true`
+	chatPath = "/v1/chat/completions"
+	chatBody = `{"model":"stand-in","messages":[{"role":"user","content":"Is Chia one place?"}],"max_tokens":3%s}`
 )
 
 func TestSessions(t *testing.T) {
@@ -97,7 +96,7 @@
 	entry := s.entry("entry-1")
 	s.caller(entry, http.MethodGet, "/v1/models", "interactive", "", nil)
 	s.caller(entry, http.MethodPost, chatPath, "interactive", fmt.Sprintf(chatBody, ""), nil)
-	s.caller(entry, http.MethodPost, chatPath, "interactive", fmt.Sprintf(chatBody, streaming), nil)
+	s.caller(entry, http.MethodPost, chatPath, "interactive", fmt.Sprintf(chatBody, `,"stream":true`), nil)
 	s.caller(entry, http.MethodGet, "/services/records/records/25175", "interactive", "", nil)
 	s.operator(entry, "class", "list")
 	s.operator(entry, "class", "set", "interactive", "--first-token", "2s", "--share", "0.9", "--against", "1")
