Operators' test goes on until an outcome was unknown

Ruled out: the log, whose history was linearizable; dropping the check. Change: in the bare case operators go on, at most 500 changes each, until one outcome was unknown.

--- a/internal/version/changelog/linear_test.go
+++ b/internal/version/changelog/linear_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,7 +68,6 @@
 // reads fail. Whatever they are told fits one order of the changes: a version
 // is made by one of them only, nobody is told of a version that goes back, and
 // no change is made that its operator was told is refused.
-//
 // In the second case the flaky table stands behind the decorators that daemons
 // use, which read back, send again and group on their own.
 func TestOperatorsAreLinearizable(t *testing.T) {
@@ -88,11 +88,13 @@
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	began := time.Now()
 	var mu sync.Mutex
+	var unsure atomic.Bool // an outcome was unknown
 	var events []porcupine.Operation
 	note := func(client int, call time.Duration, in operation, out result) {
 		done := time.Since(began)
 		if out.code == carawayspread.CodeUnknownOutcome {
 			done = time.Hour // it may take effect later
+			unsure.Store(true)
 		}
 		mu.Lock()
 		defer mu.Unlock()
@@ -106,7 +108,7 @@
 			flaky := &flaky{Table: p.table, every: 2 + client}
 			l := New(decorate(flaky), p.objects, instant{}, WithLogger(quiet))
 			held := empty()
-			for made := 0; made < 15; {
+			for made := 0; made < 15 || unknown && !unsure.Load() && made < 500; {
 				call := time.Since(began)
 				cfg, _, err := l.CatchUp(context.Background(), held)
 				if err != nil {
