--- a/cmd/carawayspread/fleet_test.go
+++ b/cmd/carawayspread/fleet_test.go
@@ -211,14 +211,7 @@
 // entry starts an entry and returns when it can serve.
 func (f *fleet) entry(id string) *process {
 	p := f.start(carawayspread.InstanceEntry, id, fmt.Sprintf(entrySettings, id, f.platform))
-	f.eventually(func() bool {
-		resp, err := http.Get("http://" + p.admin + "/readyz")
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+	f.eventually(func() bool { return ready(p.admin) })
 	return p
 }
 
--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -223,7 +223,7 @@
 				long.Go(func() { kept = stream(entry, "long", 200, func() { begun <- busy(sidecars) }) })
 				e := <-begun
 				leave(f, entry, sidecars[e])
-				f.eventually(func() bool { return !ready(sidecars[e]) })
+				f.eventually(func() bool { return !ready(sidecars[e].row.Control) })
 				before := e.Starts()
 				for i := range 20 {
 					qt.Check(t, stream(entry, fmt.Sprint("new ", i), 1, nil).whole(), qt.IsTrue)
@@ -236,8 +236,8 @@
 	}
 }
 
-func ready(p *process) bool {
-	resp, err := http.Get("http://" + p.row.Control + "/readyz")
+func ready(address string) bool {
+	resp, err := http.Get("http://" + address + "/readyz")
 	if err != nil {
 		return false
 	}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -103,6 +103,3 @@
 		_, _ = w.Write([]byte("ok\n"))
 	})
 }
-
-// CloseNow cuts every connection. It is meant for a process that must not go on.
-func (s *Server) CloseNow() error { return trace.Wrap(s.http.Close()) }
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -57,7 +57,7 @@
 
 // waitingPart is the part of the slots' number that may wait. A longer queue
 // before the endpoint is out of the entries' order: with an unbounded one
-// goodput at twice the load fell to 26% of capacity on the fakes.
+// goodput at twice the load fell to 26% of capacity in a trial on the fakes.
 const waitingPart = 4
 
 // enter takes a slot, waiting at most for left.
