--- /dev/null
+++ b/cmd/gateway/main.go
@@ -0,0 +1,93 @@
+// Command gateway runs the daemon that takes callers' requests on the users'
+// platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/urfave/cli/v2"
+
+	"carawayspread"
+	"carawayspread/internal/connection/direct"
+	"carawayspread/internal/process/gatewayd"
+	"carawayspread/internal/version/gatewaysettings"
+	"carawayspread/platform/catalog"
+	"carawayspread/platform/rows"
+	"carawayspread/platform/wire"
+)
+
+// memoryUsed is the part of the granted memory from which the collector works
+// harder; the rest is for what it does not count.
+const memoryUsed = 0.7
+
+func main() {
+	log.SetHandler(logfmt.New(os.Stdout))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	app := &cli.App{
+		Name:  "gateway",
+		Usage: "take callers' requests by route and have them run",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Required: true, EnvVars: []string{"CARAWAYSPREAD_BOOT"}, Usage: "settings `FILE`, JSON with comments"},
+		},
+		Commands: []*cli.Command{{Name: "check", Usage: "check the settings file and say all that is wrong", Action: check}},
+		Action:   run,
+	}
+	if err := app.RunContext(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func check(c *cli.Context) error {
+	_, err := gatewaysettings.Read(c.String("config"))
+	return err
+}
+
+func run(c *cli.Context) error {
+	s, err := gatewaysettings.Read(c.String("config"))
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryUsed * float64(s.Memory())))
+	clock, exchange := carawayspread.SystemClock(), direct.New()
+	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
+		Exchange: exchange,
+		Protocol: wire.Protocol{},
+		Follow: func(sink *gatewayd.Daemon) gatewayd.Follower {
+			return catalog.New(rows.New(exchange, s.Store()), sink, clock, log.Log)
+		},
+	})
+	if err != nil {
+		return err
+	}
+	go reread(c.Context, c.String("config"))
+	return d.Run(c.Context)
+}
+
+// reread checks the settings anew on SIGHUP and says what it found. What
+// changes in them takes effect with the next start, as a running process keeps
+// its addresses.
+func reread(ctx context.Context, name string) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := gatewaysettings.Read(name); err != nil {
+			log.WithError(err).Error("reload")
+			continue
+		}
+		log.Info("reload")
+	}
+}
--- a/decisions.go
+++ b/decisions.go
@@ -12,6 +12,9 @@
 	// serialise their calls draw from it.
 	Rand *rand.Rand
 	Zone string // availability zone of the process; empty when it does not matter
+	// Tell passes a notice on to the peers; nil where there are none. It does
+	// not block.
+	Tell func(Notice)
 }
 
 // Registries of the decision modules. An implementation registers itself when
--- a/endpoint.go
+++ b/endpoint.go
@@ -20,13 +20,28 @@
 	id      EndpointID
 	service string
 	zone    string
-	address string // IP number and port of the sidecar before it
+	address string // IP number and port of the sidecar before it, or its own where there is none
 	leaving bool   // takes no new work
+	role    Role   // as last heard; empty for plain services
+	slots   int    // requests that it runs at once; zero when unknown
 }
 
-// NewEndpoint returns an endpoint reached through the sidecar at address.
-func NewEndpoint(id EndpointID, service, zone, address string, leaving bool) Endpoint {
-	return Endpoint{id: id, service: service, zone: zone, address: address, leaving: leaving}
+// EndpointOption sets an optional part of an Endpoint.
+type EndpointOption func(*Endpoint)
+
+// WithRole states the part of the work that an engine takes.
+func WithRole(role Role) EndpointOption { return func(e *Endpoint) { e.role = role } }
+
+// WithSlots states how many requests the endpoint runs at once.
+func WithSlots(n int) EndpointOption { return func(e *Endpoint) { e.slots = n } }
+
+// NewEndpoint returns an endpoint reached at address.
+func NewEndpoint(id EndpointID, service, zone, address string, leaving bool, opts ...EndpointOption) Endpoint {
+	e := Endpoint{id: id, service: service, zone: zone, address: address, leaving: leaving}
+	for _, opt := range opts {
+		opt(&e)
+	}
+	return e
 }
 
 // ID returns the name of the endpoint.
@@ -38,9 +53,17 @@
 // Zone returns the availability zone of the endpoint.
 func (e Endpoint) Zone() string { return e.zone }
 
-// Address returns IP number and port of the sidecar before the endpoint.
+// Address returns IP number and port of the sidecar before the endpoint, or of
+// the endpoint itself where there is none.
 func (e Endpoint) Address() string { return e.address }
 
+// Role returns the part of the work that the engine takes; empty for plain
+// services.
+func (e Endpoint) Role() Role { return e.role }
+
+// Slots returns how many requests the endpoint runs at once; zero when unknown.
+func (e Endpoint) Slots() int { return e.slots }
+
 // Leaving reports whether the endpoint takes no new work.
 func (e Endpoint) Leaving() bool { return e.leaving }
 
--- /dev/null
+++ b/internal/connection/peers/message.go
@@ -0,0 +1,166 @@
+// Package peers carries what entries tell each other of their placements, as
+// small datagrams. Losing some costs accuracy and nothing else: each message
+// states counts as they are, and a heartbeat repeats them.
+package peers
+
+import (
+	"encoding/binary"
+	"errors"
+	"net/netip"
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	magic = 0xc5
+	// mostItems bounds each list of a message that is read.
+	mostItems  = 1024
+	mostChains = 64
+	// sizeLimit keeps a message inside one packet of any link.
+	sizeLimit = 1200
+)
+
+// Crash is a request whose endpoint broke off while it ran.
+type Crash struct {
+	Fingerprint uint64
+	Endpoint    string
+}
+
+// message is one datagram.
+type message struct {
+	sender  uint64 // drawn at the start of the process
+	address netip.AddrPort
+	notices []carawayspread.Notice
+	crashes []Crash
+	known   []netip.AddrPort // other peers that the sender hears
+}
+
+var errMalformed = errors.New("malformed message of a peer")
+
+func (m message) encode() []byte {
+	b := []byte{magic}
+	b = binary.AppendUvarint(b, m.sender)
+	b = appendAddress(b, m.address)
+	b = binary.AppendUvarint(b, uint64(len(m.notices)))
+	for _, n := range m.notices {
+		b = binary.BigEndian.AppendUint32(b, n.Endpoint)
+		b = binary.AppendUvarint(b, uint64(n.Running))
+		b = binary.AppendUvarint(b, uint64(n.Tokens))
+		b = binary.AppendUvarint(b, uint64(n.Work/time.Microsecond))
+		b = binary.AppendUvarint(b, uint64(n.Read))
+		b = binary.AppendUvarint(b, uint64(len(n.Chains)))
+		for _, chain := range n.Chains {
+			b = binary.BigEndian.AppendUint64(b, chain)
+		}
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.crashes)))
+	for _, c := range m.crashes {
+		b = binary.BigEndian.AppendUint64(b, c.Fingerprint)
+		b = appendText(b, c.Endpoint)
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.known)))
+	for _, address := range m.known {
+		b = appendAddress(b, address)
+	}
+	return b
+}
+
+func appendAddress(b []byte, address netip.AddrPort) []byte {
+	text, err := address.MarshalText()
+	if err != nil {
+		text = nil
+	}
+	return appendText(b, string(text))
+}
+
+func appendText(b []byte, text string) []byte {
+	b = binary.AppendUvarint(b, uint64(len(text)))
+	return append(b, text...)
+}
+
+// reader takes values off a datagram; after the first fault all are zero.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *reader) number() uint64 {
+	n, size := binary.Uvarint(r.b)
+	if size <= 0 {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[size:]
+	return n
+}
+
+func (r *reader) bytes(n int) []byte {
+	if n < 0 || n > len(r.b) {
+		r.bad, r.b = true, nil
+		return make([]byte, max(0, min(n, 8)))
+	}
+	part := r.b[:n]
+	r.b = r.b[n:]
+	return part
+}
+
+func (r *reader) text() string { return string(r.bytes(r.count(sizeLimit))) }
+
+func (r *reader) count(limit int) int {
+	n := r.number()
+	if n > uint64(limit) {
+		r.bad, r.b = true, nil
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) address() netip.AddrPort {
+	address, err := netip.ParseAddrPort(r.text())
+	if err != nil {
+		r.bad = true
+	}
+	return address
+}
+
+func decode(b []byte) (message, error) {
+	r := &reader{b: b}
+	var m message
+	if first := r.bytes(1); r.bad || first[0] != magic {
+		return m, errMalformed
+	}
+	m.sender = r.number()
+	m.address = r.address()
+	for range r.count(mostItems) {
+		n := carawayspread.Notice{
+			Endpoint: binary.BigEndian.Uint32(r.bytes(4)),
+			Running:  r.count(1 << 20), Tokens: r.count(1 << 40),
+			Work: time.Duration(r.count(1<<32)) * time.Microsecond,
+			Read: r.count(1 << 32),
+		}
+		for range r.count(mostChains) {
+			n.Chains = append(n.Chains, binary.BigEndian.Uint64(r.bytes(8)))
+		}
+		if r.bad {
+			return message{}, errMalformed
+		}
+		m.notices = append(m.notices, n)
+	}
+	for range r.count(mostItems) {
+		m.crashes = append(m.crashes, Crash{Fingerprint: binary.BigEndian.Uint64(r.bytes(8)), Endpoint: r.text()})
+		if r.bad {
+			return message{}, errMalformed
+		}
+	}
+	for range r.count(mostItems) {
+		m.known = append(m.known, r.address())
+		if r.bad {
+			return message{}, errMalformed
+		}
+	}
+	if r.bad || len(r.b) > 0 {
+		return message{}, errMalformed
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/connection/peers/socket.go
@@ -0,0 +1,290 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"carawayspread"
+)
+
+const (
+	// spacing is the least time between two messages to one peer. Requests
+	// arrive some 20 ms apart before one process: a placement is known to the
+	// others before most of them place their next.
+	spacing = 4 * time.Millisecond
+	// spacingPerPeer stretches it with the fleet, so that what a process
+	// receives stays under some hundred messages a second.
+	spacingPerPeer = 2 * time.Millisecond
+	heartbeat      = 500 * time.Millisecond
+	// heardLife is how long a peer that fell silent is sent to.
+	heardLife = 4 * time.Second
+	// countLife is how long it counts as one that shares what is allowed to
+	// all: longer than any outage after which it may be back at once.
+	countLife = 30 * time.Second
+	// waiting bounds what is not sent yet.
+	waiting    = 1024
+	readBuffer = 64 << 10
+)
+
+// Receiver takes what peers tell.
+type Receiver interface {
+	Heard(from string, notices []carawayspread.Notice)
+}
+
+type peer struct {
+	address netip.AddrPort
+	heard   time.Time
+}
+
+// Socket is the process's end towards all peers. It is safe for concurrent use.
+type Socket struct {
+	conn  *net.UDPConn
+	clock carawayspread.Clock
+	self  netip.AddrPort
+	id    uint64
+	seeds []netip.AddrPort
+	wake  chan struct{}
+
+	mu      sync.Mutex
+	pending []carawayspread.Notice
+	crashes []Crash
+	counts  map[uint32]carawayspread.Notice // newest counts told of each endpoint
+	peers   map[uint64]*peer                // by what they drew at their start
+	rumours map[netip.AddrPort]time.Time    // addresses that peers name and that were not heard yet
+}
+
+// Listen opens the address. The seeds are addresses of processes that may be
+// there.
+func Listen(address string, seeds []string, clock carawayspread.Clock) (*Socket, error) {
+	self, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if bound, ok := conn.LocalAddr().(*net.UDPAddr); ok {
+		self = netip.AddrPortFrom(self.Addr(), uint16(bound.Port))
+	}
+	s := &Socket{
+		conn: conn, clock: clock, self: self, id: rand.Uint64(), wake: make(chan struct{}, 1),
+		counts: map[uint32]carawayspread.Notice{}, peers: map[uint64]*peer{}, rumours: map[netip.AddrPort]time.Time{},
+	}
+	for _, seed := range seeds {
+		if parsed, err := netip.ParseAddrPort(seed); err == nil && parsed != self {
+			s.seeds = append(s.seeds, parsed)
+		}
+	}
+	return s, nil
+}
+
+// Address returns IP number and port.
+func (s *Socket) Address() string { return s.self.String() }
+
+// Tell queues a notice for all peers. It does not block.
+func (s *Socket) Tell(n carawayspread.Notice) {
+	s.mu.Lock()
+	s.counts[n.Endpoint] = carawayspread.Notice{Endpoint: n.Endpoint, Running: n.Running, Tokens: n.Tokens}
+	if len(s.pending) < waiting && len(s.peers) > 0 {
+		s.pending = append(s.pending, n)
+	}
+	s.mu.Unlock()
+	s.rouse()
+}
+
+// Crashed queues a crash for all peers.
+func (s *Socket) Crashed(c Crash) {
+	s.mu.Lock()
+	if len(s.crashes) < waiting {
+		s.crashes = append(s.crashes, c)
+	}
+	s.mu.Unlock()
+	s.rouse()
+}
+
+func (s *Socket) rouse() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Share returns how many processes there are, this one included.
+func (s *Socket) Share() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, n := s.clock.Now(), 1
+	for _, p := range s.peers {
+		if now.Sub(p.heard) < countLife {
+			n++
+		}
+	}
+	return n
+}
+
+// Run sends until ctx ends.
+func (s *Socket) Run(ctx context.Context) error {
+	beat := s.clock.After(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-beat:
+			s.beat()
+			beat = s.clock.After(heartbeat)
+		case <-s.wake:
+			s.flush()
+			s.mu.Lock()
+			pause := spacing + time.Duration(len(s.peers))*spacingPerPeer
+			s.mu.Unlock()
+			select {
+			case <-s.clock.After(pause):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// Close ends Receive.
+func (s *Socket) Close() { _ = s.conn.Close() }
+
+// flush sends what is queued to the peers that are heard.
+func (s *Socket) flush() {
+	s.mu.Lock()
+	m := message{sender: s.id, address: s.self, notices: s.pending, crashes: s.crashes}
+	s.pending, s.crashes = nil, nil
+	to := s.heardLocked()
+	s.mu.Unlock()
+	if len(m.notices) > 0 || len(m.crashes) > 0 {
+		s.send(m, to)
+	}
+}
+
+// beat tells that this process lives, what it has at all endpoints and whom it
+// hears.
+func (s *Socket) beat() {
+	s.mu.Lock()
+	m := message{sender: s.id, address: s.self}
+	for endpoint, n := range s.counts {
+		m.notices = append(m.notices, n)
+		if n.Running == 0 {
+			delete(s.counts, endpoint) // told once more, then left out
+		}
+	}
+	to := s.heardLocked()
+	m.known = append(m.known, to...)
+	now := s.clock.Now()
+	named := map[netip.AddrPort]bool{}
+	for _, address := range to {
+		named[address] = true
+	}
+	for _, address := range s.seeds {
+		if !named[address] {
+			named[address] = true
+			to = append(to, address)
+		}
+	}
+	for address, since := range s.rumours {
+		if now.Sub(since) > countLife {
+			delete(s.rumours, address)
+		} else if !named[address] {
+			to = append(to, address)
+		}
+	}
+	s.mu.Unlock()
+	s.send(m, to)
+}
+
+func (s *Socket) heardLocked() []netip.AddrPort {
+	now := s.clock.Now()
+	var to []netip.AddrPort
+	for id, p := range s.peers {
+		switch silent := now.Sub(p.heard); {
+		case silent > countLife:
+			delete(s.peers, id)
+		case silent < heardLife:
+			to = append(to, p.address)
+		}
+	}
+	return to
+}
+
+// send sends the message, in parts where it is too long for a packet.
+func (s *Socket) send(m message, to []netip.AddrPort) {
+	body := m.encode()
+	if len(body) > sizeLimit && len(m.notices) > 1 {
+		half := len(m.notices) / 2
+		s.send(message{sender: m.sender, address: m.address, notices: m.notices[:half]}, to)
+		m.notices = m.notices[half:]
+		s.send(m, to)
+		return
+	}
+	for _, address := range to {
+		// A datagram that cannot be sent is as good as lost; the next
+		// heartbeat makes up for it.
+		_, _ = s.conn.WriteToUDPAddrPort(body, address)
+	}
+}
+
+// Receive passes on what peers tell, until the socket is closed.
+func (s *Socket) Receive(r Receiver, crashed func(Crash)) error {
+	buffer := make([]byte, readBuffer)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		m, err := decode(buffer[:n])
+		if err != nil || m.sender == s.id {
+			continue
+		}
+		s.note(m)
+		r.Heard(strconv.FormatUint(m.sender, 36), m.notices)
+		for _, c := range m.crashes {
+			crashed(c)
+		}
+	}
+}
+
+func (s *Socket) note(m message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	p := s.peers[m.sender]
+	if p == nil {
+		p = &peer{}
+		s.peers[m.sender] = p
+	}
+	p.address, p.heard = m.address, now
+	for id, other := range s.peers {
+		if id != m.sender && other.address == m.address {
+			delete(s.peers, id) // the process before it at this address
+		}
+	}
+	delete(s.rumours, m.address)
+	for _, address := range m.known {
+		if address != s.self && !s.hears(address) {
+			if _, ok := s.rumours[address]; !ok {
+				s.rumours[address] = now
+			}
+		}
+	}
+}
+
+func (s *Socket) hears(address netip.AddrPort) bool {
+	for _, p := range s.peers {
+		if p.address == address {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/process/gateway/call.go
@@ -0,0 +1,340 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/process/decisionlog"
+)
+
+const (
+	// answerLimit bounds a whole answer that is held in memory until it is
+	// complete, in bytes.
+	answerLimit = 8 << 20
+	// mostSends bounds the loop of one request, whatever is allowed otherwise.
+	mostSends = 6
+	// forgetTimeout bounds the call that frees a KV cache.
+	forgetTimeout = time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	g           *Gateway
+	w           http.ResponseWriter
+	r           *http.Request
+	line        *decisionlog.Line
+	arrived     time.Time
+	deadline    time.Time
+	ask         carawayspread.Ask
+	route       *carawayspread.Route
+	service     carawayspread.RoutedService
+	body        []byte
+	fingerprint uint64
+	gone        bool // the caller's connection is of no more use
+
+	exclude  map[carawayspread.EndpointID]bool
+	arrivals int  // attempts that may have reached an endpoint and count against the budget
+	ran      int  // attempts that may have run
+	direct   bool // no more handing over
+	started  bool // the header of the answer is out
+	last     string
+	held     *carawayspread.Handover // a KV cache that nobody has taken yet
+	answer   carawayspread.EndpointID
+	reader   carawayspread.EndpointID
+	first    time.Duration
+	expected time.Duration
+	found    int
+}
+
+// errBroken says that an attempt may have run and gave no whole answer.
+var errBroken = errors.New("the endpoint gave no whole answer")
+
+func (c *call) serve() {
+	c.g.budget(c.service.Name).Took()
+	ctx, cancel := context.WithDeadlineCause(c.r.Context(), c.deadline, context.DeadlineExceeded)
+	defer cancel()
+	c.exclude = map[carawayspread.EndpointID]bool{}
+	c.last = c.ask.Resumed
+	err := c.run(ctx)
+	c.forget()
+	if err == nil {
+		c.finish("served", http.StatusOK)
+		return
+	}
+	c.fail(ctx, err)
+}
+
+// run sends the request until it has an answer or may not be sent again.
+func (c *call) run(ctx context.Context) error {
+	for range mostSends {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		again, err := c.attempt(ctx)
+		if err == nil || !again {
+			return err
+		}
+		if c.arrivals > 0 && !c.g.budget(c.service.Name).Allow() {
+			return fmt.Errorf("no retry is left: %w", err)
+		}
+	}
+	return errBroken
+}
+
+func (c *call) placing() carawayspread.Placing {
+	p := carawayspread.Placing{
+		Route: c.route, Service: c.service, Arrived: c.arrived, Deadline: c.deadline,
+		Exclude: c.exclude, Key: c.fingerprint, Direct: c.direct,
+		Late: c.ask.Left > 0 && c.ask.Left < time.Duration(lateShare*float64(c.route.Timeout)),
+	}
+	if c.service.Engine != nil {
+		p.Prompt = c.ask.Prompt
+	}
+	if c.held != nil {
+		p.Handed = c.held.From.ID()
+	}
+	return p
+}
+
+// attempt sends the request once. It reports whether the request may be sent
+// again.
+func (c *call) attempt(ctx context.Context) (again bool, err error) {
+	p := c.placing()
+	at, err := c.g.placer.Place(p)
+	if err != nil {
+		if c.held != nil {
+			c.direct = true
+			c.forget()
+			return true, err
+		}
+		return false, err
+	}
+	if c.expected == 0 {
+		c.expected, c.found = at.First, at.Found
+	}
+	phase := carawayspread.PhaseWhole
+	switch {
+	case at.Reads:
+		return c.hand(ctx, p, at)
+	case c.held != nil:
+		phase = carawayspread.PhaseContinue
+	}
+	c.answer = at.Endpoint.ID()
+	stay := c.g.placer.Sent(p, at)
+	outcome := carawayspread.OutcomeFailed
+	defer func() { stay.End(outcome) }()
+	reply, err := c.send(ctx, at, phase)
+	switch {
+	case errors.Is(err, carawayspread.ErrUnsent):
+		outcome = c.unsent(ctx, at)
+		return ctx.Err() == nil, err
+	case err != nil:
+		c.arrivals++
+		c.ran++
+		outcome = c.broke(ctx, at)
+		return c.mayRepeat(), errors.Join(errBroken, err)
+	}
+	c.arrivals++
+	verdict := c.g.protocol.Judge(reply, c.ask.ID, phase)
+	if phase == carawayspread.PhaseContinue {
+		c.held, c.direct = nil, true // a handle is taken once, whatever came of it
+	}
+	switch verdict {
+	case carawayspread.VerdictNotRun, carawayspread.VerdictStranger:
+		closeBody(reply)
+		outcome = carawayspread.OutcomeRefused
+		if verdict == carawayspread.VerdictStranger || phase != carawayspread.PhaseContinue {
+			c.exclude[at.Endpoint.ID()] = true
+		}
+		return true, busy()
+	case carawayspread.VerdictForeign:
+		closeBody(reply)
+		c.ran++
+		c.exclude[at.Endpoint.ID()] = true
+		return c.mayRepeat(), errBroken
+	}
+	c.ran++
+	if c.route.Stream && reply.Status == http.StatusOK {
+		outcome, err = c.stream(reply, stay)
+	} else {
+		outcome, err = c.whole(reply, stay)
+	}
+	if err != nil {
+		if ctx.Err() != nil {
+			outcome = carawayspread.OutcomeCancelled
+			return false, ctx.Err()
+		}
+		c.exclude[at.Endpoint.ID()] = true
+		return c.mayRepeat(), err
+	}
+	return false, nil
+}
+
+// mayRepeat reports whether a request of which an attempt may have run can be
+// sent once more.
+func (c *call) mayRepeat() bool {
+	if c.ran >= c.route.Attempts {
+		return false
+	}
+	switch c.route.Repeat {
+	case carawayspread.RepeatSafe:
+		return !c.started
+	case carawayspread.RepeatResume:
+		return true
+	}
+	return false
+}
+
+// unsent takes note of an endpoint that could not be reached.
+func (c *call) unsent(ctx context.Context, at carawayspread.Placement) carawayspread.Outcome {
+	c.exclude[at.Endpoint.ID()] = true
+	if ctx.Err() != nil {
+		return carawayspread.OutcomeCancelled
+	}
+	return carawayspread.OutcomeUnreachable
+}
+
+// broke takes note of a connection that broke after the request was sent.
+func (c *call) broke(ctx context.Context, at carawayspread.Placement) carawayspread.Outcome {
+	c.exclude[at.Endpoint.ID()] = true
+	if ctx.Err() != nil {
+		return carawayspread.OutcomeCancelled
+	}
+	c.g.placer.Crashed(at.Endpoint.ID())
+	c.g.Crashed(c.fingerprint, at.Endpoint.ID())
+	c.g.crashed(c.fingerprint, at.Endpoint.ID())
+	return carawayspread.OutcomeFailed
+}
+
+// hand has the prompt read by one engine for another.
+func (c *call) hand(ctx context.Context, p carawayspread.Placing, at carawayspread.Placement) (again bool, err error) {
+	c.reader = at.Endpoint.ID()
+	stay := c.g.placer.Sent(p, at)
+	outcome := carawayspread.OutcomeFailed
+	defer func() { stay.End(outcome) }()
+	reply, err := c.send(ctx, at, carawayspread.PhaseRead)
+	c.direct = true // unless it succeeds
+	if errors.Is(err, carawayspread.ErrUnsent) {
+		outcome = c.unsent(ctx, at)
+		return ctx.Err() == nil, err
+	}
+	c.arrivals++
+	if err != nil {
+		outcome = c.broke(ctx, at)
+		return ctx.Err() == nil, err
+	}
+	if c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead) != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
+		closeBody(reply)
+		outcome = carawayspread.OutcomeRefused
+		c.exclude[at.Endpoint.ID()] = true
+		return true, busy()
+	}
+	body, err := io.ReadAll(io.LimitReader(reply.Body, answerLimit))
+	_ = reply.Body.Close()
+	if err == nil {
+		var handover carawayspread.Handover
+		if handover, err = c.g.protocol.Handover(body, at.Endpoint); err == nil {
+			stay.Answered()
+			outcome = carawayspread.OutcomeServed
+			c.held, c.direct = &handover, false
+			c.arrivals--
+			return true, errRead
+		}
+	}
+	return ctx.Err() == nil, err
+}
+
+// errRead keeps the loop of run going after a prompt was read.
+var errRead = errors.New("the prompt was read and not answered")
+
+// send builds what the endpoint gets.
+func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
+	h := endToEnd(c.r.Header)
+	attempt := carawayspread.Attempt{
+		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Rank: -1, Resume: c.last,
+	}
+	if phase == carawayspread.PhaseContinue {
+		attempt.Handover = *c.held
+	}
+	c.g.protocol.Instruct(h, attempt)
+	return c.g.exchange.Send(ctx, at.Endpoint, carawayspread.Outbound{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+	})
+}
+
+// whole passes an answer on once all of it is there.
+func (c *call) whole(reply *carawayspread.Reply, stay carawayspread.Stay) (carawayspread.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, answerLimit))
+	_ = reply.Body.Close()
+	if err != nil {
+		return carawayspread.OutcomeFailed, errors.Join(errBroken, err)
+	}
+	stay.Answered()
+	outcome := carawayspread.OutcomeServed
+	if reply.Status >= http.StatusInternalServerError {
+		outcome = carawayspread.OutcomeFailed
+		if c.route.Repeat == carawayspread.RepeatSafe && c.mayRepeat() && c.g.budget(c.service.Name).Allow() {
+			c.arrivals = 0 // the retry is paid for
+			return outcome, errBroken
+		}
+	}
+	if c.started {
+		return carawayspread.OutcomeFailed, errBroken // no second answer inside a stream
+	}
+	c.started = true
+	c.first = c.g.clock.Now().Sub(c.arrived)
+	c.header(reply)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(reply.Status)
+	_, _ = c.w.Write(body)
+	return outcome, nil
+}
+
+// header sets the endpoint's end-to-end headers for the caller.
+func (c *call) header(reply *carawayspread.Reply) {
+	h := c.w.Header()
+	for name, values := range endToEnd(reply.Header) {
+		h[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := h[name]; !ok {
+			h[name] = nil // net/http would add its own
+		}
+	}
+	h.Del("Content-Length")
+}
+
+// forget frees a KV cache that nobody took.
+func (c *call) forget() {
+	if c.held == nil {
+		return
+	}
+	held := *c.held
+	c.held = nil
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), forgetTimeout)
+		defer cancel()
+		reply, err := c.g.exchange.Send(ctx, held.From, c.g.protocol.Forget(held))
+		if err != nil {
+			c.g.log.Write(decisionlog.Start("forget").Text("endpoint", string(held.From.ID())).Text("error", err.Error()))
+			return
+		}
+		closeBody(reply)
+	}()
+}
+
+func closeBody(reply *carawayspread.Reply) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, 4<<10))
+	_ = reply.Body.Close()
+}
+
+func busy() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeOverloaded, "the endpoints have no room now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack))
+}
--- /dev/null
+++ b/internal/process/gateway/end.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"carawayspread"
+)
+
+// hopByHop are the headers that concern one connection alone (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// endToEnd returns a copy without the headers of one connection.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	for name, values := range h {
+		out[name] = values
+	}
+	for _, list := range h["Connection"] {
+		for _, name := range splitList(list) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	delete(out, "Content-Length")
+	delete(out, "Expect")
+	return out
+}
+
+func splitList(list string) []string {
+	var names []string
+	start := 0
+	for i := 0; i <= len(list); i++ {
+		if i == len(list) || list[i] == ',' {
+			names = append(names, trimSpace(list[start:i]))
+			start = i + 1
+		}
+	}
+	return names
+}
+
+func trimSpace(s string) string {
+	for len(s) > 0 && (s[0] == ' ' || s[0] == '\t') {
+		s = s[1:]
+	}
+	for len(s) > 0 && (s[len(s)-1] == ' ' || s[len(s)-1] == '\t') {
+		s = s[:len(s)-1]
+	}
+	return s
+}
+
+// fail gives the final answer to a request that has none from an endpoint.
+func (c *call) fail(ctx context.Context, err error) {
+	switch {
+	case c.r.Context().Err() != nil:
+		c.finish("callerLeft", 0)
+		panic(http.ErrAbortHandler)
+	case c.started:
+		// Failure: the answer ended early and cannot go on. Symptom: a caller
+		// that takes a part for the whole. Resetting the connection is the one
+		// end that no HTTP client can mistake for a complete answer.
+		c.line.Text("error", err.Error())
+		c.finish("cut", 0)
+		panic(http.ErrAbortHandler)
+	case c.ran == 0:
+		c.refuse(c.notRun(ctx, err))
+	case ctx.Err() != nil:
+		c.refuse(carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "no answer in time", carawayspread.CausedBy(err)))
+	default:
+		c.refuse(carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint gave no whole answer", carawayspread.CausedBy(err)))
+	}
+}
+
+// notRun returns the refusal of a request that provably has not run.
+func (c *call) notRun(ctx context.Context, err error) *carawayspread.Error {
+	if refusal, ok := carawayspread.AsError(err); ok && refusal.NotRun() {
+		return refusal
+	}
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return carawayspread.NewError(carawayspread.CodeOverloaded, "no endpoint took the request in time",
+			carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
+	}
+	return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no endpoint took the request",
+		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
+}
+
+// refuse answers in the system's own name.
+func (c *call) refuse(err *carawayspread.Error) {
+	c.line.Text("error", err.Error())
+	outcome := "failed"
+	if err.NotRun() {
+		outcome = "refused"
+	}
+	c.finish(outcome, err.Code().Status())
+	if c.gone {
+		panic(http.ErrAbortHandler)
+	}
+	c.g.protocol.Refuse(c.w, err)
+}
+
+// finish writes the line and counts.
+func (c *call) finish(outcome string, status int) {
+	now := c.g.clock.Now()
+	route := "none"
+	if c.route != nil {
+		route = c.route.Name
+	}
+	took := now.Sub(c.arrived)
+	line := c.line.Text("outcome", outcome).Int("status", int64(status)).
+		Text("service", c.service.Name).Text("reader", string(c.reader)).Text("endpoint", string(c.answer)).
+		Int("sends", int64(c.arrivals)).Ms("expectedMs", c.expected).Ms("firstMs", c.first).Ms("tookMs", took).
+		Int("found", int64(c.found)).
+		Ms("listAgeMs", time.Duration(now.UnixNano()-c.g.listed.Load()))
+	if p := c.ask.Prompt; p != nil {
+		line.Int("tokens", int64(p.Tokens)).Int("most", int64(p.Most)).Int("hint", int64(p.Hint))
+	}
+	c.g.log.Write(line)
+	c.g.set.GetOrCreateCounter(`gateway_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
+	if c.first > 0 {
+		c.g.set.GetOrCreateHistogram(`gateway_first_seconds{route="` + route + `"}`).Update(c.first.Seconds())
+	}
+	c.g.set.GetOrCreateHistogram(`gateway_took_seconds{route="` + route + `"}`).Update(took.Seconds())
+}
--- /dev/null
+++ b/internal/process/gateway/stream.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+
+	"carawayspread"
+	"carawayspread/internal/connection/openai"
+)
+
+var idField = []byte("id:")
+
+// eventID returns the identifier of an event; empty where it has none.
+func eventID(event []byte) string {
+	for line := range bytes.Lines(event) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+	}
+	return ""
+}
+
+// stream passes an answer on event by event. What an endpoint sent of an event
+// that it did not finish never reaches the caller.
+func (c *call) stream(reply *carawayspread.Reply, stay carawayspread.Stay) (carawayspread.Outcome, error) {
+	defer func() { _ = reply.Body.Close() }()
+	flush := http.NewResponseController(c.w)
+	events := openai.NewEvents(reply.Body)
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) && !c.started {
+			return carawayspread.OutcomeFailed, errBroken
+		}
+		if errors.Is(err, io.EOF) {
+			return carawayspread.OutcomeServed, nil
+		}
+		if err != nil {
+			return carawayspread.OutcomeFailed, errors.Join(errBroken, err)
+		}
+		if !c.started {
+			c.started = true
+			c.first = c.g.clock.Now().Sub(c.arrived)
+			c.header(reply)
+			c.w.WriteHeader(reply.Status)
+		}
+		stay.Answered()
+		if id := eventID(event); id != "" {
+			c.last = id
+		}
+		if _, err := c.w.Write(event); err != nil {
+			return carawayspread.OutcomeCancelled, err
+		}
+		if err := flush.Flush(); err != nil {
+			return carawayspread.OutcomeCancelled, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/gatewayd/daemon.go
@@ -0,0 +1,211 @@
+// Package gatewayd composes the daemon that takes callers' requests by route
+// and reaches endpoints without sidecars.
+package gatewayd
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"carawayspread"
+	"carawayspread/internal/connection/peers"
+	"carawayspread/internal/process/decisionlog"
+	"carawayspread/internal/process/gateway"
+	"carawayspread/internal/process/server"
+	"carawayspread/internal/version/gatewaysettings"
+
+	// The modules that the daemon runs register themselves.
+	_ "carawayspread/internal/process/ejection"
+	_ "carawayspread/internal/process/placement"
+)
+
+const (
+	// leaveFor is how long new connections are still taken after the order to
+	// end: the balancer learns of it by its questions, a second apart, of
+	// which it needs two.
+	leaveFor = 3 * time.Second
+	// graceUsed is the part of the grace that running requests may take.
+	graceUsed  = 0.9
+	leavePoll  = 20 * time.Millisecond
+	headerTime = 10 * time.Second
+	bodyTime   = 30 * time.Second
+	// idleTime exceeds what operators grant callers, so that it is the caller
+	// who closes a connection, never a moment after it has sent a request.
+	idleTime    = 90 * time.Second
+	headerBytes = 64 << 10
+)
+
+// Follower follows what operators and endpoints publish, and hands it to the
+// daemon, until ctx ends.
+type Follower interface {
+	RunRoutes(ctx context.Context) error
+	RunList(ctx context.Context) error
+}
+
+// Ports are what the platform's translation brings.
+type Ports struct {
+	Exchange carawayspread.Exchange
+	Protocol carawayspread.Protocol
+	Follow   func(sink *Daemon) Follower
+}
+
+// Daemon is one gateway process.
+type Daemon struct {
+	settings *gatewaysettings.Settings
+	clock    carawayspread.Clock
+	log      log.Interface
+	lines    *decisionlog.Log
+	gateway  *gateway.Gateway
+	peers    *peers.Socket
+	placer   carawayspread.Placer
+	follower Follower
+	listed   atomic.Bool
+	leaving  atomic.Bool
+
+	callers  *http.Server
+	listener net.Listener
+	health   *server.Server
+	metrics  *server.Server
+}
+
+// New opens the daemon's addresses. Decisions are logged to out.
+func New(s *gatewaysettings.Settings, clock carawayspread.Clock, l log.Interface, out io.Writer, ports Ports) (*Daemon, error) {
+	d := &Daemon{settings: s, clock: clock, log: l.WithField("instance", s.ID()), lines: decisionlog.New(out)}
+	var err error
+	if d.peers, err = peers.Listen(s.Peer(), s.Seeds(), clock); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	newPlacer, known := carawayspread.Placers.Get(s.Placement())
+	if !known {
+		d.log.WithField("placement", s.Placement()).Warn("unknown placement, the default is used")
+	}
+	d.placer = newPlacer(carawayspread.Environment{
+		Clock: clock, Zone: s.Zone(), Tell: d.peers.Tell,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d.gateway = gateway.New(ports.Exchange, ports.Protocol, d.placer, clock, d.lines,
+		gateway.WithTerms(s.Budget(), d.peers.Share),
+		gateway.WithCrashed(func(fingerprint uint64, id carawayspread.EndpointID) {
+			d.peers.Crashed(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id)})
+		}))
+	d.follower = ports.Follow(d)
+	return d, trace.Wrap(d.listen())
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listener, err = net.Listen("tcp4", d.settings.Listen()); err != nil {
+		return err
+	}
+	d.callers = &http.Server{
+		Handler: d.gateway, ReadHeaderTimeout: headerTime, ReadTimeout: bodyTime, IdleTimeout: idleTime,
+		MaxHeaderBytes: headerBytes, DisableGeneralOptionsHandler: true,
+	}
+	health := http.NewServeMux()
+	health.HandleFunc("GET /{path...}", d.answerReady)
+	if d.health, err = server.Listen(d.settings.Health(), health); err != nil {
+		return err
+	}
+	observe := http.NewServeMux()
+	server.Observe(observe, d.Ready, d.gateway.Metrics())
+	d.metrics, err = server.Listen(d.settings.Metrics(), observe)
+	return err
+}
+
+func (d *Daemon) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Ready reports whether callers are better served here than elsewhere.
+func (d *Daemon) Ready() bool {
+	return !d.leaving.Load() && d.gateway.Routing() != nil && d.listed.Load()
+}
+
+// Adopt takes a newer set of routes.
+func (d *Daemon) Adopt(t *carawayspread.Routing) { d.gateway.Adopt(t) }
+
+// Listed takes all endpoints.
+func (d *Daemon) Listed(endpoints []carawayspread.Endpoint) {
+	d.gateway.Listed(endpoints)
+	if len(endpoints) > 0 && !d.listed.Swap(true) {
+		d.log.WithField("endpoints", len(endpoints)).Info("endpoints known")
+	}
+}
+
+// Run serves until ctx ends, then takes no new connections after a while and
+// returns when the last request has its answer.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	run := func(f func(context.Context) error) {
+		group.Go(func() error {
+			if err := f(work); err != nil && work.Err() == nil {
+				return err
+			}
+			return nil
+		})
+	}
+	run(d.lines.Run)
+	run(d.peers.Run)
+	run(d.follower.RunRoutes)
+	run(d.follower.RunList)
+	run(func(context.Context) error {
+		return d.peers.Receive(d.placer, func(c peers.Crash) {
+			d.gateway.Crashed(c.Fingerprint, carawayspread.EndpointID(c.Endpoint))
+		})
+	})
+	run(func(context.Context) error { return d.health.Run() })
+	run(func(context.Context) error { return d.metrics.Run() })
+	run(func(context.Context) error {
+		if err := d.callers.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	d.log.WithField("listen", d.settings.Listen()).WithField("health", d.settings.Health()).
+		WithField("peer", d.settings.Peer()).Info("start")
+	select {
+	case <-ctx.Done():
+		d.leave()
+	case <-work.Done():
+	}
+	stop()
+	d.peers.Close()
+	_ = d.health.Shutdown(work)
+	_ = d.metrics.Shutdown(work)
+	_ = d.callers.Close()
+	err := group.Wait()
+	d.log.WithField("running", d.gateway.Running()).Info("stop")
+	return trace.Wrap(err)
+}
+
+// leave serves on while callers still arrive, and until the last has its answer.
+//
+// Failure: a process ends while its balancer still sends to it. Symptom:
+// callers whose connections are reset. Not being ready takes it out of the
+// rotation first; answers then ask their callers to open connections anew.
+func (d *Daemon) leave() {
+	d.leaving.Store(true)
+	begun := d.clock.Now()
+	d.log.WithField("running", d.gateway.Running()).Info("leaving")
+	d.callers.SetKeepAlivesEnabled(false)
+	for {
+		since := d.clock.Now().Sub(begun)
+		if since > leaveFor && d.gateway.Running() == 0 || since > time.Duration(graceUsed*float64(d.settings.Grace())) {
+			return
+		}
+		<-d.clock.After(leavePoll)
+	}
+}
--- /dev/null
+++ b/internal/process/placement/engine.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	// startPerToken, startPerPair and startFixed shape the time that an engine
+	// reads: tokens, pairs of tokens for attention, and what each call costs.
+	// They are the order of size of large models; what counts is the shape, as
+	// the pace of each engine is learnt from its answers.
+	startPerToken = 11 * time.Microsecond
+	startPerPair  = 350 * time.Nanosecond // for a thousand pairs
+	startFixed    = 4 * time.Millisecond
+	// wholeFactor and wholePiece say how an engine that also answers reads: at
+	// half the speed, a piece at a time between the steps of its answers.
+	wholeFactor = 2
+	wholePiece  = 512
+	// stepFixed and stepPerRun shape one step of answering.
+	stepFixed  = 3 * time.Millisecond
+	stepPerRun = 120 * time.Microsecond
+
+	paceLearning = 0.15
+	paceLow      = 0.3
+	paceHigh     = 6
+	// backlogLearning is the part of an error of the expected end that is
+	// added to what waits.
+	backlogLearning = 0.5
+	// memoryUsed is the part of the memory that is counted on for parts.
+	memoryUsed = 0.85
+	mostParts  = 8192 // remembered for one engine, 40 bytes each
+)
+
+// mark is when a part was last read or found, by the engine's count of tokens.
+type mark struct {
+	at     int64
+	tokens int
+}
+
+// engine is what is known of one endpoint. Plain services use the counts alone.
+type engine struct {
+	endpoint carawayspread.Endpoint
+	hash     uint32
+	reading  time.Time // when the readings known are through; past where none waits
+	pace     float64   // what reading takes against the shape
+	own      int       // attempts of this process
+	tokens   int       // of those attempts
+	calls    int       // readings of this process that are not through
+	count    int64     // tokens that have entered the memory
+	parts    map[uint64]mark
+	mean     time.Duration // of whole answers; plain services
+}
+
+func newEngine(endpoint carawayspread.Endpoint) *engine {
+	return &engine{endpoint: endpoint, hash: hashOf(endpoint.ID()), pace: 1, parts: map[uint64]mark{}}
+}
+
+// update takes the newest entry. An engine that changed its role is learnt anew.
+func (e *engine) update(endpoint carawayspread.Endpoint) {
+	if endpoint.Role() != e.endpoint.Role() {
+		e.pace = 1
+	}
+	e.endpoint = endpoint
+}
+
+func (e *engine) reads() bool { return e.endpoint.Role() == carawayspread.RolePrefill }
+
+// found returns the tokens at the beginning of the prompt that the engine is
+// thought to hold.
+func (e *engine) found(parts []carawayspread.Part, chains []uint64, memory int) int {
+	sum := 0
+	for i, chain := range chains {
+		m, ok := e.parts[chain]
+		if !ok || e.count-m.at > int64(float64(memory)*memoryUsed) {
+			break
+		}
+		sum += parts[i].Tokens
+	}
+	return sum
+}
+
+// wait returns how long a new reading waits for those before it.
+func (e *engine) wait(now time.Time) time.Duration { return max(0, e.reading.Sub(now)) }
+
+// step returns the time of one step of answering beside so many answers.
+func step(running int) time.Duration {
+	return stepFixed + time.Duration(running)*stepPerRun
+}
+
+// work returns the time that reading takes.
+func (e *engine) work(tokens, found, running int) time.Duration {
+	fresh := max(0, tokens-found)
+	pairs := (int64(tokens)*int64(tokens) - int64(found)*int64(found)) / 2000
+	d := time.Duration(fresh)*startPerToken + time.Duration(pairs)*startPerPair
+	if !e.reads() {
+		pieces := 1 + fresh/wholePiece
+		d = wholeFactor*d + time.Duration(pieces)*step(running)
+	}
+	return time.Duration(float64(d+startFixed) * e.pace)
+}
+
+// take marks the parts as held and counts the tokens that come in.
+func (e *engine) take(chains []uint64, tokens int) {
+	e.count += int64(tokens)
+	for _, chain := range chains {
+		e.parts[chain] = mark{at: e.count}
+	}
+	if len(e.parts) > mostParts {
+		e.prune()
+	}
+}
+
+// prune forgets the older half of the parts.
+func (e *engine) prune() {
+	oldest := e.count
+	for _, m := range e.parts {
+		oldest = min(oldest, m.at)
+	}
+	middle := oldest + (e.count-oldest)/2
+	for chain, m := range e.parts {
+		if m.at <= middle {
+			delete(e.parts, chain)
+		}
+	}
+}
+
+// learn corrects pace and backlog by an answer to a reading that was sent when
+// the engine was expected to begin at start and to end at end.
+func (e *engine) learn(now, sent, start, end time.Time) {
+	work := end.Sub(start)
+	wait := start.Sub(sent)
+	if work > 0 && wait < work/2 {
+		ratio := float64(now.Sub(sent)-wait) / float64(work)
+		e.pace = min(paceHigh, max(paceLow, e.pace*(1+paceLearning*(ratio-1))))
+	}
+	e.reading = e.reading.Add(time.Duration(backlogLearning * float64(now.Sub(end))))
+}
--- /dev/null
+++ b/internal/process/placement/placer.go
@@ -0,0 +1,388 @@
+// Package placement decides where requests run, and which are refused.
+//
+// Load pattern: prompts of very different length arrive at several processes,
+// share their beginnings, and are read either by engines that only read or,
+// slower, by those that also answer. Without this, long prompts queue before
+// some engines while others idle, shared beginnings are read again and again,
+// and every process sends its next request to the engine that looked free to
+// all of them.
+//
+// Each process keeps, for each engine, when the readings known are through and
+// which parts of prompts it holds, and tells its peers of each placement. A
+// request goes where its first event is expected first, at a price for the
+// engine's time that it takes from others. One that cannot be answered while
+// its caller waits is refused at once.
+//
+// With nothing heard, the process knows its own placements alone.
+package placement
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	// handOver is what moving a KV cache costs beside its bytes.
+	handOver = 6 * time.Millisecond
+	// zoneFactor is how much longer a KV cache takes between zones.
+	zoneFactor = 2
+	// otherZone is the time that staying in the zone is worth, for the bytes.
+	otherZone = 4 * time.Millisecond
+	// workPrice is what a millisecond of an engine is worth against one of the
+	// request's own waiting.
+	workPrice = 0.6
+	// patience is the part of the target that a request may be expected to
+	// take: what is expected later is refused, since it would hold back
+	// others and be late itself.
+	patience = 1.15
+	// latePatience bounds the wait of a request that is late already.
+	latePatience = 900 * time.Millisecond
+	// peerLife is how long the account of a silent peer counts.
+	peerLife = 3 * time.Second
+	// memoryLimit is the part of the memory that running requests may take.
+	memoryLimit = 0.92
+	// plainStart is the time of an answer of a plain service before one is known.
+	plainStart = 30 * time.Millisecond
+	// plainLearning is the weight of one answer in the mean.
+	plainLearning = 0.05
+	// soonest and latest bound when a refused caller is told to come back.
+	soonest = 300 * time.Millisecond
+	latest  = 3 * time.Second
+)
+
+// load is what a peer says of its attempts at one endpoint.
+type load struct{ running, tokens int }
+
+type peer struct {
+	heard time.Time
+	loads map[uint32]load
+}
+
+type pool struct {
+	engines map[carawayspread.EndpointID]*engine
+	ejector carawayspread.Ejector
+}
+
+// Placer is a carawayspread.Placer by estimates.
+type Placer struct {
+	env carawayspread.Environment
+
+	mu     sync.Mutex
+	pools  map[string]*pool
+	byHash map[uint32]*engine
+	peers  map[string]*peer
+}
+
+var _ = carawayspread.Placers.Register("estimate", func(env carawayspread.Environment) carawayspread.Placer {
+	return New(env)
+})
+
+// New returns a placer without endpoints.
+func New(env carawayspread.Environment) *Placer {
+	if env.Tell == nil {
+		env.Tell = func(carawayspread.Notice) {}
+	}
+	return &Placer{env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, peers: map[string]*peer{}}
+}
+
+func hashOf(id carawayspread.EndpointID) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// SetEndpoints replaces the endpoints of a service and keeps what is known.
+func (p *Placer) SetEndpoints(service string, endpoints []carawayspread.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.pools[service]
+	if old == nil {
+		eject, _ := carawayspread.Ejectors.Get("")
+		old = &pool{ejector: eject(p.env)}
+	}
+	next := &pool{engines: make(map[carawayspread.EndpointID]*engine, len(endpoints)), ejector: old.ejector}
+	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		e := old.engines[endpoint.ID()]
+		if e == nil {
+			e = newEngine(endpoint)
+		}
+		e.update(endpoint)
+		next.engines[endpoint.ID()] = e
+		ids = append(ids, endpoint.ID())
+	}
+	next.ejector.SetEndpoints(ids)
+	p.pools[service] = next
+	p.byHash = map[uint32]*engine{}
+	for _, pool := range p.pools {
+		for _, e := range pool.engines {
+			p.byHash[e.hash] = e
+		}
+	}
+}
+
+// Place chooses an endpoint.
+func (p *Placer) Place(req carawayspread.Placing) (carawayspread.Placement, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.env.Clock.Now()
+	pool := p.pools[req.Service.Name]
+	if pool == nil {
+		return carawayspread.Placement{}, nowhere()
+	}
+	if req.Prompt == nil || req.Service.Engine == nil {
+		return p.placePlain(now, pool, req)
+	}
+	return p.placePrompt(now, pool, req)
+}
+
+// open reports whether the engine may get the request.
+func (pool *pool) open(e *engine, req carawayspread.Placing) bool {
+	return !e.endpoint.Leaving() && !req.Exclude[e.endpoint.ID()] && pool.ejector.Allowed(e.endpoint.ID())
+}
+
+// load returns all attempts known at the engine.
+func (p *Placer) load(now time.Time, e *engine) load {
+	sum := load{e.own, e.tokens}
+	for _, peer := range p.peers {
+		if now.Sub(peer.heard) < peerLife {
+			l := peer.loads[e.hash]
+			sum.running += l.running
+			sum.tokens += l.tokens
+		}
+	}
+	return sum
+}
+
+func (p *Placer) placePlain(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
+	var best *engine
+	var bestFirst, bestCost, soon time.Duration
+	for _, e := range pool.engines {
+		if !pool.open(e, req) {
+			continue
+		}
+		mean := e.mean
+		if mean == 0 {
+			mean = plainStart
+		}
+		slots := max(1, e.endpoint.Slots())
+		running := p.load(now, e).running
+		first := mean
+		if running >= slots {
+			first += mean * time.Duration(running-slots+1) / time.Duration(slots)
+		}
+		cost := first + mean*time.Duration(running)/time.Duration(4*slots)
+		if e.endpoint.Zone() != p.env.Zone {
+			cost += otherZone
+		}
+		if best == nil || cost < bestCost {
+			best, bestFirst, bestCost = e, first, cost
+		}
+		soon = max(soon, mean)
+	}
+	if best == nil {
+		return carawayspread.Placement{}, nowhere()
+	}
+	if now.Add(bestFirst).After(req.Deadline) {
+		return carawayspread.Placement{}, p.tooLate(bestFirst)
+	}
+	return carawayspread.Placement{Endpoint: best.endpoint, First: bestFirst}, nil
+}
+
+// choice is a way to the first event.
+type choice struct {
+	engine *engine
+	reads  bool
+	first  time.Duration
+	cost   time.Duration
+	work   time.Duration
+	found  int
+}
+
+func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
+	chains := req.Prompt.Chains()
+	traits := req.Service.Engine
+	var best choice
+	answer, continued := p.continued(now, pool, req)
+	if req.Handed != "" {
+		if !continued {
+			return carawayspread.Placement{}, nowhere()
+		}
+		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
+	}
+	for _, e := range pool.engines {
+		if !pool.open(e, req) || e.reads() && (req.Direct || !continued) {
+			continue
+		}
+		l := p.load(now, e)
+		if !e.reads() && !fits(l, e, req) {
+			continue
+		}
+		found := e.found(req.Prompt.Parts, chains, traits.KVTokens)
+		work := e.work(req.Prompt.Tokens, found, l.running)
+		c := choice{engine: e, reads: e.reads(), work: work, found: found, first: e.wait(now) + work}
+		if c.reads {
+			c.first += handOver + answer.first
+		} else {
+			c.first += step(l.running)
+		}
+		c.cost = c.first + time.Duration(workPrice*float64(work))
+		if e.endpoint.Zone() != p.env.Zone {
+			c.cost += otherZone
+		}
+		if best.engine == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best.engine == nil {
+		return carawayspread.Placement{}, nowhere()
+	}
+	if err := p.judge(now, req, best.first); err != nil {
+		return carawayspread.Placement{}, err
+	}
+	return carawayspread.Placement{
+		Endpoint: best.engine.endpoint, Reads: best.reads, First: best.first, Work: best.work, Found: best.found,
+	}, nil
+}
+
+// judge refuses what would be too late to be worth its engine time.
+func (p *Placer) judge(now time.Time, req carawayspread.Placing, first time.Duration) error {
+	if now.Add(first).After(req.Deadline) {
+		return p.tooLate(first)
+	}
+	if req.Direct {
+		return nil // it has waited; a second chance is not refused for lateness
+	}
+	if req.Late {
+		if first > latePatience {
+			return p.tooLate(first - latePatience)
+		}
+		return nil
+	}
+	allowed := time.Duration(patience*float64(req.Route.Target)) - now.Sub(req.Arrived)
+	if first > allowed {
+		return p.tooLate(first - allowed)
+	}
+	return nil
+}
+
+// continued returns the engine that would go on from a KV cache first.
+func (p *Placer) continued(now time.Time, pool *pool, req carawayspread.Placing) (choice, bool) {
+	var best choice
+	zone := p.env.Zone
+	if from := pool.engines[req.Handed]; from != nil {
+		zone = from.endpoint.Zone()
+	}
+	traits := req.Service.Engine
+	var move time.Duration
+	if traits.LinkBits > 0 {
+		move = time.Duration(float64(req.Prompt.Tokens) * float64(traits.TokenBytes) * 8 / float64(traits.LinkBits) * float64(time.Second))
+	}
+	for _, e := range pool.engines {
+		if e.reads() || !pool.open(e, req) {
+			continue
+		}
+		l := p.load(now, e)
+		if !fits(l, e, req) {
+			continue
+		}
+		first := move + step(l.running)
+		if e.wait(now) > 0 {
+			first += wholePiece * wholeFactor * startPerToken
+		}
+		cost := first + time.Duration(l.running)*stepPerRun*4
+		if e.endpoint.Zone() != zone {
+			first += move * (zoneFactor - 1)
+			cost = first + time.Duration(l.running)*stepPerRun*4 + 2*otherZone
+		}
+		if best.engine == nil || cost < best.cost {
+			best = choice{engine: e, first: first, cost: cost}
+		}
+	}
+	return best, best.engine != nil
+}
+
+// fits reports whether the engine has a slot and memory for the request.
+func fits(l load, e *engine, req carawayspread.Placing) bool {
+	traits := req.Service.Engine
+	slots := max(1, e.endpoint.Slots())
+	if e.endpoint.Slots() == 0 {
+		slots = max(1, traits.Slots)
+	}
+	if l.running >= slots {
+		return false
+	}
+	return traits.KVTokens == 0 || float64(l.tokens+size(req.Prompt)) < memoryLimit*float64(traits.KVTokens)
+}
+
+// size returns the tokens of a request in an engine's memory.
+func size(prompt *carawayspread.Prompt) int {
+	out := prompt.Most
+	if prompt.Hint > 0 {
+		out = min(out, prompt.Hint)
+	}
+	return prompt.Tokens + out
+}
+
+func nowhere() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no endpoint can take the request now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(soonest))
+}
+
+// tooLate refuses a request whose first event is expected over by so long.
+// The time to come back is spread, so that the refused do not return at once.
+func (p *Placer) tooLate(over time.Duration) *carawayspread.Error {
+	after := max(soonest, min(latest, 2*over))
+	if p.env.Rand != nil {
+		after += time.Duration(p.env.Rand.Float64() * float64(after))
+	}
+	return carawayspread.NewError(carawayspread.CodeOverloaded, "the target cannot be met now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(after))
+}
+
+// Crashed takes note of a connection that broke while a request ran.
+func (p *Placer) Crashed(id carawayspread.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		if e := pool.engines[id]; e != nil {
+			e.parts = map[uint64]mark{}
+		}
+	}
+}
+
+// Heard takes the notices of a peer.
+func (p *Placer) Heard(from string, notices []carawayspread.Notice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.env.Clock.Now()
+	known := p.peers[from]
+	if known == nil {
+		known = &peer{loads: map[uint32]load{}}
+		p.peers[from] = known
+	}
+	known.heard = now
+	for _, n := range notices {
+		known.loads[n.Endpoint] = load{n.Running, n.Tokens}
+		e := p.byHash[n.Endpoint]
+		if e == nil {
+			continue
+		}
+		if n.Work > 0 {
+			e.reading = later(now, e.reading).Add(n.Work)
+		}
+		if n.Read > 0 || len(n.Chains) > 0 {
+			e.take(n.Chains, n.Read)
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,75 @@
+package carawayspread
+
+import "time"
+
+// Placers decide where requests run.
+var Placers = NewRegistry[func(Environment) Placer]("estimate")
+
+// Placing is what a Placer knows of one request.
+type Placing struct {
+	Route    *Route
+	Service  RoutedService
+	Prompt   *Prompt // nil for plain services
+	Arrived  time.Time
+	Deadline time.Time // the earlier of the caller's and the route's
+	// Late says that the target has passed already, because the caller was
+	// refused before and has come back.
+	Late bool
+	// Exclude names endpoints that this request must not go to again.
+	Exclude map[EndpointID]bool
+	// Key is the same for each copy of the request.
+	Key uint64
+	// Handed is where the prompt was read; empty where it was not.
+	Handed EndpointID
+	// Direct asks for one endpoint that reads and answers.
+	Direct bool
+}
+
+// Placement is where a request goes.
+type Placement struct {
+	Endpoint Endpoint
+	// Reads says that the endpoint reads the prompt for another, which is
+	// asked for when it has: Place with Handed set.
+	Reads bool
+	// First is the expected time from now to the first event or the answer.
+	First time.Duration
+	// Work is the expected time that the endpoint spends on reading.
+	Work time.Duration
+	// Found are the tokens of the prompt that the endpoint is thought to hold.
+	Found int
+}
+
+// Placer decides where requests run, and which are refused because their
+// target cannot be met. It is safe for concurrent use.
+type Placer interface {
+	// SetEndpoints replaces all endpoints of a service.
+	SetEndpoints(service string, endpoints []Endpoint)
+	// Place chooses an endpoint, or returns an *Error that is not run.
+	Place(p Placing) (Placement, error)
+	// Sent follows a placement that is carried out; its End is called once.
+	Sent(p Placing, at Placement) Stay
+	// Heard takes what another process says of its placements.
+	Heard(from string, notices []Notice)
+	// Crashed takes note that an endpoint broke off while it ran a request.
+	Crashed(id EndpointID)
+}
+
+// Stay is the time of one attempt at an endpoint.
+type Stay interface {
+	// Answered tells that the first event, or the answer to a reading, is
+	// there. Calls after the first have no effect.
+	Answered()
+	// End frees what the attempt held. Calls after the first have no effect.
+	End(outcome Outcome)
+}
+
+// Notice is what a process tells its peers of one endpoint, so that they place
+// as if they knew all attempts.
+type Notice struct {
+	Endpoint uint32 // hash of the identifier
+	Running  int    // attempts of the sender there now
+	Tokens   int    // of their prompts and answers
+	Work     time.Duration
+	Read     int      // tokens read anew by the placement that is told; zero for none
+	Chains   []uint64 // what the placement leaves in the endpoint's memory
+}
