Placement: the delay that occupies no engine is learnt apart from the pace

Cause: some 60 ms pass before a first event whatever the prompt; learnt as pace, they made every engine look several times slower than it is (expected 518 ms at the median of prompts of 8,000 to 16,000 tokens, measured 284), and requests were refused that had room. Ruled out: double counting between processes (errors were the same for a process's own). Change: two figures an engine, by normalised least mean squares.

--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -22,9 +22,15 @@
 	stepFixed  = 3 * time.Millisecond
 	stepPerRun = 120 * time.Microsecond
 
-	paceLearning = 0.15
-	paceLow      = 0.3
-	paceHigh     = 6
+	// startDelay is the part of the time to the first event that occupies
+	// nothing; it is learnt together with the pace.
+	startDelay = 30 * time.Millisecond
+	learning   = 0.1
+	paceLow    = 0.3
+	paceHigh   = 6
+	delayHigh  = 300 * time.Millisecond
+	// undisturbed is the wait up to which an answer tells pace and delay.
+	undisturbed = 25 * time.Millisecond
 	// backlogLearning is the part of an error of the expected end that is
 	// added to what waits.
 	backlogLearning = 0.5
@@ -45,6 +51,7 @@
 	hash     uint32
 	reading  time.Time // when the readings known are through; past where none waits
 	pace     float64   // what reading takes against the shape
+	delay    time.Duration
 	own      int       // attempts of this process
 	tokens   int       // of those attempts
 	calls    int       // readings of this process that are not through
@@ -54,13 +61,13 @@
 }
 
 func newEngine(endpoint carawayspread.Endpoint) *engine {
-	return &engine{endpoint: endpoint, hash: hashOf(endpoint.ID()), pace: 1, parts: map[uint64]mark{}}
+	return &engine{endpoint: endpoint, hash: hashOf(endpoint.ID()), pace: 1, delay: startDelay, parts: map[uint64]mark{}}
 }
 
 // update takes the newest entry. An engine that changed its role is learnt anew.
 func (e *engine) update(endpoint carawayspread.Endpoint) {
 	if endpoint.Role() != e.endpoint.Role() {
-		e.pace = 1
+		e.pace, e.delay = 1, startDelay
 	}
 	e.endpoint = endpoint
 }
@@ -126,14 +133,19 @@
 	}
 }
 
-// learn corrects pace and backlog by an answer to a reading that was sent when
-// the engine was expected to begin at start and to end at end.
+// learn corrects pace, delay and backlog by an answer to a reading that was
+// sent when the engine was expected to begin at start and to end at end.
+//
+// Pace and delay follow by normalised least mean squares, in units of
+// startDelay: short prompts tell the delay, long ones the pace.
 func (e *engine) learn(now, sent, start, end time.Time) {
-	work := end.Sub(start)
-	wait := start.Sub(sent)
-	if work > 0 && wait < work/2 {
-		ratio := float64(now.Sub(sent)-wait) / float64(work)
-		e.pace = min(paceHigh, max(paceLow, e.pace*(1+paceLearning*(ratio-1))))
+	work, wait := end.Sub(start), start.Sub(sent)
+	off := now.Sub(end) - e.delay
+	if wait < max(undisturbed, work/2) {
+		x := float64(work) / e.pace / float64(startDelay)
+		step := learning * float64(off) / (1 + x*x)
+		e.delay = min(delayHigh, max(0, e.delay+time.Duration(step)))
+		e.pace = min(paceHigh, max(paceLow, e.pace+step/float64(startDelay)*x))
 	}
-	e.reading = e.reading.Add(time.Duration(backlogLearning * float64(now.Sub(end))))
+	e.reading = e.reading.Add(time.Duration(backlogLearning * float64(off)))
 }
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -223,7 +223,7 @@
 		}
 		found := e.found(req.Prompt.Parts, chains, traits.KVTokens)
 		work := e.work(req.Prompt.Tokens, found, l.running)
-		c := choice{engine: e, reads: e.reads(), work: work, found: found, first: e.wait(now) + work}
+		c := choice{engine: e, reads: e.reads(), work: work, found: found, first: e.wait(now) + work + e.delay}
 		if c.reads {
 			c.first += handOver + answer.first
 		} else {
