--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -38,8 +38,17 @@
 	// take: what is expected later is refused, since it would hold back
 	// others and be late itself.
 	patience = 1.15
-	// latePatience bounds the wait of a request that is late already.
-	latePatience = 900 * time.Millisecond
+	// queuePatience is how long a request may wait for an engine, in parts of
+	// its target, where its own reading takes most of the target or more.
+	//
+	// Failure: prompts whose reading alone takes as long as the target are
+	// refused for what they are. Symptom: the largest requests of a class are
+	// hardly ever served. Their callers wait longer than the target, and an
+	// answer that is late by its own size is still an answer.
+	queuePatience = 0.15
+	// latePatience bounds the wait of a request that is late already: its
+	// callers leave after some two seconds without an event.
+	latePatience = 1500 * time.Millisecond
 	// peerLife is how long the account of a silent peer counts.
 	peerLife = 3 * time.Second
 	// memoryLimit is the part of the memory that running requests may take.
@@ -199,6 +208,7 @@
 	first  time.Duration
 	cost   time.Duration
 	work   time.Duration
+	alone  time.Duration // first, were nothing else there
 	found  int
 }
 
@@ -233,6 +243,7 @@
 		if e.endpoint.Zone() != p.env.Zone {
 			c.cost += otherZone
 		}
+		c.alone = c.first - e.wait(now)
 		if best.engine == nil || c.cost < best.cost {
 			best = c
 		}
@@ -240,7 +251,7 @@
 	if best.engine == nil {
 		return carawayspread.Placement{}, nowhere()
 	}
-	if err := p.judge(now, req, best.first); err != nil {
+	if err := p.judge(now, req, best); err != nil {
 		return carawayspread.Placement{}, err
 	}
 	return carawayspread.Placement{
@@ -249,12 +260,13 @@
 }
 
 // judge refuses what would be too late to be worth its engine time.
-func (p *Placer) judge(now time.Time, req carawayspread.Placing, first time.Duration) error {
+func (p *Placer) judge(now time.Time, req carawayspread.Placing, way choice) error {
+	first := way.first
 	if now.Add(first).After(req.Deadline) {
 		return p.tooLate(first)
 	}
-	if req.Direct {
-		return nil // it has waited; a second chance is not refused for lateness
+	if req.Owed {
+		return nil
 	}
 	if req.Late {
 		if first > latePatience {
@@ -262,7 +274,8 @@
 		}
 		return nil
 	}
-	allowed := time.Duration(patience*float64(req.Route.Target)) - now.Sub(req.Arrived)
+	target := float64(req.Route.Target)
+	allowed := max(time.Duration(patience*target), way.alone+time.Duration(queuePatience*target)) - now.Sub(req.Arrived)
 	if first > allowed {
 		return p.tooLate(first - allowed)
 	}
--- a/placement.go
+++ b/placement.go
@@ -23,6 +23,8 @@
 	Handed EndpointID
 	// Direct asks for one endpoint that reads and answers.
 	Direct bool
+	// Owed says that the request was taken on: it is not refused for lateness.
+	Owed bool
 }
 
 // Placement is where a request goes.
