Placement: large prompts where they need not wait, calmer corrections of the backlog

Cause: requests that had been refused and came back were refused again where their own reading took longer than the bound; errors of the expected end were added to the backlog twice over by two processes. Ruled out: priorities at the engines (three ways tried, worth equal within noise): engines admit all and do not order what they have admitted.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -257,7 +257,7 @@
 func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
 	h := endToEnd(c.r.Header)
 	attempt := carawayspread.Attempt{
-		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Rank: -1, Resume: c.last,
+		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Resume: c.last,
 	}
 	if phase == carawayspread.PhaseContinue {
 		attempt.Handover = *c.held
--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"carawayspread"
@@ -33,7 +34,10 @@
 	undisturbed = 25 * time.Millisecond
 	// backlogLearning is the part of an error of the expected end that is
 	// added to what waits.
-	backlogLearning = 0.5
+	backlogLearning = 0.3
+	// dutyMemory is the time over which it is remembered how much an engine
+	// read: some times the reading of a long prompt.
+	dutyMemory = 1500 * time.Millisecond
 	// memoryUsed is the part of the memory that is counted on for parts.
 	memoryUsed = 0.85
 	mostParts  = 8192 // remembered for one engine, 40 bytes each
@@ -52,10 +56,12 @@
 	reading  time.Time // when the readings known are through; past where none waits
 	pace     float64   // what reading takes against the shape
 	delay    time.Duration
-	own      int       // attempts of this process
-	tokens   int       // of those attempts
-	calls    int       // readings of this process that are not through
-	count    int64     // tokens that have entered the memory
+	own      int           // attempts of this process
+	tokens   int           // of those attempts
+	calls    int           // readings of this process that are not through
+	read     time.Duration // of the last dutyMemory, fading, as of readAt
+	readAt   time.Time
+	count    int64 // tokens that have entered the memory
 	parts    map[uint64]mark
 	mean     time.Duration // of whole answers; plain services
 }
@@ -91,6 +97,31 @@
 // wait returns how long a new reading waits for those before it.
 func (e *engine) wait(now time.Time) time.Duration { return max(0, e.reading.Sub(now)) }
 
+// begin counts a reading.
+func (e *engine) begin(now time.Time, work time.Duration) (start, end time.Time) {
+	start = later(now, e.reading)
+	e.reading = start.Add(work)
+	e.read = e.fading(now) + work
+	e.readAt = now
+	return start, e.reading
+}
+
+func (e *engine) fading(now time.Time) time.Duration {
+	return time.Duration(float64(e.read) * math.Exp(-float64(now.Sub(e.readAt))/float64(dutyMemory)))
+}
+
+// duty returns the part of the time that the engine spends on reading.
+func (e *engine) duty(now time.Time) float64 {
+	return min(1, float64(e.fading(now))/float64(dutyMemory))
+}
+
+// token returns the time between two tokens of an answer: a step, and between
+// the steps the pieces of prompts that the engine reads.
+func (e *engine) token(now time.Time, running int) time.Duration {
+	piece := time.Duration(float64(wholePiece*wholeFactor*startPerToken) * e.pace)
+	return time.Duration(float64(step(running))*max(1, e.pace)) + time.Duration(e.duty(now)*float64(piece))
+}
+
 // step returns the time of one step of answering beside so many answers.
 func step(running int) time.Duration {
 	return stepFixed + time.Duration(running)*stepPerRun
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -30,25 +30,28 @@
 	// zoneFactor is how much longer a KV cache takes between zones.
 	zoneFactor = 2
 	// otherZone is the time that staying in the zone is worth, for the bytes.
-	otherZone = 4 * time.Millisecond
+	otherZone = 8 * time.Millisecond
 	// workPrice is what a millisecond of an engine is worth against one of the
 	// request's own waiting.
 	workPrice = 0.6
+	// tokenPrice is what a millisecond of the rest of an answer is worth: it
+	// keeps answers where they are made fast.
+	tokenPrice = 0.01
+	// besidePrice is what a millisecond of reading costs for each answer that
+	// it slows down beside it.
+	besidePrice = 0.015
+	// answerShare is the part of the time left that the whole of an answer may
+	// be expected to take; an engine where it takes longer is used last.
+	answerShare = 0.7
 	// patience is the part of the target that a request may be expected to
 	// take: what is expected later is refused, since it would hold back
 	// others and be late itself.
 	patience = 1.15
-	// queuePatience is how long a request may wait for an engine, in parts of
-	// its target, where its own reading takes most of the target or more.
-	//
-	// Failure: prompts whose reading alone takes as long as the target are
-	// refused for what they are. Symptom: the largest requests of a class are
-	// hardly ever served. Their callers wait longer than the target, and an
-	// answer that is late by its own size is still an answer.
-	queuePatience = 0.15
 	// latePatience bounds the wait of a request that is late already: its
 	// callers leave after some two seconds without an event.
-	latePatience = 1500 * time.Millisecond
+	latePatience = 900 * time.Millisecond
+	// lateQueue is how long it may wait for an engine beside its own reading.
+	lateQueue = 400 * time.Millisecond
 	// peerLife is how long the account of a silent peer counts.
 	peerLife = 3 * time.Second
 	// memoryLimit is the part of the memory that running requests may take.
@@ -240,6 +243,11 @@
 			c.first += step(l.running)
 		}
 		c.cost = c.first + time.Duration(workPrice*float64(work))
+		if c.reads {
+			c.cost += answer.cost - answer.first
+		} else {
+			c.cost += p.rest(now, e, l.running, req) + time.Duration(besidePrice*float64(l.running)*float64(work))
+		}
 		if e.endpoint.Zone() != p.env.Zone {
 			c.cost += otherZone
 		}
@@ -269,13 +277,16 @@
 		return nil
 	}
 	if req.Late {
-		if first > latePatience {
-			return p.tooLate(first - latePatience)
+		if allowed := max(latePatience, way.alone+lateQueue); first > allowed {
+			return p.tooLate(first - allowed)
 		}
 		return nil
 	}
 	target := float64(req.Route.Target)
-	allowed := max(time.Duration(patience*target), way.alone+time.Duration(queuePatience*target)) - now.Sub(req.Arrived)
+	// Failure: prompts whose reading alone takes as long as the target are
+	// refused for what they are. Symptom: the largest requests of a class are
+	// hardly ever served. They are taken where they need not wait.
+	allowed := max(time.Duration(patience*target), way.alone) - now.Sub(req.Arrived)
 	if first > allowed {
 		return p.tooLate(first - allowed)
 	}
@@ -306,11 +317,12 @@
 		if e.wait(now) > 0 {
 			first += wholePiece * wholeFactor * startPerToken
 		}
-		cost := first + time.Duration(l.running)*stepPerRun*4
+		cost := p.rest(now, e, l.running, req)
 		if e.endpoint.Zone() != zone {
 			first += move * (zoneFactor - 1)
-			cost = first + time.Duration(l.running)*stepPerRun*4 + 2*otherZone
+			cost += 2 * otherZone
 		}
+		cost += first
 		if best.engine == nil || cost < best.cost {
 			best = choice{engine: e, first: first, cost: cost}
 		}
@@ -318,6 +330,16 @@
 	return best, best.engine != nil
 }
 
+// rest prices the answer after its first event.
+func (p *Placer) rest(now time.Time, e *engine, running int, req carawayspread.Placing) time.Duration {
+	takes := time.Duration(size(req.Prompt)-req.Prompt.Tokens) * e.token(now, running)
+	price := time.Duration(tokenPrice * float64(takes))
+	if over := takes - time.Duration(answerShare*float64(req.Deadline.Sub(now))); over > 0 {
+		price += over / 4
+	}
+	return price
+}
+
 // fits reports whether the engine has a slot and memory for the request.
 func fits(l load, e *engine, req carawayspread.Placing) bool {
 	traits := req.Service.Engine
@@ -385,7 +407,7 @@
 			continue
 		}
 		if n.Work > 0 {
-			e.reading = later(now, e.reading).Add(n.Work)
+			e.begin(now, n.Work)
 		}
 		if n.Read > 0 || len(n.Chains) > 0 {
 			e.take(n.Chains, n.Read)
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -46,9 +46,7 @@
 	e.tokens += s.tokens
 	if at.Work > 0 {
 		s.work = at.Work
-		s.start = later(now, e.reading)
-		s.end = s.start.Add(at.Work)
-		e.reading = s.end
+		s.start, s.end = e.begin(now, at.Work)
 		e.calls++
 	}
 	if s.pool != nil {
--- a/protocol.go
+++ b/protocol.go
@@ -36,7 +36,6 @@
 	Left     time.Duration
 	Phase    Phase
 	Handover Handover // for PhaseContinue
-	Rank     int      // 0 is the most urgent
 	Resume   string   // the last event that the caller has; empty from the start
 }
 
