A leaving gateway serves what is sure to end in time, and refuses the rest

Change: after 3 s a request is taken only where its longest duration fits before the end; others get 503, not run, with a time to come back.

--- /dev/null
+++ b/cmd/gateway/gateway_test.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+	"carawayspread/internal/connection/direct"
+	"carawayspread/internal/process/gatewayd"
+	"carawayspread/internal/standin/rows"
+	"carawayspread/internal/standin/worker"
+	"carawayspread/internal/version/gatewaysettings"
+	"carawayspread/platform/catalog"
+	rowsclient "carawayspread/platform/rows"
+	"carawayspread/platform/wire"
+)
+
+const routesRow = `{"version":%d,"routes":[
+ {"name":"lookup","host":"a.example","prefix":"/lookup/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
+ {"name":"order","host":"a.example","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],
+ "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":1000,"handle_ttl_s":5}}],
+ "limits":{"max_body_bytes":1000}}`
+
+// lines is where a daemon under test logs to.
+type lines struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// fleet is a gateway before stand-ins.
+type fleet struct {
+	store    *rows.Store
+	settings *gatewaysettings.Settings
+	daemon   *gatewayd.Daemon
+	out      *lines
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func startWorker(t *testing.T, id string, script ...worker.Behaviour) *worker.Worker {
+	t.Helper()
+	w, err := worker.New(id, script...)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(w.Close)
+	return w
+}
+
+func (f *fleet) list(w *worker.Worker, service, stage, state string, seq int) {
+	row, _ := json.Marshal(map[string]any{
+		"service": service, "address": w.Address(), "zone": "z", "slots": 8, "state": state, "stage": stage, "seq": seq,
+	})
+	f.store.Put("servers", w.ID(), row)
+}
+
+func (f *fleet) routes(version int, model string) {
+	f.store.Put("op", "config", fmt.Appendf(nil, routesRow, version, model))
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{store: rows.New(), out: &lines{}, ended: make(chan error, 1)}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.routes(1, "model")
+	text := fmt.Sprintf(`{"instance":{"id":"g","zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
+		"store":%q,"seeds":[],"grace":"8s","memoryMegabytes":100,"retries":{"ratio":0.2,"slack":50,"window":"10s"}}`,
+		freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t), strings.TrimPrefix(server.URL, "http://"))
+	var err error
+	f.settings, err = gatewaysettings.Parse("test", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	return f
+}
+
+func (f *fleet) start(t *testing.T) {
+	t.Helper()
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	clock, exchange := carawayspread.SystemClock(), direct.New()
+	var err error
+	f.daemon, err = gatewayd.New(f.settings, clock, quiet, f.out, gatewayd.Ports{
+		Exchange: exchange, Protocol: wire.Protocol{},
+		Follow: func(sink *gatewayd.Daemon) gatewayd.Follower {
+			return catalog.New(rowsclient.New(exchange, f.settings.Store()), sink, clock, quiet)
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go func() { f.ended <- f.daemon.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		<-f.ended
+	})
+}
+
+func (f *fleet) ready(t *testing.T) {
+	t.Helper()
+	until(t, f.daemon.Ready)
+}
+
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("not within 10 s"))
+	}
+}
+
+// ask sends a request on a connection of its own.
+func (f *fleet) ask(method, path, id, body string, headers ...string) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, "http://"+f.settings.Listen()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = "a.example"
+	req.Header.Set("Carawayspread-Request-Id", id)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 8 * time.Second}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+const prompt = "Carawayspread-Token-Count"
+
+// A caller sees its own whole answer, over both kinds of service: a prompt is
+// read by one engine and answered by the other, event by event.
+func TestRequestIsServedThroughTheWholePath(t *testing.T) {
+	f := newFleet(t)
+	plain := startWorker(t, "w-plain")
+	reader, answerer := startWorker(t, "w-reader"), startWorker(t, "w-answerer")
+	f.list(plain, "plain", "", "ready", 1)
+	f.list(reader, "model", "prefill", "ready", 1)
+	f.list(answerer, "model", "decode", "ready", 1)
+	f.start(t)
+	f.ready(t)
+
+	resp, body, err := f.ask("POST", "/order/a%2Fb//c?x=1&y", "id-1", "text")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	qt.Check(t, body, qt.Equals, "w-plain answers id-1")
+	seen := plain.Seen()
+	qt.Assert(t, seen, qt.HasLen, 1)
+	qt.Check(t, seen[0].Target, qt.Equals, "/order/a%2Fb//c?x=1&y")
+	qt.Check(t, seen[0].Host, qt.Equals, "a.example")
+	qt.Check(t, seen[0].Body, qt.Equals, "text")
+	qt.Check(t, seen[0].Header.Get("User-Agent"), qt.Equals, "Go-http-client/1.1", qt.Commentf("the caller's own"))
+	qt.Check(t, seen[0].Header.Get("Accept-Encoding"), qt.Equals, "")
+
+	resp, body, err = f.ask("POST", "/stream/x", "id-2", "p", prompt, "9000,100",
+		"Carawayspread-Prefix-Hash", "aa:8000,bb:1000", "Carawayspread-Kv-Source", "forged")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	qt.Check(t, resp.Header.Get("Carawayspread-Server-Seal"), qt.Equals, "w-answerer.id-2")
+	qt.Check(t, strings.Count(body, "data: part"), qt.Equals, worker.Events)
+	qt.Check(t, reader.Ran(), qt.Equals, 0)
+	qt.Check(t, answerer.Ran(), qt.Equals, 1)
+	qt.Check(t, answerer.Seen()[0].Header.Get("Carawayspread-Kv-Source"), qt.Equals, reader.Address()+"/h-id-2")
+	until(t, func() bool { return strings.Contains(f.out.String(), "id=id-2 ") })
+}
+
+// A caller that meets a process which knows no routes is told to come back;
+// none of its requests is called unknown. The platform's store is down when
+// the process starts; it serves as soon as the store does.
+func TestNoRoutesYetIsNoRefusalForGood(t *testing.T) {
+	f := newFleet(t)
+	f.list(startWorker(t, "w"), "plain", "", "ready", 1)
+	f.store.Answer(http.StatusServiceUnavailable)
+	f.start(t)
+	var resp *http.Response
+	until(t, func() bool {
+		var err error
+		resp, _, err = f.ask("GET", "/lookup/x", "id-1", "")
+		return err == nil
+	})
+	qt.Check(t, resp.StatusCode, qt.Equals, 503)
+	qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Check(t, f.daemon.Ready(), qt.IsFalse)
+	f.store.Answer(0)
+	f.ready(t)
+	resp, _, err := f.ask("GET", "/lookup/x", "id-2", "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+}
+
+// Callers get what the newest accepted routes say, and never again what an
+// older set said. The store drops its history while a change is made; the
+// process reads everything anew and passes over an older version.
+func TestRoutesNeverGoBack(t *testing.T) {
+	f := newFleet(t)
+	f.list(startWorker(t, "w"), "plain", "", "ready", 1)
+	f.start(t)
+	f.ready(t)
+	f.store.Compact()
+	f.routes(5, "model")
+	until(t, func() bool { return strings.Contains(f.out.String(), "version=5") })
+	f.routes(4, "model")
+	f.routes(6, "model")
+	until(t, func() bool { return strings.Contains(f.out.String(), "version=6") })
+	qt.Check(t, f.out.String(), qt.Not(qt.Contains), "version=4")
+}
+
+// No request reaches a worker that has said that it leaves, and an entry that
+// names no worker harms nobody. An older entry of the leaving worker turns up
+// again; it does not bring the worker back.
+func TestLeavingWorkerGetsNothing(t *testing.T) {
+	f := newFleet(t)
+	stays, leaves := startWorker(t, "w-stays"), startWorker(t, "w-leaves")
+	f.list(stays, "plain", "", "ready", 1)
+	f.list(leaves, "plain", "", "ready", 7)
+	f.store.Put("servers", "broken", []byte(`{"service":"plain","address":"nowhere","seq":1}`))
+	f.store.Put("servers", "torn", []byte(`{"service":"pl`))
+	f.start(t)
+	f.ready(t)
+	f.list(leaves, "plain", "", "draining", 8)
+	time.Sleep(1200 * time.Millisecond) // two reads of the list
+	f.list(leaves, "plain", "", "ready", 7)
+	time.Sleep(1200 * time.Millisecond)
+	before := len(leaves.Seen())
+	for i := range 20 {
+		resp, _, err := f.ask("POST", "/order/x", fmt.Sprint("id-", i), "")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	}
+	qt.Check(t, len(leaves.Seen()), qt.Equals, before)
+	qt.Check(t, stays.Ran(), qt.Equals, 20)
+}
+
+// A caller whose request is running when its process is told to end gets the
+// whole answer, and no caller's request is taken late and then given up.
+// Requests keep coming after the order to end, some of which may take longer
+// than is left: those are told to come back, the others are served.
+func TestLeavingProcessTakesNothingItCannotAnswer(t *testing.T) {
+	f := newFleet(t)
+	slow := make([]worker.Behaviour, 4000)
+	for i := range slow {
+		slow[i] = worker.SlowEvents
+	}
+	f.list(startWorker(t, "w", slow...), "model", "decode", "ready", 1)
+	f.start(t)
+	f.ready(t)
+	f.stop()
+	until(t, func() bool { return !f.daemon.Ready() })
+	begun := time.Now()
+	var callers sync.WaitGroup
+	var cut, short, long, comeBack atomic.Int64
+	for n := range 4 {
+		counts := []string{"10,10", "10,1000"}[n%2]
+		callers.Go(func() {
+			for i := 0; time.Since(begun) < 7500*time.Millisecond; i++ {
+				asked := time.Since(begun)
+				resp, body, err := f.ask("POST", "/stream/x", fmt.Sprint("id-", n, "-", i), "", prompt, counts)
+				switch {
+				case err != nil && strings.Contains(err.Error(), "refused"):
+					time.Sleep(10 * time.Millisecond)
+				case err != nil || resp.StatusCode == 200 && strings.Count(body, "data:") != worker.Events:
+					cut.Add(1)
+				case resp.StatusCode == 503 && resp.Header.Get("Retry-After") != "":
+					comeBack.Add(1)
+					time.Sleep(10 * time.Millisecond)
+				case asked > 3500*time.Millisecond && n%2 == 0:
+					short.Add(1)
+				case asked > 3500*time.Millisecond:
+					long.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	qt.Check(t, cut.Load(), qt.Equals, int64(0))
+	qt.Check(t, short.Load() > 0, qt.IsTrue, qt.Commentf("what can be answered in time is"))
+	qt.Check(t, long.Load(), qt.Equals, int64(0), qt.Commentf("what may take longer than is left is refused"))
+	qt.Check(t, comeBack.Load() > 0, qt.IsTrue)
+	qt.Check(t, <-f.ended, qt.IsNil)
+	f.ended <- nil
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -29,6 +29,14 @@
 	// lateShare tells a caller that has come back from a fresh one: it says
 	// that it waits for clearly less than its route allows.
 	lateShare = 0.93
+	// tokenTime is how long the engine may take for a token of an answer that
+	// must end before this process does: twice that of a full engine.
+	tokenTime = 30 * time.Millisecond
+	// firstTime is how long the first event of it may take, in targets.
+	firstTime = 2
+	// closing is the last part of the process's time, in which nothing more is
+	// taken.
+	closing = 300 * time.Millisecond
 	// defaultBody bounds a body where operators state no bound.
 	defaultBody = 4 << 20
 	// suspicion is how long a request that broke the connections of two
@@ -49,6 +57,7 @@
 	terms      fleetbudget.Terms
 	share      func() int
 	crashed    func(fingerprint uint64, id carawayspread.EndpointID)
+	leaves     atomic.Pointer[leave]
 	listed     atomic.Int64 // Unix nanoseconds of the newest list of endpoints
 	running    atomic.Int64
 
@@ -56,6 +65,12 @@
 	budgets map[string]*fleetbudget.Budget
 }
 
+// leave is the time of a process that was told to end.
+type leave struct {
+	picky time.Time // from here on only what is sure to end in time is taken
+	end   time.Time
+}
+
 // Option sets an optional part of a Gateway.
 type Option func(*Gateway)
 
@@ -136,6 +151,23 @@
 	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
 }
 
+// Leave makes the gateway take, from the first moment on, only what is sure to
+// have its answer before the second.
+func (g *Gateway) Leave(picky, end time.Time) { g.leaves.Store(&leave{picky, end}) }
+
+// ends reports whether the request can be taken in spite of the order to end.
+func (c *call) ends() bool {
+	l := c.g.leaves.Load()
+	if l == nil || c.arrived.Before(l.picky) {
+		return true
+	}
+	takes := c.deadline.Sub(c.arrived)
+	if p := c.ask.Prompt; p != nil {
+		takes = min(takes, firstTime*c.route.Target+time.Duration(p.Most)*tokenTime)
+	}
+	return c.arrived.Add(takes + closing).Before(l.end)
+}
+
 func (g *Gateway) budget(service string) *fleetbudget.Budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -202,6 +234,10 @@
 		left = min(left, c.ask.Left)
 	}
 	c.deadline = c.arrived.Add(left)
+	if !c.ends() {
+		return carawayspread.NewError(carawayspread.CodeDraining, "this process is leaving",
+			carawayspread.NotRun(), carawayspread.RetryAfter(comeBack))
+	}
 	c.fingerprint = fingerprint(path(c.r), c.body)
 	if verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint}); verdict == quarantine.VerdictRefuse {
 		return carawayspread.NewError(carawayspread.CodeSuspect, "the request broke the endpoints that ran it",
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -191,21 +191,28 @@
 	return trace.Wrap(err)
 }
 
-// leave serves on while callers still arrive, and until the last has its answer.
+// leave serves on while callers still arrive and can be answered in time, and
+// returns when the last request has its answer.
 //
 // Failure: a process ends while its balancer still sends to it. Symptom:
 // callers whose connections are reset. Not being ready takes it out of the
-// rotation first; answers then ask their callers to open connections anew.
+// rotation first, and answers ask their callers to open connections anew. Where
+// all processes leave at once, callers still arrive: whatever is sure to end
+// inside the grace is served, the others are told when to come back.
 func (d *Daemon) leave() {
 	d.leaving.Store(true)
 	begun := d.clock.Now()
+	end := begun.Add(time.Duration(graceUsed * float64(d.settings.Grace())))
 	d.log.WithField("running", d.gateway.Running()).Info("leaving")
+	d.gateway.Leave(begun.Add(leaveFor), end)
 	d.callers.SetKeepAlivesEnabled(false)
-	for {
-		since := d.clock.Now().Sub(begun)
-		if since > leaveFor && d.gateway.Running() == 0 || since > time.Duration(graceUsed*float64(d.settings.Grace())) {
+	for now := begun; now.Before(end); now = d.clock.Now() {
+		if now.Sub(begun) > leaveFor && d.gateway.Running() == 0 {
 			return
 		}
 		<-d.clock.After(leavePoll)
 	}
+	if running := d.gateway.Running(); running > 0 {
+		d.log.WithField("running", running).Warn("the grace ends before the last answer")
+	}
 }
--- /dev/null
+++ b/internal/standin/rows/store.go
@@ -0,0 +1,164 @@
+// Package rows is a stand-in of the users' store: tables of rows with a feed of
+// changes, of which the history can be dropped.
+package rows
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Row is one row as the store speaks it.
+type Row struct {
+	Table     string `json:"table"`
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Ver       int64  `json:"ver"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type answer struct {
+	Rows []Row `json:"rows"`
+	More bool  `json:"has_more"`
+	Ver  int64 `json:"ver"`
+}
+
+// Store is an http.Handler. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[[2]string]Row
+	history []Row
+	ver     int64
+	oldest  int64 // changes up to this version are dropped
+	changed chan struct{}
+	mode    int // answers with this status instead; zero serves
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{rows: map[[2]string]Row{}, changed: make(chan struct{})}
+}
+
+// Put writes a row.
+func (s *Store) Put(table, key string, value []byte) {
+	s.write(Row{Table: table, Key: key, Value: value})
+}
+
+// Remove drops a row.
+func (s *Store) Remove(table, key string) { s.write(Row{Table: table, Key: key, Tombstone: true}) }
+
+func (s *Store) write(row Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ver++
+	row.Ver = s.ver
+	s.history = append(s.history, row)
+	if row.Tombstone {
+		delete(s.rows, [2]string{row.Table, row.Key})
+	} else {
+		s.rows[[2]string{row.Table, row.Key}] = row
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.ver
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Answer makes every call end with that status; zero serves again.
+func (s *Store) Answer(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = status
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP answers the calls that read.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	switch r.URL.Path {
+	case "/-/rows-get":
+		s.get(w, r)
+	case "/-/rows-feed":
+		s.feed(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mode != 0 {
+		w.WriteHeader(s.mode)
+		return
+	}
+	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	a := answer{Rows: []Row{}, Ver: s.ver}
+	for id, row := range s.rows {
+		if id[0] == r.URL.Query().Get("table") && id[1] >= r.URL.Query().Get("from") {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	sort.Slice(a.Rows, func(i, j int) bool { return a.Rows[i].Key < a.Rows[j].Key })
+	if limit > 0 && len(a.Rows) > limit {
+		a.Rows, a.More = a.Rows[:limit], true
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		a := answer{Rows: []Row{}, Ver: s.ver}
+		for _, row := range s.history {
+			if row.Ver > after && row.Table == r.URL.Query().Get("table") {
+				a.Rows = append(a.Rows, row)
+			}
+		}
+		status, changed := s.mode, s.changed
+		if status == 0 && after < s.oldest {
+			status = http.StatusGone
+		}
+		s.mu.Unlock()
+		if status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+		if len(a.Rows) > 0 {
+			_ = json.NewEncoder(w).Encode(a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			_ = json.NewEncoder(w).Encode(a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
