--- /dev/null
+++ b/internal/connection/peers/peers_test.go
@@ -0,0 +1,125 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+func someMessage() message {
+	return message{
+		sender: 7, address: netip.MustParseAddrPort("10.0.0.1:99"),
+		notices: []carawayspread.Notice{{Endpoint: 1, Running: 2, Tokens: 3, Work: 4 * time.Millisecond, Read: 5, Chains: []uint64{6, 7}}, {Endpoint: 8}},
+		crashes: []Crash{{Fingerprint: 9, Endpoint: "w"}},
+		known:   []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:99")},
+	}
+}
+
+func TestMessageComesBackAsItWas(t *testing.T) {
+	got, err := decode(someMessage().encode())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, fmt.Sprint(got), qt.Equals, fmt.Sprint(someMessage()))
+}
+
+// A datagram of anybody is read whole or not at all, and costs no more memory
+// than its own size allows.
+func FuzzDecode(f *testing.F) {
+	whole := someMessage().encode()
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add([]byte{magic, 0, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := decode(b)
+		if err != nil {
+			return
+		}
+		again, err := decode(m.encode())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, fmt.Sprint(again), qt.Equals, fmt.Sprint(m))
+	})
+}
+
+type receiver struct {
+	mu    sync.Mutex
+	heard map[string][]carawayspread.Notice
+}
+
+func (r *receiver) Heard(from string, notices []carawayspread.Notice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard == nil {
+		r.heard = map[string][]carawayspread.Notice{}
+	}
+	r.heard[from] = append(r.heard[from], notices...)
+}
+
+func (r *receiver) knows(endpoint uint32, running int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, notices := range r.heard {
+		for _, n := range notices {
+			if n.Endpoint == endpoint && n.Running == running {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func start(t *testing.T, seeds ...string) (*Socket, *receiver) {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", seeds, carawayspread.SystemClock())
+	qt.Assert(t, err, qt.IsNil)
+	r := &receiver{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = s.Run(ctx) })
+	running.Go(func() { _ = s.Receive(r, func(Crash) {}) })
+	t.Cleanup(func() {
+		cancel()
+		s.Close()
+		running.Wait()
+	})
+	return s, r
+}
+
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("not within 10 s"))
+	}
+}
+
+// Processes that know one of them know all, and each hears what the others
+// have at an endpoint, also what was told before it came.
+func TestPeersFindEachOther(t *testing.T) {
+	first, atFirst := start(t)
+	second, _ := start(t, first.Address())
+	first.Tell(carawayspread.Notice{Endpoint: 5, Running: 3})
+	third, atThird := start(t, first.Address())
+	for _, s := range []*Socket{first, second, third} {
+		until(t, func() bool { return s.Share() == 3 })
+	}
+	until(t, func() bool { return atThird.knows(5, 3) })
+	second.Tell(carawayspread.Notice{Endpoint: 6, Running: 1})
+	until(t, func() bool { return atFirst.knows(6, 1) && atThird.knows(6, 1) })
+}
+
+// A message that is too long for a packet is sent in parts.
+func TestLongMessageIsParted(t *testing.T) {
+	first, atFirst := start(t)
+	second, _ := start(t, first.Address())
+	until(t, func() bool { return second.Share() == 2 })
+	const many = 500
+	for n := range many {
+		second.Tell(carawayspread.Notice{Endpoint: uint32(n), Running: 1, Chains: []uint64{1, 2, 3}})
+	}
+	until(t, func() bool { return atFirst.knows(0, 1) && atFirst.knows(many-1, 1) })
+}
--- /dev/null
+++ b/internal/process/decisionlog/log_test.go
@@ -0,0 +1,38 @@
+package decisionlog
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A line is one line whatever a caller put into its values, and bounded.
+func TestLineHoldsWhateverComes(t *testing.T) {
+	var b strings.Builder
+	l := New(&b)
+	l.Write(Start("request").Text("id", "a b\nc=\"d\"").Text("long", strings.Repeat("x", 5000)).Text("none", "").Int("n", -3).Ms("ms", 1500*time.Microsecond))
+	l.Flush()
+	qt.Check(t, strings.Count(b.String(), "\n"), qt.Equals, 1)
+	qt.Check(t, b.String(), qt.Contains, `event=request id="a b\nc=\"d\"" long=xxx`)
+	qt.Check(t, b.String(), qt.Contains, " n=-3 ms=1.5\n")
+	qt.Check(t, len(b.String()) <= lineLimit, qt.IsTrue)
+	qt.Check(t, b.String(), qt.Not(qt.Contains), "none=")
+}
+
+// A request is not held up by an output that nobody reads: what finds no room
+// is counted and left out.
+func TestSlowOutputHoldsUpNobody(t *testing.T) {
+	var b strings.Builder
+	l := New(&b)
+	for range waiting + 7 {
+		l.Write(Start("request"))
+	}
+	qt.Check(t, l.Dropped(), qt.Equals, int64(7))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	qt.Check(t, l.Run(ctx), qt.Equals, context.Canceled)
+	qt.Check(t, strings.Count(b.String(), "\n"), qt.Equals, waiting)
+}
--- /dev/null
+++ b/internal/request/fleetbudget/budget_test.go
@@ -0,0 +1,82 @@
+package fleetbudget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+)
+
+var terms = Terms{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+
+// Endpoints never get more retries than all processes together may send,
+// whatever each of them sees.
+// In every span of the window's length, the retries of all are at most the
+// ratio of their requests and the slack once.
+func TestAllTogetherKeepToTheTerms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := clockwork.NewFakeClock()
+		processes := rapid.IntRange(1, 8).Draw(t, "processes")
+		budgets := make([]*Budget, processes)
+		for i := range budgets {
+			budgets[i] = New(clock, terms, func() int { return processes })
+		}
+		type event struct {
+			at                time.Time
+			requests, retries int
+		}
+		var events []event
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			e := event{at: clock.Now()}
+			b := budgets[rapid.IntRange(0, processes-1).Draw(t, "who")]
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				b.Took()
+				e.requests++
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "wanted") {
+				if b.Allow() {
+					e.retries++
+				}
+			}
+			events = append(events, e)
+			clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+		}
+		for i, first := range events {
+			requests, retries := 0, 0
+			for _, before := range events[:i] {
+				if first.at.Sub(before.at) <= terms.Window {
+					requests += before.requests
+				}
+			}
+			for _, e := range events[i:] {
+				if e.at.Sub(first.at) >= terms.Window {
+					break
+				}
+				requests += e.requests
+				retries += e.retries
+			}
+			if limit := terms.Ratio*float64(requests) + terms.Slack; float64(retries) > limit {
+				t.Fatalf("%d retries within a window, allowed are %.1f", retries, limit)
+			}
+		}
+	})
+}
+
+// A window that is over frees what was spent in it.
+func TestBudgetComesBack(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, terms, func() int { return 1 })
+	spend := func() (n int) {
+		for b.Allow() {
+			n++
+		}
+		return n
+	}
+	first := spend()
+	qt.Check(t, first, qt.Equals, int(used*terms.Slack))
+	qt.Check(t, spend(), qt.Equals, 0)
+	clock.Advance(2 * terms.Window)
+	qt.Check(t, spend(), qt.Equals, first)
+}
