Baselines of placement; bytes between zones have a price

Cause: nothing showed what the estimates bring, and prompts crossed zones for a few milliseconds. Change: four baselines in the registry (round robin, least outstanding, fixed homes, fixed homes with a bound on tokens in flight), chosen by a setting; a crossing is priced by the request's bytes.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -90,7 +90,7 @@
 func (c *call) placing() carawayspread.Placing {
 	p := carawayspread.Placing{
 		Route: c.route, Service: c.service, Arrived: c.arrived, Deadline: c.deadline,
-		Exclude: c.exclude, Key: c.fingerprint, Direct: c.direct, Owed: c.direct || c.ran > 0,
+		Exclude: c.exclude, Bytes: len(c.body), Key: c.fingerprint, Direct: c.direct, Owed: c.direct || c.ran > 0,
 		Late: c.ask.Left > 0 && c.ask.Left < time.Duration(lateShare*float64(c.route.Timeout)),
 	}
 	if c.service.Engine != nil {
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -26,6 +26,7 @@
 	// The modules that the daemon runs register themselves.
 	_ "carawayspread/internal/process/ejection"
 	_ "carawayspread/internal/process/placement"
+	_ "carawayspread/internal/process/plainplacement"
 )
 
 const (
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -29,8 +29,9 @@
 	handOver = 6 * time.Millisecond
 	// zoneFactor is how much longer a KV cache takes between zones.
 	zoneFactor = 2
-	// otherZone is the time that staying in the zone is worth, for the bytes.
-	otherZone = 8 * time.Millisecond
+	// otherZone and otherZoneByte are the time that staying in the zone is worth.
+	otherZone     = 3 * time.Millisecond
+	otherZoneByte = 2 * time.Microsecond
 	// workPrice is what a millisecond of an engine is worth against one of the
 	// request's own waiting.
 	workPrice = 0.6
@@ -187,9 +188,7 @@
 			first += mean * time.Duration(running-slots+1) / time.Duration(slots)
 		}
 		cost := first + mean*time.Duration(running)/time.Duration(4*slots)
-		if e.endpoint.Zone() != p.env.Zone {
-			cost += otherZone
-		}
+		cost += p.crossing(e, req)
 		if best == nil || cost < bestCost {
 			best, bestFirst, bestCost = e, first, cost
 		}
@@ -248,9 +247,7 @@
 		} else {
 			c.cost += p.rest(now, e, l.running, req) + time.Duration(besidePrice*float64(l.running)*float64(work))
 		}
-		if e.endpoint.Zone() != p.env.Zone {
-			c.cost += otherZone
-		}
+		c.cost += p.crossing(e, req)
 		c.alone = c.first - e.wait(now)
 		if best.engine == nil || c.cost < best.cost {
 			best = c
@@ -317,10 +314,10 @@
 		if e.wait(now) > 0 {
 			first += wholePiece * wholeFactor * startPerToken
 		}
-		cost := p.rest(now, e, l.running, req)
+		cost := p.rest(now, e, l.running, req) + p.crossing(e, req)
 		if e.endpoint.Zone() != zone {
 			first += move * (zoneFactor - 1)
-			cost += 2 * otherZone
+			cost += otherZone
 		}
 		cost += first
 		if best.engine == nil || cost < best.cost {
@@ -330,6 +327,14 @@
 	return best, best.engine != nil
 }
 
+// crossing prices the bytes of a request that go to another availability zone.
+func (p *Placer) crossing(e *engine, req carawayspread.Placing) time.Duration {
+	if e.endpoint.Zone() == p.env.Zone {
+		return 0
+	}
+	return otherZone + time.Duration(req.Bytes)*otherZoneByte
+}
+
 // rest prices the answer after its first event.
 func (p *Placer) rest(now time.Time, e *engine, running int, req carawayspread.Placing) time.Duration {
 	takes := time.Duration(size(req.Prompt)-req.Prompt.Tokens) * e.token(now, running)
