Placement: late requests wait less, engines in one order, pace that cannot run away

An engine with a queue was taken for a slow one, up to the clamp (pace 6.00 where 2.7 and 0.9 are true). One bad answer made an engine look slow for good. Change: lateness is judged in parts of the target and of the own reading; pace is learnt before an idle engine alone, bounded, and fades; engines are looked at in one order that starts by the request.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -257,7 +257,7 @@
 	time.Sleep(1200 * time.Millisecond)
 	before := len(leaves.Seen())
 	for i := range 20 {
-		resp, _, err := f.ask("POST", "/order/x", fmt.Sprint("id-", i), "")
+		resp, _, err := f.ask("POST", "/order/x", fmt.Sprint("id-", i), fmt.Sprint("body ", i))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, resp.StatusCode, qt.Equals, 200)
 	}
--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -31,7 +31,20 @@
 	paceHigh   = 6
 	delayHigh  = 300 * time.Millisecond
 	// undisturbed is the wait up to which an answer tells pace and delay.
+	//
+	// Failure: before an engine with a queue, what waits is taken for a slow
+	// pace, which makes its queue look longer still. Symptom: under overload
+	// every engine seems several times slower than it is.
 	undisturbed = 25 * time.Millisecond
+	// outlier bounds the error of one answer, in parts of what was expected.
+	outlier = 2
+	// relaxAfter is when what was learnt begins to fade, and relaxing how much
+	// of it goes with each list of the endpoints.
+	//
+	// Failure: one bad answer makes an engine look slow. Symptom: it gets
+	// nothing any more, and so nothing tells that it is not.
+	relaxAfter = 3 * time.Second
+	relaxing   = 0.15
 	// backlogLearning is the part of an error of the expected end that is
 	// added to what waits.
 	backlogLearning = 0.3
@@ -56,6 +69,7 @@
 	reading  time.Time // when the readings known are through; past where none waits
 	pace     float64   // what reading takes against the shape
 	delay    time.Duration
+	learnt   time.Time     // when pace and delay were last told by an answer; zero for never
 	own      int           // attempts of this process
 	tokens   int           // of those attempts
 	calls    int           // readings of this process that are not through
@@ -73,7 +87,7 @@
 // update takes the newest entry. An engine that changed its role is learnt anew.
 func (e *engine) update(endpoint carawayspread.Endpoint) {
 	if endpoint.Role() != e.endpoint.Role() {
-		e.pace, e.delay = 1, startDelay
+		e.pace, e.delay, e.learnt = 1, startDelay, time.Time{}
 	}
 	e.endpoint = endpoint
 }
@@ -122,6 +136,13 @@
 	return time.Duration(float64(step(running))*max(1, e.pace)) + time.Duration(e.duty(now)*float64(piece))
 }
 
+// relax moves what was learnt long ago towards what holds for its kind.
+func (e *engine) relax(now time.Time, pace float64) {
+	if !e.learnt.IsZero() && now.Sub(e.learnt) > relaxAfter {
+		e.pace += relaxing * (pace - e.pace)
+	}
+}
+
 // step returns the time of one step of answering beside so many answers.
 func step(running int) time.Duration {
 	return stepFixed + time.Duration(running)*stepPerRun
@@ -172,10 +193,12 @@
 func (e *engine) learn(now, sent, start, end time.Time) {
 	work, wait := end.Sub(start), start.Sub(sent)
 	off := now.Sub(end) - e.delay
-	if wait < max(undisturbed, work/2) {
+	if wait < undisturbed {
+		off := min(off, outlier*(work+e.delay))
 		x := float64(work) / e.pace / float64(startDelay)
 		step := learning * float64(off) / (1 + x*x)
 		e.delay = min(delayHigh, max(0, e.delay+time.Duration(step)))
+		e.learnt = now
 		e.pace = min(paceHigh, max(paceLow, e.pace+step/float64(startDelay)*x))
 	}
 	e.reading = e.reading.Add(time.Duration(backlogLearning * float64(off)))
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -17,7 +17,9 @@
 package placement
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,11 +50,23 @@
 	// take: what is expected later is refused, since it would hold back
 	// others and be late itself.
 	patience = 1.15
-	// latePatience bounds the wait of a request that is late already: its
-	// callers leave after some two seconds without an event.
-	latePatience = 900 * time.Millisecond
-	// lateQueue is how long it may wait for an engine beside its own reading.
-	lateQueue = 400 * time.Millisecond
+	// ownPatience is the same in parts of the time that the request would take
+	// were nothing else there.
+	//
+	// Failure: prompts whose reading alone takes as long as the target are
+	// refused for what they are. Symptom: the largest requests of a class are
+	// hardly ever served. They are taken where they wait little.
+	ownPatience = 1.15
+	// lateQueue is how long a request that is late already may wait for an
+	// engine, in parts of the time that it would take were nothing else there.
+	//
+	// Failure: callers that were refused come back, and late requests take the
+	// engines from those that could still be in time. Symptom: under overload
+	// nearly all answers are late. What is late waits little, or comes again.
+	lateQueue = 0.35
+	// latePatience is the part of the target that it is granted in any case,
+	// since a second refusal leaves its caller with nothing.
+	latePatience = 0.9
 	// peerLife is how long the account of a silent peer counts.
 	peerLife = 3 * time.Second
 	// memoryLimit is the part of the memory that running requests may take.
@@ -76,9 +90,24 @@
 
 type pool struct {
 	engines map[carawayspread.EndpointID]*engine
+	ordered []*engine // by identifier
 	ejector carawayspread.Ejector
 }
 
+// from returns the engines in an order that starts at a place which follows
+// from the key: where several are as good, requests spread over them, and the
+// same request finds the same one.
+func (pool *pool) from(key uint64) func(yield func(*engine) bool) {
+	return func(yield func(*engine) bool) {
+		n := uint64(len(pool.ordered))
+		for i := range n {
+			if !yield(pool.ordered[(key%n+i)%n]) {
+				return
+			}
+		}
+	}
+}
+
 // Placer is a carawayspread.Placer by estimates.
 type Placer struct {
 	env carawayspread.Environment
@@ -125,8 +154,19 @@
 		}
 		e.update(endpoint)
 		next.engines[endpoint.ID()] = e
+		next.ordered = append(next.ordered, e)
 		ids = append(ids, endpoint.ID())
 	}
+	slices.SortFunc(next.ordered, func(a, b *engine) int { return cmp.Compare(a.endpoint.ID(), b.endpoint.ID()) })
+	next.teach()
+	for _, kind := range []bool{true, false} {
+		pace := next.medianPace(kind)
+		for _, e := range next.ordered {
+			if e.reads() == kind {
+				e.relax(p.env.Clock.Now(), pace)
+			}
+		}
+	}
 	next.ejector.SetEndpoints(ids)
 	p.pools[service] = next
 	p.byHash = map[uint32]*engine{}
@@ -152,6 +192,38 @@
 	return p.placePrompt(now, pool, req)
 }
 
+// teach gives the delay that was learnt of one engine to those of its kind of
+// which nothing is known yet: they would look faster than they are, and get
+// everything. Their pace is their own.
+func (pool *pool) teach() {
+	for _, pupil := range pool.ordered {
+		if !pupil.learnt.IsZero() {
+			continue
+		}
+		for _, e := range pool.ordered {
+			if !e.learnt.IsZero() && e.reads() == pupil.reads() {
+				pupil.delay = e.delay
+				break
+			}
+		}
+	}
+}
+
+// medianPace returns the middle pace of the engines of a kind.
+func (pool *pool) medianPace(reads bool) float64 {
+	var paces []float64
+	for _, e := range pool.ordered {
+		if e.reads() == reads && !e.learnt.IsZero() {
+			paces = append(paces, e.pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 1
+	}
+	slices.Sort(paces)
+	return paces[len(paces)/2]
+}
+
 // open reports whether the engine may get the request.
 func (pool *pool) open(e *engine, req carawayspread.Placing) bool {
 	return !e.endpoint.Leaving() && !req.Exclude[e.endpoint.ID()] && pool.ejector.Allowed(e.endpoint.ID())
@@ -173,7 +245,7 @@
 func (p *Placer) placePlain(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
 	var best *engine
 	var bestFirst, bestCost, soon time.Duration
-	for _, e := range pool.engines {
+	for e := range pool.from(req.Key) {
 		if !pool.open(e, req) {
 			continue
 		}
@@ -225,7 +297,7 @@
 		}
 		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
 	}
-	for _, e := range pool.engines {
+	for e := range pool.from(req.Key) {
 		if !pool.open(e, req) || e.reads() && (req.Direct || !continued) {
 			continue
 		}
@@ -274,16 +346,14 @@
 		return nil
 	}
 	if req.Late {
-		if allowed := max(latePatience, way.alone+lateQueue); first > allowed {
+		allowed := max(time.Duration(latePatience*float64(req.Route.Target)), time.Duration((1+lateQueue)*float64(way.alone)))
+		if first > allowed {
 			return p.tooLate(first - allowed)
 		}
 		return nil
 	}
 	target := float64(req.Route.Target)
-	// Failure: prompts whose reading alone takes as long as the target are
-	// refused for what they are. Symptom: the largest requests of a class are
-	// hardly ever served. They are taken where they need not wait.
-	allowed := max(time.Duration(patience*target), way.alone) - now.Sub(req.Arrived)
+	allowed := max(time.Duration(patience*target), time.Duration(ownPatience*float64(way.alone))) - now.Sub(req.Arrived)
 	if first > allowed {
 		return p.tooLate(first - allowed)
 	}
@@ -302,7 +372,7 @@
 	if traits.LinkBits > 0 {
 		move = time.Duration(float64(req.Prompt.Tokens) * float64(traits.TokenBytes) * 8 / float64(traits.LinkBits) * float64(time.Second))
 	}
-	for _, e := range pool.engines {
+	for e := range pool.from(req.Key) {
 		if e.reads() || !pool.open(e, req) {
 			continue
 		}
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -69,6 +69,9 @@
 	if s.work > 0 {
 		s.engine.calls--
 		s.engine.learn(now, s.sent, s.start, s.end)
+		if s.pool != nil {
+			s.pool.teach()
+		}
 	}
 }
 
