An entry without a configuration says 503; dev prints its addresses when it serves

Cause: right after the start an entry took callers before it held a configuration and answered 403 or an empty list, which callers take for final. Change: 503, not run, with a time to come back; dev announces its addresses when every endpoint is known.

--- a/internal/process/dev/dev.go
+++ b/internal/process/dev/dev.go
@@ -151,9 +151,17 @@
 
 const readyPoll = 5 * time.Millisecond
 
+// announce prints the addresses once a request would be served.
+func (f *Fleet) announce(ctx context.Context, out io.Writer) error {
+	if f.Ready(ctx) == nil {
+		_, _ = fmt.Fprintf(out, "callers:        http://%s\nadministration: http://%s\n", f.Listen(), f.Admin())
+	}
+	<-ctx.Done()
+	return nil
+}
+
 // Run serves until ctx ends and every request has its answer.
 func (f *Fleet) Run(ctx context.Context, out io.Writer) error {
-	_, _ = fmt.Fprintf(out, "callers:        http://%s\nadministration: http://%s\n", f.Listen(), f.Admin())
 	below, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group run.Group
@@ -163,5 +171,6 @@
 	}
 	group.Add(func() error { return f.platform.run(below) }, func(error) { stop() })
 	group.Add(func() error { return f.configure(below) }, func(error) { stop() })
+	group.Add(func() error { return f.announce(below, out) }, func(error) { stop() })
 	return trace.Wrap(group.Run())
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -131,7 +131,22 @@
 }
 
 func (e *Entry) listModels(w http.ResponseWriter, r *http.Request) {
-	openai.WriteModels(w, e.config.Current(r.Context()).Models())
+	cfg := e.config.Current(r.Context())
+	if cfg.Version() == 0 {
+		openai.WriteError(w, noConfiguration())
+		return
+	}
+	openai.WriteModels(w, cfg.Models())
+}
+
+// noConfiguration refuses callers of an entry that holds none yet.
+//
+// Failure: an entry takes callers before it has read the first configuration.
+// Symptom: it says that there are no models or no such class, which callers
+// take for final. It does not know, and says when to come back.
+func noConfiguration() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no configuration is known yet",
+		carawayspread.NotRun(), carawayspread.RetryAfter(leavingRetry))
 }
 
 // Leave makes the entry refuse new requests; running ones go on.
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -22,6 +22,10 @@
 		return
 	}
 	cfg := e.config.Current(r.Context())
+	if cfg.Version() == 0 {
+		e.refuse(w, r, nil, noConfiguration())
+		return
+	}
 	c, err := call.Read(w, r, cfg, e.limits, e.newID(), started)
 	if err != nil {
 		e.refuse(w, r, nil, typed(err))
