--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 	ended    chan error
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -91,7 +91,7 @@
 	f.store.Put("op", "config", fmt.Appendf(nil, routesRow, version, model))
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{store: rows.New(), out: &lines{}, ended: make(chan error, 1)}
 	server := httptest.NewServer(f.store)
@@ -106,7 +106,7 @@
 	return f
 }
 
-func (f *fleet) start(t *testing.T) {
+func (f *fleet) start(t testing.TB) {
 	t.Helper()
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	clock, exchange := carawayspread.SystemClock(), direct.New()
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -133,11 +133,13 @@
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome = c.unsent(ctx, at)
+		c.note(at, phase, err.Error())
 		return ctx.Err() == nil, err
 	case err != nil:
 		c.arrivals++
 		c.ran++
 		outcome = c.broke(ctx, at)
+		c.note(at, phase, err.Error())
 		return c.mayRepeat(), errors.Join(errBroken, err)
 	}
 	c.arrivals++
@@ -149,6 +151,7 @@
 	case carawayspread.VerdictNotRun, carawayspread.VerdictStranger:
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
+		c.note(at, phase, "not run, status "+strconv.Itoa(reply.Status))
 		if verdict == carawayspread.VerdictStranger || phase != carawayspread.PhaseContinue {
 			c.exclude[at.Endpoint.ID()] = true
 		}
@@ -156,6 +159,7 @@
 	case carawayspread.VerdictForeign:
 		closeBody(reply)
 		c.ran++
+		c.note(at, phase, "no answer to this request, status "+strconv.Itoa(reply.Status))
 		c.exclude[at.Endpoint.ID()] = true
 		return c.mayRepeat(), errBroken
 	}
@@ -171,6 +175,7 @@
 			return false, ctx.Err()
 		}
 		c.exclude[at.Endpoint.ID()] = true
+		c.note(at, phase, "broken off: "+err.Error())
 		return c.mayRepeat(), err
 	}
 	return false, nil
@@ -222,17 +227,20 @@
 	c.direct = true // unless it succeeds
 	if errors.Is(err, carawayspread.ErrUnsent) {
 		outcome = c.unsent(ctx, at)
+		c.note(at, carawayspread.PhaseRead, err.Error())
 		return ctx.Err() == nil, err
 	}
 	c.arrivals++
 	if err != nil {
 		outcome = c.broke(ctx, at)
+		c.note(at, carawayspread.PhaseRead, err.Error())
 		return ctx.Err() == nil, err
 	}
 	if c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead) != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
 		c.exclude[at.Endpoint.ID()] = true
+		c.note(at, carawayspread.PhaseRead, "not read, status "+strconv.Itoa(reply.Status))
 		return true, busy()
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, answerLimit))
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/process/decisionlog"
 )
 
 // hopByHop are the headers that concern one connection alone (RFC 9110, 7.6.1).
@@ -91,6 +92,14 @@
 		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
 }
 
+// note logs an attempt that brought no whole answer.
+func (c *call) note(at carawayspread.Placement, phase carawayspread.Phase, why string) {
+	c.g.log.Write(decisionlog.Start("attempt").Text("id", c.ask.ID).Text("endpoint", string(at.Endpoint.ID())).
+		Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.arrivals)).Int("ran", int64(c.ran)).
+		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.First).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())))
+	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
+}
+
 // refuse answers in the system's own name.
 func (c *call) refuse(err *carawayspread.Error) {
 	c.line.Text("error", err.Error())
@@ -116,8 +125,10 @@
 	line := c.line.Text("outcome", outcome).Int("status", int64(status)).
 		Text("service", c.service.Name).Text("reader", string(c.reader)).Text("endpoint", string(c.answer)).
 		Int("sends", int64(c.arrivals)).Ms("expectedMs", c.expected).Ms("firstMs", c.first).Ms("tookMs", took).
-		Int("found", int64(c.found)).
-		Ms("listAgeMs", time.Duration(now.UnixNano()-c.g.listed.Load()))
+		Int("found", int64(c.found))
+	if listed := c.g.listed.Load(); listed > 0 {
+		line.Ms("listAgeMs", time.Duration(now.UnixNano()-listed))
+	}
 	if p := c.ask.Prompt; p != nil {
 		line.Int("tokens", int64(p.Tokens)).Int("most", int64(p.Most)).Int("hint", int64(p.Hint))
 	}
--- a/placement.go
+++ b/placement.go
@@ -17,7 +17,7 @@
 	Late bool
 	// Exclude names endpoints that this request must not go to again.
 	Exclude map[EndpointID]bool
-	Bytes    int // of the request, which cross to another availability zone with it
+	Bytes   int // of the request, which cross to another availability zone with it
 	// Key is the same for each copy of the request.
 	Key uint64
 	// Handed is where the prompt was read; empty where it was not.
--- a/protocol.go
+++ b/protocol.go
@@ -23,6 +23,18 @@
 	PhaseContinue              // take over a KV cache and answer
 )
 
+// String names the phase in logs and metrics.
+func (p Phase) String() string {
+	switch p {
+	case PhaseRead:
+		return "read"
+	case PhaseContinue:
+		return "continue"
+	default:
+		return "whole"
+	}
+}
+
 // Handover names a KV cache that one engine keeps for another.
 type Handover struct {
 	Handle string
