--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -313,3 +313,31 @@
 	qt.Check(t, <-f.ended, qt.IsNil)
 	f.ended <- nil
 }
+
+// Callers are served although an endpoint holds what it is sent and says
+// nothing: a prompt that is to be read, and a request that may be repeated, go
+// elsewhere after a while.
+func TestEndpointThatHoldsRequests(t *testing.T) {
+	f := newFleet(t)
+	reader, answerer := startWorker(t, "w-reader", worker.Hang), startWorker(t, "w-answerer")
+	holds := startWorker(t, "w-holds", worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang)
+	f.list(reader, "model", "prefill", "ready", 1)
+	f.list(answerer, "model", "decode", "ready", 1)
+	f.list(holds, "plain", "", "ready", 1)
+	f.list(startWorker(t, "w-plain"), "plain", "", "ready", 1)
+	f.start(t)
+	f.ready(t)
+	begun := time.Now()
+	resp, body, err := f.ask("POST", "/stream/x", "id-1", "p", prompt, "9000,100")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	qt.Check(t, strings.Count(body, "data: part"), qt.Equals, worker.Events)
+	qt.Check(t, time.Since(begun) < 2*time.Second, qt.IsTrue)
+	until(t, func() bool { return reader.Gone() == 1 })
+	for i := range 12 {
+		resp, _, err := f.ask("GET", fmt.Sprint("/lookup/", i), fmt.Sprint("id-", i), "")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	}
+	qt.Check(t, holds.Ran() > 0, qt.IsTrue)
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -19,6 +19,16 @@
 	answerLimit = 8 << 20
 	// mostSends bounds the loop of one request, whatever is allowed otherwise.
 	mostSends = 6
+	// heldFactor and heldLeast say how long an endpoint may be silent, against
+	// what was expected, before it counts as one that holds requests.
+	//
+	// Failure: an endpoint holds some requests for ever and answers the rest,
+	// so that nothing breaks. Symptom: its callers leave one after the other,
+	// which proves nothing against it, and it goes on getting its share. What
+	// may be sent again is sent elsewhere then, and the endpoint is judged.
+	// Estimates are off by a factor of two at the worst tenth; four is a hold.
+	heldFactor = 4
+	heldLeast  = 300 * time.Millisecond
 	// forgetTimeout bounds the call that frees a KV cache.
 	forgetTimeout = time.Second
 )
@@ -129,7 +139,10 @@
 	stay := c.g.placer.Sent(p, at)
 	outcome := carawayspread.OutcomeFailed
 	defer func() { stay.End(outcome) }()
-	reply, err := c.send(ctx, at, phase)
+	within, stop := c.patience(ctx, at, c.route.Repeat == carawayspread.RepeatSafe && c.ran+1 < c.route.Attempts)
+	defer stop()
+	sent := c.g.clock.Now()
+	reply, err := c.send(within, at, phase)
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome = c.unsent(ctx, at)
@@ -138,7 +151,7 @@
 	case err != nil:
 		c.arrivals++
 		c.ran++
-		outcome = c.broke(ctx, at)
+		outcome = c.broke(ctx, within, at, sent)
 		c.note(at, phase, err.Error())
 		return c.mayRepeat(), errors.Join(errBroken, err)
 	}
@@ -205,10 +218,24 @@
 	return carawayspread.OutcomeUnreachable
 }
 
-// broke takes note of a connection that broke after the request was sent.
-func (c *call) broke(ctx context.Context, at carawayspread.Placement) carawayspread.Outcome {
+// patience bounds the wait for the answer to an attempt that may be made again.
+func (c *call) patience(ctx context.Context, at carawayspread.Placement, bounded bool) (context.Context, context.CancelFunc) {
+	if !bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, held(at))
+}
+
+// held returns the silence after which an endpoint counts as holding a request.
+func held(at carawayspread.Placement) time.Duration { return max(heldLeast, heldFactor*at.First) }
+
+// broke takes note of an attempt that ended without an answer after it was sent.
+func (c *call) broke(ctx, within context.Context, at carawayspread.Placement, sent time.Time) carawayspread.Outcome {
 	c.exclude[at.Endpoint.ID()] = true
-	if ctx.Err() != nil {
+	switch {
+	case within.Err() != nil && c.g.clock.Now().Sub(sent) >= held(at):
+		return carawayspread.OutcomeFailed
+	case ctx.Err() != nil:
 		return carawayspread.OutcomeCancelled
 	}
 	c.g.placer.Crashed(at.Endpoint.ID())
@@ -223,7 +250,10 @@
 	stay := c.g.placer.Sent(p, at)
 	outcome := carawayspread.OutcomeFailed
 	defer func() { stay.End(outcome) }()
-	reply, err := c.send(ctx, at, carawayspread.PhaseRead)
+	within, stop := c.patience(ctx, at, true)
+	defer stop()
+	sent := c.g.clock.Now()
+	reply, err := c.send(within, at, carawayspread.PhaseRead)
 	c.direct = true // unless it succeeds
 	if errors.Is(err, carawayspread.ErrUnsent) {
 		outcome = c.unsent(ctx, at)
@@ -232,7 +262,7 @@
 	}
 	c.arrivals++
 	if err != nil {
-		outcome = c.broke(ctx, at)
+		outcome = c.broke(ctx, within, at, sent)
 		c.note(at, carawayspread.PhaseRead, err.Error())
 		return ctx.Err() == nil, err
 	}
