Smaller files for placement and gateway; fields that nothing read are gone

Change: pool, plain and prompt placement apart, hand-over apart; the test of a leaving endpoint makes it the one that would be chosen, that of the largest requests is loaded enough to need both safeguards.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -245,12 +245,14 @@
 func TestLeavingWorkerGetsNothing(t *testing.T) {
 	f := newFleet(t)
 	stays, leaves := startWorker(t, "w-stays"), startWorker(t, "w-leaves")
-	f.list(stays, "plain", "", "ready", 1)
 	f.list(leaves, "plain", "", "ready", 7)
 	f.store.Put("servers", "broken", []byte(`{"service":"plain","address":"nowhere","seq":1}`))
 	f.store.Put("servers", "torn", []byte(`{"service":"pl`))
 	f.start(t)
 	f.ready(t)
+	_, _, err := f.ask("POST", "/order/x", "first", "") // it is known to be fast
+	qt.Assert(t, err, qt.IsNil)
+	f.list(stays, "plain", "", "ready", 1)
 	f.list(leaves, "plain", "", "draining", 8)
 	time.Sleep(1200 * time.Millisecond) // two reads of the list
 	f.list(leaves, "plain", "", "ready", 7)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -244,53 +244,6 @@
 	return carawayspread.OutcomeFailed
 }
 
-// hand has the prompt read by one engine for another.
-func (c *call) hand(ctx context.Context, p carawayspread.Placing, at carawayspread.Placement) (again bool, err error) {
-	c.reader = at.Endpoint.ID()
-	stay := c.g.placer.Sent(p, at)
-	outcome := carawayspread.OutcomeFailed
-	defer func() { stay.End(outcome) }()
-	within, stop := c.patience(ctx, at, true)
-	defer stop()
-	sent := c.g.clock.Now()
-	reply, err := c.send(within, at, carawayspread.PhaseRead)
-	c.direct = true // unless it succeeds
-	if errors.Is(err, carawayspread.ErrUnsent) {
-		outcome = c.unsent(ctx, at)
-		c.note(at, carawayspread.PhaseRead, err.Error())
-		return ctx.Err() == nil, err
-	}
-	c.arrivals++
-	if err != nil {
-		outcome = c.broke(ctx, within, at, sent)
-		c.note(at, carawayspread.PhaseRead, err.Error())
-		return ctx.Err() == nil, err
-	}
-	if c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead) != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
-		closeBody(reply)
-		outcome = carawayspread.OutcomeRefused
-		c.exclude[at.Endpoint.ID()] = true
-		c.note(at, carawayspread.PhaseRead, "not read, status "+strconv.Itoa(reply.Status))
-		return true, busy()
-	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, answerLimit))
-	_ = reply.Body.Close()
-	if err == nil {
-		var handover carawayspread.Handover
-		if handover, err = c.g.protocol.Handover(body, at.Endpoint); err == nil {
-			stay.Answered()
-			outcome = carawayspread.OutcomeServed
-			c.held, c.direct = &handover, false
-			c.arrivals--
-			return true, errRead
-		}
-	}
-	return ctx.Err() == nil, err
-}
-
-// errRead keeps the loop of run going after a prompt was read.
-var errRead = errors.New("the prompt was read and not answered")
-
 // send builds what the endpoint gets.
 func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
 	h := endToEnd(c.r.Header)
@@ -348,25 +301,6 @@
 	h.Del("Content-Length")
 }
 
-// forget frees a KV cache that nobody took.
-func (c *call) forget() {
-	if c.held == nil {
-		return
-	}
-	held := *c.held
-	c.held = nil
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), forgetTimeout)
-		defer cancel()
-		reply, err := c.g.exchange.Send(ctx, held.From, c.g.protocol.Forget(held))
-		if err != nil {
-			c.g.log.Write(decisionlog.Start("forget").Text("endpoint", string(held.From.ID())).Text("error", err.Error()))
-			return
-		}
-		closeBody(reply)
-	}()
-}
-
 func closeBody(reply *carawayspread.Reply) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, 4<<10))
 	_ = reply.Body.Close()
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"carawayspread"
@@ -23,8 +24,8 @@
 		out[name] = values
 	}
 	for _, list := range h["Connection"] {
-		for _, name := range splitList(list) {
-			out.Del(name)
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
@@ -35,28 +36,6 @@
 	return out
 }
 
-func splitList(list string) []string {
-	var names []string
-	start := 0
-	for i := 0; i <= len(list); i++ {
-		if i == len(list) || list[i] == ',' {
-			names = append(names, trimSpace(list[start:i]))
-			start = i + 1
-		}
-	}
-	return names
-}
-
-func trimSpace(s string) string {
-	for len(s) > 0 && (s[0] == ' ' || s[0] == '\t') {
-		s = s[1:]
-	}
-	for len(s) > 0 && (s[len(s)-1] == ' ' || s[len(s)-1] == '\t') {
-		s = s[:len(s)-1]
-	}
-	return s
-}
-
 // fail gives the final answer to a request that has none from an endpoint.
 func (c *call) fail(ctx context.Context, err error) {
 	switch {
--- /dev/null
+++ b/internal/process/placement/prompt.go
@@ -0,0 +1,169 @@
+package placement
+
+import (
+	"time"
+
+	"carawayspread"
+)
+
+// choice is a way to the first event.
+type choice struct {
+	engine *engine
+	reads  bool
+	first  time.Duration
+	cost   time.Duration
+	work   time.Duration
+	alone  time.Duration // first, were nothing else there
+	found  int
+}
+
+func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
+	chains := req.Prompt.Chains()
+	traits := req.Service.Engine
+	var best choice
+	answer, continued := p.continued(now, pool, req)
+	if req.Handed != "" {
+		if !continued {
+			return carawayspread.Placement{}, nowhere()
+		}
+		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
+	}
+	for e := range pool.from(req.Key) {
+		if !pool.open(e, req) || e.reads() && (req.Direct || !continued) {
+			continue
+		}
+		l := p.load(now, e)
+		if !e.reads() && !fits(l, e, req) {
+			continue
+		}
+		found := e.found(req.Prompt.Parts, chains, traits.KVTokens)
+		work := e.work(req.Prompt.Tokens, found, l.running)
+		c := choice{engine: e, reads: e.reads(), work: work, found: found, first: e.wait(now) + work + e.delay}
+		if c.reads {
+			c.first += handOver + answer.first
+		} else {
+			c.first += step(l.running)
+		}
+		c.cost = c.first + time.Duration(workPrice*float64(work))
+		if c.reads {
+			c.cost += answer.cost - answer.first
+		} else {
+			c.cost += p.rest(now, e, l.running, req) + time.Duration(besidePrice*float64(l.running)*float64(work))
+		}
+		c.cost += p.crossing(e, req)
+		c.alone = c.first - e.wait(now)
+		if best.engine == nil || c.cost < best.cost {
+			best = c
+		}
+	}
+	if best.engine == nil {
+		return carawayspread.Placement{}, nowhere()
+	}
+	if err := p.judge(now, req, best); err != nil {
+		return carawayspread.Placement{}, err
+	}
+	return carawayspread.Placement{
+		Endpoint: best.engine.endpoint, Reads: best.reads, First: best.first, Work: best.work, Found: best.found,
+	}, nil
+}
+
+// judge refuses what would be too late to be worth its engine time.
+func (p *Placer) judge(now time.Time, req carawayspread.Placing, way choice) error {
+	first := way.first
+	if now.Add(first).After(req.Deadline) {
+		return p.tooLate(first)
+	}
+	if req.Owed {
+		return nil
+	}
+	if req.Late {
+		allowed := max(time.Duration(latePatience*float64(req.Route.Target)), time.Duration((1+lateQueue)*float64(way.alone)))
+		if first > allowed {
+			return p.tooLate(first - allowed)
+		}
+		return nil
+	}
+	target := float64(req.Route.Target)
+	allowed := max(time.Duration(patience*target), time.Duration(ownPatience*float64(way.alone))) - now.Sub(req.Arrived)
+	if first > allowed {
+		return p.tooLate(first - allowed)
+	}
+	return nil
+}
+
+// continued returns the engine that would go on from a KV cache first.
+func (p *Placer) continued(now time.Time, pool *pool, req carawayspread.Placing) (choice, bool) {
+	var best choice
+	zone := p.env.Zone
+	if from := pool.engines[req.Handed]; from != nil {
+		zone = from.endpoint.Zone()
+	}
+	traits := req.Service.Engine
+	var move time.Duration
+	if traits.LinkBits > 0 {
+		move = time.Duration(float64(req.Prompt.Tokens) * float64(traits.TokenBytes) * 8 / float64(traits.LinkBits) * float64(time.Second))
+	}
+	for e := range pool.from(req.Key) {
+		if e.reads() || !pool.open(e, req) {
+			continue
+		}
+		l := p.load(now, e)
+		if !fits(l, e, req) {
+			continue
+		}
+		first := move + step(l.running)
+		if e.wait(now) > 0 {
+			first += wholePiece * wholeFactor * startPerToken
+		}
+		cost := p.rest(now, e, l.running, req) + p.crossing(e, req)
+		if e.endpoint.Zone() != zone {
+			first += move * (zoneFactor - 1)
+			cost += otherZone
+		}
+		cost += first
+		if best.engine == nil || cost < best.cost {
+			best = choice{engine: e, first: first, cost: cost}
+		}
+	}
+	return best, best.engine != nil
+}
+
+// crossing prices the bytes of a request that go to another availability zone.
+func (p *Placer) crossing(e *engine, req carawayspread.Placing) time.Duration {
+	if e.endpoint.Zone() == p.env.Zone {
+		return 0
+	}
+	return otherZone + time.Duration(req.Bytes)*otherZoneByte
+}
+
+// rest prices the answer after its first event.
+func (p *Placer) rest(now time.Time, e *engine, running int, req carawayspread.Placing) time.Duration {
+	takes := time.Duration(size(req.Prompt)-req.Prompt.Tokens) * e.token(now, running)
+	price := time.Duration(tokenPrice * float64(takes))
+	if over := takes - time.Duration(answerShare*float64(req.Deadline.Sub(now))); over > 0 {
+		price += over / 4
+	}
+	return price
+}
+
+// fits reports whether the engine has a slot and memory for the request.
+func fits(l load, e *engine, req carawayspread.Placing) bool {
+	traits := req.Service.Engine
+	slots := max(1, e.endpoint.Slots())
+	if e.endpoint.Slots() == 0 {
+		slots = max(1, traits.Slots)
+	}
+	if l.running >= slots {
+		return false
+	}
+	return traits.KVTokens == 0 || float64(l.tokens+size(req.Prompt)) < memoryLimit*float64(traits.KVTokens)
+}
+
+// size returns the tokens of a request in an engine's memory.
+func size(prompt *carawayspread.Prompt) int {
+	out := prompt.Most
+	if prompt.Hint > 0 {
+		out = min(out, prompt.Hint)
+	}
+	return prompt.Tokens + out
+}
--- a/internal/process/placement/replay_test.go
+++ b/internal/process/placement/replay_test.go
@@ -276,9 +276,11 @@
 	r := newReplay("estimate", true, 4, 6, 12)
 	_, err := r.placers[0].Place(r.placing(huge))
 	qt.Check(t, err, qt.IsNil, qt.Commentf("nothing else is there"))
-	r.play(20*time.Second, short, huge)
+	busy := short
+	busy.perSecond = 200
+	r.play(20*time.Second, busy, huge)
 	t.Logf("%d of %d large served, %.3f in time", r.largeServed, r.large, r.share())
-	qt.Check(t, r.largeServed*10 >= r.large*7, qt.IsTrue)
+	qt.Check(t, r.largeServed, qt.Equals, r.large)
 	qt.Check(t, float64(r.inTime)/float64(r.asked-r.large) > 0.95, qt.IsTrue)
 }
 
--- a/protocol.go
+++ b/protocol.go
@@ -39,7 +39,6 @@
 type Handover struct {
 	Handle string
 	From   Endpoint
-	Tokens int
 }
 
 // Attempt is what an endpoint is told beside the caller's own words.
--- a/route.go
+++ b/route.go
@@ -39,7 +39,6 @@
 	Timeout time.Duration
 	// Target is the time from arrival to the answer, or to the first event.
 	Target time.Duration
-	Gap    time.Duration // longest pause between events; zero states nothing
 }
 
 // EngineTraits is what operators state of the engines of a service.
@@ -48,15 +47,12 @@
 	KVTokens   int   // tokens that the memory of one engine holds
 	TokenBytes int   // bytes of KV cache for each token
 	LinkBits   int64 // bits a second between engines
-	// HandleLife is how long an engine keeps a KV cache that nobody takes.
-	HandleLife time.Duration
 }
 
 // RoutedService is a service as routes name it.
 type RoutedService struct {
-	Name        string
-	Connections int           // that one endpoint accepts from all callers together; zero is unknown
-	Engine      *EngineTraits // nil for plain services
+	Name   string
+	Engine *EngineTraits // nil for plain services
 }
 
 // CallerLimits bounds what a caller may send.
