The largest requests of a route get patience when they lag behind the others

Whatever the target, there is a size from which no request can be in time. Change: shares of the largest eighth and of the others are counted by route; below 0.65 of the others' share the largest may wait as long again as their own reading.

--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -96,6 +96,7 @@
 	pools  map[string]*pool
 	byHash map[uint32]*engine
 	peers  map[string]*peer
+	fair   map[string]*fairness // by route
 }
 
 var _ = carawayspread.Placers.Register("estimate", func(env carawayspread.Environment) carawayspread.Placer {
@@ -107,7 +108,7 @@
 	if env.Tell == nil {
 		env.Tell = func(carawayspread.Notice) {}
 	}
-	return &Placer{env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, peers: map[string]*peer{}}
+	return &Placer{env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, peers: map[string]*peer{}, fair: map[string]*fairness{}}
 }
 
 func hashOf(id carawayspread.EndpointID) uint32 {
--- a/internal/process/placement/prompt.go
+++ b/internal/process/placement/prompt.go
@@ -76,18 +76,25 @@
 	if req.Owed {
 		return nil
 	}
+	fair := p.fair[req.Route.Name]
+	if fair == nil {
+		fair = &fairness{}
+		p.fair[req.Route.Name] = fair
+	}
+	target, alone := float64(req.Route.Target), float64(way.alone)
+	var allowed time.Duration
+	var kind int
 	if req.Late {
-		allowed := max(time.Duration(latePatience*float64(req.Route.Target)), time.Duration((1+lateQueue)*float64(way.alone)))
-		if first > allowed {
-			return p.tooLate(first - allowed)
-		}
-		return nil
+		kind = fair.kind(weight(req.Prompt))
+		allowed = time.Duration(max(latePatience*target, (1+lateQueue+fair.grant(kind))*alone))
+	} else {
+		kind = fair.ask(weight(req.Prompt))
+		allowed = time.Duration(max(patience*target, (ownPatience+fair.grant(kind))*alone)) - now.Sub(req.Arrived)
 	}
-	target := float64(req.Route.Target)
-	allowed := max(time.Duration(patience*target), time.Duration(ownPatience*float64(way.alone))) - now.Sub(req.Arrived)
 	if first > allowed {
 		return p.tooLate(first - allowed)
 	}
+	fair.take(kind)
 	return nil
 }
 
--- a/internal/process/placement/replay_test.go
+++ b/internal/process/placement/replay_test.go
@@ -358,3 +358,15 @@
 	t.Logf("pace %.2f", e.pace)
 	qt.Check(t, e.pace < 2, qt.IsTrue)
 }
+
+// The largest requests of a class are not left out where engines are short.
+// Their reading alone takes longer than the target, and others fill the engines.
+func TestLargestAreNotLeftOutUnderLoad(t *testing.T) {
+	mid := pattern{perSecond: 70, tokens: 6000, shared: 0, target: 600 * time.Millisecond}
+	big := pattern{perSecond: 9, tokens: 30000, shared: 0, target: 600 * time.Millisecond, large: true}
+	r := newReplay("estimate", true, 2, 4, 3).play(30*time.Second, mid, big)
+	rest := float64(r.asked-r.large-(r.refused-(r.large-r.largeServed))) / float64(r.asked-r.large)
+	share := float64(r.largeServed) / float64(r.large)
+	t.Logf("%.2f of the largest served, %.2f of the others", share, rest)
+	qt.Check(t, share > 0.5*rest, qt.IsTrue)
+}
