--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -64,14 +63,6 @@
 	ended    chan error
 }
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func startWorker(t *testing.T, id string, script ...worker.Behaviour) *worker.Worker {
 	t.Helper()
 	w, err := worker.New(id, script...)
@@ -97,9 +88,10 @@
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.routes(1, "model")
+	const free = "127.0.0.1:0"
 	text := fmt.Sprintf(`{"instance":{"id":"g","zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
 		"store":%q,"seeds":[],"grace":"8s","memoryMegabytes":100,"retries":{"ratio":0.2,"slack":50,"window":"10s"}}`,
-		freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t), strings.TrimPrefix(server.URL, "http://"))
+		free, free, free, free, strings.TrimPrefix(server.URL, "http://"))
 	var err error
 	f.settings, err = gatewaysettings.Parse("test", []byte(text))
 	qt.Assert(t, err, qt.IsNil)
@@ -141,7 +133,7 @@
 
 // ask sends a request on a connection of its own.
 func (f *fleet) ask(method, path, id, body string, headers ...string) (*http.Response, string, error) {
-	req, err := http.NewRequest(method, "http://"+f.settings.Listen()+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+f.daemon.Listen()+path, strings.NewReader(body))
 	if err != nil {
 		return nil, "", err
 	}
@@ -278,12 +270,19 @@
 		slow[i] = worker.SlowEvents
 	}
 	f.list(startWorker(t, "w", slow...), "model", "decode", "ready", 1)
+	f.list(startWorker(t, "w-holds", worker.Hang), "plain", "", "ready", 1)
 	f.start(t)
 	f.ready(t)
 	f.stop()
 	until(t, func() bool { return !f.daemon.Ready() })
 	begun := time.Now()
 	var callers sync.WaitGroup
+	callers.Go(func() { // keeps the process from ending at once: it has two seconds from here
+		time.Sleep(2700 * time.Millisecond)
+		resp, _, err := f.ask("POST", "/order/x", "id-held", "")
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 504)
+	})
 	var cut, short, long, comeBack atomic.Int64
 	for n := range 4 {
 		counts := []string{"10,10", "10,1000"}[n%2]
@@ -322,13 +321,16 @@
 func TestEndpointThatHoldsRequests(t *testing.T) {
 	f := newFleet(t)
 	reader, answerer := startWorker(t, "w-reader", worker.Hang), startWorker(t, "w-answerer")
-	holds := startWorker(t, "w-holds", worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang)
+	holds := startWorker(t, "w-holds", worker.Answer, worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang, worker.Hang)
 	f.list(reader, "model", "prefill", "ready", 1)
 	f.list(answerer, "model", "decode", "ready", 1)
 	f.list(holds, "plain", "", "ready", 1)
-	f.list(startWorker(t, "w-plain"), "plain", "", "ready", 1)
 	f.start(t)
 	f.ready(t)
+	_, _, err := f.ask("GET", "/lookup/first", "id-0", "") // it is known to be fast
+	qt.Assert(t, err, qt.IsNil)
+	f.list(startWorker(t, "w-plain"), "plain", "", "ready", 1)
+	time.Sleep(1200 * time.Millisecond) // two reads of the list
 	begun := time.Now()
 	resp, body, err := f.ask("POST", "/stream/x", "id-1", "p", prompt, "9000,100")
 	qt.Assert(t, err, qt.IsNil)
@@ -341,5 +343,5 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, resp.StatusCode, qt.Equals, 200)
 	}
-	qt.Check(t, holds.Ran() > 0, qt.IsTrue)
+	qt.Check(t, holds.Ran() > 1, qt.IsTrue)
 }
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -35,7 +35,7 @@
 		Name:  "gateway",
 		Usage: "take callers' requests by route and have them run",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Required: true, EnvVars: []string{"CARAWAYSPREAD_BOOT"}, Usage: "settings `FILE`, JSON with comments"},
+			&cli.StringFlag{Name: "config", Required: true, EnvVars: []string{wire.SettingsVariable}, Usage: "settings `FILE`, JSON with comments"},
 		},
 		Commands: []*cli.Command{{Name: "check", Usage: "check the settings file and say all that is wrong", Action: check}},
 		Action:   run,
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -128,6 +128,9 @@
 	}
 }
 
+// Listen returns IP number and port for callers.
+func (d *Daemon) Listen() string { return d.listener.Addr().String() }
+
 // Ready reports whether callers are better served here than elsewhere.
 func (d *Daemon) Ready() bool {
 	return !d.leaving.Load() && d.gateway.Routing() != nil && d.listed.Load()
@@ -175,8 +178,8 @@
 		}
 		return nil
 	})
-	d.log.WithField("listen", d.settings.Listen()).WithField("health", d.settings.Health()).
-		WithField("peer", d.settings.Peer()).Info("start")
+	d.log.WithField("listen", d.Listen()).WithField("health", d.health.Address()).
+		WithField("peer", d.peers.Address()).Info("start")
 	select {
 	case <-ctx.Done():
 		d.leave()
--- /dev/null
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -0,0 +1,49 @@
+package gatewaysettings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const good = `{
+  // a comment
+  "instance": {"id": "g", "zone": "z"},
+  "addresses": {"listen": "10.0.0.1:1", "health": "10.0.0.1:2", "peer": "10.0.0.1:3", "metrics": "10.0.0.1:4"},
+  "seeds": ["10.0.0.2:3"], "store": "10.0.0.9:5", "grace": "8s", "memoryMegabytes": 284,
+  "retries": {"ratio": 0.2, "slack": 54, "window": "10s"}
+}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse("gateway.jsonc", []byte(good))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Listen(), qt.Equals, "10.0.0.1:1")
+	qt.Check(t, s.Seeds(), qt.DeepEquals, []string{"10.0.0.2:3"})
+	qt.Check(t, s.Grace(), qt.Equals, 8*time.Second)
+	qt.Check(t, s.Memory(), qt.Equals, int64(284<<20))
+	qt.Check(t, s.Budget().Ratio, qt.Equals, 0.2)
+	qt.Check(t, s.Placement(), qt.Equals, "estimate")
+}
+
+// A broken file names every fault with its place, all at once.
+func TestParseNamesEveryFault(t *testing.T) {
+	for name, test := range map[string]struct{ from, to, want string }{
+		"malformed":        {`"store":`, `"store" `, `gateway.jsonc:5:37: malformed JSON`},
+		"missing":          {`"store": "10.0.0.9:5", `, ``, `store: missing`},
+		"name for IP":      {`10.0.0.9:5`, `host:5`, `store: must be an IP number and port`},
+		"unknown field":    {`"grace"`, `"grase"`, `grase: unknown field`},
+		"negative":         {`"slack": 54`, `"slack": -1`, `retries: ratio and slack must not be negative`},
+		"no duration":      {`"8s"`, `8`, `grace: must be a duration`},
+		"seed is no place": {`["10.0.0.2:3"]`, `["x"]`, `seeds[0]: must be an IP number and port`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Parse("gateway.jsonc", []byte(strings.Replace(good, test.from, test.to, 1)))
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Check(t, err.Error(), qt.Contains, test.want)
+		})
+	}
+	_, err := Parse("gateway.jsonc", []byte(`{}`))
+	qt.Check(t, strings.Count(err.Error(), "missing"), qt.Equals, 7, qt.Commentf("%v", err))
+}
