--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -47,40 +46,32 @@
 // Client is a carawayspread.Exchange over net/http. It is safe for concurrent
 // use.
 type Client struct {
-	reused    *http.Transport
-	opened    atomic.Int64
-	addressed func(network, address string, c syscall.RawConn) error
+	transport *http.Transport
 }
 
 // New returns a client without connections.
 func New() *Client {
-	c := &Client{addressed: control}
-	c.reused = &http.Transport{
-		DialContext:            c.dial,
+	return &Client{transport: &http.Transport{
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConns,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: headerLimit,
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
-	}
-	return c
+	}}
 }
 
-// Opened returns how many connections were opened.
-func (c *Client) Opened() int64 { return c.opened.Load() }
-
 // Close closes the idle connections.
-func (c *Client) Close() { c.reused.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c.opened.Add(1)
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: connectTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: probeEvery, Interval: probeEvery, Count: int(silence / probeEvery),
 		},
-		Control: c.addressed,
+		Control: control,
 	}
 	return dialer.DialContext(ctx, network, address)
 }
@@ -123,7 +114,7 @@
 		Body:          body{bytes.NewReader(out.Body)},
 		ContentLength: int64(len(out.Body)),
 	}).WithContext(ctx)
-	resp, err := c.reused.RoundTrip(req)
+	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		if !sent.Load() {
 			return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
@@ -141,10 +132,3 @@
 	}
 	return out
 }
-
-// Drain reads what is left of a small body, so that its connection can be used
-// again, and closes it.
-func Drain(r io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, r, bufferSize)
-	_ = r.Close()
-}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -51,6 +51,7 @@
 	exclude  map[carawayspread.EndpointID]bool
 	arrivals int  // attempts that may have reached an endpoint and count against the budget
 	ran      int  // attempts that may have run
+	paid     bool // the next attempt has its place in the budget already
 	direct   bool // no more handing over
 	started  bool // the header of the answer is out
 	last     string
@@ -62,12 +63,16 @@
 	found    int
 }
 
+// errOwn says that the endpoint answered with a failure of its own and that the
+// request goes elsewhere instead of passing it on.
+var errOwn = errors.New("the endpoint failed by itself")
+
 // errBroken says that an attempt may have run and gave no whole answer.
 var errBroken = errors.New("the endpoint gave no whole answer")
 
 func (c *call) serve() {
 	c.g.budget(c.service.Name).Took()
-	ctx, cancel := context.WithDeadlineCause(c.r.Context(), c.deadline, context.DeadlineExceeded)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.exclude = map[carawayspread.EndpointID]bool{}
 	c.last = c.ask.Resumed
@@ -90,9 +95,10 @@
 		if err == nil || !again {
 			return err
 		}
-		if c.arrivals > 0 && !c.g.budget(c.service.Name).Allow() {
+		if c.arrivals > 0 && !c.paid && !c.g.budget(c.service.Name).Allow() {
 			return fmt.Errorf("no retry is left: %w", err)
 		}
+		c.paid = false
 	}
 	return errBroken
 }
@@ -188,7 +194,7 @@
 			return false, ctx.Err()
 		}
 		c.exclude[at.Endpoint.ID()] = true
-		c.note(at, phase, "broken off: "+err.Error())
+		c.note(at, phase, err.Error())
 		return c.mayRepeat(), err
 	}
 	return false, nil
@@ -271,8 +277,8 @@
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = carawayspread.OutcomeFailed
 		if c.route.Repeat == carawayspread.RepeatSafe && c.mayRepeat() && c.g.budget(c.service.Name).Allow() {
-			c.arrivals = 0 // the retry is paid for
-			return outcome, errBroken
+			c.paid = true
+			return outcome, errOwn
 		}
 	}
 	if c.started {
