An endpoint that answers after a break clears the requests it broke off

Ruled out: a poisoned request (the refusals name many), a crash (the same endpoints answer others milliseconds later).

Change: quarantine remembers breaks for a second; an answer to what was sent after the break withdraws it, here and at peers. Sent after and answered before a restart can be over: the same process answered. Log lines of attempts and of requests not served bear request=, the same for every identifier.

What is sent again before another answer came is still refused.

--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -25,6 +25,7 @@
 type Crash struct {
 	Fingerprint uint64
 	Endpoint    string
+	Withdrawn   bool // the endpoint has shown since that it lives
 }
 
 // message is one datagram.
@@ -58,6 +59,7 @@
 	for _, c := range m.crashes {
 		b = binary.BigEndian.AppendUint64(b, c.Fingerprint)
 		b = appendText(b, c.Endpoint)
+		b = append(b, flag(c.Withdrawn))
 	}
 	b = binary.AppendUvarint(b, uint64(len(m.known)))
 	for _, address := range m.known {
@@ -66,6 +68,13 @@
 	return b
 }
 
+func flag(set bool) byte {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 func appendAddress(b []byte, address netip.AddrPort) []byte {
 	text, err := address.MarshalText()
 	if err != nil {
@@ -148,7 +157,7 @@
 		m.notices = append(m.notices, n)
 	}
 	for range r.count(mostItems) {
-		m.crashes = append(m.crashes, Crash{Fingerprint: binary.BigEndian.Uint64(r.bytes(8)), Endpoint: r.text()})
+		m.crashes = append(m.crashes, Crash{Fingerprint: binary.BigEndian.Uint64(r.bytes(8)), Endpoint: r.text(), Withdrawn: r.bytes(1)[0] == 1})
 		if r.bad {
 			return message{}, errMalformed
 		}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -163,6 +163,9 @@
 	}
 	c.arrivals++
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, phase)
+	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
+		c.alive(at, sent)
+	}
 	if phase == carawayspread.PhaseContinue {
 		c.held, c.direct = nil, true // a handle is taken once, whatever came of it
 	}
@@ -245,11 +248,18 @@
 		return carawayspread.OutcomeCancelled
 	}
 	c.g.placer.Crashed(at.Endpoint.ID())
-	c.g.Crashed(c.fingerprint, at.Endpoint.ID())
-	c.g.crashed(c.fingerprint, at.Endpoint.ID())
+	c.g.Crashed(c.fingerprint, at.Endpoint.ID(), false)
+	c.g.crashed(c.fingerprint, at.Endpoint.ID(), false)
 	return carawayspread.OutcomeFailed
 }
 
+// alive clears requests that the endpoint did not crash with, as it answers.
+func (c *call) alive(at carawayspread.Placement, sent time.Time) {
+	for _, fingerprint := range c.g.quarantine.Alive(at.Endpoint.ID(), sent) {
+		c.g.crashed(fingerprint, at.Endpoint.ID(), true)
+	}
+}
+
 // send builds what the endpoint gets.
 func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
 	h := endToEnd(c.r.Header)
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,10 +72,14 @@
 		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
 }
 
+// same names the request's path and body, which are the same whenever its caller
+// sends it again under another identifier.
+func (c *call) same() string { return strconv.FormatUint(c.fingerprint, 36) }
+
 // note logs an attempt that brought no whole answer.
 func (c *call) note(at carawayspread.Placement, phase carawayspread.Phase, why string) {
 	c.g.log.Write(decisionlog.Start("attempt").Text("id", c.ask.ID).Text("endpoint", string(at.Endpoint.ID())).
-		Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.arrivals)).Int("ran", int64(c.ran)).
+		Text("request", c.same()).Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.arrivals)).Int("ran", int64(c.ran)).
 		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.First).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())))
 	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
 }
@@ -108,6 +113,9 @@
 	if listed := c.g.listed.Load(); listed > 0 {
 		line.Ms("listAgeMs", time.Duration(now.UnixNano()-listed))
 	}
+	if outcome != "served" {
+		line.Text("request", c.same())
+	}
 	if p := c.ask.Prompt; p != nil {
 		line.Int("tokens", int64(p.Tokens)).Int("most", int64(p.Most)).Int("hint", int64(p.Hint))
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -56,7 +56,7 @@
 	quarantine *quarantine.Quarantine
 	terms      fleetbudget.Terms
 	share      func() int
-	crashed    func(fingerprint uint64, id carawayspread.EndpointID)
+	crashed    func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	leaves     atomic.Pointer[leave]
 	listed     atomic.Int64 // Unix nanoseconds of the newest list of endpoints
 	running    atomic.Int64
@@ -79,8 +79,9 @@
 	return func(g *Gateway) { g.terms, g.share = terms, share }
 }
 
-// WithCrashed is told of each request whose endpoint broke off.
-func WithCrashed(f func(fingerprint uint64, id carawayspread.EndpointID)) Option {
+// WithCrashed is told of each request whose endpoint broke off, and of each
+// that is withdrawn since the endpoint lives.
+func WithCrashed(f func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)) Option {
 	return func(g *Gateway) { g.crashed = f }
 }
 
@@ -93,7 +94,7 @@
 		quarantine: quarantine.New(clock, quarantine.Term(suspicion)),
 		terms:      fleetbudget.Terms{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		share:      func() int { return 1 },
-		crashed:    func(uint64, carawayspread.EndpointID) {},
+		crashed:    func(uint64, carawayspread.EndpointID, bool) {},
 		budgets:    map[string]*fleetbudget.Budget{},
 	}
 	for _, opt := range opts {
@@ -147,7 +148,11 @@
 }
 
 // Crashed takes what a peer saw.
-func (g *Gateway) Crashed(fingerprint uint64, id carawayspread.EndpointID) {
+func (g *Gateway) Crashed(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
+	if withdrawn {
+		g.quarantine.Withdraw(fingerprint, id)
+		return
+	}
 	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
 }
 
--- a/internal/process/gateway/hand.go
+++ b/internal/process/gateway/hand.go
@@ -33,7 +33,11 @@
 		c.note(at, carawayspread.PhaseRead, err.Error())
 		return ctx.Err() == nil, err
 	}
-	if c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead) != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
+	verdict := c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead)
+	if verdict == carawayspread.VerdictAnswer {
+		c.alive(at, sent)
+	}
+	if verdict != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
 		c.exclude[at.Endpoint.ID()] = true
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -103,8 +103,8 @@
 	})
 	d.gateway = gateway.New(ports.Exchange, ports.Protocol, d.placer, clock, d.lines,
 		gateway.WithTerms(s.Budget(), d.peers.Share),
-		gateway.WithCrashed(func(fingerprint uint64, id carawayspread.EndpointID) {
-			d.peers.Crashed(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id)})
+		gateway.WithCrashed(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
+			d.peers.Crashed(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
 		}))
 	d.follower = ports.Follow(d)
 	d.learner = knowledge.New(d.follower, d.peers.Known, clock, d.log)
@@ -182,7 +182,7 @@
 	run(func(context.Context) error { return d.control.Run() })
 	run(func(context.Context) error {
 		return d.peers.Receive(d.placer, func(c peers.Crash) {
-			d.gateway.Crashed(c.Fingerprint, carawayspread.EndpointID(c.Endpoint))
+			d.gateway.Crashed(c.Fingerprint, carawayspread.EndpointID(c.Endpoint), c.Withdrawn)
 		})
 	})
 	run(func(context.Context) error { return d.health.Run() })
--- /dev/null
+++ b/internal/process/quarantine/alive_test.go
@@ -0,0 +1,84 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+// Callers of a harmless request are refused for minutes: two endpoints break
+// off its answers and run on. An endpoint that answers what was sent after the
+// break, sooner than it could have started anew, has not crashed.
+func TestLivingEndpointClearsRequests(t *testing.T) {
+	const fingerprint = 7
+	tests := map[string]struct {
+		answeredAfter time.Duration // from the second break to the answer
+		sentAfter     time.Duration // from the second break to the request that is answered
+		endpoint      carawayspread.EndpointID
+		refused       bool
+	}{
+		"sent and answered after the break":     {answeredAfter: 50 * time.Millisecond, sentAfter: 10 * time.Millisecond, endpoint: "b"},
+		"at the other endpoint":                 {answeredAfter: 50 * time.Millisecond, sentAfter: 10 * time.Millisecond, endpoint: "a"},
+		"sent before the break":                 {answeredAfter: 50 * time.Millisecond, sentAfter: -10 * time.Millisecond, endpoint: "b", refused: true},
+		"answered when a restart could be over": {answeredAfter: 1200 * time.Millisecond, sentAfter: 1100 * time.Millisecond, endpoint: "b", refused: true},
+		"another endpoint":                      {answeredAfter: 50 * time.Millisecond, sentAfter: 10 * time.Millisecond, endpoint: "c", refused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+			q := New(clock)
+			q.Crashed(Crash{Endpoint: "a", At: clock.Now()}, []uint64{fingerprint}, nil)
+			q.Crashed(Crash{Endpoint: "b", At: clock.Now()}, []uint64{fingerprint, 8}, nil)
+			broke := clock.Now()
+			clock.Advance(test.answeredAfter)
+			cleared := q.Alive(test.endpoint, broke.Add(test.sentAfter))
+			qt.Check(t, len(cleared) == 0, qt.Equals, test.refused)
+			verdict, _ := q.Decide(Attempt{Fingerprint: fingerprint})
+			qt.Check(t, verdict == VerdictRefuse, qt.Equals, test.refused)
+		})
+	}
+}
+
+// A request that crashes what runs it stays refused: another process clears it
+// at one endpoint, which had only broken off an answer, and it crashes two.
+func TestWithdrawnCrashLeavesOthers(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	q := New(clock)
+	refused := func() bool {
+		verdict, _ := q.Decide(Attempt{Fingerprint: 7})
+		return verdict == VerdictRefuse
+	}
+	for _, id := range []carawayspread.EndpointID{"a", "b"} {
+		q.Crashed(Crash{Endpoint: id, At: clock.Now()}, []uint64{7}, nil)
+	}
+	qt.Check(t, refused(), qt.IsTrue)
+	q.Withdraw(7, "b")
+	q.Withdraw(7, "unknown")
+	q.Withdraw(9, "b")
+	qt.Check(t, refused(), qt.IsFalse)
+	q.Crashed(Crash{Endpoint: "c", At: clock.Now()}, []uint64{7}, nil)
+	qt.Check(t, refused(), qt.IsTrue)
+	q.Withdraw(7, "a")
+	q.Withdraw(7, "c")
+	qt.Check(t, q.Len(), qt.Equals, 0)
+}
+
+// Memory stays bounded by the breaks of the last second.
+func TestWatchedBreaksAreForgotten(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	q := New(clock)
+	for i := range 5 * maxWatched {
+		q.Crashed(Crash{Endpoint: "a", At: clock.Now()}, []uint64{uint64(i)}, nil)
+	}
+	qt.Check(t, len(q.recent["a"]), qt.Equals, maxWatched)
+	clock.Advance(2 * aliveWithin)
+	q.Crashed(Crash{Endpoint: "b", At: clock.Now()}, []uint64{1}, nil)
+	qt.Check(t, q.recent, qt.HasLen, 1)
+	clock.Advance(2 * aliveWithin)
+	q.Alive("b", clock.Now())
+	qt.Check(t, q.watching.Load(), qt.Equals, int64(0))
+}
--- a/internal/process/quarantine/quarantine.go
+++ b/internal/process/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
@@ -66,8 +67,11 @@
 	clock carawayspread.Clock
 	term  time.Duration
 
-	mu    sync.Mutex
-	known *lru.LRU[uint64, *record]
+	mu     sync.Mutex
+	known  *lru.LRU[uint64, *record]
+	recent map[carawayspread.EndpointID][]watched // breaks of the last aliveWithin; none empty
+
+	watching atomic.Int64 // endpoints in recent
 }
 
 // Option sets an optional part of a Quarantine.
@@ -82,7 +86,7 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	q := &Quarantine{clock: clock, term: defaultTerm, known: known}
+	q := &Quarantine{clock: clock, term: defaultTerm, known: known, recent: map[carawayspread.EndpointID][]watched{}}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -127,6 +131,7 @@
 		isTrial := trial != nil && *trial == fingerprint
 		r := q.suspect(fingerprint, now)
 		r.add(crash)
+		q.watch(fingerprint, crash, now)
 		if isTrial || trial == nil && len(r.crashes) >= maxVictims {
 			r.convicted = now.Add(q.term)
 		}
