Roles follow the work: one process at a time has engines read

Ruled out: a storm of re-reads when an engine breaks off many streams (a wait until engines are calm brought nothing, noted); the older role policy (its model knows no engine that reads at half the speed).

Change: rolebalance decides, by means over 20 s; rolekeeper takes a lease in the platform's rows and gives the orders under its number; platform/orders and platform/rows.Table translate; an engine that changes is kept out of use, at peers too.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"carawayspread/internal/standin/worker"
 	"carawayspread/internal/version/gatewaysettings"
 	"carawayspread/platform/catalog"
+	"carawayspread/platform/orders"
 	rowsclient "carawayspread/platform/rows"
 	"carawayspread/platform/wire"
 )
@@ -103,10 +104,15 @@
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	clock, exchange := carawayspread.SystemClock(), direct.New()
 	var err error
+	store := rowsclient.New(exchange, f.settings.Store())
 	f.daemon, err = gatewayd.New(f.settings, clock, quiet, f.out, gatewayd.Ports{
 		Exchange: exchange, Protocol: wire.Protocol{},
 		Follow: func(sink *gatewayd.Daemon) gatewayd.Follower {
-			return catalog.New(rowsclient.New(exchange, f.settings.Store()), sink, clock, quiet)
+			return catalog.New(store, sink, clock, quiet)
+		},
+		Table: rowsclient.NewTable(store, "carawayspread"),
+		Engine: func(endpoint carawayspread.Endpoint) carawayspread.Engine {
+			return orders.New(exchange, endpoint, f.settings.ID())
 		},
 	})
 	qt.Assert(t, err, qt.IsNil)
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -20,6 +20,7 @@
 	"carawayspread/internal/process/gatewayd"
 	"carawayspread/internal/version/gatewaysettings"
 	"carawayspread/platform/catalog"
+	"carawayspread/platform/orders"
 	"carawayspread/platform/rows"
 	"carawayspread/platform/wire"
 )
@@ -59,11 +60,16 @@
 	}
 	debug.SetMemoryLimit(int64(memoryUsed * float64(s.Memory())))
 	clock, exchange := carawayspread.SystemClock(), direct.New()
+	store := rows.New(exchange, s.Store())
 	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
 		Exchange: exchange,
 		Protocol: wire.Protocol{},
 		Follow: func(sink *gatewayd.Daemon) gatewayd.Follower {
-			return catalog.New(rows.New(exchange, s.Store()), sink, clock, log.Log)
+			return catalog.New(store, sink, clock, log.Log)
+		},
+		Table: rows.NewTable(store, "carawayspread"),
+		Engine: func(endpoint carawayspread.Endpoint) carawayspread.Engine {
+			return orders.New(exchange, endpoint, s.ID())
 		},
 	})
 	if err != nil {
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -50,6 +50,7 @@
 		b = binary.AppendUvarint(b, uint64(n.Tokens))
 		b = binary.AppendUvarint(b, uint64(n.Work/time.Microsecond))
 		b = binary.AppendUvarint(b, uint64(n.Read))
+		b = binary.AppendUvarint(b, uint64(n.Aside/time.Millisecond))
 		b = binary.AppendUvarint(b, uint64(len(n.Chains)))
 		for _, chain := range n.Chains {
 			b = binary.BigEndian.AppendUint64(b, chain)
@@ -146,7 +147,7 @@
 			Endpoint: binary.BigEndian.Uint32(r.bytes(4)),
 			Running:  r.count(1 << 20), Tokens: r.count(1 << 40),
 			Work: time.Duration(r.count(1<<32)) * time.Microsecond,
-			Read: r.count(1 << 32),
+			Read: r.count(1 << 32), Aside: time.Duration(r.count(1<<20)) * time.Millisecond,
 		}
 		for range r.count(mostChains) {
 			n.Chains = append(n.Chains, binary.BigEndian.Uint64(r.bytes(8)))
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -21,6 +21,7 @@
 	"carawayspread/internal/connection/peers"
 	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/process/gateway"
+	"carawayspread/internal/process/rolekeeper"
 	"carawayspread/internal/process/server"
 	"carawayspread/internal/version/gatewaysettings"
 
@@ -28,6 +29,8 @@
 	_ "carawayspread/internal/process/ejection"
 	_ "carawayspread/internal/process/placement"
 	_ "carawayspread/internal/process/plainplacement"
+	_ "carawayspread/internal/process/rolebalance"
+	_ "carawayspread/internal/process/rolepolicy"
 )
 
 const (
@@ -62,6 +65,9 @@
 	Exchange carawayspread.Exchange
 	Protocol carawayspread.Protocol
 	Follow   func(sink *Daemon) Follower
+	// Table keeps the lease of orders to engines, and Engine gives them.
+	Table  carawayspread.Table
+	Engine func(carawayspread.Endpoint) carawayspread.Engine
 }
 
 // Daemon is one gateway process.
@@ -75,6 +81,7 @@
 	placer   carawayspread.Placer
 	follower Follower
 	learner  *knowledge.Learner
+	keeper   *rolekeeper.Keeper // nil where no role changes
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	open     atomic.Int64 // connections of callers
@@ -106,11 +113,28 @@
 		gateway.WithCrashed(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
 			d.peers.Crashed(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
 		}))
+	d.keep(ports)
 	d.follower = ports.Follow(d)
 	d.learner = knowledge.New(d.follower, d.peers.Known, clock, d.log)
 	return d, trace.Wrap(d.listen())
 }
 
+// keep prepares changes of roles, where the policy makes some and the placer
+// knows what it needs.
+func (d *Daemon) keep(ports Ports) {
+	source, knows := d.placer.(carawayspread.RoleSource)
+	policy, known := carawayspread.RolePolicies.Get(d.settings.RolePolicy())
+	if !known {
+		d.log.WithField("rolePolicy", d.settings.RolePolicy()).Warn("unknown role policy, the default is used")
+	}
+	if !knows || d.settings.RolePolicy() == gatewaysettings.RolesAsFound {
+		return
+	}
+	env := carawayspread.Environment{Clock: d.clock, Zone: d.settings.Zone()}
+	d.keeper = rolekeeper.New(source, func() carawayspread.RolePolicy { return policy(env) },
+		ports.Table, ports.Engine, d.clock, d.lines)
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.listener, err = net.Listen("tcp4", d.settings.Listen()); err != nil {
@@ -182,6 +206,9 @@
 	run(d.follower.RunRoutes)
 	run(d.follower.RunList)
 	run(d.learner.Run)
+	if d.keeper != nil {
+		run(d.keeper.Run)
+	}
 	run(func(context.Context) error { return d.control.Run() })
 	run(func(context.Context) error {
 		return d.peers.Receive(d.placer, func(c peers.Crash) {
--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -78,6 +78,7 @@
 	count    int64 // tokens that have entered the memory
 	parts    map[uint64]mark
 	mean     time.Duration // of whole answers; plain services
+	aside    time.Time     // until when it gets nothing, as it changes its role
 }
 
 func newEngine(endpoint carawayspread.Endpoint) *engine {
@@ -87,7 +88,7 @@
 // update takes the newest entry. An engine that changed its role is learnt anew.
 func (e *engine) update(endpoint carawayspread.Endpoint) {
 	if endpoint.Role() != e.endpoint.Role() {
-		e.pace, e.delay, e.learnt = 1, startDelay, time.Time{}
+		e.pace, e.delay, e.learnt, e.aside = 1, startDelay, time.Time{}, time.Time{}
 	}
 	e.endpoint = endpoint
 }
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -126,7 +126,10 @@
 		eject, _ := carawayspread.Ejectors.Get("")
 		old = &pool{ejector: eject(p.env)}
 	}
-	next := &pool{engines: make(map[carawayspread.EndpointID]*engine, len(endpoints)), ejector: old.ejector}
+	next := &pool{
+		engines: make(map[carawayspread.EndpointID]*engine, len(endpoints)), ejector: old.ejector,
+		arrived: old.arrived, asked: old.asked,
+	}
 	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		e := old.engines[endpoint.ID()]
@@ -232,6 +235,12 @@
 		}
 		if n.Work > 0 {
 			e.begin(now, n.Work)
+			if pool := p.pools[e.endpoint.Service()]; pool != nil {
+				pool.arrived += n.Read
+			}
+		}
+		if n.Aside > 0 {
+			e.aside = now.Add(min(n.Aside, mostAside))
 		}
 		if n.Read > 0 || len(n.Chains) > 0 {
 			e.take(n.Chains, n.Read)
--- a/internal/process/placement/plain.go
+++ b/internal/process/placement/plain.go
@@ -11,7 +11,7 @@
 	var best *engine
 	var bestFirst, bestCost, soon time.Duration
 	for e := range pool.from(req.Key) {
-		if !pool.open(e, req) {
+		if !pool.open(now, e, req) {
 			continue
 		}
 		mean := e.mean
--- a/internal/process/placement/pool.go
+++ b/internal/process/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"carawayspread"
 )
@@ -11,6 +12,8 @@
 	engines map[carawayspread.EndpointID]*engine
 	ordered []*engine // by identifier
 	ejector carawayspread.Ejector
+	arrived int       // tokens to be read, here and at peers, since asked
+	asked   time.Time // when roles were last asked for
 }
 
 // from returns the engines in an order that starts at a place which follows
@@ -60,6 +63,6 @@
 }
 
 // open reports whether the engine may get the request.
-func (pool *pool) open(e *engine, req carawayspread.Placing) bool {
-	return !e.endpoint.Leaving() && !req.Exclude[e.endpoint.ID()] && pool.ejector.Allowed(e.endpoint.ID())
+func (pool *pool) open(now time.Time, e *engine, req carawayspread.Placing) bool {
+	return !e.aside.After(now) && !e.endpoint.Leaving() && !req.Exclude[e.endpoint.ID()] && pool.ejector.Allowed(e.endpoint.ID())
 }
--- a/internal/process/placement/prompt.go
+++ b/internal/process/placement/prompt.go
@@ -29,7 +29,7 @@
 		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
 	}
 	for e := range pool.from(req.Key) {
-		if !pool.open(e, req) || e.reads() && (req.Direct || !continued) {
+		if !pool.open(now, e, req) || e.reads() && (req.Direct || !continued) {
 			continue
 		}
 		l := p.load(now, e)
@@ -111,7 +111,7 @@
 		move = time.Duration(float64(req.Prompt.Tokens) * float64(traits.TokenBytes) * 8 / float64(traits.LinkBits) * float64(time.Second))
 	}
 	for e := range pool.from(req.Key) {
-		if e.reads() || !pool.open(e, req) {
+		if e.reads() || !pool.open(now, e, req) {
 			continue
 		}
 		l := p.load(now, e)
--- /dev/null
+++ b/internal/process/placement/roles.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	// mostAside bounds what a peer may say of an engine that changes its role.
+	mostAside = 30 * time.Second
+	// readPerToken is the time that a reader takes for a token of a prompt of
+	// usual length, attention included.
+	readPerToken = 12500 * time.Nanosecond
+)
+
+var _ carawayspread.RoleSource = (*Placer)(nil)
+
+// Roles implements carawayspread.RoleSource.
+func (p *Placer) Roles() []carawayspread.ServiceRoles {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.env.Clock.Now()
+	var all []carawayspread.ServiceRoles
+	for name, pool := range p.pools {
+		if s, ok := p.roles(now, pool); ok {
+			s.Service = name
+			all = append(all, s)
+		}
+	}
+	slices.SortFunc(all, func(a, b carawayspread.ServiceRoles) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
+func (p *Placer) roles(now time.Time, pool *pool) (carawayspread.ServiceRoles, bool) {
+	s := carawayspread.ServiceRoles{Endpoints: make(map[carawayspread.EndpointID]carawayspread.Endpoint, len(pool.ordered))}
+	readers := 0
+	for _, e := range pool.ordered {
+		id := e.endpoint.ID()
+		state := carawayspread.RoleState{
+			Endpoint: id, Role: e.endpoint.Role(), Changing: e.aside.After(now),
+			Leaving: e.endpoint.Leaving() || !pool.ejector.Allowed(id), Running: p.load(now, e).running,
+		}
+		if e.reads() {
+			readers++
+			state.PrefillRate = float64(time.Second) / (float64(readPerToken) * e.pace)
+		}
+		s.Engines = append(s.Engines, state)
+		s.Endpoints[id] = e.endpoint
+	}
+	since := now.Sub(pool.asked)
+	arrived := pool.arrived
+	pool.arrived, pool.asked = 0, now
+	if readers == 0 || since <= 0 {
+		return s, false
+	}
+	s.Demand = carawayspread.Demand{Taken: now, Classes: []carawayspread.ClassDemand{{
+		PrefillTokens: float64(arrived) / since.Seconds(),
+	}}}
+	return s, true
+}
+
+// Aside implements carawayspread.RoleSource.
+func (p *Placer) Aside(id carawayspread.EndpointID, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.pools {
+		if e := pool.engines[id]; e != nil {
+			e.aside = p.env.Clock.Now().Add(d)
+			p.env.Tell(carawayspread.Notice{Endpoint: e.hash, Running: e.own, Tokens: e.tokens, Aside: d})
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/placement/roles_test.go
@@ -0,0 +1,79 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+func endpointOf(id string, role carawayspread.Role) carawayspread.Endpoint {
+	return carawayspread.NewEndpoint(carawayspread.EndpointID(id), "s", "z", "10.0.0.1:1", false,
+		carawayspread.WithRole(role), carawayspread.WithSlots(8))
+}
+
+// Requests keep off an engine that changes its role, here and at the peer that is
+// told, and reach it again as soon as its entry shows the new role, or when the
+// time is over.
+func TestEngineAsideGetsNothing(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	peer := New(carawayspread.Environment{Clock: clock, Zone: "z"})
+	p := New(carawayspread.Environment{Clock: clock, Zone: "z", Tell: func(n carawayspread.Notice) {
+		peer.Heard("p", []carawayspread.Notice{n})
+	}})
+	request := carawayspread.Placing{
+		Route:   &carawayspread.Route{Name: "r", Target: time.Second, Timeout: 10 * time.Second},
+		Service: carawayspread.RoutedService{Name: "s", Engine: &carawayspread.EngineTraits{Slots: 8, KVTokens: 1e6}},
+		Prompt:  &carawayspread.Prompt{Tokens: 1000, Most: 10}, Arrived: clock.Now(), Deadline: clock.Now().Add(time.Hour),
+	}
+	all := []carawayspread.Endpoint{endpointOf("stays", carawayspread.RoleDecode), endpointOf("changes", carawayspread.RoleDecode)}
+	used := func(p *Placer) map[carawayspread.EndpointID]bool {
+		seen := map[carawayspread.EndpointID]bool{}
+		for key := range uint64(20) {
+			request.Key, request.Arrived = key, clock.Now()
+			at, err := p.Place(request)
+			qt.Assert(t, err, qt.IsNil)
+			seen[at.Endpoint.ID()] = true
+		}
+		return seen
+	}
+	for _, placer := range []*Placer{p, peer} {
+		placer.SetEndpoints("s", all)
+		qt.Check(t, used(placer), qt.HasLen, 2)
+	}
+	p.Aside("changes", 12*time.Second)
+	for _, placer := range []*Placer{p, peer} {
+		qt.Check(t, used(placer), qt.DeepEquals, map[carawayspread.EndpointID]bool{"stays": true})
+		placer.SetEndpoints("s", all) // the entry is still the old one
+		qt.Check(t, used(placer), qt.HasLen, 1)
+	}
+	p.SetEndpoints("s", []carawayspread.Endpoint{all[0], endpointOf("changes", carawayspread.RolePrefill)})
+	at, err := p.Place(request)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, at.Reads, qt.IsTrue)
+	clock.Advance(13 * time.Second)
+	qt.Check(t, used(peer), qt.HasLen, 2)
+}
+
+// What a policy plans by is the work of all processes since it last asked.
+func TestRolesTellTheDemand(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	p := New(carawayspread.Environment{Clock: clock, Zone: "z"})
+	p.SetEndpoints("s", []carawayspread.Endpoint{endpointOf("reads", carawayspread.RolePrefill), endpointOf("answers", carawayspread.RoleDecode)})
+	p.Roles()
+	reads := p.byHash[hashOf("reads")]
+	p.Heard("other", []carawayspread.Notice{{Endpoint: reads.hash, Running: 3, Work: time.Millisecond, Read: 5000}})
+	p.Heard("other", []carawayspread.Notice{{Endpoint: reads.hash, Running: 3, Read: 400}}) // no reading of its own
+	clock.Advance(2 * time.Second)
+	all := p.Roles()
+	qt.Assert(t, all, qt.HasLen, 1)
+	qt.Check(t, all[0].Service, qt.Equals, "s")
+	qt.Check(t, all[0].Demand.Classes[0].PrefillTokens, qt.Equals, 2500.0)
+	qt.Check(t, all[0].Engines[1].Running, qt.Equals, 3)
+	qt.Check(t, all[0].Engines[1].PrefillRate, qt.Equals, 80000.0)
+	clock.Advance(time.Second)
+	qt.Check(t, p.Roles()[0].Demand.Classes[0].PrefillTokens, qt.Equals, 0.0)
+}
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -41,6 +41,9 @@
 		notice.Read = max(0, req.Prompt.Tokens-at.Found)
 		notice.Work = at.Work
 		e.take(notice.Chains, notice.Read)
+		if s.pool != nil && at.Work > 0 {
+			s.pool.arrived += notice.Read
+		}
 	}
 	e.own++
 	e.tokens += s.tokens
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -14,12 +14,18 @@
 // Row is one row as the store speaks it.
 type Row struct {
 	Table     string `json:"table"`
+	Part      string `json:"part"`
 	Key       string `json:"key"`
 	Value     []byte `json:"value,omitempty"`
 	Ver       int64  `json:"ver"`
 	Tombstone bool   `json:"tombstone,omitempty"`
 }
 
+// id is what names a row.
+type id struct{ table, part, key string }
+
+func (r Row) id() id { return id{r.Table, r.Part, r.Key} }
+
 type answer struct {
 	Rows []Row `json:"rows"`
 	More bool  `json:"has_more"`
@@ -29,18 +35,19 @@
 // Store is an http.Handler. It is safe for concurrent use.
 type Store struct {
 	mu      sync.Mutex
-	rows    map[[2]string]Row
+	rows    map[id]Row
 	history []Row
 	ver     int64
 	oldest  int64 // changes up to this version are dropped
 	changed chan struct{}
 	mode    int // answers with this status instead; zero serves
 	calls   int
+	lose    int // transactions whose answers are lost
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[[2]string]Row{}, changed: make(chan struct{})}
+	return &Store{rows: map[id]Row{}, changed: make(chan struct{})}
 }
 
 // Put writes a row.
@@ -51,16 +58,22 @@
 // Remove drops a row.
 func (s *Store) Remove(table, key string) { s.write(Row{Table: table, Key: key, Tombstone: true}) }
 
-func (s *Store) write(row Row) {
+func (s *Store) write(rows ...Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeLocked(rows...)
+}
+
+func (s *Store) writeLocked(rows ...Row) {
 	s.ver++
-	row.Ver = s.ver
-	s.history = append(s.history, row)
-	if row.Tombstone {
-		delete(s.rows, [2]string{row.Table, row.Key})
-	} else {
-		s.rows[[2]string{row.Table, row.Key}] = row
+	for _, row := range rows {
+		row.Ver = s.ver
+		s.history = append(s.history, row)
+		if row.Tombstone {
+			delete(s.rows, row.id())
+		} else {
+			s.rows[row.id()] = row
+		}
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -101,6 +114,8 @@
 		s.get(w, r)
 	case "/-/rows-feed":
 		s.feed(w, r)
+	case "/-/rows-tx":
+		s.transact(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -113,10 +128,12 @@
 		w.WriteHeader(s.mode)
 		return
 	}
-	limit, _ := strconv.Atoi(r.URL.Query().Get("limit"))
+	query := r.URL.Query()
+	limit, _ := strconv.Atoi(query.Get("limit"))
 	a := answer{Rows: []Row{}, Ver: s.ver}
 	for id, row := range s.rows {
-		if id[0] == r.URL.Query().Get("table") && id[1] >= r.URL.Query().Get("from") {
+		if id.table == query.Get("table") && id.part == query.Get("part") && id.key >= query.Get("from") &&
+			(query.Get("to") == "" || id.key < query.Get("to")) {
 			a.Rows = append(a.Rows, row)
 		}
 	}
@@ -162,3 +179,44 @@
 		}
 	}
 }
+
+// LoseAnswers makes the next transactions take effect without an answer.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	var tx struct {
+		Expected []Row `json:"expected_rev"`
+		Puts     []Row `json:"puts"`
+		Remove   []Row `json:"remove"`
+	}
+	if json.NewDecoder(r.Body).Decode(&tx) != nil || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mode != 0 {
+		w.WriteHeader(s.mode)
+		return
+	}
+	for _, row := range tx.Expected {
+		if s.rows[row.id()].Ver != row.Ver {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver})
+			return
+		}
+	}
+	for i := range tx.Remove {
+		tx.Remove[i].Tombstone = true
+	}
+	s.writeLocked(append(tx.Puts, tx.Remove...)...)
+	if s.lose > 0 {
+		s.lose--
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver})
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -54,6 +54,10 @@
 	script []Behaviour
 	seen   []Seen
 	gone   int // connections that their caller closed while a request ran
+	role   string
+	fence  uint64 // the highest seen
+	orders int64
+	busy   bool
 	conns  map[net.Conn]bool
 }
 
@@ -175,6 +179,9 @@
 		w.write(conn, "421 Misdirected Request", "", "Carawayspread-Instance-Id: "+w.id)
 		return true
 	}
+	if strings.HasPrefix(s.Target, "/-/report") || strings.HasPrefix(s.Target, "/-/order") {
+		return w.control(conn, s)
+	}
 	does := w.next(s)
 	id := "Carawayspread-Request-Id: " + s.ID
 	seal := "Carawayspread-Server-Seal: " + w.id + "." + s.ID
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -26,8 +26,12 @@
 	memory    int64
 	budget    fleetbudget.Terms
 	placement string
+	roles     string
 }
 
+// RolesAsFound is the role policy under which no role changes.
+const RolesAsFound = "static"
+
 const (
 	maxMegabytes = 1 << 20
 	megabyte     = 1 << 20
@@ -46,8 +50,8 @@
 
 // Parse checks a settings file. Its error lists every finding.
 func Parse(name string, body []byte) (*Settings, error) {
-	s := &Settings{placement: "estimate"}
-	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement")
+	s := &Settings{placement: "estimate", roles: "balance"}
+	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy")
 	instance := root.Need("instance").Object("id", "zone")
 	s.id = instance.Need("id").Text()
 	s.zone = instance.Need("zone").Text()
@@ -73,6 +77,9 @@
 	if placement := root.Field("placement"); placement.Exists() {
 		s.placement = placement.Text()
 	}
+	if roles := root.Field("rolePolicy"); roles.Exists() {
+		s.roles = roles.Text()
+	}
 	if err := root.Err(); err != nil {
 		return nil, err
 	}
@@ -113,5 +120,8 @@
 // Budget returns what may be sent beyond first attempts.
 func (s *Settings) Budget() fleetbudget.Terms { return s.budget }
 
+// RolePolicy returns the name of a registered role policy.
+func (s *Settings) RolePolicy() string { return s.roles }
+
 // Placement returns the name of a registered placer.
 func (s *Settings) Placement() string { return s.placement }
--- a/placement.go
+++ b/placement.go
@@ -75,4 +75,7 @@
 	Work     time.Duration
 	Read     int      // tokens read anew by the placement that is told; zero for none
 	Chains   []uint64 // what the placement leaves in the endpoint's memory
+	// Aside is how long the endpoint is not to be used, as it changes its role;
+	// zero where it does not.
+	Aside time.Duration
 }
