Counters of orders and of what peers handed on; an unknown role policy falls back to the default of gateways

Cause: the registry's own fallback is the policy of entries, which knows no engine that reads at half the speed; the warning said that the default is used.

Change: as said; tests of the learner alone.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"carawayspread"
@@ -49,13 +50,15 @@
 	clock  carawayspread.Clock
 	log    log.Interface
 	client *http.Client
+	learnt *metrics.Counter
 }
 
 // New returns a learner for the holder.
-func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface) *Learner {
+func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface, set *metrics.Set) *Learner {
 	return &Learner{
 		holder: holder, peers: peers, clock: clock, log: l,
 		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		learnt: set.GetOrCreateCounter("gateway_learnt_from_peers_total"),
 	}
 }
 
@@ -101,6 +104,7 @@
 			continue
 		}
 		if learnt {
+			l.learnt.Inc()
 			l.log.WithField("peer", peer).WithField("routes", got.GetRoutes().GetVersion()).
 				WithField("list", got.GetList().GetVersion()).Info("learnt from a peer")
 			return
--- /dev/null
+++ b/internal/connection/knowledge/learner_test.go
@@ -0,0 +1,103 @@
+package knowledge
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+// holder knows by versions and refuses a body that says so.
+type holder struct {
+	known carawayspread.Knowledge
+	lost  bool
+	asked int
+}
+
+func (h *holder) Known(routes, list uint64) carawayspread.Knowledge {
+	h.asked++
+	var newer carawayspread.Knowledge
+	if h.known.Routes.Version > routes {
+		newer.Routes = h.known.Routes
+	}
+	if h.known.List.Version > list {
+		newer.List = h.known.List
+	}
+	return newer
+}
+
+func (h *holder) Learn(k carawayspread.Knowledge) (bool, error) {
+	if string(k.Routes.Body) == "broken" {
+		return false, errors.New("broken")
+	}
+	learnt := false
+	if k.Routes.Version > h.known.Routes.Version {
+		h.known.Routes, learnt = k.Routes, true
+	}
+	if k.List.Version > h.known.List.Version {
+		h.known.List, learnt = k.List, true
+	}
+	return learnt, nil
+}
+
+func (h *holder) Lost() bool { return h.lost }
+
+func document(version uint64, body string) carawayspread.Document {
+	return carawayspread.Document{Version: version, Body: []byte(body)}
+}
+
+func learner(h *holder, peers ...string) *Learner {
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	return New(h, func() []string { return append([]string(nil), peers...) }, carawayspread.SystemClock(), quiet, metrics.NewSet())
+}
+
+func serve(t *testing.T, h *holder) string {
+	t.Helper()
+	server := httptest.NewServer(learner(h).Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Callers of a process without the store are served by what any peer knows: one
+// is gone, one hands on what cannot be read, one knows nothing, one knows.
+func TestOneOfThePeersKnows(t *testing.T) {
+	knows := &holder{known: carawayspread.Knowledge{Routes: document(7, "routes"), List: document(20, "list")}}
+	broken := &holder{known: carawayspread.Knowledge{Routes: document(9, "broken")}}
+	for _, other := range []string{"127.0.0.1:1", serve(t, broken), serve(t, &holder{})} {
+		h := &holder{lost: true}
+		l := learner(h, other, serve(t, knows))
+		l.ask(context.Background())
+		qt.Check(t, h.known, qt.DeepEquals, knows.known)
+		l.ask(context.Background()) // nothing is newer
+		qt.Check(t, h.known, qt.DeepEquals, knows.known)
+	}
+}
+
+// Only what is newer travels.
+func TestNewerAlone(t *testing.T) {
+	knows := &holder{known: carawayspread.Knowledge{Routes: document(7, "routes"), List: document(20, "list")}}
+	got, err := learner(knows).Newer(context.Background(), &NewerRequest{Routes: 7, List: 19})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got.Routes, qt.IsNil)
+	qt.Check(t, string(got.List.Body), qt.Equals, "list")
+}
+
+// Peers are left alone while the store answers.
+func TestNobodyIsAskedBesideTheStore(t *testing.T) {
+	knows := &holder{known: carawayspread.Knowledge{Routes: document(7, "routes")}}
+	h := &holder{}
+	l := learner(h, serve(t, knows))
+	ctx, cancel := context.WithTimeout(context.Background(), 3*askEvery)
+	defer cancel()
+	qt.Check(t, errors.Is(l.Run(ctx), context.DeadlineExceeded), qt.IsTrue)
+	qt.Check(t, knows.asked, qt.Equals, 0)
+	qt.Check(t, h.known, qt.DeepEquals, carawayspread.Knowledge{})
+}
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -1,5 +1,5 @@
-// Package peers carries what entries tell each other of their placements, as
-// small datagrams. Losing some costs accuracy and nothing else: each message
+// Package peers carries what processes tell each other of their placements, as
+// small datagrams, and opens the address at which peers may also connect. Losing some costs accuracy and nothing else: each message
 // states counts as they are, and a heartbeat repeats them.
 package peers
 
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -115,7 +115,7 @@
 		}))
 	d.keep(ports)
 	d.follower = ports.Follow(d)
-	d.learner = knowledge.New(d.follower, d.peers.Known, clock, d.log)
+	d.learner = knowledge.New(d.follower, d.peers.Known, clock, d.log, d.gateway.Metrics())
 	return d, trace.Wrap(d.listen())
 }
 
@@ -126,13 +126,14 @@
 	policy, known := carawayspread.RolePolicies.Get(d.settings.RolePolicy())
 	if !known {
 		d.log.WithField("rolePolicy", d.settings.RolePolicy()).Warn("unknown role policy, the default is used")
+		policy, _ = carawayspread.RolePolicies.Get(gatewaysettings.RolesBalanced)
 	}
 	if !knows || d.settings.RolePolicy() == gatewaysettings.RolesAsFound {
 		return
 	}
 	env := carawayspread.Environment{Clock: d.clock, Zone: d.settings.Zone()}
 	d.keeper = rolekeeper.New(source, func() carawayspread.RolePolicy { return policy(env) },
-		ports.Table, ports.Engine, d.clock, d.lines)
+		ports.Table, ports.Engine, d.clock, d.lines, d.gateway.Metrics())
 }
 
 func (d *Daemon) listen() error {
--- a/internal/process/rolekeeper/keeper.go
+++ b/internal/process/rolekeeper/keeper.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"carawayspread"
@@ -52,6 +53,7 @@
 	lease   *lease.Lease
 	clock   carawayspread.Clock
 	log     *decisionlog.Log
+	set     *metrics.Set
 
 	policies map[string]carawayspread.RolePolicy // by service
 	notUntil time.Time                           // when the lease is tried next
@@ -59,10 +61,10 @@
 
 // New returns a keeper of the engines that the source knows.
 func New(source carawayspread.RoleSource, policy func() carawayspread.RolePolicy, table carawayspread.Table,
-	engines func(carawayspread.Endpoint) carawayspread.Engine, clock carawayspread.Clock, l *decisionlog.Log,
+	engines func(carawayspread.Endpoint) carawayspread.Engine, clock carawayspread.Clock, l *decisionlog.Log, set *metrics.Set,
 ) *Keeper {
 	return &Keeper{
-		source: source, policy: policy, engines: engines, clock: clock, log: l,
+		source: source, policy: policy, engines: engines, clock: clock, log: l, set: set,
 		lease: lease.New(table, clock, partition, lease.WithTerm(term)), policies: map[string]carawayspread.RolePolicy{},
 	}
 }
@@ -132,6 +134,7 @@
 	_, err := k.engines(endpoint).Order(ctx, carawayspread.Order{
 		ID: uuid.NewString(), Kind: carawayspread.OrderSetRole, Value: string(change.To), Fence: fence,
 	})
+	k.set.GetOrCreateCounter(`gateway_role_orders_total{to="` + string(change.To) + `"}`).Inc()
 	line := decisionlog.Start("role").Text("service", service.Service).Text("endpoint", string(change.Endpoint)).
 		Text("from", string(change.From)).Text("to", string(change.To)).Int("fence", int64(fence))
 	if refused, ok := carawayspread.AsError(err); ok && refused.NotRun() {
--- a/internal/process/rolekeeper/keeper_test.go
+++ b/internal/process/rolekeeper/keeper_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
@@ -71,7 +72,7 @@
 func (f *fleet) keeper() (*Keeper, *decisionlog.Log) {
 	l := decisionlog.New(&f.out)
 	return New(f, func() carawayspread.RolePolicy { return f }, f.table,
-		func(carawayspread.Endpoint) carawayspread.Engine { return f }, f.clock, l), l
+		func(carawayspread.Endpoint) carawayspread.Engine { return f }, f.clock, l, metrics.NewSet()), l
 }
 
 // Engines never hear two processes close to each other: one that wants a change
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -29,8 +29,12 @@
 	roles     string
 }
 
-// RolesAsFound is the role policy under which no role changes.
-const RolesAsFound = "static"
+// Role policies that have a meaning here: RolesAsFound changes none, and
+// RolesBalanced is the default.
+const (
+	RolesAsFound  = "static"
+	RolesBalanced = "balance"
+)
 
 const (
 	maxMegabytes = 1 << 20
@@ -50,7 +54,7 @@
 
 // Parse checks a settings file. Its error lists every finding.
 func Parse(name string, body []byte) (*Settings, error) {
-	s := &Settings{placement: "estimate", roles: "balance"}
+	s := &Settings{placement: "estimate", roles: RolesBalanced}
 	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy")
 	instance := root.Need("instance").Object("id", "zone")
 	s.id = instance.Need("id").Text()
