--- a/internal/process/placement/replay_test.go
+++ b/internal/process/placement/replay_test.go
@@ -296,6 +296,10 @@
 	r := newReplay("estimate", true, 4, 6, 12)
 	_, err := r.placers[0].Place(r.placing(huge))
 	qt.Check(t, err, qt.IsNil, qt.Commentf("nothing else is there"))
+	late := r.placing(huge)
+	late.Late = true
+	_, err = r.placers[0].Place(late)
+	qt.Check(t, err, qt.IsNil, qt.Commentf("it was refused before, and nothing else is there"))
 	busy := short
 	busy.perSecond = 200
 	r.play(20*time.Second, busy, huge)
