Endpoints that another has replaced, or that take no connection, are left alone for a while

Cause: an engine that starts anew has another identifier; its old entry is listed for some heartbeats more, looks idle and gets every request, each process again.

Change: a 421 keeps the endpoint out of use for 4 s, at peers too, or until its entry shows another role; a connection that cannot be made for half a second, here alone, since the way may be cut for this process only.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -174,6 +174,9 @@
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
 		c.note(at, phase, "not run, status "+strconv.Itoa(reply.Status))
+		if verdict == carawayspread.VerdictStranger {
+			c.g.placer.Gone(at.Endpoint.ID())
+		}
 		if verdict == carawayspread.VerdictStranger || phase != carawayspread.PhaseContinue {
 			c.exclude[at.Endpoint.ID()] = true
 		}
--- a/internal/process/gateway/hand.go
+++ b/internal/process/gateway/hand.go
@@ -37,6 +37,9 @@
 	if verdict == carawayspread.VerdictAnswer {
 		c.alive(at, sent)
 	}
+	if verdict == carawayspread.VerdictStranger {
+		c.g.placer.Gone(at.Endpoint.ID())
+	}
 	if verdict != carawayspread.VerdictAnswer || reply.Status != http.StatusOK {
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
--- a/internal/process/placement/roles.go
+++ b/internal/process/placement/roles.go
@@ -11,6 +11,17 @@
 const (
 	// mostAside bounds what a peer may say of an engine that changes its role.
 	mostAside = 30 * time.Second
+	// goneFor is how long an endpoint is out of use whose place another has taken:
+	// the list shows it by then, as entries lapse after some heartbeats.
+	//
+	// Failure: an engine has started anew under another identifier, or has another
+	// role, and its old entry is still listed. Symptom: the entry looks idle and
+	// gets request after request; each is refused, and the retries that all
+	// processes share are used up.
+	goneFor = 4 * time.Second
+	// unreachableFor is the same for one that takes no connection, by this
+	// process alone, whose own way to it may be cut.
+	unreachableFor = 500 * time.Millisecond
 	// readPerToken is the time that a reader takes for a token of a prompt of
 	// usual length, attention included.
 	readPerToken = 12500 * time.Nanosecond
@@ -62,6 +73,9 @@
 	return s, true
 }
 
+// Gone implements carawayspread.Placer.
+func (p *Placer) Gone(id carawayspread.EndpointID) { p.Aside(id, goneFor) }
+
 // Aside implements carawayspread.RoleSource.
 func (p *Placer) Aside(id carawayspread.EndpointID, d time.Duration) {
 	p.mu.Lock()
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -105,6 +105,9 @@
 		}
 		e.mean += time.Duration(plainLearning * float64(took-e.mean))
 	}
+	if outcome == carawayspread.OutcomeUnreachable {
+		e.aside = later(e.aside, now.Add(unreachableFor))
+	}
 	if s.pool != nil {
 		s.pool.ejector.Observe(e.endpoint.ID(), 0, outcome)
 	}
--- a/internal/process/plainplacement/placer.go
+++ b/internal/process/plainplacement/placer.go
@@ -174,3 +174,6 @@
 
 // Crashed learns nothing.
 func (*Placer) Crashed(carawayspread.EndpointID) {}
+
+// Gone changes nothing: the list will tell.
+func (*Placer) Gone(carawayspread.EndpointID) {}
--- a/placement.go
+++ b/placement.go
@@ -55,6 +55,9 @@
 	Heard(from string, notices []Notice)
 	// Crashed takes note that an endpoint broke off while it ran a request.
 	Crashed(id EndpointID)
+	// Gone takes note that another instance answers at the endpoint's address, or
+	// that the endpoint has another role than its entry says.
+	Gone(id EndpointID)
 }
 
 // Stay is the time of one attempt at an endpoint.
