A process that leaves answers on connections that were idle

Cause: at the order to end, net/http closes idle connections. It looks at a connection, finds no request on it and closes it, while its request is being read on a slowed machine: the request is passed on and its caller sees neither an answer nor a refusal. That is the trace of the issue: a request 3 ms after the order, passed on 33 ms later, no answer. Ruled out: the end of the grace (it is seconds later), a worker's silence (the channel ended before the route's timeout). Change: idle connections stay open, answers ask for the next connection elsewhere, and before the last connections are closed whatever is still read is refused.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -322,6 +324,43 @@
 	f.ended <- nil
 }
 
+// A caller that keeps its connection gets its answer when the process is told to
+// end just before its next request. The connection is idle at that moment; were it
+// closed then, the request could have been read and passed on already, and its
+// caller would learn neither its answer nor that it has not run. The answer asks
+// the caller to open the next connection elsewhere.
+func TestLeavingProcessAnswersOnConnectionsThatWereIdle(t *testing.T) {
+	f := newFleet(t)
+	f.list(startWorker(t, "w"), "plain", "", "ready", 1)
+	f.start(t)
+	f.ready(t)
+	conn, err := net.Dial("tcp", f.daemon.Listen())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	answers := bufio.NewReader(conn)
+	ask := func(id string) (*http.Response, error) {
+		_, err := fmt.Fprintf(conn, "GET /lookup/x HTTP/1.1\r\nHost: a.example\r\nCarawayspread-Request-Id: %s\r\n\r\n", id)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	first, err := ask("id-1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, first.Close, qt.IsFalse)
+	f.stop()
+	until(t, func() bool { return !f.daemon.Ready() })
+	time.Sleep(100 * time.Millisecond) // whatever the order to end closes is closed by now
+	second, err := ask("id-2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, second.StatusCode, qt.Equals, 200)
+	qt.Check(t, second.Close, qt.IsTrue)
+}
+
 // Callers are served although an endpoint holds what it is sent and says
 // nothing: a prompt that is to be read, and a request that may be repeated, go
 // elsewhere after a while.
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -320,6 +320,7 @@
 		}
 	}
 	h.Del("Content-Length")
+	c.lastOfConnection()
 }
 
 func closeBody(reply *carawayspread.Reply) {
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -95,9 +95,18 @@
 	if c.gone {
 		panic(http.ErrAbortHandler)
 	}
+	c.lastOfConnection()
 	c.g.protocol.Refuse(c.w, err)
 }
 
+// lastOfConnection asks the caller of a process that is leaving to send its next
+// request elsewhere.
+func (c *call) lastOfConnection() {
+	if c.g.leaves.Load() != nil {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // finish writes the line and counts.
 func (c *call) finish(outcome string, status int) {
 	now := c.g.clock.Now()
--- a/internal/process/gatewayd/daemon.go
+++ b/internal/process/gatewayd/daemon.go
@@ -250,13 +250,16 @@
 // rotation first, and answers ask their callers to open connections anew. Where
 // all processes leave at once, callers still arrive: whatever is sure to end
 // inside the grace is served, the others are told when to come back.
+//
+// Idle connections stay open meanwhile. net/http's own ways to close them look
+// at a connection, find no request on it, and close it while one is being read:
+// that request is passed on, and its caller sees neither an answer nor a refusal.
 func (d *Daemon) leave() {
 	d.leaving.Store(true)
 	begun := d.clock.Now()
 	end := begun.Add(time.Duration(graceUsed * float64(d.settings.Grace())))
 	d.log.WithField("running", d.gateway.Running()).Info("leaving")
 	d.gateway.Leave(begun.Add(leaveFor), end)
-	d.callers.SetKeepAlivesEnabled(false)
 	for now := begun; now.Before(end); now = d.clock.Now() {
 		if now.Sub(begun) > leaveFor && d.gateway.Running() == 0 {
 			break
@@ -264,6 +267,7 @@
 		<-d.clock.After(leavePoll)
 	}
 	d.settle(end)
+	d.finish(end)
 	if running := d.gateway.Running(); running > 0 {
 		d.log.WithField("running", running).Warn("the grace ends before the last answer")
 	}
@@ -286,6 +290,16 @@
 	}
 }
 
+// finish refuses whatever is still read, and waits for the last answers: what
+// runs when the connections are closed would get none.
+func (d *Daemon) finish(end time.Time) {
+	now := d.clock.Now()
+	d.gateway.Leave(now, now)
+	for ; now.Before(end) && d.gateway.Running() > 0; now = d.clock.Now() {
+		<-d.clock.After(leavePoll)
+	}
+}
+
 // count follows how many connections of callers there are.
 func (d *Daemon) count(_ net.Conn, state http.ConnState) {
 	switch state {
