Pauses are a target of placement; a split that is far off moves at once where answers bear no reading

An event is seven tokens, a piece of a prompt between any two of them takes four times a step, and a pause may last 150 ms. Cause: the placer knew a price for reading beside answers, but no bound, and took an engine of which nothing was known for 1.8 times as fast as it is. Change: routes state their longest pause, engines the tokens of an event. A reading that would make running answers late costs each of them a target; an answer goes where nothing is read; steps are learnt from events; where answers bear no reading, what readers have shown is taken for engines not yet known, and roles follow from the pressure on readers and answers, within 1.2 s and several at once where the split is far off. Where answers bear it nothing changes. Logs show the longest pause.

--- a/decisions.go
+++ b/decisions.go
@@ -150,6 +150,9 @@
 	Leaving  bool // drains, is down or is not heard of: it is neither counted nor changed
 	Running  int  // requests that a change must move or wait for
 	KVBytes  int64
+	// AnswersOnly says that prompts read beside its answers would make these late
+	// by a pause.
+	AnswersOnly bool
 	// PrefillRate and DecodeRate are tokens a second as measured with nothing
 	// else on the engine; zero when unknown.
 	PrefillRate float64
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -59,6 +59,8 @@
 	answer   carawayspread.EndpointID
 	reader   carawayspread.EndpointID
 	first    time.Duration
+	event    time.Time     // when the last event came; zero before the first
+	pause    time.Duration // the longest between two events
 	expected time.Duration
 	found    int
 }
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -117,7 +117,7 @@
 	took := now.Sub(c.arrived)
 	line := c.line.Text("outcome", outcome).Int("status", int64(status)).
 		Text("service", c.service.Name).Text("reader", string(c.reader)).Text("endpoint", string(c.answer)).
-		Int("sends", int64(c.arrivals)).Ms("expectedMs", c.expected).Ms("firstMs", c.first).Ms("tookMs", took).
+		Int("sends", int64(c.arrivals)).Ms("expectedMs", c.expected).Ms("firstMs", c.first).Ms("pauseMs", c.pause).Ms("tookMs", took).
 		Int("found", int64(c.found))
 	if listed := c.g.listed.Load(); listed > 0 {
 		line.Ms("listAgeMs", time.Duration(now.UnixNano()-listed))
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -45,6 +45,12 @@
 			c.header(reply)
 			c.w.WriteHeader(reply.Status)
 		}
+		now := c.g.clock.Now()
+		if !c.event.IsZero() {
+			stay.Event()
+			c.pause = max(c.pause, now.Sub(c.event))
+		}
+		c.event = now
 		stay.Answered()
 		if id := eventID(event); id != "" {
 			c.last = id
--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -27,9 +27,11 @@
 	// nothing; it is learnt together with the pace.
 	startDelay = 30 * time.Millisecond
 	learning   = 0.1
-	paceLow    = 0.3
-	paceHigh   = 6
-	delayHigh  = 300 * time.Millisecond
+	// stepLearning is the weight of one event: a second of one answer.
+	stepLearning = 0.03
+	paceLow      = 0.3
+	paceHigh     = 6
+	delayHigh    = 300 * time.Millisecond
 	// undisturbed is the wait up to which an answer tells pace and delay.
 	//
 	// Failure: before an engine with a queue, what waits is taken for a slow
@@ -70,6 +72,8 @@
 	pace     float64   // what reading takes against the shape
 	delay    time.Duration
 	learnt   time.Time     // when pace and delay were last told by an answer; zero for never
+	stepPace float64       // what a step takes against the shape
+	kin      float64       // the middle pace of the readers: pieces take no less beside answers
 	own      int           // attempts of this process
 	tokens   int           // of those attempts
 	calls    int           // readings of this process that are not through
@@ -83,7 +87,7 @@
 }
 
 func newEngine(endpoint carawayspread.Endpoint) *engine {
-	return &engine{endpoint: endpoint, hash: hashOf(endpoint.ID()), pace: 1, delay: startDelay, parts: map[uint64]mark{}}
+	return &engine{endpoint: endpoint, hash: hashOf(endpoint.ID()), pace: 1, delay: startDelay, stepPace: 1, parts: map[uint64]mark{}}
 }
 
 // update takes the newest entry. An engine that changed its role is learnt anew.
@@ -138,6 +142,30 @@
 	return time.Duration(float64(step(running))*max(1, e.pace)) + time.Duration(e.duty(now)*float64(piece))
 }
 
+// pause returns the longest time expected between two events of the answers that
+// run at the engine, when so much is to be read there of prompts of about so many
+// tokens: a piece goes between any two steps of an event until all is read.
+func (e *engine) pause(running, stride int, reading time.Duration, tokens int) time.Duration {
+	pairs := time.Duration(int64(wholePiece) * int64(tokens) / 1000)
+	piece := wholeFactor * (wholePiece*startPerToken + pairs*startPerPair)
+	pieces := time.Duration(float64(stride) * float64(piece) * max(e.pace, e.kin))
+	return time.Duration(stride)*e.step(running) + min(reading, pieces)
+}
+
+// paused learns what a step takes from the time between two events of an answer
+// between which nothing was read.
+func (e *engine) paused(from, to time.Time, stride, running int) {
+	if !e.reading.After(from) {
+		seen := min(paceHigh, float64(to.Sub(from))/float64(stride)/float64(step(running)))
+		e.stepPace += stepLearning * (seen - e.stepPace)
+	}
+}
+
+// step returns the time of one step of answering beside so many answers.
+func (e *engine) step(running int) time.Duration {
+	return time.Duration(float64(step(running)) * e.stepPace)
+}
+
 // relax moves what was learnt long ago towards what holds for its kind.
 func (e *engine) relax(now time.Time, pace float64) {
 	if !e.learnt.IsZero() && now.Sub(e.learnt) > relaxAfter {
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -52,6 +52,11 @@
 	// besidePrice is what a millisecond of reading costs for each answer that
 	// it slows down beside it.
 	besidePrice = 0.015
+	// pauseUsed is the part of the routes' pause that is planned for: the rest is
+	// for what is not known, as readings of processes that were not heard yet.
+	pauseUsed = 0.9
+	// usualLearning is the weight of one prompt in the mean length.
+	usualLearning = 0.02
 	// answerShare is the part of the time left that the whole of an answer may
 	// be expected to take; an engine where it takes longer is used last.
 	answerShare = 0.7
@@ -133,11 +138,11 @@
 	old := p.pools[service]
 	if old == nil {
 		eject, _ := carawayspread.Ejectors.Get("")
-		old = &pool{ejector: eject(p.env)}
+		old = &pool{ejector: eject(p.env), pauses: map[string]time.Duration{}}
 	}
 	next := &pool{
 		engines: make(map[carawayspread.EndpointID]*engine, len(endpoints)), ejector: old.ejector,
-		arrived: old.arrived, asked: old.asked,
+		arrived: old.arrived, asked: old.asked, pauses: old.pauses, usual: old.usual, stride: old.stride,
 	}
 	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
 	for _, endpoint := range endpoints {
@@ -153,7 +158,7 @@
 	slices.SortFunc(next.ordered, func(a, b *engine) int { return cmp.Compare(a.endpoint.ID(), b.endpoint.ID()) })
 	next.teach()
 	for _, kind := range []bool{true, false} {
-		pace := next.medianPace(kind)
+		pace, _ := next.medianPace(kind)
 		for _, e := range next.ordered {
 			if e.reads() == kind {
 				e.relax(p.env.Clock.Now(), pace)
--- a/internal/process/placement/prompt.go
+++ b/internal/process/placement/prompt.go
@@ -19,6 +19,7 @@
 
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
 	chains := req.Prompt.Chains()
+	pool.seen(req)
 	var best choice
 	answer, continued := p.continued(now, pool, req)
 	if req.Handed != "" {
@@ -42,13 +43,14 @@
 		if c.reads {
 			c.first += handOver + answer.first
 		} else {
-			c.first += step(l.running)
+			c.first += e.step(l.running)
 		}
 		c.cost = c.first + time.Duration(workPrice*float64(work))
 		if c.reads {
 			c.cost += answer.cost - answer.first
 		} else {
 			c.cost += p.rest(now, e, l.running, req) + time.Duration(besidePrice*float64(l.running)*float64(work))
+			c.cost += pool.spoils(now, e, l.running, work, req)
 		}
 		c.cost += p.crossing(e, req) + time.Duration(most-found)*againPrice
 		c.alone = c.first - e.wait(now)
@@ -67,6 +69,24 @@
 	}, nil
 }
 
+// spoils prices the answers that a reading would make late by a pause. Those that
+// what is read there already makes late lose nothing more.
+//
+// Failure: a prompt is read beside answers, a piece between any two steps, and
+// each event takes several times as long. Symptom: first events are early, and
+// three in four answers are late all the same.
+func (pool *pool) spoils(now time.Time, e *engine, running int, work time.Duration, req carawayspread.Placing) time.Duration {
+	bears, stride := pool.bears(), req.Service.Engine.Stride
+	if bears == 0 || running == 0 {
+		return 0
+	}
+	wait := e.wait(now)
+	if e.pause(running, stride, wait, req.Prompt.Tokens) > bears || e.pause(running, stride, wait+work, req.Prompt.Tokens) <= bears {
+		return 0
+	}
+	return time.Duration(running) * req.Route.Target
+}
+
 // find notes what each open engine holds of the prompt, and returns the most.
 func (pool *pool) find(now time.Time, req carawayspread.Placing, chains []uint64) (most int) {
 	for _, e := range pool.ordered {
@@ -129,7 +149,7 @@
 		if !fits(l, e, req) {
 			continue
 		}
-		first := move + step(l.running)
+		first := move + e.step(l.running)
 		if e.wait(now) > 0 {
 			first += wholePiece * wholeFactor * startPerToken
 		}
@@ -138,6 +158,9 @@
 			first += move * (zoneFactor - 1)
 			cost += otherZone
 		}
+		if bears := pool.bears(); bears > 0 && e.pause(l.running, traits.Stride, e.wait(now), req.Prompt.Tokens) > bears {
+			cost += req.Route.Target // it would be late by a pause
+		}
 		cost += first
 		if best.engine == nil || cost < best.cost {
 			best = choice{engine: e, first: first, cost: cost}
--- a/internal/process/placement/roles.go
+++ b/internal/process/placement/roles.go
@@ -54,9 +54,11 @@
 	readers := 0
 	for _, e := range pool.ordered {
 		id := e.endpoint.ID()
+		running := p.load(now, e).running
 		state := carawayspread.RoleState{
 			Endpoint: id, Role: e.endpoint.Role(), Changing: e.aside.After(now),
-			Leaving: e.endpoint.Leaving() || !pool.ejector.Allowed(id), Running: p.load(now, e).running,
+			Leaving: e.endpoint.Leaving() || !pool.ejector.Allowed(id), Running: running,
+			AnswersOnly: !e.reads() && !pool.readsBeside(e, running),
 		}
 		if e.reads() {
 			readers++
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -16,6 +16,8 @@
 	sent     time.Time
 	start    time.Time // when its reading was expected to begin
 	end      time.Time // and to end
+	stride   int       // tokens of one event; zero where it is not stated
+	event    time.Time // when the last event came
 	answered bool
 	ended    bool
 }
@@ -36,6 +38,9 @@
 	notice := carawayspread.Notice{Endpoint: e.hash}
 	if req.Prompt != nil {
 		s.tokens = size(req.Prompt)
+		if req.Service.Engine != nil {
+			s.stride = req.Service.Engine.Stride
+		}
 		chains := req.Prompt.Chains()
 		notice.Chains = chains[:max(0, len(chains)-1)] // the last part is the request's own
 		notice.Read = max(0, req.Prompt.Tokens-at.Found)
@@ -69,6 +74,7 @@
 	}
 	s.answered = true
 	now := s.placer.env.Clock.Now()
+	s.event = now
 	if s.work > 0 {
 		s.engine.calls--
 		s.engine.learn(now, s.sent, s.start, s.end)
@@ -78,6 +84,19 @@
 	}
 }
 
+// Event learns from the time since the event before.
+func (s *stay) Event() {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	now := s.placer.env.Clock.Now()
+	last := s.event
+	s.event = now
+	if s.stride == 0 || last.IsZero() {
+		return
+	}
+	s.engine.paused(last, now, s.stride, s.placer.load(now, s.engine).running)
+}
+
 // End frees the attempt.
 func (s *stay) End(outcome carawayspread.Outcome) {
 	p := s.placer
--- a/internal/process/plainplacement/placer.go
+++ b/internal/process/plainplacement/placer.go
@@ -159,6 +159,9 @@
 // Answered learns nothing.
 func (*stay) Answered() {}
 
+// Event learns nothing.
+func (*stay) Event() {}
+
 // End counts the attempt off.
 func (s *stay) End(carawayspread.Outcome) {
 	s.once.Do(func() {
--- a/internal/process/rolebalance/policy.go
+++ b/internal/process/rolebalance/policy.go
@@ -30,6 +30,11 @@
 	memory = 20 * time.Second
 	// warm is how long work must have come before anything changes.
 	warm = 4 * time.Second
+	// farOff is the pressure from which a split is wrong whatever comes next:
+	// then warmFar is enough, and part farAtOnce of the engines changes at one time.
+	farOff    = 1.35
+	warmFar   = 1200 * time.Millisecond
+	farAtOnce = 0.34
 	// steady is how long a change must have been wanted without a break: an
 	// engine that fails is back or replaced within seconds.
 	steady = 2 * time.Second
@@ -53,6 +58,8 @@
 	dwell = time.Minute
 	// atOnce is the part of the engines that may change at one time.
 	atOnce = 0.125
+	// worth is the part of the pressure that a change must leave at most.
+	worth = 0.95
 	// fewest is how many engines there are at least where roles change: with
 	// fewer, one is too large a part.
 	fewest = 6
@@ -92,7 +99,7 @@
 	}
 	readers, answerers, busy := p.sort(now, engines)
 	p.follow(demand, answerers)
-	change := p.decide(now, readers, answerers)
+	change, far := p.decide(now, readers, answerers)
 	if len(change) == 0 || busy {
 		p.wanted = time.Time{}
 		return nil
@@ -100,7 +107,7 @@
 	if p.wanted.IsZero() {
 		p.wanted = now
 	}
-	if now.Sub(p.wanted) < steady {
+	if now.Sub(p.wanted) < steady && !far {
 		return nil
 	}
 	return change
@@ -162,26 +169,75 @@
 	p.running += weight * (running - p.running)
 }
 
-// decide returns the changes wanted by the means.
-func (p *Policy) decide(now time.Time, readers, answerers []carawayspread.RoleState) []carawayspread.RoleChange {
+// pressure is how far a split is from holding all that comes: one where readers
+// are comfortable and answers do not crowd.
+func (p *Policy) pressure(need float64, readers, answerers int) float64 {
+	return max(need/(comfort*float64(readers)), p.running/(crowded*float64(max(1, answerers))))
+}
+
+// decide returns the changes wanted by the means, and whether the split is far off.
+func (p *Policy) decide(now time.Time, readers, answerers []carawayspread.RoleState) (changes []carawayspread.RoleChange, far bool) {
 	n, total := len(readers), len(readers)+len(answerers)
 	rate := speed(readers)
-	if total < fewest || n == 0 || rate == 0 || p.began.IsZero() || now.Sub(p.began) < warm {
-		return nil
+	if total < fewest || n == 0 || rate == 0 || p.began.IsZero() {
+		return nil, false
 	}
 	need := p.reading / rate // readers that would be busy all the time
+	if separate(answerers) {
+		return p.divide(now, need, readers, answerers)
+	}
+	if now.Sub(p.began) < warm {
+		return nil, false
+	}
 	crowds := func(left int) bool { return p.running > crowded*float64(left) }
 	want := n
 	for need > comfort*float64(want) && float64(want+1) <= mostReaders*float64(total) && !crowds(total-want-1) {
 		want++
 	}
 	if want > n {
-		return p.pick(now, answerers, min(want-n, max(1, int(atOnce*float64(total)))), carawayspread.RolePrefill)
+		return p.pick(now, answerers, min(want-n, max(1, int(atOnce*float64(total)))), carawayspread.RolePrefill), false
 	}
 	if n > 1 && need < idle*float64(n-1) && crowds(total-n) {
-		return p.pick(now, readers, 1, carawayspread.RoleDecode)
+		return p.pick(now, readers, 1, carawayspread.RoleDecode), false
+	}
+	return nil, false
+}
+
+// separate reports whether most engines that answer cannot read beside.
+func separate(answerers []carawayspread.RoleState) bool {
+	only := 0
+	for _, engine := range answerers {
+		if engine.AnswersOnly {
+			only++
+		}
+	}
+	return 2*only > len(answerers)
+}
+
+// divide returns the changes for engines whose answers bear no reading beside them:
+// all prompts are for the readers, and what they do not hold is late.
+func (p *Policy) divide(now time.Time, need float64, readers, answerers []carawayspread.RoleState) (changes []carawayspread.RoleChange, far bool) {
+	n, total := len(readers), len(readers)+len(answerers)
+	here := p.pressure(need, n, total-n)
+	far = here > farOff && now.Sub(p.began) >= warmFar
+	if here <= 1 || !far && now.Sub(p.began) < warm {
+		return nil, far
+	}
+	want, least := n, here
+	for m := 1; m < total; m++ {
+		if there := p.pressure(need, m, total-m); there < worth*least {
+			want, least = m, there
+		}
+	}
+	share := atOnce
+	if far {
+		share = farAtOnce
+	}
+	most := max(1, int(share*float64(total)))
+	if want > n {
+		return p.pick(now, answerers, min(want-n, most), carawayspread.RolePrefill), far
 	}
-	return nil
+	return p.pick(now, readers, min(n-want, 1), carawayspread.RoleDecode), far
 }
 
 // pick returns changes of up to n engines that have kept their role long enough.
--- a/internal/process/rolebalance/policy_test.go
+++ b/internal/process/rolebalance/policy_test.go
@@ -22,6 +22,7 @@
 	engines []carawayspread.RoleState
 	done    map[carawayspread.EndpointID]time.Time // when a change is through
 	changes int
+	only    bool // answers bear no reading beside them
 }
 
 func newBench(readers, answerers int) *bench {
@@ -58,6 +59,7 @@
 			engine := &b.engines[i]
 			engine.Changing = now.Before(b.done[engine.Endpoint])
 			engine.Running = 0
+			engine.AnswersOnly = b.only && engine.Role != carawayspread.RolePrefill
 			if engine.Role != carawayspread.RolePrefill {
 				engine.Running = int(running) / max(1, answerers)
 			}
@@ -77,6 +79,31 @@
 	}
 }
 
+// Callers whose answers bear no reading beside them wait for readers alone. Most of
+// the engines answer when the work comes, a few of them would do, and prompts queue
+// before the readers: half of the fleet changes within seconds, and nothing after.
+// Where answers bear it, the same work moves one engine after the other.
+func TestSplitThatIsFarOffMovesAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		only   bool
+		soon   int // changes within three seconds
+		atMost int
+	}{
+		"answers bear no reading": {true, 4, 5},
+		"answers bear reading":    {false, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(4, 8)
+			b.only = c.only
+			b.run(3*time.Second, 4.4, 40)
+			qt.Check(t, b.changes, qt.Equals, c.soon)
+			b.run(30*time.Second, 4.4, 40)
+			t.Logf("%d changes, %d readers", b.changes, b.readers())
+			qt.Check(t, b.changes <= c.atMost, qt.IsTrue)
+		})
+	}
+}
+
 // Callers wait before readers that are busy three quarters of their time, while
 // engines that answer have little to do. A few change, once.
 func TestBusyReadersGetHelp(t *testing.T) {
--- a/placement.go
+++ b/placement.go
@@ -65,6 +65,8 @@
 	// Answered tells that the first event, or the answer to a reading, is
 	// there. Calls after the first have no effect.
 	Answered()
+	// Event tells that an event of the answer after the first is there.
+	Event()
 	// End frees what the attempt held. Calls after the first have no effect.
 	End(outcome Outcome)
 }
--- a/route.go
+++ b/route.go
@@ -39,6 +39,9 @@
 	Timeout time.Duration
 	// Target is the time from arrival to the answer, or to the first event.
 	Target time.Duration
+	// Pause is the longest time between two events of an answer that is in time;
+	// zero where none is stated.
+	Pause time.Duration
 }
 
 // EngineTraits is what operators state of the engines of a service.
@@ -47,6 +50,7 @@
 	KVTokens   int   // tokens that the memory of one engine holds
 	TokenBytes int   // bytes of KV cache for each token
 	LinkBits   int64 // bits a second between engines
+	Stride     int   // tokens of one event; zero where it is not stated
 }
 
 // RoutedService is a service as routes name it.
