A reading is waited for while its engine gets on

Change: at four times what was expected it is asked whether the endpoint has stalled: three attempts that came later and are not more urgent have their answer, or nothing at all was seen of it for 0.6 s (or four times what the attempt takes). Otherwise the wait goes on. Peers' counts going down are a sign of life too. Ruled out: a higher multiple (it waits as long for a dark engine).

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -26,9 +26,12 @@
 	// so that nothing breaks. Symptom: its callers leave one after the other,
 	// which proves nothing against it, and it goes on getting its share. What
 	// may be sent again is sent elsewhere then, and the endpoint is judged.
-	// Estimates are off by a factor of two at the worst tenth; four is a hold.
+	// Estimates are off by a factor of two at the worst tenth; from four on it is
+	// asked whether the endpoint has stalled.
 	heldFactor = 4
 	heldLeast  = 300 * time.Millisecond
+	// heldAgain is the time between two looks after that.
+	heldAgain = 100 * time.Millisecond
 	// forgetTimeout bounds the call that frees a KV cache.
 	forgetTimeout = time.Second
 )
@@ -147,7 +150,7 @@
 	stay := c.g.placer.Sent(p, at)
 	outcome := carawayspread.OutcomeFailed
 	defer func() { stay.End(outcome) }()
-	within, stop := c.patience(ctx, at, c.route.Repeat == carawayspread.RepeatSafe && c.ran+1 < c.route.Attempts)
+	within, stop := c.patience(ctx, at, stay, c.route.Repeat == carawayspread.RepeatSafe && c.ran+1 < c.route.Attempts)
 	defer stop()
 	sent := c.g.clock.Now()
 	reply, err := c.send(within, at, phase)
@@ -159,7 +162,7 @@
 	case err != nil:
 		c.arrivals++
 		c.ran++
-		outcome = c.broke(ctx, within, at, sent)
+		outcome = c.broke(ctx, within, at)
 		c.note(at, phase, err.Error())
 		return c.mayRepeat(), errors.Join(errBroken, err)
 	}
@@ -234,22 +237,39 @@
 	return carawayspread.OutcomeUnreachable
 }
 
-// patience bounds the wait for the answer to an attempt that may be made again.
-func (c *call) patience(ctx context.Context, at carawayspread.Placement, bounded bool) (context.Context, context.CancelFunc) {
-	if !bounded {
-		return context.WithCancel(ctx)
+// errHeld says that an endpoint held an attempt for too long.
+var errHeld = errors.New("the endpoint holds the request")
+
+// patience ends the wait for the answer to an attempt that may be made again, as
+// soon as it takes long and the endpoint has stalled.
+func (c *call) patience(ctx context.Context, at carawayspread.Placement, stay carawayspread.Stay, bounded bool) (context.Context, context.CancelFunc) {
+	within, cancel := context.WithCancelCause(ctx)
+	if bounded {
+		go func() {
+			for wait := held(at); ; wait = heldAgain {
+				select {
+				case <-within.Done():
+					return
+				case <-c.g.clock.After(wait):
+				}
+				if stay.Stalled() {
+					cancel(errHeld)
+					return
+				}
+			}
+		}()
 	}
-	return context.WithTimeout(ctx, held(at))
+	return within, func() { cancel(nil) }
 }
 
 // held returns the silence after which an endpoint counts as holding a request.
 func held(at carawayspread.Placement) time.Duration { return max(heldLeast, heldFactor*at.First) }
 
 // broke takes note of an attempt that ended without an answer after it was sent.
-func (c *call) broke(ctx, within context.Context, at carawayspread.Placement, sent time.Time) carawayspread.Outcome {
+func (c *call) broke(ctx, within context.Context, at carawayspread.Placement) carawayspread.Outcome {
 	c.exclude[at.Endpoint.ID()] = true
 	switch {
-	case within.Err() != nil && c.g.clock.Now().Sub(sent) >= held(at):
+	case errors.Is(context.Cause(within), errHeld):
 		return carawayspread.OutcomeFailed
 	case ctx.Err() != nil:
 		return carawayspread.OutcomeCancelled
--- a/internal/process/gateway/hand.go
+++ b/internal/process/gateway/hand.go
@@ -17,7 +17,7 @@
 	stay := c.g.placer.Sent(p, at)
 	outcome := carawayspread.OutcomeFailed
 	defer func() { stay.End(outcome) }()
-	within, stop := c.patience(ctx, at, true)
+	within, stop := c.patience(ctx, at, stay, true)
 	defer stop()
 	sent := c.g.clock.Now()
 	reply, err := c.send(within, at, carawayspread.PhaseRead)
@@ -29,7 +29,7 @@
 	}
 	c.arrivals++
 	if err != nil {
-		outcome = c.broke(ctx, within, at, sent)
+		outcome = c.broke(ctx, within, at)
 		c.note(at, carawayspread.PhaseRead, err.Error())
 		return ctx.Err() == nil, err
 	}
--- a/internal/process/placement/engine.go
+++ b/internal/process/placement/engine.go
@@ -83,6 +83,8 @@
 	parts    map[uint64]mark
 	mean     time.Duration // of whole answers; plain services
 	holds    int           // tokens of the prompt that is being placed
+	advanced time.Time     // when it last showed that it gets on
+	open     []*stay       // attempts of this process without an answer, oldest first
 	aside    time.Time     // until when it gets nothing, as it changes its role
 }
 
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -242,11 +242,15 @@
 	}
 	known.heard = now
 	for _, n := range notices {
+		before := known.loads[n.Endpoint]
 		known.loads[n.Endpoint] = load{n.Running, n.Tokens}
 		e := p.byHash[n.Endpoint]
 		if e == nil {
 			continue
 		}
+		if n.Running < before.running {
+			e.advanced = now
+		}
 		if n.Work > 0 {
 			e.begin(now, n.Work)
 			if pool := p.pools[e.endpoint.Service()]; pool != nil {
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"carawayspread"
@@ -18,10 +19,28 @@
 	end      time.Time // and to end
 	stride   int       // tokens of one event; zero where it is not stated
 	event    time.Time // when the last event came
+	priority int       // of the route; 0 is the most urgent
+	passed   int       // attempts that were sent later, are not more urgent, and have their answer
 	answered bool
 	ended    bool
 }
 
+const (
+	// passedOver is how many later attempts may have their answer before one counts
+	// as passed over: engines and networks swap two, not three.
+	passedOver = 2
+	// silentFor is how long an endpoint may show nothing at all, or silentFactor
+	// times what the attempt itself takes there.
+	//
+	// Failure: what waits in a long queue is given up after a multiple of what was
+	// expected and begins again at the end of another. Symptom: two in five
+	// readings at a peak were for nothing. An endpoint that answers what came
+	// before is waited for; one that holds a request and answers the rest, or that
+	// is dark, shows itself by what passes and by silence.
+	silentFor    = 600 * time.Millisecond
+	silentFactor = 4
+)
+
 // Sent counts an attempt.
 func (p *Placer) Sent(req carawayspread.Placing, at carawayspread.Placement) carawayspread.Stay {
 	p.mu.Lock()
@@ -50,6 +69,8 @@
 			s.pool.arrived += notice.Read
 		}
 	}
+	s.priority = req.Route.Priority
+	e.open = append(e.open, s)
 	e.own++
 	e.tokens += s.tokens
 	if at.Work > 0 {
@@ -74,6 +95,8 @@
 	}
 	s.answered = true
 	now := s.placer.env.Clock.Now()
+	s.engine.advanced = now
+	s.leaveQueue(true)
 	s.event = now
 	if s.work > 0 {
 		s.engine.calls--
@@ -90,13 +113,37 @@
 	defer s.placer.mu.Unlock()
 	now := s.placer.env.Clock.Now()
 	last := s.event
-	s.event = now
+	s.event, s.engine.advanced = now, now
 	if s.stride == 0 || last.IsZero() {
 		return
 	}
 	s.engine.paused(last, now, s.stride, s.placer.load(now, s.engine).running)
 }
 
+// leaveQueue takes the attempt from those without an answer. Where it has one, those
+// that were sent before it were passed over, unless it is more urgent.
+func (s *stay) leaveQueue(answered bool) {
+	e := s.engine
+	i := slices.Index(e.open, s)
+	if i < 0 {
+		return
+	}
+	for _, before := range e.open[:i] {
+		if answered && s.priority >= before.priority {
+			before.passed++
+		}
+	}
+	e.open = slices.Delete(e.open, i, i+1)
+}
+
+// Stalled reports whether the attempt was passed over or the engine is silent.
+func (s *stay) Stalled() bool {
+	s.placer.mu.Lock()
+	defer s.placer.mu.Unlock()
+	quiet := s.placer.env.Clock.Now().Sub(later(s.sent, s.engine.advanced))
+	return s.passed > passedOver || quiet >= max(silentFor, silentFactor*s.work)
+}
+
 // End frees the attempt.
 func (s *stay) End(outcome carawayspread.Outcome) {
 	p := s.placer
@@ -108,6 +155,7 @@
 	s.ended = true
 	now := p.env.Clock.Now()
 	e := s.engine
+	s.leaveQueue(false)
 	e.own--
 	e.tokens -= s.tokens
 	if s.work > 0 && !s.answered {
--- a/internal/process/plainplacement/placer.go
+++ b/internal/process/plainplacement/placer.go
@@ -162,6 +162,9 @@
 // Event learns nothing.
 func (*stay) Event() {}
 
+// Stalled takes every wait that is long for a stall.
+func (*stay) Stalled() bool { return true }
+
 // End counts the attempt off.
 func (s *stay) End(carawayspread.Outcome) {
 	s.once.Do(func() {
--- a/placement.go
+++ b/placement.go
@@ -67,6 +67,9 @@
 	Answered()
 	// Event tells that an event of the answer after the first is there.
 	Event()
+	// Stalled reports whether the endpoint passed the attempt over or does nothing
+	// any more. While it works off what came before, it has not stalled.
+	Stalled() bool
 	// End frees what the attempt held. Calls after the first have no effect.
 	End(outcome Outcome)
 }
