Engines are told how urgent a request is

Hypothesis: short urgent prompts wait in a reader's queue behind long ones, though engines admit by rank when they are told one. Change: the route's rank goes with each attempt.

--- a/protocol.go
+++ b/protocol.go
@@ -48,6 +48,7 @@
 	Phase    Phase
 	Handover Handover // for PhaseContinue
 	Resume   string   // the last event that the caller has; empty from the start
+	Priority int      // of the route; 0 is the most urgent
 }
 
 // Verdict says what a reply proves.
