Beginnings have a home that all processes name; roles within a second, a third left to answer

(2) The split was found at 2.6 s, and where found earlier, answers had hardly begun, nine of twelve became readers, and three engines were left for all answers; when two crashed, 167 requests found none. (3) Several processes read short prompts beside the same answers within 10 ms. The log names the shared beginning.

--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -126,6 +126,9 @@
 		line.Text("request", c.same())
 	}
 	if p := c.ask.Prompt; p != nil {
+		if chains := p.Chains(); len(chains) > 1 {
+			line.Text("prefix", strconv.FormatUint(chains[len(chains)-2], 36))
+		}
 		line.Int("tokens", int64(p.Tokens)).Int("most", int64(p.Most)).Int("hint", int64(p.Hint))
 	}
 	c.g.log.Write(line)
--- /dev/null
+++ b/internal/process/placement/home_test.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+// Callers whose prompts begin alike have the beginning read by one engine, although
+// their requests come to processes that have just started: none of these knows what
+// engines hold, nor hears of the others. Before a long queue at that engine, or where
+// it is not open, another reads it.
+func TestUnknownBeginningsHaveOneHome(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+	all := []carawayspread.Endpoint{endpointOf("answers", carawayspread.RoleDecode)}
+	for i := range 6 {
+		all = append(all, endpointOf(fmt.Sprint("reads", i), carawayspread.RolePrefill))
+	}
+	placing := func(thing uint64) carawayspread.Placing {
+		return carawayspread.Placing{
+			Route:   &carawayspread.Route{Name: "r", Target: 2 * time.Second, Timeout: 10 * time.Second, Pause: 50 * time.Millisecond},
+			Service: carawayspread.RoutedService{Name: "s", Engine: &carawayspread.EngineTraits{Slots: 64, KVTokens: 1e6, Stride: 7}},
+			Prompt:  &carawayspread.Prompt{Tokens: 14000, Most: 10, Parts: []carawayspread.Part{{ID: thing, Tokens: 13000}, {ID: 9, Tokens: 1000}}},
+			Arrived: clock.Now(), Deadline: clock.Now().Add(10 * time.Second),
+		}
+	}
+	process := func() *Placer {
+		p := New(carawayspread.Environment{Clock: clock, Zone: "z"})
+		p.SetEndpoints("s", all)
+		p.Heard("peer", []carawayspread.Notice{{Endpoint: hashOf("answers"), Running: 7}})
+		return p
+	}
+	homes := map[carawayspread.EndpointID]bool{}
+	for thing := range uint64(30) {
+		var home carawayspread.EndpointID
+		for key := range uint64(5) {
+			req := placing(thing)
+			req.Key = key
+			at, err := process().Place(req)
+			qt.Assert(t, err, qt.IsNil)
+			if key == 0 {
+				home = at.Endpoint.ID()
+			}
+			qt.Check(t, at.Endpoint.ID(), qt.Equals, home)
+		}
+		homes[home] = true
+
+		busy := process()
+		busy.Heard("peer", []carawayspread.Notice{{Endpoint: hashOf(home), Running: 1, Work: 1500 * time.Millisecond}})
+		at, err := busy.Place(placing(thing))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, at.Endpoint.ID(), qt.Not(qt.Equals), home)
+
+		closed := placing(thing)
+		closed.Exclude = map[carawayspread.EndpointID]bool{home: true}
+		_, err = process().Place(closed)
+		qt.Check(t, err, qt.IsNil)
+	}
+	qt.Check(t, len(homes) >= 5, qt.IsTrue, qt.Commentf("beginnings spread over %d readers", len(homes)))
+}
--- a/internal/process/placement/placer.go
+++ b/internal/process/placement/placer.go
@@ -52,9 +52,11 @@
 	// besidePrice is what a millisecond of reading costs for each answer that
 	// it slows down beside it.
 	besidePrice = 0.015
-	// pauseUsed is the part of the routes' pause that is planned for: the rest is
-	// for what is not known, as readings of processes that were not heard yet.
+	// pauseUsed is the part of the routes' pause that is planned for.
 	pauseUsed = 0.9
+	// unheard is what a reading beside answers counts for in a pause: some of those
+	// that other processes send there at the same moment are heard too late.
+	unheard = 1.5
 	// usualLearning is the weight of one prompt in the mean length.
 	usualLearning = 0.02
 	// answerShare is the part of the time left that the whole of an answer may
--- a/internal/process/placement/prompt.go
+++ b/internal/process/placement/prompt.go
@@ -29,6 +29,12 @@
 		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
 	}
 	most := pool.find(now, req, chains)
+	var home *engine
+	var away time.Duration
+	if most == 0 {
+		home = pool.home(now, req, chains)
+		away = time.Duration(homePrice * float64(shared(req.Prompt)) * float64(againPrice))
+	}
 	for e := range pool.from(req.Key) {
 		if !pool.open(now, e, req) || e.reads() && (req.Direct || !continued) {
 			continue
@@ -53,6 +59,9 @@
 			c.cost += pool.spoils(now, e, l.running, work, req)
 		}
 		c.cost += p.crossing(e, req) + time.Duration(most-found)*againPrice
+		if home != nil && e != home {
+			c.cost += away
+		}
 		c.alone = c.first - e.wait(now)
 		if best.engine == nil || c.cost < best.cost {
 			best = c
@@ -81,7 +90,7 @@
 		return 0
 	}
 	wait := e.wait(now)
-	if e.pause(running, stride, wait, req.Prompt.Tokens) > bears || e.pause(running, stride, wait+work, req.Prompt.Tokens) <= bears {
+	if e.pause(running, stride, wait, req.Prompt.Tokens) > bears || e.pause(running, stride, wait+time.Duration(unheard*float64(work)), req.Prompt.Tokens) <= bears {
 		return 0
 	}
 	return time.Duration(running) * req.Route.Target
--- a/internal/process/rolebalance/policy.go
+++ b/internal/process/rolebalance/policy.go
@@ -33,7 +33,7 @@
 	// farOff is the pressure from which a split is wrong whatever comes next:
 	// then warmFar is enough, and part farAtOnce of the engines changes at one time.
 	farOff    = 1.35
-	warmFar   = 1200 * time.Millisecond
+	warmFar   = 600 * time.Millisecond
 	farAtOnce = 0.34
 	// steady is how long a change must have been wanted without a break: an
 	// engine that fails is back or replaced within seconds.
@@ -53,6 +53,10 @@
 	// mostReaders is the part of the engines that may only read. With two thirds,
 	// answers missed their targets on both fleets that were tried.
 	mostReaders = 0.5
+	// mostSeparate is the same where answers bear no reading: the answers that are
+	// under way when a split is found are fewer than soon after, and one engine
+	// lost of three would take a third of them.
+	mostSeparate = 0.67
 	// dwell is how long an engine keeps a role at least; the few seconds of a
 	// change are then less than a tenth of it.
 	dwell = time.Minute
@@ -224,7 +228,7 @@
 		return nil, far
 	}
 	want, least := n, here
-	for m := 1; m < total; m++ {
+	for m := 1; float64(m) <= mostSeparate*float64(total); m++ {
 		if there := p.pressure(need, m, total-m); there < worth*least {
 			want, least = m, there
 		}
--- a/internal/process/rolebalance/policy_test.go
+++ b/internal/process/rolebalance/policy_test.go
@@ -104,6 +104,18 @@
 	}
 }
 
+// Callers' answers crowd on the few engines that are left for them, when the split is
+// found in the first second: prompts are waiting, and hardly an answer has begun. A
+// third of the engines goes on answering, and no engine has to come back.
+func TestFewAnswersAtTheStartLeaveEnoughToAnswer(t *testing.T) {
+	b := newBench(4, 8)
+	b.only = true
+	b.run(3*time.Second, 8, 3)
+	b.run(20*time.Second, 4.4, 40)
+	qt.Check(t, b.readers() <= 8, qt.IsTrue, qt.Commentf("%d readers", b.readers()))
+	qt.Check(t, b.changes <= 4, qt.IsTrue, qt.Commentf("%d changes", b.changes))
+}
+
 // Callers wait before readers that are busy three quarters of their time, while
 // engines that answer have little to do. A few change, once.
 func TestBusyReadersGetHelp(t *testing.T) {
--- a/internal/process/rolekeeper/keeper.go
+++ b/internal/process/rolekeeper/keeper.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// planEvery is the time between two looks: a few of them in what a change
+	// planEvery is the time between two looks: some ten of them in what a change
 	// takes.
-	planEvery = time.Second
+	planEvery = 300 * time.Millisecond
 	// tryEvery is the pause after a lease that was not to be had.
 	tryEvery = 3 * time.Second
 	// term is how long the lease lasts, and margin what must be left of it before
