Beginnings are fetched from the engine that holds them, where its queue is long

Change: an engine that does not hold what another reader does is told to fetch it, where that is faster than reading and at a price for the memory that it takes.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -292,7 +292,7 @@
 	h := endToEnd(c.r.Header)
 	attempt := carawayspread.Attempt{
 		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Resume: c.last,
-		Priority: c.route.Priority,
+		Priority: c.route.Priority, Fetch: at.Fetch,
 	}
 	if phase == carawayspread.PhaseContinue {
 		attempt.Handover = *c.held
--- /dev/null
+++ b/internal/process/placement/fetch_test.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+// Callers whose prompts begin like one that was read wait neither in the queue of the
+// engine that read it nor for another to read it anew: another gets it from there,
+// from the same availability zone where it can. Where the engine's queue is short,
+// where engines do not fetch, or where the link is slower than reading, nothing is
+// fetched.
+func TestBeginningIsFetchedFromWhereItIsHeld(t *testing.T) {
+	const fast, slow = 1e12, 1e8
+	for name, c := range map[string]struct {
+		queue   time.Duration
+		fetches bool
+		link    int64
+		to      carawayspread.EndpointID
+		from    carawayspread.EndpointID
+	}{
+		"a long queue":        {2 * time.Second, true, fast, "other", "holds"},
+		"a short queue":       {10 * time.Millisecond, true, fast, "holds", ""},
+		"engines that do not": {5 * time.Second, false, fast, "other", ""},
+		"a slow link":         {5 * time.Second, true, slow, "other", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+			p := New(carawayspread.Environment{Clock: clock, Zone: "z"})
+			p.SetEndpoints("s", []carawayspread.Endpoint{
+				endpointOf("holds", carawayspread.RolePrefill), endpointOf("other", carawayspread.RolePrefill),
+				carawayspread.NewEndpoint("far", "s", "far", "10.0.0.2:1", false, carawayspread.WithRole(carawayspread.RolePrefill)),
+				endpointOf("answers", carawayspread.RoleDecode),
+			})
+			prompt := &carawayspread.Prompt{Tokens: 14000, Most: 10, Parts: []carawayspread.Part{{ID: 1, Tokens: 13000}, {ID: 2, Tokens: 1000}}}
+			held := prompt.Chains()[:1]
+			p.Heard("peer", []carawayspread.Notice{
+				{Endpoint: hashOf("far"), Chains: held, Read: 1, Work: 5 * time.Second},
+				{Endpoint: hashOf("holds"), Chains: held, Read: 1, Work: c.queue},
+				{Endpoint: hashOf("answers"), Running: 7},
+			})
+			req := carawayspread.Placing{
+				Route: &carawayspread.Route{Name: "r", Target: 2 * time.Second, Timeout: 10 * time.Second, Pause: 50 * time.Millisecond},
+				Service: carawayspread.RoutedService{Name: "s", Engine: &carawayspread.EngineTraits{
+					Slots: 64, KVTokens: 1e6, Stride: 7, TokenBytes: 1000, LinkBits: c.link, Fetches: c.fetches,
+				}},
+				Prompt: prompt, Arrived: clock.Now(), Deadline: clock.Now().Add(10 * time.Second),
+			}
+			at, err := p.Place(req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, at.Endpoint.ID(), qt.Equals, c.to)
+			if c.from == "" {
+				qt.Check(t, at.Fetch, qt.IsNil)
+				return
+			}
+			qt.Assert(t, at.Fetch, qt.IsNotNil)
+			qt.Check(t, at.Fetch.ID(), qt.Equals, c.from)
+			qt.Check(t, at.Found, qt.Equals, 13000)
+			qt.Check(t, at.Fetched, qt.Equals, 13000)
+			qt.Check(t, at.Fetching > fetchSetUp, qt.IsTrue)
+		})
+	}
+}
--- a/internal/process/placement/prompt.go
+++ b/internal/process/placement/prompt.go
@@ -15,6 +15,8 @@
 	work   time.Duration
 	alone  time.Duration // first, were nothing else there
 	found  int
+	from   *engine       // that holds more of the prompt; nil where nothing is fetched
+	takes  time.Duration // until that is there
 }
 
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.Placing) (carawayspread.Placement, error) {
@@ -28,10 +30,10 @@
 		}
 		return carawayspread.Placement{Endpoint: answer.engine.endpoint, First: answer.first}, nil
 	}
-	most := pool.find(now, req, chains)
+	held := pool.find(now, req, chains)
 	var home *engine
 	var away time.Duration
-	if most == 0 {
+	if held.most == 0 {
 		home = pool.home(now, req, chains)
 		away = time.Duration(homePrice * float64(shared(req.Prompt)) * float64(againPrice))
 	}
@@ -45,7 +47,15 @@
 		}
 		found := e.holds
 		work := e.work(req.Prompt.Tokens, found, l.running)
-		c := choice{engine: e, reads: e.reads(), work: work, found: found, first: e.wait(now) + work + e.delay}
+		less := e.work(req.Prompt.Tokens, held.most, l.running)
+		from, takes := held.fetch(e, req.Service.Engine, work-less)
+		if from != nil {
+			work, found = less, held.most
+		}
+		c := choice{
+			engine: e, reads: e.reads(), work: work, found: found, from: from, takes: takes,
+			first: e.wait(now) + takes + work + e.delay,
+		}
 		if c.reads {
 			c.first += handOver + answer.first
 		} else {
@@ -58,7 +68,7 @@
 			c.cost += p.rest(now, e, l.running, req) + time.Duration(besidePrice*float64(l.running)*float64(work))
 			c.cost += pool.spoils(now, e, l.running, work, req)
 		}
-		c.cost += p.crossing(e, req) + time.Duration(most-found)*againPrice
+		c.cost += p.crossing(e, req) + time.Duration(max(0, held.most-found))*againPrice + time.Duration(found-e.holds)*fetchPrice
 		if home != nil && e != home {
 			c.cost += away
 		}
@@ -73,9 +83,14 @@
 	if err := p.judge(now, req, best); err != nil {
 		return carawayspread.Placement{}, err
 	}
-	return carawayspread.Placement{
+	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, Reads: best.reads, First: best.first, Work: best.work, Found: best.found,
-	}, nil
+		Fetching: best.takes, Fetched: best.found - best.engine.holds,
+	}
+	if best.from != nil {
+		at.Fetch = &best.from.endpoint
+	}
+	return at, nil
 }
 
 // spoils prices the answers that a reading would make late by a pause. Those that
@@ -96,17 +111,6 @@
 	return time.Duration(running) * req.Route.Target
 }
 
-// find notes what each open engine holds of the prompt, and returns the most.
-func (pool *pool) find(now time.Time, req carawayspread.Placing, chains []uint64) (most int) {
-	for _, e := range pool.ordered {
-		if pool.open(now, e, req) {
-			e.holds = e.found(req.Prompt.Parts, chains, req.Service.Engine.KVTokens)
-			most = max(most, e.holds)
-		}
-	}
-	return most
-}
-
 // judge refuses what would be too late to be worth its engine time.
 func (p *Placer) judge(now time.Time, req carawayspread.Placing, way choice) error {
 	first := way.first
--- a/internal/process/placement/stay.go
+++ b/internal/process/placement/stay.go
@@ -64,7 +64,7 @@
 		notice.Chains = chains[:max(0, len(chains)-1)] // the last part is the request's own
 		notice.Read = max(0, req.Prompt.Tokens-at.Found)
 		notice.Work = at.Work
-		e.take(notice.Chains, notice.Read)
+		e.take(notice.Chains, notice.Read+at.Fetched)
 		if s.pool != nil && at.Work > 0 {
 			s.pool.arrived += notice.Read
 		}
@@ -76,6 +76,7 @@
 	if at.Work > 0 {
 		s.work = at.Work
 		s.start, s.end = e.begin(now, at.Work)
+		s.end = s.end.Add(at.Fetching)
 		e.calls++
 	}
 	if s.pool != nil {
--- a/placement.go
+++ b/placement.go
@@ -38,8 +38,14 @@
 	First time.Duration
 	// Work is the expected time that the endpoint spends on reading.
 	Work time.Duration
-	// Found are the tokens of the prompt that the endpoint is thought to hold.
+	// Found are the tokens of the prompt that the endpoint is thought to hold, or
+	// to get from Fetch.
 	Found int
+	// Fetch is another endpoint that holds more of the prompt, and Fetching the
+	// expected time that it takes to get that; nil and zero for none.
+	Fetch    *Endpoint
+	Fetching time.Duration
+	Fetched  int // tokens of Found that come from there
 }
 
 // Placer decides where requests run, and which are refused because their
--- a/protocol.go
+++ b/protocol.go
@@ -46,9 +46,10 @@
 	To       Endpoint
 	Left     time.Duration
 	Phase    Phase
-	Handover Handover // for PhaseContinue
-	Resume   string   // the last event that the caller has; empty from the start
-	Priority int      // of the route; 0 is the most urgent
+	Handover Handover  // for PhaseContinue
+	Fetch    *Endpoint // that holds more of the prompt; nil for none, or for PhaseContinue
+	Resume   string    // the last event that the caller has; empty from the start
+	Priority int       // of the route; 0 is the most urgent
 }
 
 // Verdict says what a reply proves.
--- a/route.go
+++ b/route.go
@@ -51,6 +51,9 @@
 	TokenBytes int   // bytes of KV cache for each token
 	LinkBits   int64 // bits a second between engines
 	Stride     int   // tokens of one event; zero where it is not stated
+	// Fetches says that an engine takes parts of prompts from another one that
+	// holds them, where it is told which.
+	Fetches bool
 }
 
 // RoutedService is a service as routes name it.
