API keys: workspaces are known by their key, and a revoked one stops everywhere

Ruled out: ages that a sender states (as routes and list are followed) as a proof. They count from the receipt of a message, which may have waited on a link or in the buffer of a suspended process, and by a clock that stands still in suspension.

A request is admitted if its key is known and the configuration was the newest no longer ago than revoked keys may run. That age is bounded by readings of the store's steady clock, which travel with what they prove; each process relates that clock to its uptime by its own calls. An unknown key has the store asked first, once a second at most.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -22,6 +22,8 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/direct"
+	"carawayspread/internal/connection/storetime"
+	"carawayspread/internal/connection/uptime"
 	"carawayspread/internal/daemon/gatewayd"
 	"carawayspread/internal/process/follower"
 	"carawayspread/internal/standin/rows"
@@ -100,13 +102,15 @@
 	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	clock, exchange := carawayspread.SystemClock(), direct.New()
 	var err error
-	store := rowsclient.New(exchange, f.settings.Store())
+	storeTime := storetime.New(uptime.Clock{})
+	store := rowsclient.New(exchange, f.settings.Store(), rowsclient.WithClock(uptime.Clock{}, storeTime.Observe))
 	f.daemon, err = gatewayd.New(f.settings, clock, quiet, f.out, gatewayd.Ports{
 		Exchange: exchange, Protocol: wire.Protocol{},
 		Source: func(sink *gatewayd.Daemon) follower.Source {
 			return catalog.New(store, sink, quiet)
 		},
-		Table: rowsclient.NewTable(store, "carawayspread"),
+		Table:  rowsclient.NewTable(store, "carawayspread"),
+		Uptime: uptime.Clock{}, StoreTime: storeTime,
 		Engine: func(endpoint carawayspread.Endpoint) carawayspread.Engine {
 			return orders.New(exchange, endpoint, f.settings.ID())
 		},
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -17,6 +17,8 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/direct"
+	"carawayspread/internal/connection/storetime"
+	"carawayspread/internal/connection/uptime"
 	"carawayspread/internal/daemon/gatewayd"
 	"carawayspread/internal/process/follower"
 	"carawayspread/internal/version/gatewaysettings"
@@ -61,14 +63,16 @@
 	}
 	debug.SetMemoryLimit(int64(memoryUsed * float64(s.Memory())))
 	clock, exchange := carawayspread.SystemClock(), direct.New()
-	store := rows.New(exchange, s.Store())
+	storeTime := storetime.New(uptime.Clock{})
+	store := rows.New(exchange, s.Store(), rows.WithClock(uptime.Clock{}, storeTime.Observe))
 	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
 		Exchange: exchange,
 		Protocol: wire.Protocol{},
 		Source: func(sink *gatewayd.Daemon) follower.Source {
 			return catalog.New(store, sink, log.Log)
 		},
-		Table: rows.NewTable(store, "carawayspread"),
+		Table:  rows.NewTable(store, "carawayspread"),
+		Uptime: uptime.Clock{}, StoreTime: storeTime,
 		Engine: func(endpoint carawayspread.Endpoint) carawayspread.Engine {
 			return orders.New(exchange, endpoint, s.ID())
 		},
--- a/config.go
+++ b/config.go
@@ -18,11 +18,36 @@
 // Workspace is a group that shares the fleet. It has no weight: shares follow
 // from the targets and from measured work.
 type Workspace struct {
-	name string // unique in a configuration, not empty
+	name     string // unique in a configuration, not empty
+	priority int    // 0 is the most urgent; meaningless unless ranked
+	ranked   bool
+}
+
+// WorkspaceOption sets an optional part of a Workspace.
+type WorkspaceOption func(*Workspace)
+
+// WithPriority states a priority that goes before that of the route.
+func WithPriority(priority int) WorkspaceOption {
+	return func(w *Workspace) { w.priority, w.ranked = priority, true }
 }
 
 // NewWorkspace returns a workspace.
-func NewWorkspace(name string) Workspace { return Workspace{name: name} }
+func NewWorkspace(name string, opts ...WorkspaceOption) Workspace {
+	w := Workspace{name: name}
+	for _, opt := range opts {
+		opt(&w)
+	}
+	return w
+}
+
+// Priority returns the workspace's own priority, or that of the route where it has
+// none. 0 is the most urgent.
+func (w Workspace) Priority(ofRoute int) int {
+	if w.ranked {
+		return w.priority
+	}
+	return ofRoute
+}
 
 // Name returns the name of the workspace.
 func (w Workspace) Name() string { return w.name }
--- a/error.go
+++ b/error.go
@@ -12,31 +12,33 @@
 
 // Codes of errors that callers and operators receive.
 const (
-	CodeMalformed        Code = "malformed_request"     // The body or a header cannot be read.
-	CodeTooLarge         Code = "request_too_large"     // The body exceeds the limit.
-	CodeMethod           Code = "method_not_allowed"    // The path does not take this method.
-	CodeNotFound         Code = "not_found"             // There is no such path.
-	CodeUnknownWorkspace Code = "unknown_workspace"     // No workspace has this name.
-	CodeUnknownClass     Code = "unknown_class"         // No class has this name.
-	CodeUnknownModel     Code = "unknown_model"         // No service offers this model.
-	CodeUnknownService   Code = "unknown_service"       // No service has this name.
-	CodeDeadlineExceeded Code = "deadline_exceeded"     // The caller's deadline has passed.
-	CodeOverloaded       Code = "overloaded"            // The class target cannot be met now.
-	CodeShareExceeded    Code = "share_exceeded"        // The workspace has used what the others leave.
-	CodeNoEndpoint       Code = "no_endpoint"           // No endpoint can take the request now.
-	CodeDraining         Code = "draining"              // This process is leaving.
-	CodeQuarantined      Code = "quarantined"           // The request crashed the endpoints that ran it.
-	CodeSuspect          Code = "suspect"               // The request is being tried alone after a crash.
-	CodeInProgress       Code = "in_progress"           // A request with this idempotency key is running.
-	CodeUnknownOutcome   Code = "unknown_outcome"       // Whether the request ran cannot be known. Final.
-	CodeKeyReused        Code = "idempotency_key_reuse" // The key was used with another body.
-	CodeStoreUnavailable Code = "store_unavailable"     // What needs agreement cannot be agreed now.
-	CodeEndpointFailed   Code = "endpoint_failed"       // The endpoint failed while it ran the request.
-	CodeIncomplete       Code = "incomplete_answer"     // The answer ended early and could not be resumed.
-	CodeConflict         Code = "version_conflict"      // The change was made against an older version.
-	CodeInvalid          Code = "invalid_change"        // The change does not pass the checks.
-	CodeDuplicateAttempt Code = "duplicate_attempt"     // The same attempt arrived twice.
-	CodeStale            Code = "stale_fence"           // The order carries an outdated fencing number.
+	CodeMalformed        Code = "malformed_request"      // The body or a header cannot be read.
+	CodeTooLarge         Code = "request_too_large"      // The body exceeds the limit.
+	CodeMethod           Code = "method_not_allowed"     // The path does not take this method.
+	CodeNotFound         Code = "not_found"              // There is no such path.
+	CodeUnknownWorkspace Code = "unknown_workspace"      // No workspace has this name.
+	CodeUnknownClass     Code = "unknown_class"          // No class has this name.
+	CodeUnknownModel     Code = "unknown_model"          // No service offers this model.
+	CodeUnknownService   Code = "unknown_service"        // No service has this name.
+	CodeDeadlineExceeded Code = "deadline_exceeded"      // The caller's deadline has passed.
+	CodeOverloaded       Code = "overloaded"             // The class target cannot be met now.
+	CodeShareExceeded    Code = "share_exceeded"         // The workspace has used what the others leave.
+	CodeNoEndpoint       Code = "no_endpoint"            // No endpoint can take the request now.
+	CodeDraining         Code = "draining"               // This process is leaving.
+	CodeQuarantined      Code = "quarantined"            // The request crashed the endpoints that ran it.
+	CodeSuspect          Code = "suspect"                // The request is being tried alone after a crash.
+	CodeInProgress       Code = "in_progress"            // A request with this idempotency key is running.
+	CodeUnknownOutcome   Code = "unknown_outcome"        // Whether the request ran cannot be known. Final.
+	CodeKeyReused        Code = "idempotency_key_reuse"  // The key was used with another body.
+	CodeStoreUnavailable Code = "store_unavailable"      // What needs agreement cannot be agreed now.
+	CodeEndpointFailed   Code = "endpoint_failed"        // The endpoint failed while it ran the request.
+	CodeIncomplete       Code = "incomplete_answer"      // The answer ended early and could not be resumed.
+	CodeConflict         Code = "version_conflict"       // The change was made against an older version.
+	CodeInvalid          Code = "invalid_change"         // The change does not pass the checks.
+	CodeDuplicateAttempt Code = "duplicate_attempt"      // The same attempt arrived twice.
+	CodeStale            Code = "stale_fence"            // The order carries an outdated fencing number.
+	CodeUnauthenticated  Code = "unauthenticated"        // No workspace holds the API key, or there is none.
+	CodeUnproven         Code = "configuration_unproven" // Whether the API key is still good cannot be known now.
 )
 
 // Error is a failed request with what its caller needs to act on it.
@@ -126,6 +128,8 @@
 	CodeInvalid:          http.StatusUnprocessableEntity,
 	CodeDuplicateAttempt: http.StatusConflict,
 	CodeStale:            http.StatusPreconditionFailed,
+	CodeUnauthenticated:  http.StatusUnauthorized,
+	CodeUnproven:         http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status that carries the code.
--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -49,21 +49,36 @@
 
 // Learner asks peers and answers theirs.
 type Learner struct {
-	holder Holder
-	peers  func() []string // addresses, IP number and port
-	clock  carawayspread.Clock
-	log    log.Interface
-	client *http.Client
-	learnt *metrics.Counter
+	holder  Holder
+	peers   func() []string // addresses, IP number and port
+	clock   carawayspread.Clock
+	log     log.Interface
+	client  *http.Client
+	learnt  *metrics.Counter
+	uptime  carawayspread.Uptime
+	observe func(asked, stamp time.Duration)
+}
+
+// Option sets an optional part of a Learner.
+type Option func(*Learner)
+
+// WithStoreTime has bounds of the store's steady clock observed that peers state, with
+// the uptime at which each was asked for.
+func WithStoreTime(uptime carawayspread.Uptime, observe func(asked, stamp time.Duration)) Option {
+	return func(l *Learner) { l.uptime, l.observe = uptime, observe }
 }
 
 // New returns a learner for the holder.
-func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface, set *metrics.Set) *Learner {
-	return &Learner{
+func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface, set *metrics.Set, opts ...Option) *Learner {
+	learner := &Learner{
 		holder: holder, peers: peers, clock: clock, log: l,
 		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		learnt: set.GetOrCreateCounter("gateway_learnt_from_peers_total"),
 	}
+	for _, opt := range opts {
+		opt(learner)
+	}
+	return learner
 }
 
 // Handler answers peers.
@@ -72,7 +87,9 @@
 // Newer implements the service.
 func (l *Learner) Newer(_ context.Context, req *NewerRequest) (*NewerResponse, error) {
 	known := l.holder.Known(req.Routes, req.List)
-	return &NewerResponse{Routes: toWire(known.Routes), List: toWire(known.List)}, nil
+	return &NewerResponse{
+		Routes: toWire(known.Routes), List: toWire(known.List), StoreMs: uint64(known.StoreTime / time.Millisecond),
+	}, nil
 }
 
 // Run asks until ctx ends.
@@ -114,6 +131,10 @@
 // learnSince takes changes of the list since that version, and the whole where those
 // do not fit.
 func (l *Learner) learnSince(ctx context.Context, peer string, list uint64) (bool, error) {
+	var asked time.Duration
+	if l.observe != nil {
+		asked = l.uptime.Uptime()
+	}
 	got, err := NewKnowledgeProtobufClient("http://"+peer, l.client).Newer(ctx, &NewerRequest{
 		Routes: l.holder.Have(carawayspread.MatterRoutes).Version, List: list,
 	})
@@ -121,6 +142,9 @@
 		l.log.WithError(err).WithField("peer", peer).Debug("peer hands nothing on")
 		return false, err
 	}
+	if l.observe != nil {
+		l.observe(asked, time.Duration(got.StoreMs)*time.Millisecond)
+	}
 	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
 	if errors.Is(err, carawayspread.ErrPartial) && list > 0 {
 		return l.learnSince(ctx, peer, 0)
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -14,13 +14,15 @@
 )
 
 const (
-	magic = 0xc6
+	magic = 0xc8
 	// mostItems bounds each list of a message that is read.
 	mostItems  = 1024
 	mostChains = 64
 	// mostFleet bounds how many processes a peer may say there are: more would
 	// leave nobody a retry.
 	mostFleet = 4096
+	// mostStamp bounds readings of clocks, in milliseconds: some 250 years.
+	mostStamp = 1 << 43
 	// sizeLimit keeps a message inside one packet of any link.
 	sizeLimit = 1200
 )
@@ -91,8 +93,10 @@
 		b = binary.AppendUvarint(b, c.Version)
 		b = binary.BigEndian.AppendUint64(b, c.Digest)
 		b = binary.AppendUvarint(b, uint64(c.Age/time.Millisecond))
+		b = binary.AppendUvarint(b, uint64(c.Stamp/time.Millisecond))
 	}
-	return b
+	b = binary.AppendUvarint(b, uint64(max(0, s.Epoch/time.Millisecond)))
+	return append(b, flag(s.Holds))
 }
 
 func flag(set bool) byte {
@@ -170,9 +174,11 @@
 	for of := range s.Claims {
 		s.Claims[of] = carawayspread.Claim{
 			Version: r.number(), Digest: binary.BigEndian.Uint64(r.bytes(8)),
-			Age: time.Duration(r.count(1<<32)) * time.Millisecond,
+			Age: time.Duration(r.count(1<<32)) * time.Millisecond, Stamp: time.Duration(r.count(mostStamp)) * time.Millisecond,
 		}
 	}
+	s.Epoch = time.Duration(r.count(mostStamp)) * time.Millisecond
+	s.Holds = r.flag()
 	return s
 }
 
--- /dev/null
+++ b/internal/connection/uptime/uptime.go
@@ -0,0 +1,23 @@
+// Package uptime reads the kernel's clock that also counts suspension.
+package uptime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"carawayspread"
+)
+
+// Clock is the kernel's CLOCK_BOOTTIME.
+type Clock struct{}
+
+var _ carawayspread.Uptime = Clock{}
+
+// Uptime returns the time since the machine started.
+func (Clock) Uptime() time.Duration {
+	var now unix.Timespec
+	// The call fails for an unknown clock or a bad address alone.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &now)
+	return time.Duration(now.Nano())
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -21,6 +21,7 @@
 	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/knowledge"
 	"carawayspread/internal/connection/peers"
+	"carawayspread/internal/connection/storetime"
 	"carawayspread/internal/controller/rolekeeper"
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/readers"
@@ -55,6 +56,9 @@
 	// Table keeps the lease of orders to engines, and Engine gives them.
 	Table  carawayspread.Table
 	Engine func(carawayspread.Endpoint) carawayspread.Engine
+	// Uptime and StoreTime are what the source observes the store's clock with.
+	Uptime    carawayspread.Uptime
+	StoreTime *storetime.Clock
 }
 
 // Daemon is one gateway process.
@@ -101,6 +105,7 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.gateway = gateway.New(ports.Exchange, ports.Protocol, d.placer, clock, d.lines,
+		gateway.WithEvidence(evidence{d}, s.Revoked()),
 		gateway.WithTerms(s.Budget(), d.peers.Share),
 		gateway.WithListAge(func() time.Duration {
 			age, _ := d.rota.Age(carawayspread.MatterList)
@@ -120,9 +125,10 @@
 func (d *Daemon) follow(ports Ports) {
 	s := d.settings
 	d.rota = readers.New(d.peers.ID(), s.Zone(), s.Capacity(), s.Terms(), d.clock)
-	d.follower = follower.New(ports.Source(d), d.rota, s.Zone(), s.Capacity(), d.peers.Announce, d.clock)
-	d.peers.Present(d.follower.Presence)
-	d.learner = knowledge.New(d.follower, d.peers.Known, d.clock, d.log, d.gateway.Metrics())
+	d.follower = follower.New(ports.Source(d), d.rota, s.Zone(), s.Capacity(), d.peers.Announce, d.clock, ports.StoreTime)
+	d.peers.Present(d.presence)
+	d.learner = knowledge.New(d.follower, d.peers.Known, d.clock, d.log, d.gateway.Metrics(),
+		knowledge.WithStoreTime(ports.Uptime, ports.StoreTime.Observe))
 	d.gateway.Metrics().NewGauge("gateway_reads_store", func() float64 {
 		if d.rota.Reads() {
 			return 1
@@ -137,6 +143,17 @@
 	}
 }
 
+// evidence is the follower's, which is made after the gateway that asks it.
+type evidence struct{ d *Daemon }
+
+func (e evidence) Age() (time.Duration, bool)        { return e.d.follower.Age() }
+func (e evidence) Refresh(ctx context.Context) error { return e.d.follower.Refresh(ctx) }
+
+// presence returns how this process stands.
+func (d *Daemon) presence() carawayspread.Presence {
+	return d.follower.Presence()
+}
+
 // Heard takes the placements of a peer.
 func (d *Daemon) Heard(from string, notices []carawayspread.Notice) { d.placer.Heard(from, notices) }
 
@@ -205,7 +222,7 @@
 
 // Ready reports whether callers are better served here than elsewhere.
 func (d *Daemon) Ready() bool {
-	return !d.leaving.Load() && d.gateway.Routing() != nil && d.listed.Load()
+	return !d.leaving.Load() && d.gateway.Routing() != nil && d.listed.Load() && d.gateway.Proven()
 }
 
 // Library returns where what libraries print goes.
@@ -242,6 +259,9 @@
 	run(d.follower.RunList)
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
 	run(d.learner.Run)
+	if d.settings.Revoked() > 0 {
+		run(d.follower.RunStoreClock)
+	}
 	if d.keeper != nil {
 		run(d.keeper.Run)
 	}
--- /dev/null
+++ b/internal/decision/authentication/authentication_test.go
@@ -0,0 +1,45 @@
+package authentication
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+const revoked = 5 * time.Second
+
+func TestDecide(t *testing.T) {
+	keyring := carawayspread.NewKeyring([]carawayspread.KeyHolder{
+		{Workspace: carawayspread.NewWorkspace("w"), Keys: []string{"good"}},
+	})
+	tests := map[string]struct {
+		q    Question
+		none bool // no time is promised
+		want Verdict
+	}{
+		"known, new":              {q: Question{Token: "good", Age: time.Second, Known: true}, want: Accept},
+		"known, at the bound":     {q: Question{Token: "good", Age: revoked, Known: true}, want: Accept},
+		"known, over the bound":   {q: Question{Token: "good", Age: revoked + 1, Known: true}, want: Unproven},
+		"known, no evidence":      {q: Question{Token: "good"}, want: Unproven},
+		"known, asked, too late":  {q: Question{Token: "good", Age: revoked + 1, Known: true, Current: true}, want: Unproven},
+		"known, nothing promised": {q: Question{Token: "good"}, none: true, want: Accept},
+		"unknown, not asked":      {q: Question{Token: "bad", Known: true}, want: Unknown},
+		"unknown, asked":          {q: Question{Token: "bad", Known: true, Current: true}, want: Reject},
+		"no token":                {q: Question{Known: true}, want: Reject},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			policy := Policy{Revoked: revoked}
+			if test.none {
+				policy.Revoked = 0
+			}
+			test.q.Keyring = keyring
+			workspace, verdict := policy.Decide(test.q)
+			qt.Check(t, verdict, qt.Equals, test.want)
+			qt.Check(t, workspace.Name() == "w", qt.Equals, test.want == Accept)
+		})
+	}
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -41,6 +41,9 @@
 	alike uint64
 	// source is the version of the source that version was taken for.
 	source uint64
+	// stamp is what the store's clock showed when a peer's source had this or an older
+	// version as the newest; zero where no peer has said so.
+	stamp time.Duration
 }
 
 // claim is what a peer says it knows, and when it said so.
@@ -59,17 +62,21 @@
 	capacity uint32
 	announce func() // tells the peers of the zone how this process stands
 	clock    carawayspread.Clock
+	store    StoreClock
 	pulls    chan claim
 	heard    [carawayspread.Matters]chan struct{} // something was heard that moves the next call
 
 	mu    sync.Mutex
 	known [carawayspread.Matters]known
+
+	refresh refresh
 }
 
-// New returns a follower of the source.
-func New(source Source, rota *readers.Rota, zone string, capacity uint32, announce func(), clock carawayspread.Clock) *Follower {
+// New returns a follower of the source. The store's clock bounds the age of what it
+// holds.
+func New(source Source, rota *readers.Rota, zone string, capacity uint32, announce func(), clock carawayspread.Clock, store StoreClock) *Follower {
 	f := &Follower{
-		source: source, rota: rota, zone: zone, capacity: capacity, announce: announce, clock: clock,
+		source: source, rota: rota, zone: zone, capacity: capacity, announce: announce, clock: clock, store: store,
 		pulls: make(chan claim, 1),
 	}
 	for m := range f.heard {
@@ -80,7 +87,9 @@
 
 // Known returns what is newer than these versions, for a peer.
 func (f *Follower) Known(routes, list uint64) carawayspread.Knowledge {
-	return f.source.Known(routes, list)
+	known := f.source.Known(routes, list)
+	known.StoreTime, _ = f.store.Now()
+	return known
 }
 
 // Have returns what this process holds of a matter.
@@ -114,9 +123,11 @@
 	own := f.source.Have(of)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if k := f.known[of]; k.source == own.Version {
+	k := f.known[of]
+	if k.source == own.Version {
 		own.Version = max(own.Version, k.version)
 	}
+	own.Stamp = max(own.Stamp, k.stamp)
 	return own
 }
 
@@ -152,10 +163,11 @@
 	same := c.claim.Digest == own.Digest || k.alike != 0 && k.source == own.Version && c.claim.Digest == k.alike
 	if same && own.Version > 0 {
 		if k.source != own.Version {
-			*k = known{source: own.Version, version: own.Version}
+			*k = known{source: own.Version, version: own.Version, stamp: k.stamp}
 		}
 		k.version = max(k.version, c.claim.Version)
 	}
+	k.prove(c, own)
 	f.mu.Unlock()
 	if !same || own.Version == 0 {
 		return false
@@ -165,6 +177,15 @@
 	return true
 }
 
+// prove takes a reading of the store's clock. Versions never go back there, so what
+// this process holds includes all that was accepted up to the reading if it is no older
+// than what the peer held.
+func (k *known) prove(c claim, own carawayspread.Claim) {
+	if c.of == carawayspread.MatterRoutes && own.Version >= c.claim.Version {
+		k.stamp = max(k.stamp, c.claim.Stamp)
+	}
+}
+
 // wants reports whether the contents that the peer names are to be had from it. A
 // reader has them from the store as soon; from another zone they come only where
 // the own one falls behind.
@@ -207,7 +228,9 @@
 		return // the peer handed on less than it claimed
 	}
 	f.mu.Lock()
-	f.known[c.of] = known{source: own.Version, version: own.Version, alike: c.claim.Digest}
+	k := &f.known[c.of]
+	*k = known{source: own.Version, version: own.Version, alike: c.claim.Digest, stamp: k.stamp}
+	k.prove(c, own)
 	f.mu.Unlock()
 	f.rota.Confirm(c.of, c.at.Add(-c.claim.Age))
 	f.moved(c.of)
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"carawayspread"
+	"carawayspread/internal/connection/storetime"
 	"carawayspread/internal/decision/readers"
 )
 
@@ -38,6 +39,7 @@
 	slow    time.Duration
 	calls   int
 	history bool // dropped: whoever watches reads whole
+	started time.Time
 }
 
 func (s *store) change(of carawayspread.Matter) {
@@ -63,6 +65,7 @@
 	largest  bool // of its zone
 	follower *Follower
 	rota     *readers.Rota
+	clock    *storetime.Clock
 
 	mu      sync.Mutex
 	have    [carawayspread.Matters]carawayspread.Claim
@@ -73,6 +76,14 @@
 	refuses bool // hands nothing on
 }
 
+// standing is the uptime of a machine that started then.
+type standing struct{ since time.Time }
+
+func (s standing) Uptime() time.Duration { return time.Since(s.since) }
+
+// shows returns the store's steady clock.
+func (s *store) shows() time.Duration { return time.Since(s.started) + time.Second }
+
 func (n *node) set(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -96,16 +107,18 @@
 }
 
 func (n *node) Read(_ context.Context, of carawayspread.Matter) error {
+	asked := n.clock.Uptime()
 	if err := n.reach(); err != nil {
 		return err
 	}
 	s := n.w.store
 	s.mu.Lock()
-	got := carawayspread.Claim{Version: s.ver, Digest: s.at[of]}
+	got := carawayspread.Claim{Version: s.ver, Digest: s.at[of], Stamp: s.shows()}
 	if of == carawayspread.MatterRoutes {
 		got.Version = got.Digest
 	}
 	s.mu.Unlock()
+	n.clock.Observe(asked, got.Stamp)
 	n.take(of, got)
 	return nil
 }
@@ -173,6 +186,20 @@
 	if mute {
 		return
 	}
+	n.w.mu.Lock()
+	late := n.w.late
+	n.w.mu.Unlock()
+	if late > 0 {
+		go func() {
+			time.Sleep(late)
+			n.tell(p, zone)
+		}()
+		return
+	}
+	n.tell(p, zone)
+}
+
+func (n *node) tell(p carawayspread.Presence, zone bool) {
 	for _, other := range n.w.nodes {
 		other.mu.Lock()
 		deaf := other.deaf
@@ -186,6 +213,15 @@
 type world struct {
 	store *store
 	nodes []*node
+
+	mu   sync.Mutex
+	late time.Duration // messages come so late
+}
+
+func (w *world) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
 }
 
 func (w *world) byName(name string) *node {
@@ -197,15 +233,22 @@
 	return nil
 }
 
+// join returns a process that does not run yet.
+func (w *world) join(id uint64, zone string, largest bool, capacity uint32) *node {
+	n := &node{w: w, id: id, zone: zone, largest: largest}
+	n.clock = storetime.New(standing{time.Now().Add(-time.Duration(id) * time.Hour)})
+	n.rota = readers.New(id, zone, capacity, terms, carawayspread.SystemClock())
+	n.follower = New(n, n.rota, zone, capacity, func() { n.say(n.follower.Presence(), true) }, carawayspread.SystemClock(), n.clock)
+	return n
+}
+
 // newWorld starts processes, some in each zone. The first of a zone is the
 // largest.
 func newWorld(ctx context.Context, zones, each int) *world {
-	w := &world{store: &store{ver: 1, at: [carawayspread.Matters]uint64{1, 1}}}
+	w := &world{store: &store{started: time.Now(), ver: 1, at: [carawayspread.Matters]uint64{1, 1}}}
 	for zone := range zones {
 		for i := range each {
-			n := &node{w: w, id: uint64(zone*each + i + 1), zone: fmt.Sprint("z", zone), largest: i == 0}
-			n.rota = readers.New(n.id, n.zone, uint32(each-i), terms, carawayspread.SystemClock())
-			n.follower = New(n, n.rota, n.zone, uint32(each-i), func() { n.say(n.follower.Presence(), true) }, carawayspread.SystemClock())
+			n := w.join(uint64(zone*each+i+1), fmt.Sprint("z", zone), i == 0, uint32(each-i))
 			w.nodes = append(w.nodes, n)
 		}
 	}
--- /dev/null
+++ b/internal/process/gateway/authenticate.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/connection/bearer"
+	"carawayspread/internal/decision/authentication"
+)
+
+const (
+	// refreshWait bounds how long a request waits for newer evidence: many times a
+	// good answer of the store, and less than most targets.
+	refreshWait = 100 * time.Millisecond
+	// askAgain is when a caller may come back whose key could not be checked: a
+	// process asks the store for such requests once a second.
+	askAgain = time.Second
+)
+
+// certain is the evidence of a gateway whose routes are given, not followed.
+type certain struct{}
+
+func (certain) Age() (time.Duration, bool)    { return 0, true }
+func (certain) Refresh(context.Context) error { return nil }
+
+// WithEvidence sets what bounds the age of the keys, and the time in which a revoked
+// key must have stopped; zero where none is promised.
+func WithEvidence(evidence carawayspread.Evidence, revoked time.Duration) Option {
+	return func(g *Gateway) {
+		g.evidence, g.access = evidence, authentication.Policy{Revoked: revoked}
+	}
+}
+
+// Proven reports whether requests with an API key can be taken now, or need none.
+func (g *Gateway) Proven() bool {
+	routing := g.routing.Load()
+	if routing == nil || routing.Keyring() == nil || g.access.Revoked <= 0 {
+		return true
+	}
+	age, known := g.evidence.Age()
+	return known && age <= g.access.Revoked
+}
+
+// admit finds the route of the request and the workspace of its API key. Where the
+// key is not known, or may have been revoked, the store is asked once.
+func (c *call) admit() *carawayspread.Error {
+	for current := false; ; current = true {
+		if err := c.find(); err != nil {
+			return err
+		}
+		verdict, cause := c.authenticate(current)
+		switch {
+		case verdict == authentication.Accept:
+			return nil
+		case verdict == authentication.Reject:
+			return c.unauthenticated(cause)
+		case current:
+			return c.unproven(verdict, nil)
+		}
+		ctx, cancel := context.WithTimeout(c.r.Context(), refreshWait)
+		err := c.g.evidence.Refresh(ctx)
+		cancel()
+		if err != nil {
+			return c.unproven(verdict, err)
+		}
+	}
+}
+
+// authenticate decides on the request's API key, and names the cause where it is
+// none.
+func (c *call) authenticate(current bool) (verdict authentication.Verdict, cause string) {
+	keyring := c.routing.Keyring()
+	if keyring == nil {
+		return authentication.Accept, ""
+	}
+	token, err := bearer.Token(c.r.Header)
+	switch {
+	case errors.Is(err, bearer.ErrMissing):
+		cause = "missing"
+	case err != nil:
+		cause = "malformed"
+	default:
+		cause = "unknown"
+	}
+	age, known := c.g.evidence.Age()
+	workspace, verdict := c.g.access.Decide(authentication.Question{
+		Keyring: keyring, Token: token, Age: age, Known: known, Current: current,
+	})
+	if verdict == authentication.Accept {
+		c.workspace = workspace
+	} else if c.route.Anonymous {
+		verdict = authentication.Accept
+	}
+	return verdict, cause
+}
+
+func (c *call) unauthenticated(cause string) *carawayspread.Error {
+	c.denied(cause)
+	return carawayspread.NewError(carawayspread.CodeUnauthenticated, "no workspace holds the API key", carawayspread.NotRun())
+}
+
+// unproven refuses a request that may run elsewhere or later.
+func (c *call) unproven(verdict authentication.Verdict, err error) *carawayspread.Error {
+	after, cause := askAgain, "unknown key, store not asked"
+	if verdict == authentication.Unproven {
+		after, cause = comeBack, "evidence too old"
+	}
+	c.denied(cause)
+	age, _ := c.g.evidence.Age()
+	c.line.Ms("evidenceAgeMs", age)
+	return carawayspread.NewError(carawayspread.CodeUnproven, "the API key cannot be checked now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(after), carawayspread.CausedBy(err))
+}
+
+func (c *call) denied(cause string) {
+	c.line.Text("credential", cause)
+	c.g.set.GetOrCreateCounter(`gateway_authentication_failures_total{cause="` + cause + `"}`).Inc()
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -32,7 +32,9 @@
 	arrived     time.Time
 	deadline    time.Time
 	ask         carawayspread.Ask
+	routing     *carawayspread.Routing
 	route       *carawayspread.Route
+	workspace   carawayspread.Workspace // of the API key; zero where it is not known
 	service     carawayspread.RoutedService
 	body        []byte
 	fingerprint uint64
@@ -45,6 +47,7 @@
 	direct   bool // no more handing over
 	started  bool // the header of the answer is out
 	last     string
+	counted  bool                    // for the usage of its workspace
 	held     *carawayspread.Handover // a KV cache that nobody has taken yet
 	answer   carawayspread.EndpointID
 	reader   carawayspread.EndpointID
@@ -186,7 +189,7 @@
 	if c.route.Stream && reply.Status == http.StatusOK {
 		outcome, err = c.stream(reply, stay)
 	} else {
-		outcome, err = c.whole(reply, stay)
+		outcome, err = c.whole(reply, stay, sent)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
@@ -256,6 +259,7 @@
 	attempt := carawayspread.Attempt{
 		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Resume: c.last,
 		Priority: c.route.Priority, Fetch: at.Fetch,
+		Workspace: c.workspace.Name(), Keyed: c.routing.Keyring() != nil,
 	}
 	if phase == carawayspread.PhaseContinue {
 		attempt.Handover = *c.held
@@ -267,13 +271,14 @@
 }
 
 // whole passes an answer on once all of it is there.
-func (c *call) whole(reply *carawayspread.Reply, stay carawayspread.Stay) (carawayspread.Outcome, error) {
+func (c *call) whole(reply *carawayspread.Reply, stay carawayspread.Stay, sent time.Time) (carawayspread.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, answerLimit))
 	_ = reply.Body.Close()
 	if err != nil {
 		return carawayspread.OutcomeFailed, errors.Join(errBroken, err)
 	}
 	stay.Answered()
+	c.began(c.g.clock.Now().Sub(sent))
 	outcome := carawayspread.OutcomeServed
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = carawayspread.OutcomeFailed
@@ -294,6 +299,15 @@
 	return outcome, nil
 }
 
+// began counts the request, once, as one that began to run so long ago.
+func (c *call) began(ago time.Duration) {
+	if c.counted || c.workspace.Name() == "" {
+		return
+	}
+	c.counted = true
+	c.g.began(c.workspace.Name(), ago)
+}
+
 // header sets the endpoint's end-to-end headers for the caller.
 func (c *call) header(reply *carawayspread.Reply) {
 	h := c.w.Header()
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"carawayspread"
+	"carawayspread/internal/decision/authentication"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/process/decisionlog"
@@ -59,6 +60,9 @@
 	crashed    func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	leaves     atomic.Pointer[leave]
 	listAge    func() time.Duration // since the list of endpoints was confirmed
+	evidence   carawayspread.Evidence
+	access     authentication.Policy
+	began      func(workspace string, ago time.Duration)
 	running    atomic.Int64
 
 	mu      sync.Mutex
@@ -99,6 +103,8 @@
 		share:      func() int { return 1 },
 		listAge:    func() time.Duration { return 0 },
 		crashed:    func(uint64, carawayspread.EndpointID, bool) {},
+		evidence:   certain{},
+		began:      func(string, time.Duration) {},
 		budgets:    map[string]*fleetbudget.Budget{},
 	}
 	for _, opt := range opts {
@@ -212,23 +218,41 @@
 	return r.Host
 }
 
-// accept reads the request and finds what answers it.
-func (c *call) accept() *carawayspread.Error {
-	g := c.g
-	c.ask = g.protocol.Ask(c.r.Header)
-	c.line.Text("id", c.ask.ID)
-	routing := g.routing.Load()
-	if routing == nil {
+// find finds the route of the request.
+func (c *call) find() *carawayspread.Error {
+	c.routing = c.g.routing.Load()
+	if c.routing == nil {
 		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no routes are known yet",
 			carawayspread.NotRun(), carawayspread.RetryAfter(comeBack))
 	}
-	c.line.Int("version", int64(routing.Version()))
-	route, ok := routing.Find(host(c.r), path(c.r))
+	route, ok := c.routing.Find(host(c.r), path(c.r))
 	if !ok {
 		return carawayspread.NewError(carawayspread.CodeNotFound, "no route takes this host and path", carawayspread.NotRun())
 	}
 	c.route = route
-	c.line.Text("route", route.Name)
+	return nil
+}
+
+// ranked gives the request the priority of its workspace.
+func (c *call) ranked() {
+	if priority := c.workspace.Priority(c.route.Priority); priority != c.route.Priority {
+		route := *c.route
+		route.Priority = priority
+		c.route = &route
+	}
+}
+
+// accept reads the request and finds what answers it.
+func (c *call) accept() *carawayspread.Error {
+	g := c.g
+	c.ask = g.protocol.Ask(c.r.Header)
+	c.line.Text("id", c.ask.ID)
+	if err := c.admit(); err != nil {
+		return err
+	}
+	c.ranked()
+	routing, route := c.routing, c.route
+	c.line.Int("version", int64(routing.Version())).Text("route", route.Name).Text("workspace", c.workspace.Name())
 	if err := c.read(routing.Limits().BodyBytes); err != nil {
 		return err
 	}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -41,6 +41,7 @@
 		}
 		if !c.started {
 			c.started = true
+			c.began(0)
 			c.first = c.g.clock.Now().Sub(c.arrived)
 			c.header(reply)
 			c.w.WriteHeader(reply.Status)
--- a/internal/standin/rows/published.go
+++ b/internal/standin/rows/published.go
@@ -10,12 +10,30 @@
  {"name":"order","host":"a.example","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
  {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],
  "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":1000,"handle_ttl_s":5}}],
- "limits":{"max_body_bytes":1000}}`
+ "limits":{"max_body_bytes":1000}%s}`
 
 // Publish writes a version of the routes: one of each kind, of which the streams
 // go to that service.
 func (s *Store) Publish(version int, streams string) {
-	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams))
+	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, ""))
+}
+
+// PublishKeys writes a version whose callers need the API keys of those workspaces.
+func (s *Store) PublishKeys(version int, streams string, keys map[string][]string) error {
+	type tenant struct {
+		Name string   `json:"name"`
+		Keys []string `json:"api_keys"`
+	}
+	tenants := []tenant{}
+	for name, of := range keys {
+		tenants = append(tenants, tenant{name, of})
+	}
+	body, err := json.Marshal(tenants)
+	if err != nil {
+		return err
+	}
+	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, `,"tenants":`+string(body)))
+	return nil
 }
 
 // Server is the entry of a worker.
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -30,10 +30,13 @@
 	Rows []Row `json:"rows"`
 	More bool  `json:"has_more"`
 	Ver  int64 `json:"ver"`
+	Now  int64 `json:"now_ms"` // the store's steady clock
 }
 
 // Store is an http.Handler. It is safe for concurrent use.
 type Store struct {
+	started time.Time
+
 	mu      sync.Mutex
 	rows    map[id]Row
 	history []Row
@@ -43,13 +46,17 @@
 	mode    int // answers with this status instead; zero serves
 	calls   int
 	lose    int // transactions whose answers are lost
+	hushed  bool
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[id]Row{}, changed: make(chan struct{})}
+	return &Store{started: time.Now(), rows: map[id]Row{}, changed: make(chan struct{})}
 }
 
+// shows returns the store's steady clock, which began a second before the store.
+func (s *Store) shows() int64 { return time.Since(s.started).Milliseconds() + 1000 }
+
 // Put writes a row.
 func (s *Store) Put(table, key string, value []byte) {
 	s.write(Row{Table: table, Key: key, Value: value})
@@ -97,6 +104,13 @@
 	s.changed = make(chan struct{})
 }
 
+// Hush keeps calls that wait for changes from hearing of any until their wait ends.
+func (s *Store) Hush(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hushed = on
+}
+
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -130,7 +144,7 @@
 	}
 	query := r.URL.Query()
 	limit, _ := strconv.Atoi(query.Get("limit"))
-	a := answer{Rows: []Row{}, Ver: s.ver}
+	a := answer{Rows: []Row{}, Ver: s.ver, Now: s.shows()}
 	for id, row := range s.rows {
 		if id.table == query.Get("table") && id.part == query.Get("part") && id.key >= query.Get("from") &&
 			(query.Get("to") == "" || id.key < query.Get("to")) {
@@ -150,13 +164,13 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		a := answer{Rows: []Row{}, Ver: s.ver}
+		a := answer{Rows: []Row{}, Ver: s.ver, Now: s.shows()}
 		for _, row := range s.history {
 			if row.Ver > after && row.Table == r.URL.Query().Get("table") {
 				a.Rows = append(a.Rows, row)
 			}
 		}
-		status, changed := s.mode, s.changed
+		status, changed, hushed := s.mode, s.changed, s.hushed && wait > 0
 		if status == 0 && after < s.oldest {
 			status = http.StatusGone
 		}
@@ -165,6 +179,9 @@
 			w.WriteHeader(status)
 			return
 		}
+		if hushed {
+			a.Rows, a.Ver = []Row{}, after
+		}
 		if len(a.Rows) > 0 {
 			_ = json.NewEncoder(w).Encode(a)
 			return
@@ -172,6 +189,7 @@
 		select {
 		case <-changed:
 		case <-timeout:
+			a.Now = s.shows()
 			_ = json.NewEncoder(w).Encode(a)
 			return
 		case <-r.Context().Done():
@@ -206,7 +224,7 @@
 	for _, row := range tx.Expected {
 		if s.rows[row.id()].Ver != row.Ver {
 			w.WriteHeader(http.StatusPreconditionFailed)
-			_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver})
+			_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver, Now: s.shows()})
 			return
 		}
 	}
@@ -218,5 +236,5 @@
 		s.lose--
 		panic(http.ErrAbortHandler)
 	}
-	_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver})
+	_ = json.NewEncoder(w).Encode(answer{Rows: []Row{}, Ver: s.ver, Now: s.shows()})
 }
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -33,6 +33,7 @@
 	placement string
 	roles     string
 	terms     readers.Terms
+	revoked   time.Duration // zero where nothing is promised
 	cores     float64
 	link      float64 // megabits a second
 }
@@ -126,9 +127,12 @@
 	if !root.Field("promises").Exists() {
 		return
 	}
-	promises := root.Field("promises").Object("leaving", "inForce")
+	promises := root.Field("promises").Object("leaving", "inForce", "revoked")
 	s.terms.Leaving = promises.Need("leaving").Duration(leastTerm, maxTerm)
 	s.terms.InForce = promises.Need("inForce").Duration(leastTerm, maxTerm)
+	if revoked := promises.Field("revoked"); revoked.Exists() {
+		s.revoked = revoked.Duration(leastTerm, maxTerm)
+	}
 }
 
 func (s *Settings) limits(root document.Node) {
@@ -146,6 +150,10 @@
 // Terms returns what operators are promised.
 func (s *Settings) Terms() readers.Terms { return s.terms }
 
+// Revoked returns the time in which a revoked API key must have stopped everywhere;
+// zero where none is promised.
+func (s *Settings) Revoked() time.Duration { return s.revoked }
+
 // Capacity returns what the instance can carry, to be compared with others:
 // thousandths of a core times megabits a second, so that neither alone decides.
 func (s *Settings) Capacity() uint32 {
--- a/knowledge.go
+++ b/knowledge.go
@@ -9,6 +9,9 @@
 // the whole is to be asked for.
 var ErrPartial = errors.New("changes do not fit what is known")
 
+// ErrBusy says that a question was not asked, since one was asked a moment before.
+var ErrBusy = errors.New("asked a moment before")
+
 // Matter is one thing that processes learn from the platform's store.
 type Matter int
 
@@ -38,6 +41,9 @@
 type Knowledge struct {
 	Routes Document
 	List   Document // the endpoints
+	// StoreTime is the latest that the store's steady clock can show as this is
+	// handed on; zero where it is not known.
+	StoreTime time.Duration
 }
 
 // Claim is what a process says that it knows of one matter, without the contents.
@@ -45,6 +51,9 @@
 	Version uint64        // as in Document, or a later one under which nothing had changed
 	Digest  uint64        // equal where the contents are
 	Age     time.Duration // since the store confirmed it, by the clock of the process that says so
+	// Stamp is what the store's steady clock showed when this was the newest; zero
+	// where nothing shows it. A message that arrives late makes it no newer.
+	Stamp time.Duration
 }
 
 // Presence is what a process tells its peers of itself.
@@ -54,4 +63,9 @@
 	Reads    bool   // the store answers it, and it stays
 	Fleet    int    // processes that it hears itself, itself included
 	Claims   [Matters]Claim
+	// Epoch is the time from the start of 1970, by this process's time of day, to the
+	// moment at which the store's steady clock showed zero; zero where it is not known.
+	Epoch time.Duration
+	// Holds says that it may hold the lease of usage reports.
+	Holds bool
 }
--- a/protocol.go
+++ b/protocol.go
@@ -49,7 +49,12 @@
 	Handover Handover  // for PhaseContinue
 	Fetch    *Endpoint // that holds more of the prompt; nil for none, or for PhaseContinue
 	Resume   string    // the last event that the caller has; empty from the start
-	Priority int       // of the route; 0 is the most urgent
+	Priority int       // 0 is the most urgent
+	// Workspace is that of the caller's API key; empty where it is not known.
+	Workspace string
+	// Keyed says that callers identify themselves by API keys, which endpoints must
+	// not see.
+	Keyed bool
 }
 
 // Verdict says what a reply proves.
--- a/route.go
+++ b/route.go
@@ -25,15 +25,17 @@
 // Route says which service answers a group of requests and what its callers
 // may expect. It is immutable.
 type Route struct {
-	Name     string
-	Host     string
-	Prefix   string  // begins and ends with a slash
-	Shares   []Share // not empty
-	Repeat   Repeat
-	Stream   bool // answered by server-sent events with growing identifiers
-	Prompt   bool // requests carry a prompt for an engine
-	Attempts int  // endpoints that may run one request; at least 1
-	Priority int  // 0 is the most urgent
+	Name   string
+	Host   string
+	Prefix string  // begins and ends with a slash
+	Shares []Share // not empty
+	Repeat Repeat
+	Stream bool // answered by server-sent events with growing identifiers
+	Prompt bool // requests carry a prompt for an engine
+	// Anonymous routes take requests without an API key.
+	Anonymous bool
+	Attempts  int // endpoints that may run one request; at least 1
+	Priority  int // 0 is the most urgent
 	// Timeout is the longest time from arrival to the final answer, or to the
 	// last event of a stream.
 	Timeout time.Duration
@@ -73,16 +75,26 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]RoutedService
 	limits   CallerLimits
+	keyring  *Keyring // nil where callers need no key
 }
 
+// RoutingOption sets an optional part of a Routing.
+type RoutingOption func(*Routing)
+
+// WithKeyring has routes that are not anonymous ask for an API key.
+func WithKeyring(k *Keyring) RoutingOption { return func(t *Routing) { t.keyring = k } }
+
 // NewRouting returns the routes with that version. Routes and services must not
 // be modified afterwards.
-func NewRouting(version Version, routes []*Route, services map[string]RoutedService, limits CallerLimits) *Routing {
+func NewRouting(version Version, routes []*Route, services map[string]RoutedService, limits CallerLimits, opts ...RoutingOption) *Routing {
 	t := &Routing{version: version, byHost: map[string][]*Route{}, services: services, limits: limits}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
 	for _, of := range t.byHost {
 		sort.SliceStable(of, func(i, j int) bool { return len(of[i].Prefix) > len(of[j].Prefix) })
 	}
@@ -95,6 +107,9 @@
 // Limits returns what a caller may send.
 func (t *Routing) Limits() CallerLimits { return t.limits }
 
+// Keyring returns the API keys that callers need; nil where they need none.
+func (t *Routing) Keyring() *Keyring { return t.keyring }
+
 // Service finds a service by name.
 func (t *Routing) Service(name string) (RoutedService, bool) {
 	service, ok := t.services[name]
