--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -23,6 +23,7 @@
 	"carawayspread/internal/process/follower"
 	"carawayspread/internal/version/gatewaysettings"
 	"carawayspread/platform/catalog"
+	"carawayspread/platform/cloud"
 	"carawayspread/platform/orders"
 	"carawayspread/platform/rows"
 	"carawayspread/platform/wire"
@@ -65,6 +66,10 @@
 	clock, exchange := carawayspread.SystemClock(), direct.New()
 	storeTime := storetime.New(uptime.Clock{})
 	store := rows.New(exchange, s.Store(), rows.WithClock(uptime.Clock{}, storeTime.Observe))
+	var usage carawayspread.UsageSink
+	if u := s.Usage(); u != nil {
+		usage = cloud.New(exchange, u.Address(), s.ID())
+	}
 	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
 		Exchange: exchange,
 		Protocol: wire.Protocol{},
@@ -72,7 +77,7 @@
 			return catalog.New(store, sink, log.Log)
 		},
 		Table:  rows.NewTable(store, "carawayspread"),
-		Uptime: uptime.Clock{}, StoreTime: storeTime,
+		Uptime: uptime.Clock{}, StoreTime: storeTime, Usage: usage,
 		Engine: func(endpoint carawayspread.Endpoint) carawayspread.Engine {
 			return orders.New(exchange, endpoint, s.ID())
 		},
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -43,6 +43,8 @@
 	known   []netip.AddrPort // other peers that the sender hears
 	// presence is how the sender stands; nil in messages of placements alone.
 	presence *carawayspread.Presence
+	usage    []carawayspread.UsageStatement // of the sender
+	acks     []int64                        // closed windows of which the sender has all that the receiver counted
 	// forward asks a process of another zone to pass the message on in its own.
 	forward bool
 }
@@ -81,6 +83,30 @@
 	if m.presence != nil {
 		b = appendPresence(b, m.presence)
 	}
+	b = binary.AppendUvarint(b, uint64(len(m.usage)))
+	for _, s := range m.usage {
+		b = appendUsage(b, s)
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.acks)))
+	for _, window := range m.acks {
+		b = binary.AppendUvarint(b, uint64(window))
+	}
+	return b
+}
+
+// workspaceBytes is the length of a workspace's identifier.
+const workspaceBytes = 5
+
+func appendUsage(b []byte, s carawayspread.UsageStatement) []byte {
+	b = binary.AppendUvarint(b, uint64(s.Window))
+	b = append(b, flag(s.Closed))
+	b = binary.AppendUvarint(b, s.Total)
+	b = binary.AppendUvarint(b, uint64(len(s.Counts)))
+	for _, c := range s.Counts {
+		id := binary.BigEndian.AppendUint64(nil, uint64(c.Workspace))
+		b = append(b, id[8-workspaceBytes:]...)
+		b = binary.AppendUvarint(b, c.Requests)
+	}
 	return b
 }
 
@@ -182,6 +208,21 @@
 	return s
 }
 
+func (r *reader) usage(sender uint64) carawayspread.UsageStatement {
+	s := carawayspread.UsageStatement{Process: sender, Window: int64(r.count(mostStamp)), Closed: r.flag(), Total: r.number()}
+	for range r.count(mostItems) {
+		var id [8]byte
+		copy(id[8-workspaceBytes:], r.bytes(workspaceBytes))
+		s.Counts = append(s.Counts, carawayspread.UsageCount{
+			Workspace: carawayspread.WorkspaceID(binary.BigEndian.Uint64(id[:])), Requests: r.number(),
+		})
+		if r.bad {
+			break
+		}
+	}
+	return s
+}
+
 func (r *reader) address() netip.AddrPort {
 	ip, port := r.bytes(4), r.bytes(2)
 	if r.bad {
@@ -230,6 +271,15 @@
 	if r.flag() {
 		m.presence = r.presence()
 	}
+	for range r.count(mostItems) {
+		m.usage = append(m.usage, r.usage(m.sender))
+		if r.bad {
+			return message{}, errMalformed
+		}
+	}
+	for range r.count(mostItems) {
+		m.acks = append(m.acks, int64(r.count(mostStamp)))
+	}
 	if r.bad || len(r.b) > 0 {
 		return message{}, errMalformed
 	}
--- a/internal/connection/peers/peers_test.go
+++ b/internal/connection/peers/peers_test.go
@@ -21,8 +21,13 @@
 		crashes: []Crash{{Fingerprint: 9, Endpoint: "w"}, {Fingerprint: 8, Endpoint: "v", Withdrawn: true}},
 		known:   []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:99")},
 		presence: &carawayspread.Presence{Zone: "z", Capacity: 1 << 31, Reads: true, Fleet: 68, Claims: [carawayspread.Matters]carawayspread.Claim{
-			{Version: 3, Digest: 3, Age: 4 * time.Second}, {Version: 1 << 40, Digest: 1 << 63, Age: time.Millisecond},
-		}},
+			{Version: 3, Digest: 3, Age: 4 * time.Second, Stamp: time.Hour}, {Version: 1 << 40, Digest: 1 << 63, Age: time.Millisecond},
+		}, Epoch: 400000 * time.Hour, Holds: true},
+		usage: []carawayspread.UsageStatement{
+			{Process: 7, Window: 353445120, Closed: true, Total: 412, Counts: []carawayspread.UsageCount{{Workspace: 1<<40 - 1, Requests: 400}, {Workspace: 3, Requests: 12}}},
+			{Process: 7, Window: 353445121},
+		},
+		acks: []int64{353445119, 1},
 	}
 }
 
@@ -62,6 +67,9 @@
 	heard map[string][]carawayspread.Notice
 	// present is how peers stand, by address.
 	present map[string]carawayspread.Presence
+	// statements and acks are what peers counted and acknowledged.
+	statements []carawayspread.UsageStatement
+	acks       []int64
 }
 
 func (r *receiver) Heard(from string, notices []carawayspread.Notice) {
@@ -84,6 +92,19 @@
 
 func (r *receiver) Crashed(Crash) {}
 
+func (r *receiver) Counted(s carawayspread.UsageStatement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statements = append(r.statements, s)
+	return true
+}
+
+func (r *receiver) Acknowledged(_ uint64, window int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acks = append(r.acks, window)
+}
+
 func (r *receiver) knows(endpoint uint32, running int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/internal/connection/peers/usage.go
@@ -0,0 +1,98 @@
+package peers
+
+import (
+	"net/netip"
+	"slices"
+
+	"carawayspread"
+)
+
+// collecting is how many processes add usage up: the holder of the lease and one that
+// can take over from it.
+const collecting = 2
+
+// Collectors returns the processes that add usage up: the largest instances that the
+// store answers, which all draw alike from what they hear, and whoever holds the
+// lease. It reports whether this process is one of the first.
+func (s *Socket) Collectors() (others []carawayspread.Peer, self bool) {
+	own := s.presence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	able := map[*peer]uint64{}
+	order := []*peer{}
+	if own.Reads {
+		me := &peer{address: s.self, presence: own}
+		able[me] = s.id
+		order = append(order, me)
+	}
+	for id, p := range s.peers {
+		if now.Sub(p.heard) < forwardLife && p.presence.Reads {
+			able[p] = id
+			order = append(order, p)
+		}
+	}
+	slices.SortFunc(order, larger)
+	for i, p := range order {
+		switch id := able[p]; {
+		case id == s.id:
+			self = i < collecting
+		case i < collecting || p.presence.Holds:
+			others = append(others, carawayspread.Peer{ID: id, Address: p.address.String()})
+		}
+	}
+	return others, self
+}
+
+// Processes returns the peers that were heard of late.
+func (s *Socket) Processes() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	var processes []uint64
+	for id, p := range s.peers {
+		if now.Sub(p.heard) < countLife {
+			processes = append(processes, id)
+		}
+	}
+	return processes
+}
+
+// State sends what this process counted to a peer.
+func (s *Socket) State(to carawayspread.Peer, statements []carawayspread.UsageStatement) {
+	address, err := netip.ParseAddrPort(to.Address)
+	if err != nil {
+		return
+	}
+	m := message{sender: s.id, address: s.self}
+	size := 0
+	for _, statement := range statements {
+		if weight := weigh(statement); size > 0 && size+weight > sizeLimit {
+			s.send(m, []netip.AddrPort{address})
+			m.usage, size = nil, 0
+		}
+		m.usage = append(m.usage, statement)
+		size += weigh(statement)
+	}
+	s.send(m, []netip.AddrPort{address})
+}
+
+// weigh returns an upper bound of the bytes of a statement with small counts.
+func weigh(s carawayspread.UsageStatement) int { return 16 + len(s.Counts)*(workspaceBytes+2) }
+
+// counted hands on what a peer counted, and acknowledges the closed windows of which
+// all is known.
+func (s *Socket) counted(m message, r Receiver) {
+	var acks []int64
+	for _, statement := range m.usage {
+		if r.Counted(statement) && statement.Closed {
+			acks = append(acks, statement.Window)
+		}
+	}
+	if len(acks) > 0 {
+		s.send(message{sender: s.id, address: s.self, acks: acks}, []netip.AddrPort{m.address})
+	}
+	for _, window := range m.acks {
+		r.Acknowledged(m.sender, window)
+	}
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -25,6 +25,7 @@
 	"carawayspread/internal/controller/rolekeeper"
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/readers"
+	"carawayspread/internal/decision/truetime"
 	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/process/follower"
 	"carawayspread/internal/process/gateway"
@@ -59,6 +60,8 @@
 	// Uptime and StoreTime are what the source observes the store's clock with.
 	Uptime    carawayspread.Uptime
 	StoreTime *storetime.Clock
+	// Usage takes reports of usage; nil where none are asked for.
+	Usage carawayspread.UsageSink
 }
 
 // Daemon is one gateway process.
@@ -74,6 +77,8 @@
 	follower *follower.Follower
 	learner  *knowledge.Learner
 	keeper   *rolekeeper.Keeper // nil where no role changes
+	time     *truetime.Clock
+	usage    *usageDuty // nil where no usage is reported
 	listed   atomic.Bool
 	leaving  atomic.Bool
 	open     atomic.Int64 // connections of callers
@@ -100,12 +105,14 @@
 	if !known {
 		d.log.WithField("placement", s.Placement()).Warn("unknown placement, the default is used")
 	}
+	d.time = truetime.New(clock, ports.StoreTime.Now)
 	d.placer = newPlacer(carawayspread.Environment{
 		Clock: clock, Zone: s.Zone(), Tell: d.peers.Tell,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	d.gateway = gateway.New(ports.Exchange, ports.Protocol, d.placer, clock, d.lines,
 		gateway.WithEvidence(evidence{d}, s.Revoked()),
+		gateway.WithUsage(d.began),
 		gateway.WithTerms(s.Budget(), d.peers.Share),
 		gateway.WithListAge(func() time.Duration {
 			age, _ := d.rota.Age(carawayspread.MatterList)
@@ -116,6 +123,7 @@
 		}))
 	d.keep(ports)
 	d.follow(ports)
+	d.account(ports)
 	d.gateway.Metrics().NewGauge(fmt.Sprintf("gateway_settings_info{instance=%q,zone=%q,settings=%q}", s.ID(), s.Zone(), s.Digest()),
 		func() float64 { return 1 })
 	return d, trace.Wrap(d.listen())
@@ -151,7 +159,10 @@
 
 // presence returns how this process stands.
 func (d *Daemon) presence() carawayspread.Presence {
-	return d.follower.Presence()
+	p := d.follower.Presence()
+	p.Epoch, _ = d.time.Epoch()
+	p.Holds = d.usage != nil && d.usage.reporter.Holds()
+	return p
 }
 
 // Heard takes the placements of a peer.
@@ -160,6 +171,7 @@
 // Presents takes how a peer stands.
 func (d *Daemon) Presents(id uint64, address string, s carawayspread.Presence) {
 	d.follower.Heard(id, address, s)
+	d.time.Heard(id, s.Epoch)
 }
 
 // Crashed takes a request that broke an endpoint before a peer.
@@ -229,7 +241,10 @@
 func (d *Daemon) Library() io.Writer { return d.lines.Lines("library") }
 
 // Adopt takes a newer set of routes.
-func (d *Daemon) Adopt(t *carawayspread.Routing) { d.gateway.Adopt(t) }
+func (d *Daemon) Adopt(t *carawayspread.Routing) {
+	d.gateway.Adopt(t)
+	d.name(t)
+}
 
 // Listed takes all endpoints.
 func (d *Daemon) Listed(endpoints []carawayspread.Endpoint) {
@@ -259,7 +274,8 @@
 	run(d.follower.RunList)
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
 	run(d.learner.Run)
-	if d.settings.Revoked() > 0 {
+	endUsage := d.runUsage(work)
+	if d.settings.Revoked() > 0 || d.usage != nil {
 		run(d.follower.RunStoreClock)
 	}
 	if d.keeper != nil {
@@ -283,6 +299,7 @@
 		d.leave()
 	case <-work.Done():
 	}
+	endUsage()
 	stop()
 	d.peers.Close()
 	_ = d.health.Shutdown(work)
--- /dev/null
+++ b/internal/daemon/gatewayd/usage.go
@@ -0,0 +1,94 @@
+package gatewayd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/controller/usagepublisher"
+	"carawayspread/internal/controller/usagereporter"
+	"carawayspread/internal/decision/usage"
+	"carawayspread/internal/process/decisionlog"
+)
+
+// usageDuty is the process's part in reporting the usage of workspaces.
+type usageDuty struct {
+	terms     carawayspread.UsageTerms
+	ledger    *usage.Ledger
+	publisher *usagepublisher.Publisher
+	reporter  *usagereporter.Reporter
+}
+
+// account prepares the counting of usage, where it is reported.
+func (d *Daemon) account(ports Ports) {
+	s := d.settings.Usage()
+	if s == nil || ports.Usage == nil {
+		return
+	}
+	ledger := usage.New(d.peers.ID())
+	d.usage = &usageDuty{
+		terms: s.Terms(), ledger: ledger,
+		publisher: usagepublisher.New(ledger, d.peers, s.Terms(), d.time.Now, d.clock),
+		reporter: usagereporter.New(d.settings.ID(), s.Terms(), usagereporter.Deps{
+			Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
+			Now: d.time.Now, InForce: d.workspaces, Clock: d.clock, Log: d.lines, Metrics: d.gateway.Metrics(),
+		}),
+	}
+}
+
+// runUsage counts and reports until the function that it returns is called, which
+// returns when peers were told the last counts.
+func (d *Daemon) runUsage(ctx context.Context) (end func()) {
+	if d.usage == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { _ = d.usage.publisher.Run(ctx) }) // both end with ctx alone
+	running.Go(func() { _ = d.usage.reporter.Run(ctx) })
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+// workspaces returns the names of those that hold a key.
+func (d *Daemon) workspaces() map[string]bool {
+	routing := d.gateway.Routing()
+	if routing == nil || routing.Keyring() == nil {
+		return nil
+	}
+	return routing.Keyring().Names()
+}
+
+func (d *Daemon) name(t *carawayspread.Routing) {
+	if d.usage != nil && t.Keyring() != nil {
+		d.usage.ledger.Name(t.Keyring().Names())
+	}
+}
+
+// began counts a request that began to run so long ago.
+func (d *Daemon) began(workspace string, ago time.Duration) {
+	if d.usage == nil {
+		return
+	}
+	now, known := d.time.Now()
+	window := d.usage.terms.Window(now - ago)
+	if !known || !d.usage.ledger.Count(window, workspace) {
+		d.lines.Write(decisionlog.Start("usage").Text("workspace", workspace).Int("window", window).Text("outcome", "late"))
+		d.gateway.Metrics().GetOrCreateCounter("gateway_usage_late_total").Inc()
+	}
+}
+
+// Counted takes what a peer counted.
+func (d *Daemon) Counted(s carawayspread.UsageStatement) bool {
+	return d.usage != nil && d.usage.ledger.Merge(s)
+}
+
+// Acknowledged takes note that a peer knows what this process counted in a window.
+func (d *Daemon) Acknowledged(peer uint64, window int64) {
+	if d.usage != nil {
+		d.usage.publisher.Acknowledged(peer, window)
+	}
+}
--- a/internal/process/gateway/authenticate.go
+++ b/internal/process/gateway/authenticate.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// WithUsage is told of each request of a known workspace, once, when it is known to have
+// begun to run so long ago.
+func WithUsage(began func(workspace string, ago time.Duration)) Option {
+	return func(g *Gateway) { g.began = began }
+}
+
 // Proven reports whether requests with an API key can be taken now, or need none.
 func (g *Gateway) Proven() bool {
 	routing := g.routing.Load()
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"carawayspread"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/decision/readers"
 	"carawayspread/internal/version/document"
@@ -36,8 +37,21 @@
 	revoked   time.Duration // zero where nothing is promised
 	cores     float64
 	link      float64 // megabits a second
+	usage     *Usage
 }
 
+// Usage is where the usage of workspaces is reported.
+type Usage struct {
+	address string // IP number and port
+	terms   carawayspread.UsageTerms
+}
+
+// Address returns IP number and port that take the reports.
+func (u *Usage) Address() string { return u.address }
+
+// Terms returns the windows and when their reports are due.
+func (u *Usage) Terms() carawayspread.UsageTerms { return u.terms }
+
 // Role policies that have a meaning here: RolesAsFound changes none, and
 // RolesBalanced is the default.
 const (
@@ -76,7 +90,7 @@
 		digest: digest(body), placement: "estimate", roles: RolesBalanced, cores: usualCores, link: usualLink,
 		terms: readers.Terms{Leaving: usualTerm, InForce: usualTerm},
 	}
-	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits")
+	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits", "usage")
 	instance := root.Need("instance").Object("id", "zone")
 	s.id = instance.Need("id").Text()
 	s.zone = instance.Need("zone").Text()
@@ -107,6 +121,7 @@
 	}
 	s.promises(root)
 	s.limits(root)
+	s.reports(root)
 	if err := root.Err(); err != nil {
 		return nil, err
 	}
@@ -147,6 +162,20 @@
 	}
 }
 
+func (s *Settings) reports(root document.Node) {
+	if !root.Field("usage").Exists() {
+		return
+	}
+	usage := root.Field("usage").Object("address", "window", "due")
+	address := usage.Need("address").Address()
+	length := usage.Need("window").Duration(time.Second, maxWindow)
+	due := usage.Need("due").Duration(time.Second, maxWindow)
+	s.usage = &Usage{address: address, terms: carawayspread.NewUsageTerms(max(length, time.Second), due)}
+}
+
+// Usage returns where usage is reported; nil where it is not.
+func (s *Settings) Usage() *Usage { return s.usage }
+
 // Terms returns what operators are promised.
 func (s *Settings) Terms() readers.Terms { return s.terms }
 
--- a/keyring.go
+++ b/keyring.go
@@ -63,3 +63,12 @@
 
 // Ambiguous returns the number of keys that more than one workspace holds.
 func (k *Keyring) Ambiguous() int { return k.ambiguous }
+
+// Names returns the names of the workspaces that hold a key.
+func (k *Keyring) Names() map[string]bool {
+	names := map[string]bool{}
+	for _, workspace := range k.workspaces {
+		names[workspace.Name()] = true
+	}
+	return names
+}
