Usage lease: found again after an outage, and nobody waits for processes that are gone

Change: collectors are ordered by size with those that the store answers first, so that an outage for all moves nobody; one that held the lease last asks on; a window waits for processes that were heard in it, or so shortly before that they may still have served. The lease lasts 4 s instead of 5. The store's clock is learnt from the peer that reads, and a store that is away is tried four times a second by a zone of ten.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -123,6 +124,25 @@
 	return err
 }
 
+// AskTime has a peer bound the store's steady clock, and hands nothing else on.
+func (l *Learner) AskTime(ctx context.Context, peer string) error {
+	_, err := l.newer(ctx, peer, &NewerRequest{Routes: math.MaxUint64, List: math.MaxUint64})
+	return err
+}
+
+// newer asks a peer, and takes its bound on the store's clock.
+func (l *Learner) newer(ctx context.Context, peer string, req *NewerRequest) (*NewerResponse, error) {
+	var asked time.Duration
+	if l.observe != nil {
+		asked = l.uptime.Uptime()
+	}
+	got, err := NewKnowledgeProtobufClient("http://"+peer, l.client).Newer(ctx, req)
+	if err == nil && l.observe != nil {
+		l.observe(asked, time.Duration(got.StoreMs)*time.Millisecond)
+	}
+	return got, err
+}
+
 // learn takes what the peer knows, and reports whether anything was newer.
 func (l *Learner) learn(ctx context.Context, peer string) (bool, error) {
 	return l.learnSince(ctx, peer, l.holder.Have(carawayspread.MatterList).Version)
@@ -131,20 +151,13 @@
 // learnSince takes changes of the list since that version, and the whole where those
 // do not fit.
 func (l *Learner) learnSince(ctx context.Context, peer string, list uint64) (bool, error) {
-	var asked time.Duration
-	if l.observe != nil {
-		asked = l.uptime.Uptime()
-	}
-	got, err := NewKnowledgeProtobufClient("http://"+peer, l.client).Newer(ctx, &NewerRequest{
+	got, err := l.newer(ctx, peer, &NewerRequest{
 		Routes: l.holder.Have(carawayspread.MatterRoutes).Version, List: list,
 	})
 	if err != nil {
 		l.log.WithError(err).WithField("peer", peer).Debug("peer hands nothing on")
 		return false, err
 	}
-	if l.observe != nil {
-		l.observe(asked, time.Duration(got.StoreMs)*time.Millisecond)
-	}
 	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
 	if errors.Is(err, carawayspread.ErrPartial) && list > 0 {
 		return l.learnSince(ctx, peer, 0)
--- a/internal/connection/peers/usage.go
+++ b/internal/connection/peers/usage.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"carawayspread"
 )
@@ -11,47 +12,52 @@
 // can take over from it.
 const collecting = 2
 
-// Collectors returns the processes that add usage up: the largest instances that the
-// store answers, which all draw alike from what they hear, and whoever holds the
-// lease. It reports whether this process is one of the first.
+// Collectors returns the processes that add usage up: the largest instances, those
+// that the store answers first, which all draw alike from what they hear, and whoever
+// holds the lease. It reports whether this process is one of the first.
 func (s *Socket) Collectors() (others []carawayspread.Peer, self bool) {
 	own := s.presence()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	able := map[*peer]uint64{}
-	order := []*peer{}
-	if own.Reads {
-		me := &peer{address: s.self, presence: own}
-		able[me] = s.id
-		order = append(order, me)
-	}
+	me := &peer{address: s.self, presence: own}
+	ids := map[*peer]uint64{me: s.id}
+	order := []*peer{me}
 	for id, p := range s.peers {
-		if now.Sub(p.heard) < forwardLife && p.presence.Reads {
-			able[p] = id
+		if now.Sub(p.heard) < forwardLife {
+			ids[p] = id
 			order = append(order, p)
 		}
 	}
-	slices.SortFunc(order, larger)
+	slices.SortFunc(order, func(a, b *peer) int {
+		if a.presence.Reads != b.presence.Reads {
+			if a.presence.Reads {
+				return -1
+			}
+			return 1
+		}
+		return larger(a, b)
+	})
 	for i, p := range order {
-		switch id := able[p]; {
-		case id == s.id:
+		switch {
+		case p == me:
 			self = i < collecting
 		case i < collecting || p.presence.Holds:
-			others = append(others, carawayspread.Peer{ID: id, Address: p.address.String()})
+			others = append(others, carawayspread.Peer{ID: ids[p], Address: p.address.String()})
 		}
 	}
 	return others, self
 }
 
-// Processes returns the peers that were heard of late.
-func (s *Socket) Processes() []uint64 {
+// Processes returns the peers that were heard no longer ago than that, as far as they
+// are remembered.
+func (s *Socket) Processes(within time.Duration) []uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	var processes []uint64
 	for id, p := range s.peers {
-		if now.Sub(p.heard) < countLife {
+		if now.Sub(p.heard) <= min(within, countLife) {
 			processes = append(processes, id)
 		}
 	}
--- a/internal/controller/usagereporter/reporter.go
+++ b/internal/controller/usagereporter/reporter.go
@@ -30,10 +30,10 @@
 	lookEvery = 250 * time.Millisecond
 	// term is how long the lease lasts. With what a successor waits beyond it, a
 	// report whose holder was killed is still sent in time.
-	term = 5 * time.Second
+	term = 4 * time.Second
 	// renewEvery leaves two renewals that may fail within the term, and retryEvery is
 	// the time after one that did.
-	renewEvery = 1500 * time.Millisecond
+	renewEvery = 1200 * time.Millisecond
 	retryEvery = 400 * time.Millisecond
 	// margin is what must be left of the lease before a call: its timeout and its way.
 	margin      = callTimeout + 400*time.Millisecond
@@ -49,6 +49,8 @@
 	// seniority is how long a process collects before it tries for the lease: one that
 	// has collected for longer knows what processes counted that are gone.
 	seniority = 3 * time.Second
+	// absence is how long it may not collect without starting anew.
+	absence = 10 * time.Second
 	// tenureLeast is how long the lease is held before it is given up to a successor,
 	// so that holders do not take turns quickly.
 	tenureLeast = 3 * time.Second
@@ -62,8 +64,8 @@
 	// Collectors returns the processes that add usage up, without this one, and
 	// whether this is one of them.
 	Collectors() (others []carawayspread.Peer, self bool)
-	// Processes returns the other processes that may have counted.
-	Processes() []uint64
+	// Processes returns the other processes that were heard no longer ago than that.
+	Processes(within time.Duration) []uint64
 }
 
 // report is a decided report, as the table keeps it.
@@ -93,17 +95,19 @@
 	terms    carawayspread.UsageTerms
 	now      func() (time.Duration, bool) // true time since the start of 1970
 	inForce  func() map[string]bool       // names of workspaces
+	alone    time.Duration                // how long a process may count that nobody hears
 	clock    carawayspread.Clock
 	log      *decisionlog.Log
 	set      *metrics.Set
 	holds    atomic.Bool
 
 	// Below is used by Run alone.
-	collects time.Time // since when this process collects; zero while it does not
-	since    time.Time // when the lease was acquired
-	renewed  time.Time // when the lease was tried last
-	pending  map[int64]*pending
-	done     map[int64]bool // windows that need no report any more
+	collects  time.Time // since when this process collects
+	collected time.Time // when it did last; zero for never
+	since     time.Time // when the lease was acquired
+	renewed   time.Time // when the lease was tried last
+	pending   map[int64]*pending
+	done      map[int64]bool // windows that need no report any more
 }
 
 // Deps is what a Reporter acts on.
@@ -115,6 +119,7 @@
 	Uptime  carawayspread.Uptime
 	Now     func() (time.Duration, bool) // true time since the start of 1970
 	InForce func() map[string]bool       // names of workspaces
+	Alone   time.Duration                // how long a process may count that nobody hears
 	Clock   carawayspread.Clock
 	Log     *decisionlog.Log
 	Metrics *metrics.Set
@@ -125,7 +130,7 @@
 	return &Reporter{
 		instance: instance, ledger: d.Ledger, fleet: d.Fleet, sink: d.Sink, table: d.Table, terms: terms,
 		lease: lease.New(d.Table, carawayspread.UptimeClock(d.Uptime, d.Clock), Partition, lease.WithTerm(term)),
-		now:   d.Now, inForce: d.InForce, clock: d.Clock, log: d.Log, set: d.Metrics,
+		now:   d.Now, inForce: d.InForce, alone: d.Alone, clock: d.Clock, log: d.Log, set: d.Metrics,
 		pending: map[int64]*pending{}, done: map[int64]bool{},
 	}
 }
@@ -179,7 +184,8 @@
 	now := r.clock.Now()
 	held := r.lease.Valid(0)
 	r.holds.Store(held)
-	if now.Sub(r.renewed) < renewEvery || !r.senior(now) && !held {
+	// One that held the lease last gets it back without waiting, after an outage too.
+	if now.Sub(r.renewed) < renewEvery || !r.senior(now) && r.lease.Epoch() == 0 {
 		return
 	}
 	r.renewed = now
@@ -202,15 +208,15 @@
 	r.holds.Store(r.lease.Valid(0))
 }
 
-// senior reports whether this process has collected for long enough.
+// senior reports whether this process collects, and has for long enough.
 func (r *Reporter) senior(now time.Time) bool {
 	if _, collects := r.fleet.Collectors(); !collects {
-		r.collects = time.Time{}
 		return false
 	}
-	if r.collects.IsZero() {
+	if r.collected.IsZero() || now.Sub(r.collected) > absence {
 		r.collects = now
 	}
+	r.collected = now
 	return now.Sub(r.collects) >= seniority
 }
 
@@ -293,7 +299,8 @@
 // is collected once it is complete or may wait no longer. Nothing is returned while
 // it may wait, and where nobody is known to have counted.
 func (r *Reporter) decide(ctx context.Context, window int64, p *pending, now time.Duration) (*report, error) {
-	complete := r.ledger.Complete(window, r.fleet.Processes())
+	begun := r.terms.End(window) - r.terms.Length()
+	complete := r.ledger.Complete(window, r.fleet.Processes(now-begun+r.alone))
 	ripe := complete || now >= r.terms.Due(window)-reserve
 	if p.looked && !ripe {
 		return nil, nil
--- a/internal/controller/usagereporter/reporter_test.go
+++ b/internal/controller/usagereporter/reporter_test.go
@@ -65,7 +65,7 @@
 			time.Sleep(100 * time.Millisecond) // its last request has begun
 			p.cancel()
 			time.Sleep(time.Second)
-			p.set(func() { p.dead = true })
+			p.set(func() { p.dead, p.died = true, time.Now() })
 		}},
 		"the holder is killed": {strike: func(w *world) { w.holder().kill() }, inexact: lost},
 		"the holder and another are killed": {strike: func(w *world) {
--- a/internal/controller/usagereporter/world_test.go
+++ b/internal/controller/usagereporter/world_test.go
@@ -130,6 +130,7 @@
 
 	mu      sync.Mutex
 	dead    bool
+	died    time.Time
 	idle    bool          // takes no more requests
 	asleep  chan struct{} // closed as it wakes; nil while it is awake
 	started time.Time
@@ -181,9 +182,9 @@
 	return others, self
 }
 
-func (p *process) Processes() []uint64 {
+func (p *process) Processes(within time.Duration) []uint64 {
 	var ids []uint64
-	for _, other := range p.w.known() {
+	for _, other := range p.w.filter(func(q *process) bool { return !q.dead || time.Since(q.died) <= within }) {
 		if other != p {
 			ids = append(ids, other.id)
 		}
@@ -245,10 +246,6 @@
 	return w.filter(func(p *process) bool { return !p.dead && p.asleep == nil })
 }
 
-func (w *world) known() []*process {
-	return w.filter(func(p *process) bool { return !p.dead || time.Since(p.started) < time.Hour })
-}
-
 func now() (time.Duration, bool) { return time.Duration(time.Now().UnixNano()), true }
 
 func (w *world) join(ctx context.Context) *process {
@@ -262,7 +259,7 @@
 	p.reporter = New(p.name, terms, Deps{
 		Ledger: p.ledger, Fleet: p, Sink: side{w.sink, p}, Table: w.table, Uptime: p, Now: now,
 		InForce: func() map[string]bool { return map[string]bool{"a": true, "b": true} },
-		Clock:   p, Log: decisionlog.New(io.Discard), Metrics: metrics.NewSet(),
+		Alone:   5 * time.Second, Clock: p, Log: decisionlog.New(io.Discard), Metrics: metrics.NewSet(),
 	})
 	p.ledger.Name(map[string]bool{"a": true, "b": true})
 	w.mu.Lock()
@@ -275,7 +272,7 @@
 
 // kill ends a process that can tell nobody any more.
 func (p *process) kill() {
-	p.set(func() { p.dead = true })
+	p.set(func() { p.dead, p.died = true, time.Now() })
 	p.cancel()
 }
 
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -276,7 +276,7 @@
 	run(d.learner.Run)
 	endUsage := d.runUsage(work)
 	if d.settings.Revoked() > 0 || d.usage != nil {
-		run(d.follower.RunStoreClock)
+		run(func(ctx context.Context) error { return d.follower.RunStoreClock(ctx, d.learner) })
 	}
 	if d.keeper != nil {
 		run(d.keeper.Run)
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -26,13 +26,17 @@
 	if s == nil || ports.Usage == nil {
 		return
 	}
+	alone := d.settings.Revoked()
+	if alone == 0 {
+		alone = time.Minute // a process that nobody hears serves on
+	}
 	ledger := usage.New(d.peers.ID())
 	d.usage = &usageDuty{
 		terms: s.Terms(), ledger: ledger,
 		publisher: usagepublisher.New(ledger, d.peers, s.Terms(), d.time.Now, d.clock),
 		reporter: usagereporter.New(d.settings.ID(), s.Terms(), usagereporter.Deps{
 			Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
-			Now: d.time.Now, InForce: d.workspaces, Clock: d.clock, Log: d.lines, Metrics: d.gateway.Metrics(),
+			Now: d.time.Now, InForce: d.workspaces, Alone: alone, Clock: d.clock, Log: d.lines, Metrics: d.gateway.Metrics(),
 		}),
 	}
 }
--- a/internal/decision/readers/rota.go
+++ b/internal/decision/readers/rota.go
@@ -48,10 +48,12 @@
 	// processes that started together do not call together for ever.
 	everySpread = 0.2
 	retrySpread = 0.4
-	// retryLeast and retryEach space calls after a failed one, with the number of
-	// processes of the zone: the store that comes back is noticed by one of them
-	// within a quarter of a second, and a zone of any size makes ten calls a second.
+	// retryLeast, retryMost and retryEach space calls after a failed one, with the number
+	// of processes of the zone: a store that comes back is noticed by one of them within a
+	// quarter of a second, at four calls a second, and a zone of more than ten makes up to
+	// ten.
 	retryLeast = 250 * time.Millisecond
+	retryMost  = 10 * retryLeast
 	retryEach  = 100 * time.Millisecond
 )
 
@@ -216,7 +218,8 @@
 func (r *Rota) Wait() time.Duration { return part(watchPart, r.terms.InForce) }
 
 func (r *Rota) retryLocked() time.Duration {
-	return max(retryLeast, time.Duration(len(r.members)+1)*retryEach)
+	n := time.Duration(len(r.members) + 1)
+	return max(n*retryEach, min(n*retryLeast, retryMost))
 }
 
 // every returns the time between a reader's calls; routes are watched without a
--- a/internal/process/follower/evidence.go
+++ b/internal/process/follower/evidence.go
@@ -38,21 +38,37 @@
 	return f.store.Age(f.have(carawayspread.MatterRoutes).Stamp)
 }
 
-// RunStoreClock keeps the store's clock known until ctx ends. Processes that learn all
-// from peers make no call of their own for long.
-func (f *Follower) RunStoreClock(ctx context.Context) error {
+// RunStoreClock keeps the store's clock known until ctx ends: by the peer that reads the
+// store, or by a call where that does not help. Processes that learn all from peers
+// make no call of their own for long.
+func (f *Follower) RunStoreClock(ctx context.Context, asker Asker) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-f.clock.After(driftLook):
 		}
-		if slack, known := f.store.Slack(); !known || slack > driftMost {
+		if f.boundsStore() {
+			continue
+		}
+		f.mu.Lock()
+		witness := f.known[carawayspread.MatterRoutes].witness
+		f.mu.Unlock()
+		if witness != "" {
+			_ = asker.AskTime(ctx, witness) // the store is asked next
+		}
+		if !f.boundsStore() {
 			_ = f.Refresh(ctx) // the source logs that the store does not answer
 		}
 	}
 }
 
+// boundsStore reports whether the store's clock is bounded closely enough.
+func (f *Follower) boundsStore() bool {
+	slack, known := f.store.Slack()
+	return known && slack <= driftMost
+}
+
 // refresh has the store asked once for all who wait for the same answer.
 type refresh struct {
 	mu      sync.Mutex
--- a/internal/process/follower/evidence_test.go
+++ b/internal/process/follower/evidence_test.go
@@ -68,7 +68,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			play(t, 3, 3, func(w *world) {
+			playKeyed(t, 3, 3, func(w *world) {
 				c := &changes{at: map[uint64]time.Time{}}
 				strike(w)
 				for step := range 200 {
@@ -90,7 +90,7 @@
 // Guards against requests that are refused for want of evidence while peers have it:
 // a zone that the store turns away stays proven by the others.
 func TestEvidenceTravelsThroughPeers(t *testing.T) {
-	play(t, 3, 3, func(w *world) {
+	playKeyed(t, 3, 3, func(w *world) {
 		for _, n := range w.nodes {
 			if n.zone == "z1" {
 				n.set(func() { n.away = true })
@@ -106,7 +106,7 @@
 
 // Guards against evidence that stays young while its process is cut off from all.
 func TestEvidenceAgesWhereNothingIsHeard(t *testing.T) {
-	play(t, 3, 3, func(w *world) {
+	playKeyed(t, 3, 3, func(w *world) {
 		n := w.nodes[0]
 		n.set(func() { n.away, n.deaf = true, true })
 		time.Sleep(10 * time.Second)
@@ -144,3 +144,21 @@
 		qt.Check(t, w.store.calls, qt.Equals, 3)
 	})
 }
+
+// Guards against calls to the store that grow with the fleet: whoever learns all from
+// peers learns the store's clock from them too.
+func TestStoreClockComesFromPeers(t *testing.T) {
+	var calls []int
+	for _, with := range []func(*testing.T, int, int, func(*world)){play, playKeyed} {
+		with(t, 3, 20, func(w *world) {
+			time.Sleep(20 * time.Second)
+			calls = append(calls, w.calls(60*time.Second))
+			for _, n := range w.nodes {
+				slack, known := n.clock.Slack()
+				qt.Check(t, len(calls) < 2 || known && slack < driftMost+driftLook, qt.IsTrue, qt.Commentf("process %s: %v", n.name(), slack))
+			}
+		})
+	}
+	t.Logf("%d calls a minute without, %d with the store's clock", calls[0], calls[1])
+	qt.Check(t, calls[1] <= calls[0]*11/10, qt.IsTrue)
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -29,6 +29,8 @@
 // Asker has a peer hand on what it knows.
 type Asker interface {
 	Ask(ctx context.Context, peer string) error
+	// AskTime has it bound the store's steady clock alone.
+	AskTime(ctx context.Context, peer string) error
 }
 
 // known is what this process holds of one matter, beside the contents.
@@ -44,6 +46,8 @@
 	// stamp is what the store's clock showed when a peer's source had this or an older
 	// version as the newest; zero where no peer has said so.
 	stamp time.Duration
+	// witness is the address of the peer that said so.
+	witness string
 }
 
 // claim is what a peer says it knows, and when it said so.
@@ -163,7 +167,7 @@
 	same := c.claim.Digest == own.Digest || k.alike != 0 && k.source == own.Version && c.claim.Digest == k.alike
 	if same && own.Version > 0 {
 		if k.source != own.Version {
-			*k = known{source: own.Version, version: own.Version, stamp: k.stamp}
+			*k = known{source: own.Version, version: own.Version, stamp: k.stamp, witness: k.witness}
 		}
 		k.version = max(k.version, c.claim.Version)
 	}
@@ -181,8 +185,8 @@
 // this process holds includes all that was accepted up to the reading if it is no older
 // than what the peer held.
 func (k *known) prove(c claim, own carawayspread.Claim) {
-	if c.of == carawayspread.MatterRoutes && own.Version >= c.claim.Version {
-		k.stamp = max(k.stamp, c.claim.Stamp)
+	if c.of == carawayspread.MatterRoutes && own.Version >= c.claim.Version && c.claim.Stamp > k.stamp {
+		k.stamp, k.witness = c.claim.Stamp, c.peer
 	}
 }
 
@@ -229,7 +233,7 @@
 	}
 	f.mu.Lock()
 	k := &f.known[c.of]
-	*k = known{source: own.Version, version: own.Version, alike: c.claim.Digest, stamp: k.stamp}
+	*k = known{source: own.Version, version: own.Version, alike: c.claim.Digest, stamp: k.stamp, witness: k.witness}
 	k.prove(c, own)
 	f.mu.Unlock()
 	f.rota.Confirm(c.of, c.at.Add(-c.claim.Age))
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -175,6 +175,15 @@
 	return nil
 }
 
+func (n *node) AskTime(_ context.Context, peer string) error {
+	asked := n.clock.Uptime()
+	time.Sleep(2 * time.Millisecond)
+	stamp, _ := n.w.byName(peer).clock.Now()
+	time.Sleep(2 * time.Millisecond)
+	n.clock.Observe(asked, stamp)
+	return nil
+}
+
 func (n *node) name() string { return fmt.Sprint(n.id) }
 
 // say tells the peers how the process stands: all, or those of its zone and the
@@ -244,7 +253,7 @@
 
 // newWorld starts processes, some in each zone. The first of a zone is the
 // largest.
-func newWorld(ctx context.Context, zones, each int) *world {
+func newWorld(ctx context.Context, zones, each int, keyed bool) *world {
 	w := &world{store: &store{started: time.Now(), ver: 1, at: [carawayspread.Matters]uint64{1, 1}}}
 	for zone := range zones {
 		for i := range each {
@@ -256,6 +265,9 @@
 		go func() { _ = n.follower.RunList(ctx) }()
 		go func() { _ = n.follower.RunRoutes(ctx) }()
 		go func() { _ = n.follower.RunPulls(ctx, n) }()
+		if keyed {
+			go func() { _ = n.follower.RunStoreClock(ctx, n) }()
+		}
 		go func() {
 			for ctx.Err() == nil {
 				n.say(n.follower.Presence(), false)
@@ -299,9 +311,18 @@
 
 // play starts a world, lets processes find each other, and ends it.
 func play(t *testing.T, zones, each int, f func(w *world)) {
+	playWorld(t, zones, each, false, f)
+}
+
+// playKeyed plays a world whose processes need to know the store's clock.
+func playKeyed(t *testing.T, zones, each int, f func(w *world)) {
+	playWorld(t, zones, each, true, f)
+}
+
+func playWorld(t *testing.T, zones, each int, keyed bool, f func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(ctx, zones, each)
+		w := newWorld(ctx, zones, each, keyed)
 		time.Sleep(settle)
 		f(w)
 		for _, n := range w.nodes {
