--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -34,6 +34,11 @@
 	// otherZone and otherZoneByte are the time that staying in the zone is worth.
 	otherZone     = 3 * time.Millisecond
 	otherZoneByte = 2 * time.Microsecond
+	// movePrice is what a millisecond of a link between engines costs that moves a KV
+	// cache, and otherZoneMove how often that is between zones: operators pay for what
+	// crosses them, and other traffic shares those links.
+	movePrice     = 8
+	otherZoneMove = 3
 	// workPrice is what a millisecond of an engine is worth against one of the
 	// request's own waiting.
 	workPrice = 0.6
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -202,10 +202,13 @@
 			first += wholePiece * wholeFactor * startPerToken
 		}
 		cost := p.rest(now, e, l.running, req) + p.crossing(e, req)
+		moved := movePrice * move
 		if e.endpoint.Zone() != zone {
 			first += move * (zoneFactor - 1)
 			cost += otherZone
+			moved *= otherZoneMove
 		}
+		cost += moved
 		if bears := pool.bears(); bears > 0 && e.pause(l.running, traits.Stride, e.wait(now), req.Prompt.Tokens) > bears {
 			cost += req.Route.Target // it would be late by a pause
 		}
