--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -33,9 +33,9 @@
 	silence = 1200 * time.Millisecond
 	// probeEvery spaces the probes of a connection on which nothing moves.
 	probeEvery = 400 * time.Millisecond
-	// idleTimeout stays below that of the endpoints, so that a connection is
-	// rarely closed by its peer while a request is put on it.
-	idleTimeout = 2 * time.Second
+	// idleTimeout stays below the ten seconds that endpoints state, so that a connection
+	// is rarely closed by its peer while a request is put on it.
+	idleTimeout = 8 * time.Second
 	// idleConns are kept for each endpoint.
 	idleConns = 8
 	// headerLimit bounds the header of an answer in bytes.
