A key that was rejected before is rejected again while the keyring is new enough

Change: such a key is rejected without a question while the evidence is younger than added keys are promised to work; a key that was never asked for is asked for as before.

--- a/internal/decision/authentication/authentication.go
+++ b/internal/decision/authentication/authentication.go
@@ -33,6 +33,9 @@
 	// Revoked is the time from an accepted revocation after which nothing that is
 	// sent runs; zero where none is promised.
 	Revoked time.Duration
+	// Added is the time from its acceptance after which an added key works everywhere;
+	// zero where none is promised.
+	Added time.Duration
 }
 
 // Question is one request.
@@ -44,12 +47,16 @@
 	// Current says that the store was asked for a newer keyring after the request had
 	// arrived, and has answered.
 	Current bool
+	// Rejected says that nobody held the key when the store was asked for it before.
+	Rejected bool
 }
 
 // Decide returns the workspace and whether the request may run for it.
 //
 // The age counts until now and the request was sent before it arrived, so a key
-// that passes was not revoked longer ago than promised when the request was sent.
+// that passes was not revoked longer ago than promised when the request was sent. A key
+// that was rejected before is rejected again without a question while the keyring is
+// newer than added keys are promised to work.
 func (p Policy) Decide(q Question) (carawayspread.Workspace, Verdict) {
 	workspace, held := q.Keyring.Workspace(q.Token)
 	switch {
@@ -59,7 +66,7 @@
 		return carawayspread.Workspace{}, Unproven
 	case held:
 		return workspace, Accept
-	case q.Current:
+	case q.Current, q.Rejected && q.Known && q.Age <= p.Added:
 		return workspace, Reject
 	}
 	return workspace, Unknown
--- a/internal/decision/rejections/rejections.go
+++ b/internal/decision/rejections/rejections.go
@@ -7,7 +7,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"carawayspread"
 )
@@ -17,53 +16,29 @@
 
 // Rejections is one process's memory. It is safe for concurrent use.
 type Rejections struct {
-	clock carawayspread.Clock
-	life  time.Duration
-
-	mu sync.Mutex
-	at map[carawayspread.KeyDigest]time.Time
+	mu   sync.Mutex
+	keys map[carawayspread.KeyDigest]bool
 }
 
-// New returns an empty memory. A rejection counts for that long: no longer than an
-// added key may take to work.
-func New(clock carawayspread.Clock, life time.Duration) *Rejections {
-	return &Rejections{clock: clock, life: life, at: map[carawayspread.KeyDigest]time.Time{}}
-}
+// New returns an empty memory.
+func New() *Rejections { return &Rejections{keys: map[carawayspread.KeyDigest]bool{}} }
 
-// Add notes that the store was asked for the key at that moment.
-func (r *Rejections) Add(key carawayspread.KeyDigest, asked time.Time) {
+// Add notes that nobody held the key.
+func (r *Rejections) Add(key carawayspread.KeyDigest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.at) >= most {
-		r.drop()
-	}
-	r.at[key] = asked
-}
-
-// drop forgets what has lost its meaning, or else any key.
-func (r *Rejections) drop() {
-	now := r.clock.Now()
-	for key, at := range r.at {
-		if now.Sub(at) > r.life {
-			delete(r.at, key)
-		}
-	}
-	for key := range r.at {
-		if len(r.at) < most {
-			return
+	for other := range r.keys {
+		if len(r.keys) < most {
+			break
 		}
-		delete(r.at, key)
+		delete(r.keys, other)
 	}
+	r.keys[key] = true
 }
 
-// Holds reports whether the rejection of the key still counts.
+// Holds reports whether nobody held the key when it was asked for.
 func (r *Rejections) Holds(key carawayspread.KeyDigest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at, known := r.at[key]
-	if known && r.clock.Now().Sub(at) > r.life {
-		delete(r.at, key)
-		return false
-	}
-	return known
+	return r.keys[key]
 }
--- a/internal/process/gateway/authenticate.go
+++ b/internal/process/gateway/authenticate.go
@@ -8,7 +8,6 @@
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
 	"carawayspread/internal/decision/authentication"
-	"carawayspread/internal/decision/rejections"
 )
 
 const (
@@ -30,8 +29,7 @@
 // have stopped, zero where none is promised, and the time in which an added one must work.
 func WithEvidence(evidence carawayspread.Evidence, revoked, added time.Duration) Option {
 	return func(g *Gateway) {
-		g.evidence, g.access = evidence, authentication.Policy{Revoked: revoked}
-		g.rejections = rejections.New(g.clock, added)
+		g.evidence, g.access = evidence, authentication.Policy{Revoked: revoked, Added: added}
 	}
 }
 
@@ -65,7 +63,7 @@
 			return nil
 		case verdict == authentication.Reject:
 			if current {
-				c.g.rejections.Add(carawayspread.DigestKey(token), c.arrived)
+				c.g.rejections.Add(carawayspread.DigestKey(token))
 			}
 			return c.unauthenticated(cause)
 		case current:
@@ -102,14 +100,13 @@
 	age, known := c.g.evidence.Age()
 	workspace, verdict := c.g.access.Decide(authentication.Question{
 		Keyring: keyring, Token: token, Age: age, Known: known, Current: current,
+		Rejected: c.g.rejections.Holds(carawayspread.DigestKey(token)),
 	})
 	switch {
 	case verdict == authentication.Accept:
 		c.workspace = workspace
 	case c.route.Anonymous:
 		return authentication.Accept
-	case verdict == authentication.Unknown && c.g.rejections.Holds(carawayspread.DigestKey(token)):
-		return authentication.Reject
 	}
 	return verdict
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -106,7 +106,7 @@
 		listAge:    func() time.Duration { return 0 },
 		crashed:    func(uint64, carawayspread.EndpointID, bool) {},
 		evidence:   certain{},
-		rejections: rejections.New(clock, 0),
+		rejections: rejections.New(),
 		began:      func(string, time.Duration) {},
 		budgets:    map[string]*fleetbudget.Budget{},
 	}
