--- a/internal/connection/peers/forward.go
+++ b/internal/connection/peers/forward.go
@@ -33,7 +33,7 @@
 // process sends and hears as many messages as there are processes, each some
 // hundred times a second, and has to space them so that others hear of a placement
 // when the next ones are placed already.
-func (s *Socket) splitLocked(own string) (to, forward []netip.AddrPort) {
+func (s *Socket) splitLocked(own string, turn int) (to, forward []netip.AddrPort) {
 	for zone, of := range s.zonesLocked() {
 		if zone == "" || zone == own || len(of) <= forwarders {
 			for _, p := range of {
@@ -41,9 +41,22 @@
 			}
 			continue
 		}
-		forward = append(forward, of[s.turn%forwarders].address)
+		forward = append(forward, of[turn%forwarders].address)
+	}
+	return to, forward
+}
+
+// beatLocked returns the peers that a heartbeat is sent to, and those that pass it on in
+// their zones: as a placement, and directly to whoever has been silent for a while.
+func (s *Socket) beatLocked(own string) (to, forward []netip.AddrPort) {
+	s.beats++
+	to, forward = s.splitLocked(own, s.beats)
+	now := s.clock.Now()
+	for _, p := range s.peers {
+		if silent := now.Sub(p.heard); silent >= forwardLife && silent < heardLife {
+			to = append(to, p.address)
+		}
 	}
-	s.turn++
 	return to, forward
 }
 
--- a/internal/connection/peers/heartbeat.go
+++ b/internal/connection/peers/heartbeat.go
@@ -66,11 +66,12 @@
 			delete(s.counts, endpoint) // told once more, then left out
 		}
 	}
-	to := s.heardLocked()
-	m.known = sample(to)
+	heard := s.heardLocked()
+	m.known = sample(heard)
+	to, forward := s.beatLocked(presence.Zone)
 	now := s.clock.Now()
 	listed := map[netip.AddrPort]bool{}
-	for _, address := range to {
+	for _, address := range heard {
 		listed[address] = true
 	}
 	for _, address := range s.seeds {
@@ -88,6 +89,8 @@
 	}
 	s.mu.Unlock()
 	s.send(m, to)
+	m.forward = true
+	s.send(m, forward)
 }
 
 // sample draws the addresses that a heartbeat names: newcomers know all peers after
--- a/internal/connection/peers/peers_test.go
+++ b/internal/connection/peers/peers_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 
 	"carawayspread"
 )
@@ -204,7 +205,7 @@
 		})
 	}
 	sockets[0].mu.Lock()
-	to, forward := sockets[0].splitLocked("z0")
+	to, forward := sockets[0].splitLocked("z0", 0)
 	sockets[0].mu.Unlock()
 	qt.Check(t, to, qt.HasLen, 3)
 	qt.Check(t, forward, qt.HasLen, 1)
@@ -256,3 +257,32 @@
 	}
 	until(t, func() bool { return atFirst.knows(0, 1) && atFirst.knows(many-1, 1) })
 }
+
+// Guards against heartbeats between zones that grow with the square of the fleet: each
+// crosses once to every other zone, and whoever fell silent is still sent to directly.
+func TestHeartbeatsCrossZonesOnce(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s, err := Listen("127.0.0.1:0", nil, clock)
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	for i := range 60 {
+		s.note(message{
+			sender: uint64(i + 1), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+			presence: &carawayspread.Presence{Zone: []string{"a", "b", "c"}[i%3]},
+		})
+	}
+	crossed := map[netip.AddrPort]bool{}
+	for range 4 {
+		to, forward := s.beatLocked("a")
+		qt.Check(t, to, qt.HasLen, 20)
+		qt.Check(t, forward, qt.HasLen, 2)
+		for _, address := range forward {
+			crossed[address] = true
+		}
+	}
+	qt.Check(t, crossed, qt.HasLen, 2*forwarders)
+	clock.Advance(forwardLife)
+	to, forward := s.beatLocked("a")
+	qt.Check(t, to, qt.HasLen, 60)
+	qt.Check(t, forward, qt.HasLen, 0)
+}
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -76,7 +76,8 @@
 	crashes []Crash
 	counts  map[uint32]carawayspread.Notice // newest counts told of each endpoint
 	peers   map[uint64]*peer                // by what they drew at their start
-	turn    int                             // of the processes of a zone that pass messages on
+	turn    int                             // of the processes of a zone that pass placements on
+	beats   int                             // heartbeats that were sent
 	passing [][]byte                        // messages of other zones that are not passed on yet
 	rumours map[netip.AddrPort]time.Time    // addresses that peers name and that were not heard yet
 }
@@ -219,7 +220,8 @@
 	s.pending, s.crashes = nil, nil
 	to, forward := s.heardLocked(), []netip.AddrPort(nil)
 	if !m.urgent() {
-		to, forward = s.splitLocked(zone)
+		s.turn++
+		to, forward = s.splitLocked(zone, s.turn)
 	}
 	s.mu.Unlock()
 	if len(m.notices) > 0 || len(m.crashes) > 0 {
@@ -255,7 +257,7 @@
 	body := m.encode()
 	if len(body) > sizeLimit && len(m.notices) > 1 {
 		half := len(m.notices) / 2
-		s.send(message{sender: m.sender, address: m.address, notices: m.notices[:half]}, to)
+		s.send(message{sender: m.sender, address: m.address, notices: m.notices[:half], forward: m.forward}, to)
 		m.notices = m.notices[half:]
 		s.send(m, to)
 		return
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -143,6 +143,10 @@
 		}
 		return 0
 	})
+	d.gateway.Metrics().NewGauge("gateway_evidence_seconds", func() float64 {
+		age, _ := d.follower.Age()
+		return age.Seconds()
+	})
 	for of := range carawayspread.Matters {
 		d.gateway.Metrics().NewGauge(`gateway_confirmed_seconds_ago{of="`+of.String()+`"}`, func() float64 {
 			age, _ := d.rota.Age(of)
--- /dev/null
+++ b/internal/decision/placement/moves_test.go
@@ -0,0 +1,86 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+// Guards against KV caches that cross availability zones for a millisecond less of
+// waiting: long prompts are read in one zone and answered there, though engines of
+// others are as free, and where that one is full they still go elsewhere.
+func TestMovesStayInTheirZone(t *testing.T) {
+	for name, test := range map[string]struct {
+		link   int64
+		busy   carawayspread.Notice // what the engines that answer in zone a have beside
+		within bool
+	}{
+		"free":                   {link: 550e9, within: true},
+		"a little busier":        {link: 550e9, busy: carawayspread.Notice{Work: 30 * time.Millisecond}, within: true},
+		"busier, a faster link":  {link: 1700e9, busy: carawayspread.Notice{Work: 30 * time.Millisecond}, within: true},
+		"the zone takes no more": {link: 550e9, busy: carawayspread.Notice{Running: 64}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+			p := New(carawayspread.Environment{Clock: clock, Zone: "a", Tell: func(carawayspread.Notice) {}})
+			zones, answers := map[carawayspread.EndpointID]string{}, map[carawayspread.EndpointID]bool{}
+			var endpoints []carawayspread.Endpoint
+			for i := range 24 {
+				id, zone, role := carawayspread.EndpointID(fmt.Sprint("w", i)), []string{"a", "b", "c"}[i%3], carawayspread.RoleDecode
+				if i < 9 {
+					role = carawayspread.RolePrefill
+				}
+				answers[id] = role == carawayspread.RoleDecode
+				zones[id] = zone
+				endpoints = append(endpoints, carawayspread.NewEndpoint(id, "s", zone, "10.0.0.1:1", false,
+					carawayspread.WithRole(role), carawayspread.WithSlots(64)))
+			}
+			p.SetEndpoints("s", endpoints)
+			moves, within := 0, 0
+			for n := range 200 {
+				for id, zone := range zones {
+					if zone == "a" && answers[id] && (test.busy.Work > 0 || test.busy.Running > 0) {
+						test.busy.Endpoint = hashOf(id)
+						p.Heard("peer", []carawayspread.Notice{test.busy})
+					}
+				}
+				req := carawayspread.Placing{
+					Route:   &carawayspread.Route{Name: "r", Target: 800 * time.Millisecond, Timeout: 10 * time.Second},
+					Service: carawayspread.RoutedService{Name: "s", Engine: &carawayspread.EngineTraits{Slots: 64, KVTokens: 520444, TokenBytes: 35136, LinkBits: test.link, Stride: 13}},
+					Prompt: &carawayspread.Prompt{Tokens: 12000, Most: 30, Parts: []carawayspread.Part{
+						{ID: uint64(n % 40), Tokens: 5400}, {ID: uint64(1000 + n), Tokens: 6600},
+					}},
+					Arrived: clock.Now(), Deadline: clock.Now().Add(10 * time.Second), Key: uint64(n) * 7919,
+				}
+				at, err := p.Place(req)
+				qt.Assert(t, err, qt.IsNil)
+				if at.Reads && zones[at.Endpoint.ID()] == "a" {
+					reading := p.Sent(req, at)
+					req.Handed = at.Endpoint.ID()
+					next, err := p.Place(req)
+					qt.Assert(t, err, qt.IsNil)
+					moves++
+					if zones[next.Endpoint.ID()] == "a" {
+						within++
+					}
+					reading.Answered()
+					reading.End(carawayspread.OutcomeServed)
+				}
+				clock.Advance(16 * time.Millisecond)
+			}
+			share := float64(within) / float64(max(1, moves))
+			t.Logf("%d of 200 read in zone a, %.2f answered there", moves, share)
+			qt.Check(t, moves > 40, qt.IsTrue, qt.Commentf("%d", moves))
+			if test.within {
+				qt.Check(t, share >= 0.95, qt.IsTrue, qt.Commentf("%.2f", share))
+			} else {
+				qt.Check(t, share, qt.Equals, 0.0)
+			}
+		})
+	}
+}
