The price of a move never makes an answer late

TestAnswerGoesWhereNothingIsRead was red with the price of moves: over a slow link it outweighed the target. It counts for a quarter of the target at the most.

--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -39,6 +39,8 @@
 	// crosses them, and other traffic shares those links.
 	movePrice     = 8
 	otherZoneMove = 3
+	// moveMost bounds it, in parts of the target: no answer is late to spare a link.
+	moveMost = 0.25
 	// workPrice is what a millisecond of an engine is worth against one of the
 	// request's own waiting.
 	workPrice = 0.6
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -208,7 +208,7 @@
 			cost += otherZone
 			moved *= otherZoneMove
 		}
-		cost += moved
+		cost += min(moved, time.Duration(moveMost*float64(req.Route.Target)))
 		if bears := pool.bears(); bears > 0 && e.pause(l.running, traits.Stride, e.wait(now), req.Prompt.Tokens) > bears {
 			cost += req.Route.Target // it would be late by a pause
 		}
