--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -278,7 +278,7 @@
 	run(d.follower.RunList)
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
 	run(d.learner.Run)
-	endUsage := d.runUsage(work)
+	endReports, endCounts := d.runUsage(work)
 	if d.settings.Revoked() > 0 || d.usage != nil {
 		run(func(ctx context.Context) error { return d.follower.RunStoreClock(ctx, d.learner) })
 	}
@@ -300,10 +300,11 @@
 		WithField("peer", d.peers.Address()).WithField("settings", d.settings.Digest()).Info("start")
 	select {
 	case <-ctx.Done():
+		endReports()
 		d.leave()
 	case <-work.Done():
 	}
-	endUsage()
+	endCounts()
 	stop()
 	d.peers.Close()
 	_ = d.health.Shutdown(work)
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -41,17 +41,20 @@
 	}
 }
 
-// runUsage counts and reports until the function that it returns is called, which
-// returns when peers were told the last counts.
-func (d *Daemon) runUsage(ctx context.Context) (end func()) {
+// runUsage counts and reports until the functions that it returns are called: the first
+// has another process report and does not wait, the second returns when peers were told
+// the last counts.
+func (d *Daemon) runUsage(ctx context.Context) (endReports, endCounts func()) {
 	if d.usage == nil {
-		return func() {}
+		return func() {}, func() {}
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	reports, endReports := context.WithCancel(ctx)
+	counts, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	running.Go(func() { _ = d.usage.publisher.Run(ctx) }) // both end with ctx alone
-	running.Go(func() { _ = d.usage.reporter.Run(ctx) })
-	return func() {
+	running.Go(func() { _ = d.usage.reporter.Run(reports) }) // both end with their contexts alone
+	running.Go(func() { _ = d.usage.publisher.Run(counts) })
+	return endReports, func() {
+		endReports()
 		cancel()
 		running.Wait()
 	}
