A key is judged by the configuration whose age was bounded

Found by reading: the age was bounded after the keys were loaded, and a claim could join the version held with the reading that proves a newer one. A newer configuration that arrived between the two steps lent its age to the one before it, in which a key may still stand.

Change: what proves is read before what is proved, in both places.

--- a/internal/process/follower/evidence_test.go
+++ b/internal/process/follower/evidence_test.go
@@ -162,3 +162,43 @@
 	t.Logf("%d calls a minute without, %d with the store's clock", calls[0], calls[1])
 	qt.Check(t, calls[1] <= calls[0]*11/10, qt.IsTrue)
 }
+
+// overtaken is a source that learns a newer version, and hears that it is the newest,
+// while its own is asked for.
+type overtaken struct {
+	*node
+	newer func() // nil once it was called
+}
+
+func (o *overtaken) Have(of carawayspread.Matter) carawayspread.Claim {
+	held := o.node.Have(of)
+	if newer := o.newer; newer != nil {
+		o.newer = nil
+		newer()
+	}
+	return held
+}
+
+// Guards against evidence of a version that arrives between two looks and is taken for
+// the one before it.
+func TestEvidenceIsNotOfANewerVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{store: &store{started: time.Now(), ver: 1, at: [carawayspread.Matters]uint64{1, 1}}}
+		n := w.join(1, "z", true, 1)
+		n.take(carawayspread.MatterRoutes, carawayspread.Claim{Version: 1, Digest: 1, Stamp: time.Second})
+		source := &overtaken{node: n}
+		f := New(source, n.rota, "z", 1, func() {}, carawayspread.SystemClock(), n.clock)
+		source.newer = func() {
+			n.take(carawayspread.MatterRoutes, carawayspread.Claim{Version: 2, Digest: 2, Stamp: time.Second})
+			var p carawayspread.Presence
+			p.Claims[carawayspread.MatterRoutes] = carawayspread.Claim{Version: 2, Digest: 2, Stamp: time.Minute}
+			f.Heard(2, "peer", p)
+		}
+		had := f.have(carawayspread.MatterRoutes)
+		qt.Check(t, had.Version, qt.Equals, uint64(1))
+		qt.Check(t, had.Stamp, qt.Equals, time.Second)
+		had = f.have(carawayspread.MatterRoutes)
+		qt.Check(t, had.Version, qt.Equals, uint64(2))
+		qt.Check(t, had.Stamp, qt.Equals, time.Minute)
+	})
+}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -124,10 +124,11 @@
 
 // have returns what this process holds, by the newest version known for it.
 func (f *Follower) have(of carawayspread.Matter) carawayspread.Claim {
-	own := f.source.Have(of)
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	k := f.known[of]
+	f.mu.Unlock()
+	// The version is read after what proves it: a newer one is proved as well.
+	own := f.source.Have(of)
 	if k.source == own.Version {
 		own.Version = max(own.Version, k.version)
 	}
--- a/internal/process/gateway/authenticate.go
+++ b/internal/process/gateway/authenticate.go
@@ -53,11 +53,13 @@
 // key is not known, or may have been revoked, the store is asked once.
 func (c *call) admit() *carawayspread.Error {
 	for current := false; ; current = true {
+		// The keys are loaded after their age was bounded: newer ones are no older.
+		age, known := c.g.evidence.Age()
 		if err := c.find(); err != nil {
 			return err
 		}
 		token, cause := c.credential()
-		verdict := c.authenticate(token, current)
+		verdict := c.authenticate(authentication.Question{Token: token, Age: age, Known: known, Current: current})
 		switch {
 		case verdict == authentication.Accept:
 			return nil
@@ -92,16 +94,12 @@
 }
 
 // authenticate decides on the API key.
-func (c *call) authenticate(token string, current bool) authentication.Verdict {
-	keyring := c.routing.Keyring()
-	if keyring == nil {
+func (c *call) authenticate(q authentication.Question) authentication.Verdict {
+	if q.Keyring = c.routing.Keyring(); q.Keyring == nil {
 		return authentication.Accept
 	}
-	age, known := c.g.evidence.Age()
-	workspace, verdict := c.g.access.Decide(authentication.Question{
-		Keyring: keyring, Token: token, Age: age, Known: known, Current: current,
-		Rejected: c.g.rejections.Holds(carawayspread.DigestKey(token)),
-	})
+	q.Rejected = c.g.rejections.Holds(carawayspread.DigestKey(q.Token))
+	workspace, verdict := c.g.access.Decide(q)
 	switch {
 	case verdict == authentication.Accept:
 		c.workspace = workspace
