Usage test: what is checked is read when nothing runs any more

The race detector found the checks reading what processes of the world still wrote: the test's own fault. The world ends first; what was due by then is checked, as before.

--- a/internal/controller/usagereporter/reporter_test.go
+++ b/internal/controller/usagereporter/reporter_test.go
@@ -122,10 +122,9 @@
 			play(t, test.strike, func(t *testing.T, w *world) {
 				holds(t, w)
 				reported := inTime(w)
-				at, _ := now()
 				missed := 0
 				for window, truth := range w.truth {
-					if terms.Due(window) > at {
+					if terms.Due(window) > w.until {
 						continue
 					}
 					counts, ok := reported[window]
--- a/internal/controller/usagereporter/world_test.go
+++ b/internal/controller/usagereporter/world_test.go
@@ -217,7 +217,7 @@
 	processes []*process
 	messages  int
 	truth     map[int64]map[string]uint64
-	lost      map[int64]uint64 // counted by processes that were killed before they could tell
+	until     time.Duration // true time of the end
 }
 
 func (w *world) loses() bool {
@@ -323,11 +323,13 @@
 		time.Sleep(9 * time.Second)
 		strike(w)
 		time.Sleep(50 * time.Second)
-		check(t, w)
+		w.until, _ = now()
 		cancel()
 		for _, p := range w.filter(func(p *process) bool { return p.asleep != nil }) {
 			p.set(func() { close(p.asleep); p.asleep = nil })
 		}
 		time.Sleep(20 * time.Second)
+		synctest.Wait() // nothing runs any more
+		check(t, w)
 	})
 }
