Credentials and hop-by-hop headers are handled in one place

The translation of the platform's words removed Authorization and named the challenge of a 401, which are HTTP's own, and bearer's constant for the challenge stood unused; the list of hop-by-hop headers stood in request/call and in process/gateway. Now bearer and hopbyhop have them, for both ways of a request. Causes of rejected credentials are words in camel case, in logs and metrics alike. No other behaviour changes.

--- a/internal/connection/bearer/bearer.go
+++ b/internal/connection/bearer/bearer.go
@@ -26,9 +26,15 @@
 	ErrMalformed = errors.New("malformed credential")
 )
 
+// header is where callers put their credentials.
+const header = "Authorization"
+
+// Strip removes the credentials, which are for this system alone.
+func Strip(h http.Header) { h.Del(header) }
+
 // Token returns the bearer token of a request.
 func Token(h http.Header) (string, error) {
-	values := h["Authorization"]
+	values := h[header]
 	switch len(values) {
 	case 0:
 		return "", ErrMissing
--- a/internal/connection/storetime/storetime.go
+++ b/internal/connection/storetime/storetime.go
@@ -41,9 +41,6 @@
 // New returns a clock that knows nothing yet.
 func New(uptime carawayspread.Uptime) *Clock { return &Clock{uptime: uptime} }
 
-// Uptime returns the uptime of this machine.
-func (c *Clock) Uptime() time.Duration { return c.uptime.Uptime() }
-
 // Observe takes a reading that was taken, or bounded by a peer, after the question
 // for it was asked at that uptime.
 func (c *Clock) Observe(asked, stamp time.Duration) {
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawayspread"
+	"carawayspread/internal/connection/hopbyhop"
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/request/call"
@@ -193,7 +194,7 @@
 			header[name] = values
 		}
 	}
-	call.StripHopByHop(header)
+	hopbyhop.Strip(header)
 	header.Del(sidecarhttp.HeaderResumedFrom)
 	if got.Length >= 0 && !isStream(got) {
 		header.Set("Content-Length", strconv.FormatInt(got.Length, 10))
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -65,6 +65,7 @@
 	largest  bool // of its zone
 	follower *Follower
 	rota     *readers.Rota
+	uptime   standing
 	clock    *storetime.Clock
 
 	mu      sync.Mutex
@@ -107,7 +108,7 @@
 }
 
 func (n *node) Read(_ context.Context, of carawayspread.Matter) error {
-	asked := n.clock.Uptime()
+	asked := n.uptime.Uptime()
 	if err := n.reach(); err != nil {
 		return err
 	}
@@ -176,7 +177,7 @@
 }
 
 func (n *node) AskTime(_ context.Context, peer string) error {
-	asked := n.clock.Uptime()
+	asked := n.uptime.Uptime()
 	time.Sleep(2 * time.Millisecond)
 	stamp, _ := n.w.byName(peer).clock.Now()
 	time.Sleep(2 * time.Millisecond)
@@ -245,7 +246,8 @@
 // join returns a process that does not run yet.
 func (w *world) join(id uint64, zone string, largest bool, capacity uint32) *node {
 	n := &node{w: w, id: id, zone: zone, largest: largest}
-	n.clock = storetime.New(standing{time.Now().Add(-time.Duration(id) * time.Hour)})
+	n.uptime = standing{time.Now().Add(-time.Duration(id) * time.Hour)}
+	n.clock = storetime.New(n.uptime)
 	n.rota = readers.New(id, zone, capacity, terms, carawayspread.SystemClock())
 	n.follower = New(n, n.rota, zone, capacity, func() { n.say(n.follower.Presence(), true) }, carawayspread.SystemClock(), n.clock)
 	return n
--- a/internal/process/gateway/authenticate.go
+++ b/internal/process/gateway/authenticate.go
@@ -116,9 +116,9 @@
 
 // unproven refuses a request that may run elsewhere or later.
 func (c *call) unproven(verdict authentication.Verdict, err error) *carawayspread.Error {
-	after, cause := askAgain, "unknown key, store not asked"
+	after, cause := askAgain, "notAsked"
 	if verdict == authentication.Unproven {
-		after, cause = comeBack, "evidence too old"
+		after, cause = comeBack, "evidenceTooOld"
 	}
 	c.denied(cause)
 	age, _ := c.g.evidence.Age()
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/connection/bearer"
 	"carawayspread/internal/process/decisionlog"
 )
 
@@ -257,10 +258,13 @@
 // send builds what the endpoint gets.
 func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
 	h := endToEnd(c.r.Header)
+	if c.routing.Keyring() != nil {
+		bearer.Strip(h)
+	}
 	attempt := carawayspread.Attempt{
 		To: at.Endpoint, Left: c.deadline.Sub(c.g.clock.Now()), Phase: phase, Resume: c.last,
 		Priority: c.route.Priority, Fetch: at.Fetch,
-		Workspace: c.workspace.Name(), Keyed: c.routing.Keyring() != nil,
+		Workspace: c.workspace.Name(),
 	}
 	if phase == carawayspread.PhaseContinue {
 		attempt.Handover = *c.held
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -5,32 +5,20 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"carawayspread"
+	"carawayspread/internal/connection/bearer"
+	"carawayspread/internal/connection/hopbyhop"
 	"carawayspread/internal/process/decisionlog"
 )
 
-// hopByHop are the headers that concern one connection alone (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // endToEnd returns a copy without the headers of one connection.
 func endToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h)+4)
 	for name, values := range h {
 		out[name] = values
 	}
-	for _, list := range h["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(out, name)
-	}
+	hopbyhop.Strip(out)
 	delete(out, "Content-Length")
 	delete(out, "Expect")
 	return out
@@ -95,6 +83,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.lastOfConnection()
+	if err.Code() == carawayspread.CodeUnauthenticated {
+		c.w.Header().Set("WWW-Authenticate", bearer.Challenge)
+	}
 	c.g.protocol.Refuse(c.w, err)
 }
 
--- a/internal/request/call/header.go
+++ b/internal/request/call/header.go
@@ -3,13 +3,10 @@
 import (
 	"net/http"
 	"strings"
-)
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+	"carawayspread/internal/connection/bearer"
+	"carawayspread/internal/connection/hopbyhop"
+)
 
 // OutgoingHeader returns the header that goes on to the endpoint.
 //
@@ -17,7 +14,7 @@
 // it on its own, which would run them twice.
 func (c *Call) OutgoingHeader() http.Header {
 	header := c.header.Clone()
-	StripHopByHop(header)
+	hopbyhop.Strip(header)
 	for name := range header {
 		if strings.HasPrefix(name, "Carawayspread-") {
 			delete(header, name)
@@ -25,22 +22,10 @@
 	}
 	header.Del("X-Idempotency-Key")
 	header.Del(headerKey)
-	header.Del("Authorization")
+	bearer.Strip(header)
 	header.Del("Accept-Encoding")
 	header.Del("Expect")
 	header.Del("Content-Length")
 	header.Set(headerRequestID, c.id)
 	return header
 }
-
-// StripHopByHop removes the headers that concern one connection only.
-func StripHopByHop(header http.Header) {
-	for _, value := range header.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-}
--- a/protocol.go
+++ b/protocol.go
@@ -52,9 +52,6 @@
 	Priority int       // 0 is the most urgent
 	// Workspace is that of the caller's API key; empty where it is not known.
 	Workspace string
-	// Keyed says that callers identify themselves by API keys, which endpoints must
-	// not see.
-	Keyed bool
 }
 
 // Verdict says what a reply proves.
