--- a/internal/controller/usagereporter/world_test.go
+++ b/internal/controller/usagereporter/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"carawayspread"
+	"carawayspread/internal/connection/backoff"
 	"carawayspread/internal/controller/usagepublisher"
 	"carawayspread/internal/decision/usage"
 	"carawayspread/internal/process/decisionlog"
@@ -257,9 +258,9 @@
 	p.ledger = usage.New(id)
 	p.publisher = usagepublisher.New(p.ledger, p, terms, now, p)
 	p.reporter = New(p.name, terms, Deps{
-		Ledger: p.ledger, Fleet: p, Sink: side{w.sink, p}, Table: w.table, Uptime: p, Now: now,
-		InForce: func() map[string]bool { return map[string]bool{"a": true, "b": true} },
-		Alone:   5 * time.Second, Clock: p, Log: decisionlog.New(io.Discard), Metrics: metrics.NewSet(),
+		Ledger: p.ledger, Fleet: p, Sink: side{w.sink, p}, Table: w.table, Uptime: p, TrueTime: now,
+		Workspaces:  func() map[string]bool { return map[string]bool{"a": true, "b": true} },
+		ServesAlone: 5 * time.Second, Backoff: backoff.New(p, 200*time.Millisecond, time.Second), Clock: p, Log: decisionlog.New(io.Discard), Metrics: metrics.NewSet(),
 	})
 	p.ledger.Name(map[string]bool{"a": true, "b": true})
 	w.mu.Lock()
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -77,7 +77,7 @@
 	follower *follower.Follower
 	learner  *knowledge.Learner
 	keeper   *rolekeeper.Keeper // nil where no role changes
-	time     *truetime.Clock
+	trueTime *truetime.Clock
 	usage    *usageDuty // nil where no usage is reported
 	listed   atomic.Bool
 	leaving  atomic.Bool
@@ -105,7 +105,7 @@
 	if !known {
 		d.log.WithField("placement", s.Placement()).Warn("unknown placement, the default is used")
 	}
-	d.time = truetime.New(clock, ports.StoreTime.Now)
+	d.trueTime = truetime.New(clock, ports.StoreTime.Now)
 	d.placer = newPlacer(carawayspread.Environment{
 		Clock: clock, Zone: s.Zone(), Tell: d.peers.Tell,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -164,7 +164,7 @@
 // presence returns how this process stands.
 func (d *Daemon) presence() carawayspread.Presence {
 	p := d.follower.Presence()
-	p.Epoch, _ = d.time.Epoch()
+	p.Epoch, _ = d.trueTime.Epoch()
 	p.Holds = d.usage != nil && d.usage.reporter.Holds()
 	return p
 }
@@ -175,7 +175,7 @@
 // Presents takes how a peer stands.
 func (d *Daemon) Presents(id uint64, address string, s carawayspread.Presence) {
 	d.follower.Heard(id, address, s)
-	d.time.Heard(id, s.Epoch)
+	d.trueTime.Heard(id, s.Epoch)
 }
 
 // Crashed takes a request that broke an endpoint before a peer.
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -6,12 +6,20 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/connection/backoff"
 	"carawayspread/internal/controller/usagepublisher"
 	"carawayspread/internal/controller/usagereporter"
 	"carawayspread/internal/decision/usage"
 	"carawayspread/internal/process/decisionlog"
 )
 
+// reportRetryBase and reportRetryLimit bound the first and any later wait after a report
+// without an answer.
+const (
+	reportRetryBase  = 200 * time.Millisecond
+	reportRetryLimit = time.Second
+)
+
 // usageDuty is the process's part in reporting the usage of workspaces.
 type usageDuty struct {
 	terms     carawayspread.UsageTerms
@@ -26,17 +34,19 @@
 	if s == nil || ports.Usage == nil {
 		return
 	}
-	alone := d.settings.Revoked()
-	if alone == 0 {
-		alone = time.Minute // a process that nobody hears serves on
+	servesAlone := d.settings.Revoked()
+	if servesAlone == 0 {
+		servesAlone = time.Minute // a process that nobody hears serves on
 	}
 	ledger := usage.New(d.peers.ID())
 	d.usage = &usageDuty{
 		terms: s.Terms(), ledger: ledger,
-		publisher: usagepublisher.New(ledger, d.peers, s.Terms(), d.time.Now, d.clock),
+		publisher: usagepublisher.New(ledger, d.peers, s.Terms(), d.trueTime.Now, d.clock),
 		reporter: usagereporter.New(d.settings.ID(), s.Terms(), usagereporter.Deps{
 			Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
-			Now: d.time.Now, InForce: d.workspaces, Alone: alone, Clock: d.clock, Log: d.lines, Metrics: d.gateway.Metrics(),
+			TrueTime: d.trueTime.Now, Workspaces: d.workspaces, ServesAlone: servesAlone,
+			Backoff: backoff.New(d.clock, reportRetryBase, reportRetryLimit),
+			Clock:   d.clock, Log: d.lines, Metrics: d.gateway.Metrics(),
 		}),
 	}
 }
@@ -80,7 +90,7 @@
 	if d.usage == nil {
 		return
 	}
-	now, known := d.time.Now()
+	now, known := d.trueTime.Now()
 	window := d.usage.terms.Window(now - ago)
 	if !known || !d.usage.ledger.Count(window, workspace) {
 		d.lines.Write(decisionlog.Start("usage").Text("workspace", workspace).Int("window", window).Text("outcome", "late"))
