Terms of the field in new names; comments without histories and figures

Renames alone in code, and comments: transfer for what moves between engines, send and receive for what processes tell each other, query, acknowledged, priority.

--- a/config.go
+++ b/config.go
@@ -18,9 +18,9 @@
 // Workspace is a group that shares the fleet. It has no weight: shares follow
 // from the targets and from measured work.
 type Workspace struct {
-	name     string // unique in a configuration, not empty
-	priority int    // 0 is the most urgent; meaningless unless ranked
-	ranked   bool
+	name        string // unique in a configuration, not empty
+	priority    int    // 0 is the most urgent; meaningless unless hasPriority
+	hasPriority bool
 }
 
 // WorkspaceOption sets an optional part of a Workspace.
@@ -28,7 +28,7 @@
 
 // WithPriority states a priority that goes before that of the route.
 func WithPriority(priority int) WorkspaceOption {
-	return func(w *Workspace) { w.priority, w.ranked = priority, true }
+	return func(w *Workspace) { w.priority, w.hasPriority = priority, true }
 }
 
 // NewWorkspace returns a workspace.
@@ -43,7 +43,7 @@
 // Priority returns the workspace's own priority, or that of the route where it has
 // none. 0 is the most urgent.
 func (w Workspace) Priority(ofRoute int) int {
-	if w.ranked {
+	if w.hasPriority {
 		return w.priority
 	}
 	return ofRoute
--- a/internal/connection/peers/peers_test.go
+++ b/internal/connection/peers/peers_test.go
@@ -93,7 +93,7 @@
 
 func (r *receiver) Crashed(Crash) {}
 
-func (r *receiver) Counted(s carawayspread.UsageStatement) bool {
+func (r *receiver) UsageReceived(s carawayspread.UsageStatement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.statements = append(r.statements, s)
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -43,8 +43,8 @@
 	Presents(id uint64, address string, s carawayspread.Presence)
 	// Crashed takes a request that broke an endpoint.
 	Crashed(Crash)
-	// Counted takes what a peer counted, and reports whether all of it is known now.
-	Counted(carawayspread.UsageStatement) bool
+	// UsageReceived takes what a peer counted, and reports whether all of it is known now.
+	UsageReceived(carawayspread.UsageStatement) bool
 	// Acknowledged takes note that a peer knows all that this process counted in a
 	// closed window.
 	Acknowledged(peer uint64, window int64)
@@ -304,7 +304,7 @@
 	for _, c := range m.crashes {
 		r.Crashed(c)
 	}
-	s.counted(m, r)
+	s.receiveUsage(m, r)
 }
 
 func (s *Socket) note(m message) {
--- a/internal/connection/peers/usage.go
+++ b/internal/connection/peers/usage.go
@@ -64,8 +64,8 @@
 	return processes
 }
 
-// State sends what this process counted to a peer.
-func (s *Socket) State(to carawayspread.Peer, statements []carawayspread.UsageStatement) {
+// SendUsage sends what this process counted to a peer.
+func (s *Socket) SendUsage(to carawayspread.Peer, statements []carawayspread.UsageStatement) {
 	address, err := netip.ParseAddrPort(to.Address)
 	if err != nil {
 		return
@@ -86,12 +86,12 @@
 // weigh returns an upper bound of the bytes of a statement with small counts.
 func weigh(s carawayspread.UsageStatement) int { return 16 + len(s.Counts)*(workspaceBytes+2) }
 
-// counted hands on what a peer counted, and acknowledges the closed windows of which
+// receiveUsage hands on what a peer counted, and acknowledges the closed windows of which
 // all is known.
-func (s *Socket) counted(m message, r Receiver) {
+func (s *Socket) receiveUsage(m message, r Receiver) {
 	var acks []int64
 	for _, statement := range m.usage {
-		if r.Counted(statement) && statement.Closed {
+		if r.UsageReceived(statement) && statement.Closed {
 			acks = append(acks, statement.Window)
 		}
 	}
--- a/internal/controller/usagepublisher/publisher.go
+++ b/internal/controller/usagepublisher/publisher.go
@@ -23,10 +23,10 @@
 	settle = time.Second
 	// statementLimit is how many counts fit one packet.
 	statementLimit = 120
-	// farewells is how often a process that ends repeats its last statements, and
-	// farewellWait how long it waits for an acknowledgement.
-	farewells    = 10
-	farewellWait = 40 * time.Millisecond
+	// finalSends is how often a process that ends repeats its last statements, and
+	// finalSendWait how long it waits for an acknowledgement.
+	finalSends    = 10
+	finalSendWait = 40 * time.Millisecond
 )
 
 // Fleet says who collects, and reaches them.
@@ -34,8 +34,8 @@
 	// Collectors returns the processes that add usage up, without this one, and
 	// whether this is one of them.
 	Collectors() (others []carawayspread.Peer, self bool)
-	// State sends statements to a process. They may be lost.
-	State(to carawayspread.Peer, statements []carawayspread.UsageStatement)
+	// SendUsage sends statements to a process. They may be lost.
+	SendUsage(to carawayspread.Peer, statements []carawayspread.UsageStatement)
 }
 
 // Publisher is one process's side. Run is called once.
@@ -48,10 +48,10 @@
 	acks   chan ack
 
 	// Below is used by Run alone.
-	first  int64                     // the first window that this process lived in; zero until it is known
-	taken  map[uint64]map[int64]bool // closed windows that a collector has whole
-	closed []int64                   // that may still be reported
-	owes   bool                      // a collector has not acknowledged a closed window
+	first   int64                     // the first window that this process lived in; zero until it is known
+	acked   map[uint64]map[int64]bool // closed windows that a collector has whole
+	closed  []int64                   // that may still be reported
+	unacked bool                      // a collector has not acknowledged a closed window
 }
 
 type ack struct {
@@ -63,7 +63,7 @@
 func New(ledger *usage.Ledger, fleet Fleet, terms carawayspread.UsageTerms, now func() (time.Duration, bool), clock carawayspread.Clock) *Publisher {
 	return &Publisher{
 		ledger: ledger, fleet: fleet, terms: terms, now: now, clock: clock,
-		acks: make(chan ack, 64), taken: map[uint64]map[int64]bool{},
+		acks: make(chan ack, 64), acked: map[uint64]map[int64]bool{},
 	}
 }
 
@@ -83,7 +83,7 @@
 			p.leave()
 			return ctx.Err()
 		case a := <-p.acks:
-			p.take(a)
+			p.acknowledge(a)
 			continue
 		case <-p.clock.After(p.pause()):
 		}
@@ -92,43 +92,43 @@
 }
 
 func (p *Publisher) pause() time.Duration {
-	if p.owes {
+	if p.unacked {
 		return repeatEvery
 	}
 	return publishEvery
 }
 
-func (p *Publisher) take(a ack) {
-	if p.taken[a.collector] == nil {
-		p.taken[a.collector] = map[int64]bool{}
+func (p *Publisher) acknowledge(a ack) {
+	if p.acked[a.collector] == nil {
+		p.acked[a.collector] = map[int64]bool{}
 	}
-	p.taken[a.collector][a.window] = true
+	p.acked[a.collector][a.window] = true
 }
 
 // leave states all that was counted once and for all, as this process counts nothing
 // any more, until a collector has it.
 func (p *Publisher) leave() {
-	for range farewells {
+	for range finalSends {
 		p.publish(settle + p.terms.Length())
-		end := p.clock.After(farewellWait)
+		end := p.clock.After(finalSendWait)
 		for waiting := true; waiting; {
 			select {
 			case a := <-p.acks:
-				p.take(a)
+				p.acknowledge(a)
 			case <-end:
 				waiting = false
 			}
 		}
-		if p.told() {
+		if p.isAcknowledged() {
 			return
 		}
 	}
 }
 
-// told reports whether each closed window is known to some collector.
-func (p *Publisher) told() bool {
+// isAcknowledged reports whether each closed window is known to some collector.
+func (p *Publisher) isAcknowledged() bool {
 	return !slices.ContainsFunc(p.closed, func(window int64) bool {
-		for _, of := range p.taken {
+		for _, of := range p.acked {
 			if of[window] {
 				return false
 			}
@@ -151,12 +151,12 @@
 	p.close(now+ahead, current)
 	changes := []carawayspread.UsageStatement{p.ledger.Changes(current - 1), p.ledger.Changes(current)}
 	collectors, _ := p.fleet.Collectors()
-	p.owes = false
+	p.unacked = false
 	for _, collector := range collectors {
 		var statements []carawayspread.UsageStatement
 		for _, window := range p.closed {
-			if !p.taken[collector.ID][window] {
-				p.owes = true
+			if !p.acked[collector.ID][window] {
+				p.unacked = true
 				statements = append(statements, parts(p.ledger.Own(window))...)
 			}
 		}
@@ -166,7 +166,7 @@
 			}
 		}
 		if len(statements) > 0 {
-			p.fleet.State(collector, statements)
+			p.fleet.SendUsage(collector, statements)
 		}
 	}
 }
@@ -182,14 +182,14 @@
 	}
 	old := current - p.terms.Kept()
 	p.closed = slices.DeleteFunc(p.closed, func(window int64) bool { return window < old })
-	for collector, of := range p.taken {
+	for collector, of := range p.acked {
 		for window := range of {
 			if window < old {
 				delete(of, window)
 			}
 		}
 		if len(of) == 0 {
-			delete(p.taken, collector)
+			delete(p.acked, collector)
 		}
 	}
 }
--- a/internal/controller/usagereporter/world_test.go
+++ b/internal/controller/usagereporter/world_test.go
@@ -193,8 +193,8 @@
 	return ids
 }
 
-// State delivers statements, of which some are lost.
-func (p *process) State(to carawayspread.Peer, statements []carawayspread.UsageStatement) {
+// SendUsage delivers statements, of which some are lost.
+func (p *process) SendUsage(to carawayspread.Peer, statements []carawayspread.UsageStatement) {
 	for _, other := range p.w.alive() {
 		if other.id != to.ID {
 			continue
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// Counted takes what a peer counted.
-func (d *Daemon) Counted(s carawayspread.UsageStatement) bool {
+// UsageReceived takes what a peer counted.
+func (d *Daemon) UsageReceived(s carawayspread.UsageStatement) bool {
 	return d.usage != nil && d.usage.ledger.Merge(s)
 }
 
--- a/internal/decision/authentication/authentication.go
+++ b/internal/decision/authentication/authentication.go
@@ -38,8 +38,8 @@
 	Added time.Duration
 }
 
-// Question is one request.
-type Question struct {
+// Query is what a decision on one request goes by.
+type Query struct {
 	Keyring *carawayspread.Keyring
 	Token   string        // empty where the request carries none that could be a key
 	Age     time.Duration // upper bound of the age of the keyring; ignored unless Known
@@ -57,7 +57,7 @@
 // that passes was not revoked longer ago than promised when the request was sent. A key
 // that was rejected before is rejected again without a question while the keyring is
 // newer than added keys are promised to work.
-func (p Policy) Decide(q Question) (carawayspread.Workspace, Verdict) {
+func (p Policy) Decide(q Query) (carawayspread.Workspace, Verdict) {
 	workspace, held := q.Keyring.Workspace(q.Token)
 	switch {
 	case q.Token == "":
--- a/internal/decision/placement/engine.go
+++ b/internal/decision/placement/engine.go
@@ -283,11 +283,8 @@
 // fellBehind corrects the pace by how much later than the others of its kind an
 // answer that waited was, in parts of what was expected.
 //
-// Failure: an engine is slow and always has a queue, so that no answer tells its
-// pace. Symptom: it gets as much as the others and is behind by more with each
-// reading. What all are late by is the load, not the engine, and comes off (0.88
-// to 0.93 of the answers in time before eight engines of which one is three times
-// slower, 0.93 to 0.96 so; replayed).
+// A slow engine that always has a queue would get as much as the others, since only an
+// answer that did not wait tells a pace. What all are late by is the load, and comes off.
 func (e *engine) fellBehind(now time.Time, by float64) {
 	e.pace = min(paceHigh, max(paceLow, e.pace+behindLearning*by))
 	e.learnt = now
--- a/internal/decision/placement/fetch.go
+++ b/internal/decision/placement/fetch.go
@@ -10,9 +10,8 @@
 	// fetchSetUp is what getting parts from another engine takes beside their bytes.
 	fetchSetUp = 6 * time.Millisecond
 	// fetchPrice is what fetching a token costs beside its time: the token is held
-	// twice then, and pushes another out. At a twentieth of againPrice memories
-	// turned over and more was read again than without any fetching; at four fifths
-	// a queue of a second is worth it.
+	// twice then, and pushes another out. It stays near againPrice, as cheap fetching
+	// turns memories over until more is prefilled again than without it.
 	fetchPrice = 80 * time.Microsecond
 )
 
@@ -47,9 +46,8 @@
 // fetch returns where the engine gets the rest of what is held, and how long that
 // takes; nil where reading it there is as fast.
 //
-// Failure: a beginning that one engine holds is read again by another, since the
-// first has a queue. Symptom: a quarter of what readers read at a peak had been read
-// before; a link brings it in a tenth of the time or less.
+// A prefix that one engine holds would be prefilled again by another while the first has a
+// queue, though a link brings it in a tenth of the time or less.
 func (s sources) fetch(e *engine, traits *carawayspread.EngineTraits, reading time.Duration) (*engine, time.Duration) {
 	if !traits.Fetches || traits.LinkBits <= 0 || e.holds >= s.most {
 		return nil, 0
--- a/internal/decision/placement/home.go
+++ b/internal/decision/placement/home.go
@@ -9,13 +9,9 @@
 // homePrice is the part of againPrice that a beginning costs elsewhere than at its
 // home, where no engine is known to hold it.
 //
-// Failure: processes that have just started, and two that get the same beginning at
-// once, know no engine that holds it, and each has another one read it. Symptom:
-// where processes are replaced in turn, a quarter of what readers read had been read
-// within the last twelve seconds. All processes name the same home, so what is not
-// known is most likely found there. With half of the price, queues grew before homes:
-// at twice the load of a full fleet, the model's answers in time were 0.88 of those
-// of the full one, with this price over 0.9.
+// Processes that have just started, and two that get the same prefix at once, know no
+// engine that holds it. All of them name the same one, so that it is not prefilled by
+// several. A higher price would let queues grow before these engines.
 const homePrice = 0.3
 
 // home returns the reader that keeps a beginning of which nothing is known: the one
--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -34,24 +34,22 @@
 	// otherZone and otherZoneByte are the time that staying in the zone is worth.
 	otherZone     = 3 * time.Millisecond
 	otherZoneByte = 2 * time.Microsecond
-	// movePrice is what a millisecond of a link between engines costs that moves a KV
-	// cache, and otherZoneMove how often that is between zones: operators pay for what
+	// transferPrice is what a millisecond of a link between engines costs that moves a KV
+	// cache, and otherZoneTransfer how often that is between zones: operators pay for what
 	// crosses them, and other traffic shares those links.
-	movePrice     = 8
-	otherZoneMove = 3
-	// moveMost bounds it, in parts of the target: no answer is late to spare a link.
-	moveMost = 0.25
+	transferPrice     = 8
+	otherZoneTransfer = 3
+	// transferPriceMost bounds it, in parts of the target: no answer is late to spare a link.
+	transferPriceMost = 0.25
 	// workPrice is what a millisecond of an engine is worth against one of the
 	// request's own waiting.
 	workPrice = 0.6
 	// againPrice is what reading a token costs that another engine holds, beside
 	// the time that it takes here.
 	//
-	// Failure: a shared beginning is read by every engine that happens to be
-	// free. Symptom: a seventh of all tokens read are read again, each engine's
-	// memory turns over the sooner, and at a peak the time is missing. A
-	// beginning of usual length is worth half a second of waiting so; before
-	// a longer queue it spreads. Between 0.05 and 0.16 ms nothing differed.
+	// Without it a shared prefix is prefilled by every engine that happens to be free,
+	// and engines' memories turn over sooner. A prefix of usual length is worth half a
+	// second of waiting; before a longer queue it spreads.
 	againPrice = 100 * time.Microsecond
 	// tokenPrice is what a millisecond of the rest of an answer is worth: it
 	// keeps answers where they are made fast.
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -55,11 +55,10 @@
 // learnKept learns from the answer to a reading whose shared beginning nobody was known
 // to hold, by the time that it took, how much of such beginnings homes hold.
 //
-// Failure: a process that has started anew knows no beginning, and expects each to
-// be read from its first token. Symptom: for seconds prompts are refused as too late
-// that would be in time, since the home holds them. Where all engines are as new,
-// some answers tell so (0.801 to 0.812 of what is owed is served over eight days
-// before 14 engines, each with a start of all processes).
+// A process that has just started knows no prefix. If it expected each to be prefilled
+// from the first token, it would refuse prompts as too late that their affinity engine
+// holds; if it expected all to be held, it would accept too many after all engines have
+// started anew.
 func (pool *pool) learnKept(now time.Time, s *stay) {
 	if s.cold-s.warm < keptTold || s.start.Sub(s.sent) >= undisturbed {
 		return
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -123,13 +123,10 @@
 // run, unless what is read there already makes them late, and those that begin
 // while it lasts.
 //
-// Failure: a prompt is read beside answers, a piece between any two steps, and
-// each event takes several times as long. Symptom: first events are early, and
-// three in four answers are late all the same. Were only running answers counted,
-// the next prompt would cost nothing where one is read already: after a peak, or
-// after all processes have started anew, engines that answer read for as long as
-// the load lasts, and all their answers are late (0.774 to 0.809 of what is owed
-// is served over eight days before 14 engines, each with a start of all processes).
+// A prefill beside decodes puts a chunk between any two steps, so that each event takes
+// several times as long. If only running answers counted, the next prompt would cost
+// nothing where one is prefilled already, and engines that decode would prefill for as
+// long as the load lasts.
 func (pool *pool) spoils(now time.Time, e *engine, running int, work time.Duration, req carawayspread.Placing) time.Duration {
 	bears, stride := pool.bears(), req.Service.Engine.Stride
 	if bears == 0 || running == 0 {
@@ -202,13 +199,13 @@
 			first += wholePiece * wholeFactor * startPerToken
 		}
 		cost := p.rest(now, e, l.running, req) + p.crossing(e, req)
-		moved := movePrice * move
+		transfer := transferPrice * move
 		if e.endpoint.Zone() != zone {
 			first += move * (zoneFactor - 1)
 			cost += otherZone
-			moved *= otherZoneMove
+			transfer *= otherZoneTransfer
 		}
-		cost += min(moved, time.Duration(moveMost*float64(req.Route.Target)))
+		cost += min(transfer, time.Duration(transferPriceMost*float64(req.Route.Target)))
 		if bears := pool.bears(); bears > 0 && e.pause(l.running, traits.Stride, e.wait(now), req.Prompt.Tokens) > bears {
 			cost += req.Route.Target // it would be late by a pause
 		}
--- a/internal/decision/placement/moves_test.go
+++ b/internal/decision/placement/transfers_test.go
@@ -14,7 +14,7 @@
 // Guards against KV caches that cross availability zones for a millisecond less of
 // waiting: long prompts are read in one zone and answered there, though engines of
 // others are as free, and where that one is full they still go elsewhere.
-func TestMovesStayInTheirZone(t *testing.T) {
+func TestTransfersStayInTheirZone(t *testing.T) {
 	for name, test := range map[string]struct {
 		link   int64
 		busy   carawayspread.Notice // what the engines that answer in zone a have beside
--- a/internal/process/follower/evidence.go
+++ b/internal/process/follower/evidence.go
@@ -12,11 +12,11 @@
 	// refreshSpacing is the least time between two questions of one process to the
 	// store, so that callers who guess keys cannot drive its calls.
 	refreshSpacing = time.Second
-	// driftMost is how far the bound on the store's clock may widen before it is
+	// driftLimit is how far the bound on the store's clock may widen before it is
 	// read anew.
-	driftMost = 300 * time.Millisecond
-	// driftLook is the time between two looks at it.
-	driftLook = time.Second
+	driftLimit = 300 * time.Millisecond
+	// driftCheckEvery is the time between two looks at it.
+	driftCheckEvery = time.Second
 )
 
 // StoreClock bounds the store's steady clock.
@@ -46,16 +46,16 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-f.clock.After(driftLook):
+		case <-f.clock.After(driftCheckEvery):
 		}
 		if f.boundsStore() {
 			continue
 		}
 		f.mu.Lock()
-		witness := f.known[carawayspread.MatterRoutes].witness
+		stampedBy := f.known[carawayspread.MatterRoutes].stampedBy
 		f.mu.Unlock()
-		if witness != "" {
-			_ = asker.AskTime(ctx, witness) // the store is asked next
+		if stampedBy != "" {
+			_ = asker.AskTime(ctx, stampedBy) // the store is asked next
 		}
 		if !f.boundsStore() {
 			_ = f.Refresh(ctx) // the source logs that the store does not answer
@@ -66,7 +66,7 @@
 // boundsStore reports whether the store's clock is bounded closely enough.
 func (f *Follower) boundsStore() bool {
 	slack, known := f.store.Slack()
-	return known && slack <= driftMost
+	return known && slack <= driftLimit
 }
 
 // refresh has the store asked once for all who wait for the same answer.
--- a/internal/process/follower/evidence_test.go
+++ b/internal/process/follower/evidence_test.go
@@ -155,7 +155,7 @@
 			calls = append(calls, w.calls(60*time.Second))
 			for _, n := range w.nodes {
 				slack, known := n.clock.Slack()
-				qt.Check(t, len(calls) < 2 || known && slack < driftMost+driftLook, qt.IsTrue, qt.Commentf("process %s: %v", n.name(), slack))
+				qt.Check(t, len(calls) < 2 || known && slack < driftLimit+driftCheckEvery, qt.IsTrue, qt.Commentf("process %s: %v", n.name(), slack))
 			}
 		})
 	}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -46,8 +46,8 @@
 	// stamp is what the store's clock showed when a peer's source had this or an older
 	// version as the newest; zero where no peer has said so.
 	stamp time.Duration
-	// witness is the address of the peer that said so.
-	witness string
+	// stampedBy is the address of the peer that said so.
+	stampedBy string
 }
 
 // claim is what a peer says it knows, and when it said so.
@@ -168,11 +168,11 @@
 	same := c.claim.Digest == own.Digest || k.alike != 0 && k.source == own.Version && c.claim.Digest == k.alike
 	if same && own.Version > 0 {
 		if k.source != own.Version {
-			*k = known{source: own.Version, version: own.Version, stamp: k.stamp, witness: k.witness}
+			*k = known{source: own.Version, version: own.Version, stamp: k.stamp, stampedBy: k.stampedBy}
 		}
 		k.version = max(k.version, c.claim.Version)
 	}
-	k.prove(c, own)
+	k.takeStamp(c, own)
 	f.mu.Unlock()
 	if !same || own.Version == 0 {
 		return false
@@ -182,12 +182,12 @@
 	return true
 }
 
-// prove takes a reading of the store's clock. Versions never go back there, so what
+// takeStamp takes a reading of the store's clock. Versions never go back there, so what
 // this process holds includes all that was accepted up to the reading if it is no older
 // than what the peer held.
-func (k *known) prove(c claim, own carawayspread.Claim) {
+func (k *known) takeStamp(c claim, own carawayspread.Claim) {
 	if c.of == carawayspread.MatterRoutes && own.Version >= c.claim.Version && c.claim.Stamp > k.stamp {
-		k.stamp, k.witness = c.claim.Stamp, c.peer
+		k.stamp, k.stampedBy = c.claim.Stamp, c.peer
 	}
 }
 
@@ -234,8 +234,8 @@
 	}
 	f.mu.Lock()
 	k := &f.known[c.of]
-	*k = known{source: own.Version, version: own.Version, alike: c.claim.Digest, stamp: k.stamp, witness: k.witness}
-	k.prove(c, own)
+	*k = known{source: own.Version, version: own.Version, alike: c.claim.Digest, stamp: k.stamp, stampedBy: k.stampedBy}
+	k.takeStamp(c, own)
 	f.mu.Unlock()
 	f.rota.Confirm(c.of, c.at.Add(-c.claim.Age))
 	f.moved(c.of)
--- a/internal/process/gateway/authenticate.go
+++ b/internal/process/gateway/authenticate.go
@@ -19,11 +19,11 @@
 	askAgain = time.Second
 )
 
-// certain is the evidence of a gateway whose routes are given, not followed.
-type certain struct{}
+// alwaysCurrent is the evidence of a gateway whose routes are given, not followed.
+type alwaysCurrent struct{}
 
-func (certain) Age() (time.Duration, bool)    { return 0, true }
-func (certain) Refresh(context.Context) error { return nil }
+func (alwaysCurrent) Age() (time.Duration, bool)    { return 0, true }
+func (alwaysCurrent) Refresh(context.Context) error { return nil }
 
 // WithEvidence sets what bounds the age of the keys, the time in which a revoked key must
 // have stopped, zero where none is promised, and the time in which an added one must work.
@@ -55,11 +55,11 @@
 	for current := false; ; current = true {
 		// The keys are loaded after their age was bounded: newer ones are no older.
 		age, known := c.g.evidence.Age()
-		if err := c.find(); err != nil {
+		if err := c.findRoute(); err != nil {
 			return err
 		}
 		token, cause := c.credential()
-		verdict := c.authenticate(authentication.Question{Token: token, Age: age, Known: known, Current: current})
+		verdict := c.authenticate(authentication.Query{Token: token, Age: age, Known: known, Current: current})
 		switch {
 		case verdict == authentication.Accept:
 			return nil
@@ -94,7 +94,7 @@
 }
 
 // authenticate decides on the API key.
-func (c *call) authenticate(q authentication.Question) authentication.Verdict {
+func (c *call) authenticate(q authentication.Query) authentication.Verdict {
 	if q.Keyring = c.routing.Keyring(); q.Keyring == nil {
 		return authentication.Accept
 	}
@@ -110,7 +110,7 @@
 }
 
 func (c *call) unauthenticated(cause string) *carawayspread.Error {
-	c.denied(cause)
+	c.countRejection(cause)
 	return carawayspread.NewError(carawayspread.CodeUnauthenticated, "no workspace holds the API key", carawayspread.NotRun())
 }
 
@@ -120,14 +120,14 @@
 	if verdict == authentication.Unproven {
 		after, cause = comeBack, "evidenceTooOld"
 	}
-	c.denied(cause)
+	c.countRejection(cause)
 	age, _ := c.g.evidence.Age()
 	c.line.Ms("evidenceAgeMs", age)
 	return carawayspread.NewError(carawayspread.CodeUnproven, "the API key cannot be checked now",
 		carawayspread.NotRun(), carawayspread.RetryAfter(after), carawayspread.CausedBy(err))
 }
 
-func (c *call) denied(cause string) {
+func (c *call) countRejection(cause string) {
 	c.line.Text("credential", cause)
 	c.g.set.GetOrCreateCounter(`gateway_authentication_failures_total{cause="` + cause + `"}`).Inc()
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -105,7 +105,7 @@
 		share:      func() int { return 1 },
 		listAge:    func() time.Duration { return 0 },
 		crashed:    func(uint64, carawayspread.EndpointID, bool) {},
-		evidence:   certain{},
+		evidence:   alwaysCurrent{},
 		rejections: rejections.New(),
 		began:      func(string, time.Duration) {},
 		budgets:    map[string]*fleetbudget.Budget{},
@@ -221,8 +221,8 @@
 	return r.Host
 }
 
-// find finds the route of the request.
-func (c *call) find() *carawayspread.Error {
+// findRoute finds the route of the request.
+func (c *call) findRoute() *carawayspread.Error {
 	c.routing = c.g.routing.Load()
 	if c.routing == nil {
 		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no routes are known yet",
@@ -236,8 +236,8 @@
 	return nil
 }
 
-// ranked gives the request the priority of its workspace.
-func (c *call) ranked() {
+// applyPriority gives the request the priority of its workspace.
+func (c *call) applyPriority() {
 	if priority := c.workspace.Priority(c.route.Priority); priority != c.route.Priority {
 		route := *c.route
 		route.Priority = priority
@@ -253,7 +253,7 @@
 	if err := c.admit(); err != nil {
 		return err
 	}
-	c.ranked()
+	c.applyPriority()
 	routing, route := c.routing, c.route
 	c.line.Int("version", int64(routing.Version())).Text("route", route.Name).Text("workspace", c.workspace.Name())
 	if err := c.read(routing.Limits().BodyBytes); err != nil {
