--- a/internal/controller/usagereporter/reporter_test.go
+++ b/internal/controller/usagereporter/reporter_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
 )
 
 // lost is what a window's counts may miss where a process was killed: what it counted
@@ -146,3 +148,40 @@
 		})
 	}
 }
+
+// Guards against two reports of one window that differ: the holder is killed before it
+// hears that its report was taken, and its successor has learnt of more requests since.
+func TestSuccessorSendsWhatWasDecided(t *testing.T) {
+	var window int64
+	strike := func(w *world) {
+		w.sink.mu.Lock()
+		w.sink.lose = 1000
+		sent := len(w.sink.calls)
+		w.sink.mu.Unlock()
+		for window == 0 {
+			time.Sleep(50 * time.Millisecond)
+			w.sink.mu.Lock()
+			if len(w.sink.calls) > sent {
+				window = w.sink.calls[sent].report.Window
+			}
+			w.sink.mu.Unlock()
+		}
+		w.holder().kill()
+		for _, p := range w.alive() {
+			p.ledger.Merge(carawayspread.UsageStatement{
+				Process: 99, Window: window, Closed: true, Total: 7,
+				Counts: []carawayspread.UsageCount{{Workspace: carawayspread.IDOfWorkspace("a"), Requests: 7}},
+			})
+		}
+	}
+	play(t, strike, func(t *testing.T, w *world) {
+		holds(t, w)
+		holders := map[string]bool{}
+		for _, c := range w.sink.calls {
+			if c.report.Window == window {
+				holders[c.holder] = true
+			}
+		}
+		qt.Check(t, holders, qt.HasLen, 2)
+	})
+}
