A log line says what endpoints tell of themselves in answers

The header is translated (platform/wire), and a process logs each change by endpoint and counts them; where requests go is as before. A header that cannot be read is logged by name and says nothing.

--- /dev/null
+++ b/feedback.go
@@ -0,0 +1,10 @@
+package carawayspread
+
+// Feedback is what an endpoint says of itself in an answer, beside the answer.
+type Feedback struct {
+	// Limited says that the endpoint names Rate.
+	Limited bool
+	// Rate is how many requests a second the endpoint takes from all processes
+	// together, for as long as its answers say so; finite and not negative.
+	Rate float64
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -161,6 +161,7 @@
 	c.arrivals++
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, phase)
 	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
+		c.feedback(at, reply)
 		c.alive(at, sent)
 	}
 	if phase == carawayspread.PhaseContinue {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/decision/authentication"
+	"carawayspread/internal/decision/backpressure"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/decision/rejections"
@@ -56,6 +57,8 @@
 	log        *decisionlog.Log
 	set        *metrics.Set
 	quarantine *quarantine.Quarantine
+	// backpressure holds what endpoints say of themselves.
+	backpressure *backpressure.Backpressure
 	terms      fleetbudget.Terms
 	share      func() int
 	crashed    func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
@@ -100,7 +103,7 @@
 ) *Gateway {
 	g := &Gateway{
 		exchange: exchange, protocol: protocol, placer: placer, clock: clock, log: log, set: metrics.NewSet(),
-		quarantine: quarantine.New(clock, quarantine.Term(suspicion)),
+		quarantine: quarantine.New(clock, quarantine.Term(suspicion)), backpressure: backpressure.New(),
 		terms:      fleetbudget.Terms{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		share:      func() int { return 1 },
 		listAge:    func() time.Duration { return 0 },
--- a/protocol.go
+++ b/protocol.go
@@ -80,6 +80,9 @@
 	// Judge tells what a reply to an attempt of the request with that
 	// identifier proves.
 	Judge(r *Reply, id string, phase Phase) Verdict
+	// Feedback reads what the reply says of its endpoint. An error names the header
+	// that cannot be read; the reply then says nothing.
+	Feedback(r *Reply) (Feedback, error)
 	// Handover reads the answer to an attempt of PhaseRead.
 	Handover(body []byte, from Endpoint) (Handover, error)
 	// Forget returns the request that frees a KV cache nobody took.
