--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -59,16 +59,16 @@
 	quarantine *quarantine.Quarantine
 	// backpressure holds what endpoints say of themselves.
 	backpressure *backpressure.Backpressure
-	terms      fleetbudget.Terms
-	share      func() int
-	crashed    func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
-	leaves     atomic.Pointer[leave]
-	listAge    func() time.Duration // since the list of endpoints was confirmed
-	evidence   carawayspread.Evidence
-	access     authentication.Policy
-	rejections *rejections.Rejections
-	began      func(workspace string, ago time.Duration)
-	running    atomic.Int64
+	terms        fleetbudget.Terms
+	share        func() int
+	crashed      func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
+	leaves       atomic.Pointer[leave]
+	listAge      func() time.Duration // since the list of endpoints was confirmed
+	evidence     carawayspread.Evidence
+	access       authentication.Policy
+	rejections   *rejections.Rejections
+	began        func(workspace string, ago time.Duration)
+	running      atomic.Int64
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
