An endpoint gets no more than the rate that it names, from all processes together

What callers saw: next to nothing.

Cause: the list of endpoints and the outcomes of attempts were all that a process knew of an endpoint. What an endpoint says of itself in an answer was passed on to the caller and read by nobody. Class: a signal from the peer that is dropped (no backpressure), not a wrong sum.

Evidence: arrivals at the two endpoints do not change when they name their rate (17, 17, then 19, 17, 23, 21 a second), at none of the four processes; the test is red with one process as with a hundred (112 in 4 s). Ruled out by that: each process keeping to the rate by itself, and attempts beyond the first (no request at these endpoints was read elsewhere before).

Why this works: decision/backpressure keeps what answers say and withholds the endpoint from every placement, whichever placer runs; a place is taken before each send, first attempts, readings, hand-overs and the freeing of a KV cache alike. decision/ratelimit gives the rate to as many processes as it has requests a second (rendezvous hashing over those heard), in equal parts, each with one request saved up at the most: no span sees more than the rate allows in it and one second more, with no exchange before a request. Peers are told by each answer that names a rate. An answer ends a limit only if its request was sent after the limit was last named; refusals end none.

Before and after, TestEndpointGetsNoMoreThanTheRateThatItNames (112 in 4 s before) is green for 1 to 100 processes, also with two in five messages between them lost; it checks besides that what the endpoint takes is used, and that it is used as before once the limit has ended.

--- a/internal/connection/peers/heartbeat.go
+++ b/internal/connection/peers/heartbeat.go
@@ -38,6 +38,21 @@
 	return n
 }
 
+// Fleet returns what this process drew at its start, and the same of all processes that
+// are heard, itself included.
+func (s *Socket) Fleet() (self uint64, all []uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	all = []uint64{s.id}
+	for id, p := range s.peers {
+		if now.Sub(p.heard) < heardLife {
+			all = append(all, id)
+		}
+	}
+	return s.id, all
+}
+
 // Present sets what returns how this process stands, which each heartbeat states.
 // It is called before Run.
 func (s *Socket) Present(presence func() carawayspread.Presence) { s.presence = presence }
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -23,6 +23,8 @@
 	mostFleet = 4096
 	// mostStamp bounds readings of clocks, in milliseconds: some 250 years.
 	mostStamp = 1 << 43
+	// mostRate bounds a rate in a message, in requests a second.
+	mostRate = 1_000_000
 	// sizeLimit keeps a message inside one packet of any link.
 	sizeLimit = 1200
 )
@@ -34,13 +36,21 @@
 	Withdrawn   bool // the endpoint has shown since that it lives
 }
 
+// Feedback is what an answer to the sender says of its endpoint.
+type Feedback struct {
+	Endpoint carawayspread.EndpointID
+	Says     carawayspread.Feedback
+}
+
 // message is one datagram.
 type message struct {
 	sender  uint64 // drawn at the start of the process
 	address netip.AddrPort
 	notices []carawayspread.Notice
 	crashes []Crash
-	known   []netip.AddrPort // other peers that the sender hears
+	// feedback is the newest of some endpoints.
+	feedback []Feedback
+	known    []netip.AddrPort // other peers that the sender hears
 	// presence is how the sender stands; nil in messages of placements alone.
 	presence *carawayspread.Presence
 	usage    []carawayspread.UsageStatement // of the sender
@@ -75,6 +85,10 @@
 		b = appendText(b, c.Endpoint)
 		b = append(b, flag(c.Withdrawn))
 	}
+	b = binary.AppendUvarint(b, uint64(len(m.feedback)))
+	for _, f := range m.feedback {
+		b = appendFeedback(b, f)
+	}
 	b = binary.AppendUvarint(b, uint64(len(m.known)))
 	for _, address := range m.known {
 		b = appendAddress(b, address)
@@ -94,6 +108,22 @@
 	return b
 }
 
+// rateUnit is the resolution of a rate in a message, in requests a second.
+const rateUnit = 1e-3
+
+func appendFeedback(b []byte, f Feedback) []byte {
+	b = appendText(b, string(f.Endpoint))
+	b = append(b, flag(f.Says.Limited))
+	return binary.AppendUvarint(b, uint64(min(mostRate, f.Says.Rate)/rateUnit))
+}
+
+func (r *reader) feedback() Feedback {
+	return Feedback{
+		Endpoint: carawayspread.EndpointID(r.text()),
+		Says:     carawayspread.Feedback{Limited: r.flag(), Rate: float64(r.count(mostRate/rateUnit)) * rateUnit},
+	}
+}
+
 // workspaceBytes is the length of a workspace's identifier.
 const workspaceBytes = 5
 
@@ -262,6 +292,12 @@
 			return message{}, errMalformed
 		}
 	}
+	for range r.count(mostItems) {
+		m.feedback = append(m.feedback, r.feedback())
+		if r.bad {
+			return message{}, errMalformed
+		}
+	}
 	for range r.count(mostItems) {
 		m.known = append(m.known, r.address())
 		if r.bad {
--- a/internal/connection/peers/peers_test.go
+++ b/internal/connection/peers/peers_test.go
@@ -20,7 +20,10 @@
 		sender: 7, address: netip.MustParseAddrPort("10.0.0.1:99"),
 		notices: []carawayspread.Notice{{Endpoint: 1, Running: 2, Tokens: 3, Work: 4 * time.Millisecond, Read: 5, Chains: []uint64{6, 7}, Aside: 12 * time.Second, Late: -3 * time.Millisecond}, {Endpoint: 8}},
 		crashes: []Crash{{Fingerprint: 9, Endpoint: "w"}, {Fingerprint: 8, Endpoint: "v", Withdrawn: true}},
-		known:   []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:99")},
+		feedback: []Feedback{
+			{Endpoint: "i-1", Says: carawayspread.Feedback{Limited: true, Rate: 2.25}}, {Endpoint: "i-2"},
+		},
+		known: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:99")},
 		presence: &carawayspread.Presence{Zone: "z", Capacity: 1 << 31, Reads: true, Fleet: 68, Claims: [carawayspread.Matters]carawayspread.Claim{
 			{Version: 3, Digest: 3, Age: 4 * time.Second, Stamp: time.Hour}, {Version: 1 << 40, Digest: 1 << 63, Age: time.Millisecond},
 		}, Epoch: 400000 * time.Hour, Holds: true},
@@ -70,6 +73,7 @@
 	present map[string]carawayspread.Presence
 	// statements and acks are what peers counted and acknowledged.
 	statements []carawayspread.UsageStatement
+	feedback   []Feedback
 	acks       []int64
 }
 
@@ -93,6 +97,12 @@
 
 func (r *receiver) Crashed(Crash) {}
 
+func (r *receiver) FeedbackHeard(f Feedback) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.feedback = append(r.feedback, f)
+}
+
 func (r *receiver) UsageReceived(s carawayspread.UsageStatement) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -31,8 +31,10 @@
 	// openTries bounds the search for a port that is free for both protocols.
 	openTries = 16
 	// waiting bounds what is not sent yet.
-	waiting    = 1024
-	readBuffer = 64 << 10
+	waiting = 1024
+	// mostFeedback bounds the feedback of one message, a third of a packet.
+	mostFeedback = 20
+	readBuffer   = 64 << 10
 )
 
 // Receiver takes what peers tell.
@@ -43,6 +45,8 @@
 	Presents(id uint64, address string, s carawayspread.Presence)
 	// Crashed takes a request that broke an endpoint.
 	Crashed(Crash)
+	// FeedbackHeard takes what an answer to a peer says of its endpoint.
+	FeedbackHeard(Feedback)
 	// UsageReceived takes what a peer counted, and reports whether all of it is known now.
 	UsageReceived(carawayspread.UsageStatement) bool
 	// Acknowledged takes note that a peer knows all that this process counted in a
@@ -74,12 +78,14 @@
 	mu      sync.Mutex
 	pending []carawayspread.Notice
 	crashes []Crash
-	counts  map[uint32]carawayspread.Notice // newest counts told of each endpoint
-	peers   map[uint64]*peer                // by what they drew at their start
-	turn    int                             // of the processes of a zone that pass placements on
-	beats   int                             // heartbeats that were sent
-	passing [][]byte                        // messages of other zones that are not passed on yet
-	rumours map[netip.AddrPort]time.Time    // addresses that peers name and that were not heard yet
+	// feedback is what was not sent yet.
+	feedback map[carawayspread.EndpointID]carawayspread.Feedback
+	counts   map[uint32]carawayspread.Notice // newest counts told of each endpoint
+	peers    map[uint64]*peer                // by what they drew at their start
+	turn     int                             // of the processes of a zone that pass placements on
+	beats    int                             // heartbeats that were sent
+	passing  [][]byte                        // messages of other zones that are not passed on yet
+	rumours  map[netip.AddrPort]time.Time    // addresses that peers name and that were not heard yet
 }
 
 // Listen opens the address. The seeds are addresses of processes that may be
@@ -99,6 +105,7 @@
 	s := &Socket{
 		conn: conn, tcp: tcp, clock: clock, self: self, id: rand.Uint64(), wake: make(chan struct{}, 1), passes: make(chan struct{}, 1),
 		presence: func() carawayspread.Presence { return carawayspread.Presence{} },
+		feedback: map[carawayspread.EndpointID]carawayspread.Feedback{},
 		counts:   map[uint32]carawayspread.Notice{}, peers: map[uint64]*peer{}, rumours: map[netip.AddrPort]time.Time{},
 	}
 	for _, seed := range seeds {
@@ -170,6 +177,15 @@
 	s.rouse()
 }
 
+// TellFeedback queues what an answer says of its endpoint for all peers. It does not
+// block.
+func (s *Socket) TellFeedback(id carawayspread.EndpointID, f carawayspread.Feedback) {
+	s.mu.Lock()
+	s.feedback[id] = f
+	s.mu.Unlock()
+	s.rouse()
+}
+
 func (s *Socket) rouse() {
 	select {
 	case s.wake <- struct{}{}:
@@ -218,13 +234,14 @@
 	s.mu.Lock()
 	m := message{sender: s.id, address: s.self, notices: s.pending, crashes: s.crashes}
 	s.pending, s.crashes = nil, nil
+	m.feedback = s.takeFeedbackLocked()
 	to, forward := s.heardLocked(), []netip.AddrPort(nil)
 	if !m.urgent() {
 		s.turn++
 		to, forward = s.splitLocked(zone, s.turn)
 	}
 	s.mu.Unlock()
-	if len(m.notices) > 0 || len(m.crashes) > 0 {
+	if len(m.notices) > 0 || len(m.crashes) > 0 || len(m.feedback) > 0 {
 		s.send(m, to)
 		m.forward = true
 		s.send(m, forward)
@@ -232,6 +249,21 @@
 	return len(to) + len(forward)
 }
 
+// takeFeedbackLocked removes and returns what fits into one message; what is left is
+// sent after it.
+func (s *Socket) takeFeedbackLocked() []Feedback {
+	var taken []Feedback
+	for id, f := range s.feedback {
+		if len(taken) == mostFeedback {
+			s.rouse()
+			break
+		}
+		taken = append(taken, Feedback{id, f})
+		delete(s.feedback, id)
+	}
+	return taken
+}
+
 // urgent reports whether the message tells what no heartbeat repeats and what keeps
 // requests from being lost.
 func (m message) urgent() bool {
@@ -304,6 +336,9 @@
 	for _, c := range m.crashes {
 		r.Crashed(c)
 	}
+	for _, f := range m.feedback {
+		r.FeedbackHeard(f)
+	}
 	s.receiveUsage(m, r)
 }
 
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -114,6 +114,7 @@
 		gateway.WithEvidence(evidence{d}, s.Revoked(), s.Terms().InForce),
 		gateway.WithUsage(d.began),
 		gateway.WithTerms(s.Budget(), d.peers.Share),
+		gateway.WithFeedback(d.peers.TellFeedback, d.peers.Fleet),
 		gateway.WithListAge(func() time.Duration {
 			age, _ := d.rota.Age(carawayspread.MatterList)
 			return age
@@ -183,6 +184,9 @@
 	d.gateway.Crashed(c.Fingerprint, carawayspread.EndpointID(c.Endpoint), c.Withdrawn)
 }
 
+// FeedbackHeard takes what an answer to a peer says of its endpoint.
+func (d *Daemon) FeedbackHeard(f peers.Feedback) { d.gateway.FeedbackHeard(f.Endpoint, f.Says) }
+
 // keep prepares changes of roles, where the policy makes some and the placer
 // knows what it needs.
 func (d *Daemon) keep(ports Ports) {
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -1,33 +1,195 @@
-// Package backpressure keeps what endpoints say of themselves in their answers.
+// Package backpressure keeps what endpoints say of themselves in their answers, and
+// withholds requests from those that do not take them.
+//
+// Load pattern: an endpoint knows before anyone else that it is in need. Processes
+// learn it from answers, which come at any time and also while the list of endpoints
+// cannot be read, and tell their peers. Without this the list and the outcomes of
+// attempts are all that is known of an endpoint, whatever it says.
 package backpressure
 
 import (
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"carawayspread"
+	"carawayspread/internal/decision/ratelimit"
 )
 
+const (
+	// ended is how long peers are told again that a limit has ended, as one message
+	// may be lost.
+	ended = 2 * time.Second
+	// memory is how long an endpoint is remembered that is not listed any more.
+	memory = 10 * time.Minute
+	// fleetLife is how long the account of the fleet's processes is used.
+	fleetLife = 500 * time.Millisecond
+)
+
+// Fleet returns the name of this process and those of all that are heard, itself
+// included.
+type Fleet func() (self uint64, all []uint64)
+
+// state is what is known of one endpoint that has said something.
+type state struct {
+	limit  *ratelimit.Limit // nil where no rate is named
+	ended  time.Time        // when the last limit ended
+	listed time.Time        // when the endpoint was last seen in the list
+}
+
 // Backpressure is one process's account of all endpoints. It is safe for concurrent use.
 type Backpressure struct {
+	clock carawayspread.Clock
+	fleet Fleet
+	some  atomic.Bool // there are states; requests of a calm fleet look no further
+
 	mu     sync.Mutex
-	states map[carawayspread.EndpointID]carawayspread.Feedback // none that says nothing
+	states map[carawayspread.EndpointID]*state
+	self   uint64
+	all    []uint64
+	asked  time.Time // when fleet was last called
 }
 
 // New returns an account of endpoints that have said nothing.
-func New() *Backpressure {
-	return &Backpressure{states: map[carawayspread.EndpointID]carawayspread.Feedback{}}
+func New(clock carawayspread.Clock, fleet Fleet) *Backpressure {
+	return &Backpressure{clock: clock, fleet: fleet, states: map[carawayspread.EndpointID]*state{}}
+}
+
+// Answered takes what an answer says of its endpoint, and when its request was sent. It
+// reports whether that is new, and whether peers are to be told.
+//
+// Answers on different connections overtake each other: one that names no rate ends a
+// limit only if its request was sent after the limit was last named.
+func (b *Backpressure) Answered(id carawayspread.EndpointID, sent time.Time, f carawayspread.Feedback) (changed, tell bool) {
+	if f == (carawayspread.Feedback{}) && !b.some.Load() {
+		return false, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	if f.Limited {
+		return b.name(now, id, f.Rate), true
+	}
+	s := b.states[id]
+	switch {
+	case s == nil || s.limit != nil && !sent.After(s.limit.Since()):
+		return false, false
+	case s.limit == nil:
+		return false, now.Sub(s.ended) < ended
+	}
+	s.limit, s.ended = nil, now
+	return true, true
+}
+
+// Refused takes what an endpoint says that has not run a request. The refusal may come
+// from before the part that names rates: it ends no limit.
+func (b *Backpressure) Refused(id carawayspread.EndpointID, f carawayspread.Feedback) (changed, tell bool) {
+	if !f.Limited {
+		return false, false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.name(b.clock.Now(), id, f.Rate), true
 }
 
-// Answered takes what an answer of the endpoint says, and reports whether that differs
-// from the answer before.
-func (b *Backpressure) Answered(id carawayspread.EndpointID, f carawayspread.Feedback) (changed bool) {
+// Heard takes what a peer's answer says of its endpoint, and reports whether that is new.
+func (b *Backpressure) Heard(id carawayspread.EndpointID, f carawayspread.Feedback) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.states[id]
-	if f == (carawayspread.Feedback{}) {
-		delete(b.states, id)
-	} else {
-		b.states[id] = f
+	now := b.clock.Now()
+	if f.Limited {
+		return b.name(now, id, f.Rate)
+	}
+	s := b.states[id]
+	if s == nil || s.limit == nil {
+		return false
+	}
+	s.limit, s.ended = nil, now
+	return true
+}
+
+// name takes a rate and reports whether it is new.
+func (b *Backpressure) name(now time.Time, id carawayspread.EndpointID, rate float64) bool {
+	s := b.state(now, id)
+	if s.limit == nil {
+		s.limit = ratelimit.New(now, rate)
+		return true
+	}
+	before := s.limit.Rate()
+	s.limit.Named(now, rate)
+	return rate != before
+}
+
+func (b *Backpressure) state(now time.Time, id carawayspread.EndpointID) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{listed: now}
+		b.states[id] = s
+		b.some.Store(true)
+	}
+	return s
+}
+
+// Listed takes the endpoints of the newest list. What is known of one that is missing is
+// kept for a while, since an entry may be gone and come back.
+func (b *Backpressure) Listed(endpoints []carawayspread.Endpoint) {
+	if !b.some.Load() {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	for _, endpoint := range endpoints {
+		if s := b.states[endpoint.ID()]; s != nil {
+			s.listed = now
+		}
+	}
+	for id, s := range b.states {
+		if now.Sub(s.listed) > memory || s.limit == nil && now.Sub(s.ended) > ended {
+			delete(b.states, id)
+		}
+	}
+	b.some.Store(len(b.states) > 0)
+}
+
+// Withheld adds to the set all endpoints that take nothing from this process now. The
+// set is not modified.
+func (b *Backpressure) Withheld(set map[carawayspread.EndpointID]bool) map[carawayspread.EndpointID]bool {
+	if !b.some.Load() {
+		return set
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	with := make(map[carawayspread.EndpointID]bool, len(set)+len(b.states))
+	for id := range set {
+		with[id] = true
+	}
+	for id, s := range b.states {
+		if s.limit != nil && !s.limit.Allows(now, b.part(now, id, s.limit)) {
+			with[id] = true
+		}
+	}
+	return with
+}
+
+// Take is called before a request is sent; false where the endpoint takes none now.
+func (b *Backpressure) Take(id carawayspread.EndpointID) bool {
+	if !b.some.Load() {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	s := b.states[id]
+	return s == nil || s.limit == nil || s.limit.Take(now, b.part(now, id, s.limit))
+}
+
+// part returns this process's part of the endpoint's rate.
+func (b *Backpressure) part(now time.Time, id carawayspread.EndpointID, limit *ratelimit.Limit) float64 {
+	if b.all == nil || now.Sub(b.asked) >= fleetLife {
+		b.self, b.all = b.fleet()
+		b.asked = now
 	}
-	return f != before
+	return ratelimit.Part(string(id), limit.Rate(), b.self, b.all)
 }
--- /dev/null
+++ b/internal/decision/backpressure/backpressure_test.go
@@ -0,0 +1,92 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread"
+)
+
+func alone() (uint64, []uint64) { return 1, []uint64{1} }
+
+func limit(rate float64) carawayspread.Feedback {
+	return carawayspread.Feedback{Limited: true, Rate: rate}
+}
+
+var none carawayspread.Feedback
+
+func withholds(b *Backpressure, id carawayspread.EndpointID) bool { return b.Withheld(nil)[id] }
+
+// Answers overtake each other, and refusals may come from before the part that names
+// rates: a limit ends by an answer to a request that was sent after it was last named.
+func TestLimitEndsByALaterAnswer(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	before := clock.Now()
+	clock.Advance(time.Millisecond)
+	changed, tell := b.Answered("w", before, limit(2))
+	qt.Check(t, changed && tell, qt.IsTrue)
+	changed, tell = b.Answered("w", before, limit(2))
+	qt.Check(t, !changed && tell, qt.IsTrue, qt.Commentf("peers are told each time"))
+
+	changed, tell = b.Answered("w", before, none)
+	qt.Check(t, changed || tell, qt.IsFalse)
+	changed, tell = b.Refused("w", none)
+	qt.Check(t, changed || tell, qt.IsFalse)
+	qt.Check(t, withholds(b, "w"), qt.IsTrue)
+
+	clock.Advance(time.Millisecond)
+	after := clock.Now()
+	changed, tell = b.Answered("w", after, none)
+	qt.Check(t, changed && tell, qt.IsTrue)
+	qt.Check(t, withholds(b, "w"), qt.IsFalse)
+	changed, tell = b.Answered("w", after, none)
+	qt.Check(t, !changed && tell, qt.IsTrue, qt.Commentf("told again, as messages are lost"))
+	clock.Advance(ended)
+	_, tell = b.Answered("w", clock.Now(), none)
+	qt.Check(t, tell, qt.IsFalse)
+}
+
+func TestPeersAreBelieved(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	qt.Check(t, b.Heard("w", none), qt.IsFalse)
+	qt.Check(t, b.Heard("w", limit(1)), qt.IsTrue)
+	qt.Check(t, b.Heard("w", limit(1)), qt.IsFalse)
+	qt.Check(t, withholds(b, "w"), qt.IsTrue)
+	qt.Check(t, b.Take("w"), qt.IsFalse)
+	qt.Check(t, b.Take("v"), qt.IsTrue)
+	clock.Advance(time.Second)
+	qt.Check(t, withholds(b, "w"), qt.IsFalse)
+	qt.Check(t, b.Take("w"), qt.IsTrue)
+	qt.Check(t, withholds(b, "w"), qt.IsTrue)
+	qt.Check(t, b.Heard("w", none), qt.IsTrue)
+	qt.Check(t, withholds(b, "w"), qt.IsFalse)
+}
+
+// An entry is gone while the store is down and comes back: what its endpoint said holds.
+// Endpoints that are gone for good cost nothing for ever.
+func TestListDoesNotForgetFeedback(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	other := carawayspread.NewEndpoint("v", "s", "z", "10.0.0.1:1", false)
+	b.Heard("w", limit(0))
+	b.Listed([]carawayspread.Endpoint{other})
+	qt.Check(t, withholds(b, "w"), qt.IsTrue)
+	clock.Advance(memory + 1)
+	b.Listed([]carawayspread.Endpoint{other})
+	qt.Check(t, b.states, qt.HasLen, 0)
+	qt.Check(t, b.some.Load(), qt.IsFalse)
+}
+
+// The endpoints that a request has met already are not changed by what is withheld.
+func TestWithheldLeavesTheSetAlone(t *testing.T) {
+	b := New(clockwork.NewFakeClock(), alone)
+	met := map[carawayspread.EndpointID]bool{"v": true}
+	b.Heard("w", limit(1))
+	qt.Check(t, b.Withheld(met), qt.DeepEquals, map[carawayspread.EndpointID]bool{"v": true, "w": true})
+	qt.Check(t, met, qt.DeepEquals, map[carawayspread.EndpointID]bool{"v": true})
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -103,7 +103,7 @@
 func (c *call) placing() carawayspread.Placing {
 	p := carawayspread.Placing{
 		Route: c.route, Service: c.service, Arrived: c.arrived, Deadline: c.deadline,
-		Exclude: c.exclude, Bytes: len(c.body), Key: c.fingerprint, Direct: c.direct, Owed: c.direct || c.ran > 0,
+		Exclude: c.g.backpressure.Withheld(c.exclude), Bytes: len(c.body), Key: c.fingerprint, Direct: c.direct, Owed: c.direct || c.ran > 0,
 		Late: c.ask.Left > 0 && c.ask.Left < time.Duration(lateShare*float64(c.route.Timeout)),
 	}
 	if c.service.Engine != nil {
@@ -118,11 +118,7 @@
 // attempt sends the request once. It reports whether the request may be sent
 // again.
 func (c *call) attempt(ctx context.Context) (again bool, err error) {
-	p := c.placing()
-	at, err := c.g.placer.Place(p)
-	if c.expected.First == 0 {
-		c.expected = at
-	}
+	p, at, err := c.place()
 	if err != nil {
 		if c.held != nil {
 			c.direct = true
@@ -161,7 +157,7 @@
 	c.arrivals++
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, phase)
 	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
-		c.feedback(at, reply)
+		c.feedback(at, reply, verdict, sent)
 		c.alive(at, sent)
 	}
 	if phase == carawayspread.PhaseContinue {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -59,6 +59,7 @@
 	quarantine *quarantine.Quarantine
 	// backpressure holds what endpoints say of themselves.
 	backpressure *backpressure.Backpressure
+	tellFeedback func(carawayspread.EndpointID, carawayspread.Feedback)
 	terms        fleetbudget.Terms
 	share        func() int
 	crashed      func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
@@ -103,15 +104,17 @@
 ) *Gateway {
 	g := &Gateway{
 		exchange: exchange, protocol: protocol, placer: placer, clock: clock, log: log, set: metrics.NewSet(),
-		quarantine: quarantine.New(clock, quarantine.Term(suspicion)), backpressure: backpressure.New(),
-		terms:      fleetbudget.Terms{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
-		share:      func() int { return 1 },
-		listAge:    func() time.Duration { return 0 },
-		crashed:    func(uint64, carawayspread.EndpointID, bool) {},
-		evidence:   alwaysCurrent{},
-		rejections: rejections.New(),
-		began:      func(string, time.Duration) {},
-		budgets:    map[string]*fleetbudget.Budget{},
+		quarantine:   quarantine.New(clock, quarantine.Term(suspicion)),
+		backpressure: backpressure.New(clock, alone),
+		tellFeedback: func(carawayspread.EndpointID, carawayspread.Feedback) {},
+		terms:        fleetbudget.Terms{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
+		share:        func() int { return 1 },
+		listAge:      func() time.Duration { return 0 },
+		crashed:      func(uint64, carawayspread.EndpointID, bool) {},
+		evidence:     alwaysCurrent{},
+		rejections:   rejections.New(),
+		began:        func(string, time.Duration) {},
+		budgets:      map[string]*fleetbudget.Budget{},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -148,6 +151,7 @@
 
 // Listed takes all endpoints.
 func (g *Gateway) Listed(endpoints []carawayspread.Endpoint) {
+	g.backpressure.Listed(endpoints)
 	byService := map[string][]carawayspread.Endpoint{}
 	if t := g.routing.Load(); t != nil {
 		for name := range t.Services() {
--- a/internal/process/gateway/hand.go
+++ b/internal/process/gateway/hand.go
@@ -35,7 +35,7 @@
 	}
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead)
 	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
-		c.feedback(at, reply)
+		c.feedback(at, reply, verdict, sent)
 	}
 	if verdict == carawayspread.VerdictAnswer {
 		c.alive(at, sent)
@@ -76,6 +76,9 @@
 	}
 	held := *c.held
 	c.held = nil
+	if !c.g.backpressure.Take(held.From.ID()) {
+		return // the engine drops it by itself after a while
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), forgetTimeout)
 		defer cancel()
--- a/internal/process/gateway/limit_test.go
+++ b/internal/process/gateway/limit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -31,8 +32,23 @@
 	// arrivals are the requests that each endpoint got, by process.
 	arrivals map[carawayspread.EndpointID][]arrival
 	refused  int
+	// lost is the part of the messages that a peer does not hear.
+	lost float64
+	// told is what processes have told their peers that these have not heard yet.
+	told []told
 }
 
+// told is one message of a process to its peers.
+type told struct {
+	at   time.Time
+	from int
+	id   carawayspread.EndpointID
+	says carawayspread.Feedback
+}
+
+// hearing is how long a message takes from one process to another.
+const hearing = 50 * time.Millisecond
+
 type arrival struct {
 	at      time.Time
 	process int
@@ -65,7 +81,10 @@
 	}
 	for n := range processes {
 		placer := placement.New(carawayspread.Environment{Clock: f.clock, Zone: "z"})
-		g := New(exchangeOf{f, n}, wire.Protocol{}, placer, f.clock, decisionlog.New(io.Discard))
+		g := New(exchangeOf{f, n}, wire.Protocol{}, placer, f.clock, decisionlog.New(io.Discard),
+			WithFeedback(func(id carawayspread.EndpointID, says carawayspread.Feedback) {
+				f.told = append(f.told, told{f.clock.Now(), n, id, says})
+			}, func() (uint64, []uint64) { return uint64(n), f.all(processes) }))
 		g.Adopt(carawayspread.NewRouting(1, []*carawayspread.Route{route("never", carawayspread.RepeatNever, false, 3)},
 			map[string]carawayspread.RoutedService{"s": {Name: "s"}}, carawayspread.CallerLimits{BodyBytes: 100}))
 		f.gateways = append(f.gateways, g)
@@ -85,20 +104,48 @@
 	}
 }
 
+// all returns the names of all processes.
+func (f *feedbackFleet) all(processes int) []uint64 {
+	all := make([]uint64, processes)
+	for n := range all {
+		all[n] = uint64(n)
+	}
+	return all
+}
+
+// hear has processes hear what their peers told a while ago.
+func (f *feedbackFleet) hear() {
+	for len(f.told) > 0 && f.clock.Now().Sub(f.told[0].at) >= hearing {
+		one := f.told[0]
+		f.told = f.told[1:]
+		for n, g := range f.gateways {
+			if n != one.from && f.rand.Float64() >= f.lost {
+				g.FeedbackHeard(one.id, one.says)
+			}
+		}
+	}
+}
+
 // play sends requests to processes at random, one in each step, and counts those refused.
 func (f *feedbackFleet) play(d, step time.Duration) {
 	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); f.clock.Advance(step) {
-		r := httptest.NewRequest(http.MethodPost, "/never/x", strings.NewReader(strconv.Itoa(f.rand.Int())))
-		r.Host = "a.example"
-		r.Header.Set("Carawayspread-Request-Id", strconv.Itoa(f.rand.Int()))
-		w := httptest.NewRecorder()
-		f.gateways[f.rand.IntN(len(f.gateways))].ServeHTTP(w, r)
-		if w.Code != http.StatusOK {
+		f.hear()
+		if w := f.ask(f.rand.IntN(len(f.gateways))); w.Code != http.StatusOK {
 			f.refused++
 		}
 	}
 }
 
+// ask sends one request to a process.
+func (f *feedbackFleet) ask(process int) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/never/x", strings.NewReader(strconv.Itoa(f.rand.Int())))
+	r.Host = "a.example"
+	r.Header.Set("Carawayspread-Request-Id", strconv.Itoa(f.rand.Int()))
+	w := httptest.NewRecorder()
+	f.gateways[process].ServeHTTP(w, r)
+	return w
+}
+
 // most returns the most requests that the endpoint got in any span of that length, among
 // those from a moment on.
 func (f *feedbackFleet) most(id carawayspread.EndpointID, from time.Time, span time.Duration) int {
@@ -123,25 +170,30 @@
 func TestEndpointGetsNoMoreThanTheRateThatItNames(t *testing.T) {
 	const (
 		endpoints = 6
+		perSecond = 150
 		grace     = 3 * time.Second // for what is under way, and for processes to learn of it
 		span      = 4 * time.Second
 		factor    = 1.5
 		slack     = 5
+		lasts     = 20 * time.Second
 	)
 	for name, c := range map[string]struct {
 		processes int
 		rate      float64
+		lost      float64 // of the messages between processes
 	}{
-		"one process":              {1, 4.2},
-		"four processes":           {4, 4.2},
-		"a low rate":               {4, 2.2},
-		"less than one a second":   {4, 0.4},
-		"more processes than rate": {28, 2.2},
-		"many processes":           {100, 6},
+		"one process":              {1, 4.2, 0},
+		"four processes":           {4, 4.2, 0},
+		"a low rate":               {4, 2.2, 0},
+		"less than one a second":   {4, 0.4, 0},
+		"more processes than rate": {28, 2.2, 0},
+		"many processes":           {100, 6, 0},
+		"messages are lost":        {28, 5, 0.4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFeedbackFleet(c.processes, endpoints)
-			f.play(2*time.Second, 7*time.Millisecond)
+			f.lost = c.lost
+			f.play(2*time.Second, time.Second/perSecond)
 			f.says = func(id carawayspread.EndpointID, _ int) (int, http.Header) {
 				h := http.Header{}
 				if id == "w0" {
@@ -150,11 +202,40 @@
 				return http.StatusOK, h
 			}
 			limited := f.clock.Now()
-			f.play(20*time.Second, 7*time.Millisecond)
+			before := len(f.arrivals["w0"])
+			f.play(lasts, time.Second/perSecond)
 			allowed := factor*c.rate*span.Seconds() + slack
 			most := f.most("w0", limited.Add(grace), span)
 			qt.Check(t, float64(most) <= allowed, qt.IsTrue, qt.Commentf("%d requests in %s, %.1f allowed", most, span, allowed))
 			qt.Check(t, f.refused, qt.Equals, 0, qt.Commentf("the others have room"))
+			got := float64(len(f.arrivals["w0"]) - before)
+			users := min(1, math.Max(1, math.Floor(c.rate))/float64(c.processes))
+			asked := min(c.rate, users*perSecond/endpoints) * lasts.Seconds()
+			qt.Check(t, got >= asked/2, qt.IsTrue, qt.Commentf("%.0f of %.0f that processes with a part of the rate have for it", got, asked))
+
+			f.says = func(carawayspread.EndpointID, int) (int, http.Header) { return http.StatusOK, http.Header{} }
+			f.play(3*time.Second, time.Second/perSecond)
+			before = len(f.arrivals["w0"])
+			f.play(3*time.Second, time.Second/perSecond)
+			got = float64(len(f.arrivals["w0"]) - before)
+			qt.Check(t, got >= 3*perSecond/endpoints/2, qt.IsTrue, qt.Commentf("%.0f requests in 3 s after the limit has ended", got))
 		})
 	}
 }
+
+// The only endpoint of a service takes few requests: the others are refused at once, by
+// an answer that says that they have not run and when to come back.
+func TestRequestsBeyondTheRateAreRefusedAtOnce(t *testing.T) {
+	f := newFeedbackFleet(1, 1)
+	f.says = func(carawayspread.EndpointID, int) (int, http.Header) {
+		return http.StatusOK, http.Header{"Server-Limit": {"1"}}
+	}
+	qt.Check(t, f.ask(0).Code, qt.Equals, http.StatusOK)
+	w := f.ask(0)
+	qt.Check(t, w.Code, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, w.Header().Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Check(t, w.Body.String(), qt.Contains, `"notRun":true`)
+	qt.Check(t, f.arrivals["w0"], qt.HasLen, 1)
+	f.clock.Advance(time.Second)
+	qt.Check(t, f.ask(0).Code, qt.Equals, http.StatusOK)
+}
