A log line says when an answer tells that its endpoint leaves

The header is translated, logged once by endpoint and told to peers; where requests go is as before. Tests: TestFeedback, TestMessageComesBackAsItWas.

--- a/feedback.go
+++ b/feedback.go
@@ -7,4 +7,6 @@
 	// Rate is how many requests a second the endpoint takes from all processes
 	// together, for as long as its answers say so; finite and not negative.
 	Rate float64
+	// Draining says that the endpoint takes no new work and will end.
+	Draining bool
 }
--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -113,14 +113,14 @@
 
 func appendFeedback(b []byte, f Feedback) []byte {
 	b = appendText(b, string(f.Endpoint))
-	b = append(b, flag(f.Says.Limited))
+	b = append(b, flag(f.Says.Limited), flag(f.Says.Draining))
 	return binary.AppendUvarint(b, uint64(min(mostRate, f.Says.Rate)/rateUnit))
 }
 
 func (r *reader) feedback() Feedback {
 	return Feedback{
 		Endpoint: carawayspread.EndpointID(r.text()),
-		Says:     carawayspread.Feedback{Limited: r.flag(), Rate: float64(r.count(mostRate/rateUnit)) * rateUnit},
+		Says:     carawayspread.Feedback{Limited: r.flag(), Draining: r.flag(), Rate: float64(r.count(mostRate/rateUnit)) * rateUnit},
 	}
 }
 
--- a/internal/connection/peers/peers_test.go
+++ b/internal/connection/peers/peers_test.go
@@ -21,7 +21,9 @@
 		notices: []carawayspread.Notice{{Endpoint: 1, Running: 2, Tokens: 3, Work: 4 * time.Millisecond, Read: 5, Chains: []uint64{6, 7}, Aside: 12 * time.Second, Late: -3 * time.Millisecond}, {Endpoint: 8}},
 		crashes: []Crash{{Fingerprint: 9, Endpoint: "w"}, {Fingerprint: 8, Endpoint: "v", Withdrawn: true}},
 		feedback: []Feedback{
-			{Endpoint: "i-1", Says: carawayspread.Feedback{Limited: true, Rate: 2.25}}, {Endpoint: "i-2"},
+			{Endpoint: "i-1", Says: carawayspread.Feedback{Limited: true, Rate: 2.25}},
+			{Endpoint: "i-2"},
+			{Endpoint: "i-3", Says: carawayspread.Feedback{Draining: true}},
 		},
 		known: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:99")},
 		presence: &carawayspread.Presence{Zone: "z", Capacity: 1 << 31, Reads: true, Fleet: 68, Claims: [carawayspread.Matters]carawayspread.Claim{
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -32,9 +32,11 @@
 
 // state is what is known of one endpoint that has said something.
 type state struct {
-	limit  *ratelimit.Limit // nil where no rate is named
-	ended  time.Time        // when the last limit ended
-	listed time.Time        // when the endpoint was last seen in the list
+	limit *ratelimit.Limit // nil where no rate is named
+	ended time.Time        // when the last limit ended
+	// draining says that an answer has said so; it holds to the endpoint's end.
+	draining bool
+	listed   time.Time // when the endpoint was last seen in the list
 }
 
 // Backpressure is one process's account of all endpoints. It is safe for concurrent use.
@@ -67,45 +69,50 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	if f.Limited {
-		return b.name(now, id, f.Rate), true
-	}
 	s := b.states[id]
-	switch {
-	case s == nil || s.limit != nil && !sent.After(s.limit.Since()):
-		return false, false
-	case s.limit == nil:
-		return false, now.Sub(s.ended) < ended
+	if s != nil && !f.Limited && s.limit != nil && sent.After(s.limit.Since()) {
+		s.limit, s.ended = nil, now
+		changed = true
 	}
-	s.limit, s.ended = nil, now
-	return true, true
+	changed = b.note(now, id, f) || changed
+	return changed, f != (carawayspread.Feedback{}) || s != nil && s.limit == nil && now.Sub(s.ended) < ended
 }
 
 // Refused takes what an endpoint says that has not run a request. The refusal may come
 // from before the part that names rates: it ends no limit.
 func (b *Backpressure) Refused(id carawayspread.EndpointID, f carawayspread.Feedback) (changed, tell bool) {
-	if !f.Limited {
+	if f == (carawayspread.Feedback{}) {
 		return false, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.name(b.clock.Now(), id, f.Rate), true
+	return b.note(b.clock.Now(), id, f), true
 }
 
-// Heard takes what a peer's answer says of its endpoint, and reports whether that is new.
+// Heard takes what an answer to a peer says of its endpoint, and reports whether that is
+// new.
 func (b *Backpressure) Heard(id carawayspread.EndpointID, f carawayspread.Feedback) (changed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	if s := b.states[id]; s != nil && !f.Limited && s.limit != nil {
+		s.limit, s.ended = nil, now
+		changed = true
+	}
+	return b.note(now, id, f) || changed
+}
+
+// note takes what holds from now on, and reports whether it is new.
+func (b *Backpressure) note(now time.Time, id carawayspread.EndpointID, f carawayspread.Feedback) (changed bool) {
 	if f.Limited {
-		return b.name(now, id, f.Rate)
+		changed = b.name(now, id, f.Rate)
 	}
-	s := b.states[id]
-	if s == nil || s.limit == nil {
-		return false
+	if f.Draining {
+		s := b.state(now, id)
+		changed = !s.draining || changed
+		s.draining = true
 	}
-	s.limit, s.ended = nil, now
-	return true
+	return changed
 }
 
 // name takes a rate and reports whether it is new.
@@ -145,7 +152,7 @@
 		}
 	}
 	for id, s := range b.states {
-		if now.Sub(s.listed) > memory || s.limit == nil && now.Sub(s.ended) > ended {
+		if now.Sub(s.listed) > memory || s.limit == nil && !s.draining && now.Sub(s.ended) > ended {
 			delete(b.states, id)
 		}
 	}
--- a/internal/process/gateway/feedback.go
+++ b/internal/process/gateway/feedback.go
@@ -63,6 +63,9 @@
 	} else {
 		line.Text("limit", "none")
 	}
+	if f.Draining {
+		line.Text("draining", "true")
+	}
 	g.log.Write(line)
 	g.set.GetOrCreateCounter(`gateway_feedback_changes_total{from="` + from + `"}`).Inc()
 }
