An endpoint that says in an answer that it leaves gets nothing more

Cause: that an endpoint leaves was learnt from the list of endpoints alone. Class: the same as of LIMIT, a signal of the peer that is dropped; here the second of two sources of one fact, of which the first fails together with the store.

Why this works: what an answer says is kept by the endpoint's identifier, which it keeps to its end, apart from the list: no list, older or newer, from the store or from a peer, takes it back, and it outlives an entry that lapses and returns. It is asked before each placement and once more before each send, whichever placer runs.

--- a/endpoint.go
+++ b/endpoint.go
@@ -44,6 +44,12 @@
 	return e
 }
 
+// Drained returns the endpoint as one that takes no new work.
+func (e Endpoint) Drained() Endpoint {
+	e.leaving = true
+	return e
+}
+
 // ID returns the name of the endpoint.
 func (e Endpoint) ID() EndpointID { return e.id }
 
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -137,19 +137,25 @@
 	return s
 }
 
-// Listed takes the endpoints of the newest list. What is known of one that is missing is
-// kept for a while, since an entry may be gone and come back.
-func (b *Backpressure) Listed(endpoints []carawayspread.Endpoint) {
+// Listed takes the endpoints of the newest list, and returns them as leaving where they
+// have said so themselves: the list may be older. What is known of one that is missing
+// is kept for a while, since an entry may be gone and come back.
+func (b *Backpressure) Listed(endpoints []carawayspread.Endpoint) []carawayspread.Endpoint {
 	if !b.some.Load() {
-		return
+		return endpoints
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	listed := make([]carawayspread.Endpoint, 0, len(endpoints))
 	for _, endpoint := range endpoints {
 		if s := b.states[endpoint.ID()]; s != nil {
 			s.listed = now
+			if s.draining {
+				endpoint = endpoint.Drained()
+			}
 		}
+		listed = append(listed, endpoint)
 	}
 	for id, s := range b.states {
 		if now.Sub(s.listed) > memory || s.limit == nil && !s.draining && now.Sub(s.ended) > ended {
@@ -157,6 +163,7 @@
 		}
 	}
 	b.some.Store(len(b.states) > 0)
+	return listed
 }
 
 // Withheld adds to the set all endpoints that take nothing from this process now. The
@@ -173,13 +180,18 @@
 		with[id] = true
 	}
 	for id, s := range b.states {
-		if s.limit != nil && !s.limit.Allows(now, b.part(now, id, s.limit)) {
+		if !b.open(now, id, s) {
 			with[id] = true
 		}
 	}
 	return with
 }
 
+// open reports whether the endpoint takes a request from this process now.
+func (b *Backpressure) open(now time.Time, id carawayspread.EndpointID, s *state) bool {
+	return !s.draining && (s.limit == nil || s.limit.Allows(now, b.part(now, id, s.limit)))
+}
+
 // Take is called before a request is sent; false where the endpoint takes none now.
 func (b *Backpressure) Take(id carawayspread.EndpointID) bool {
 	if !b.some.Load() {
@@ -189,7 +201,10 @@
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	s := b.states[id]
-	return s == nil || s.limit == nil || s.limit.Take(now, b.part(now, id, s.limit))
+	if s == nil {
+		return true
+	}
+	return b.open(now, id, s) && (s.limit == nil || s.limit.Take(now, b.part(now, id, s.limit)))
 }
 
 // part returns this process's part of the endpoint's rate.
--- a/internal/decision/backpressure/backpressure_test.go
+++ b/internal/decision/backpressure/backpressure_test.go
@@ -90,3 +90,24 @@
 	qt.Check(t, b.Withheld(met), qt.DeepEquals, map[carawayspread.EndpointID]bool{"v": true, "w": true})
 	qt.Check(t, met, qt.DeepEquals, map[carawayspread.EndpointID]bool{"v": true})
 }
+
+// An endpoint that leaves is named as ready by a list that is older than its answer. It
+// keeps its identifier to its end, so that it never takes work again.
+func TestDrainingHoldsAgainstTheList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	list := []carawayspread.Endpoint{
+		carawayspread.NewEndpoint("v", "s", "z", "10.0.0.1:1", false),
+		carawayspread.NewEndpoint("w", "s", "z", "10.0.0.2:1", false),
+	}
+	qt.Check(t, b.Heard("w", carawayspread.Feedback{Draining: true}), qt.IsTrue)
+	for range 3 {
+		got := b.Listed(list)
+		qt.Check(t, got[0].Leaving(), qt.IsFalse)
+		qt.Check(t, got[1].Leaving(), qt.IsTrue)
+		qt.Check(t, withholds(b, "w"), qt.IsTrue)
+		qt.Check(t, b.Take("w"), qt.IsFalse)
+		clock.Advance(memory)
+		b.Answered("w", clock.Now(), none)
+	}
+}
