An endpoint that turns requests away for a while gets none until then

What callers saw: refusals while other endpoints had room, as each of their requests tried the endpoint again and the retries that all processes share were used up; and where every endpoint of a service asked for a pause, a time to come back at which none was open.

Cause: the Retry-After of an endpoint's 503 was not read.

Why this works: the pause closes the endpoint for this process, as a rate or its leaving do, before each placement and before each send. It is this process's alone: peers are not told and ask for themselves. A 503 that does not prove that the request has not run asks for a pause as well, also for a prompt to be read; it proves nothing more by that. A longer pause is not cut short by a shorter one. Callers whom no endpoint takes are told when the first one opens, if that is later than what they were told before.

--- a/feedback.go
+++ b/feedback.go
@@ -1,5 +1,7 @@
 package carawayspread
 
+import "time"
+
 // Feedback is what an endpoint says of itself in an answer, beside the answer.
 type Feedback struct {
 	// Limited says that the endpoint names Rate.
@@ -9,4 +11,7 @@
 	Rate float64
 	// Draining says that the endpoint takes no new work and will end.
 	Draining bool
+	// RetryAfter is for how long the endpoint wants nothing from the process that it
+	// refused; zero where it does not say.
+	RetryAfter time.Duration
 }
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -36,9 +36,15 @@
 	ended time.Time        // when the last limit ended
 	// draining says that an answer has said so; it holds to the endpoint's end.
 	draining bool
+	closed   time.Time // until when it takes nothing from this process
 	listed   time.Time // when the endpoint was last seen in the list
 }
 
+// done reports whether nothing holds any more of what the endpoint has said.
+func (s *state) done(now time.Time) bool {
+	return s.limit == nil && !s.draining && !s.closed.After(now) && now.Sub(s.ended) > ended
+}
+
 // Backpressure is one process's account of all endpoints. It is safe for concurrent use.
 type Backpressure struct {
 	clock carawayspread.Clock
@@ -74,19 +80,22 @@
 		s.limit, s.ended = nil, now
 		changed = true
 	}
+	f.RetryAfter = 0 // a refusal's to say
 	changed = b.note(now, id, f) || changed
 	return changed, f != (carawayspread.Feedback{}) || s != nil && s.limit == nil && now.Sub(s.ended) < ended
 }
 
-// Refused takes what an endpoint says that has not run a request. The refusal may come
-// from before the part that names rates: it ends no limit.
+// Refused takes what an endpoint says that turned a request away. The refusal may come
+// from before the part that names rates: it ends no limit. For how long the endpoint
+// wants nothing holds for this process alone.
 func (b *Backpressure) Refused(id carawayspread.EndpointID, f carawayspread.Feedback) (changed, tell bool) {
 	if f == (carawayspread.Feedback{}) {
 		return false, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.note(b.clock.Now(), id, f), true
+	changed = b.note(b.clock.Now(), id, f)
+	return changed, f.Limited || f.Draining
 }
 
 // Heard takes what an answer to a peer says of its endpoint, and reports whether that is
@@ -95,6 +104,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
+	f.RetryAfter = 0 // the peer's own
 	if s := b.states[id]; s != nil && !f.Limited && s.limit != nil {
 		s.limit, s.ended = nil, now
 		changed = true
@@ -112,6 +122,11 @@
 		changed = !s.draining || changed
 		s.draining = true
 	}
+	if f.RetryAfter > 0 {
+		s := b.state(now, id)
+		changed = !s.closed.After(now) || changed
+		s.closed = later(s.closed, now.Add(f.RetryAfter))
+	}
 	return changed
 }
 
@@ -158,7 +173,7 @@
 		listed = append(listed, endpoint)
 	}
 	for id, s := range b.states {
-		if now.Sub(s.listed) > memory || s.limit == nil && !s.draining && now.Sub(s.ended) > ended {
+		if now.Sub(s.listed) > memory || s.done(now) {
 			delete(b.states, id)
 		}
 	}
@@ -189,7 +204,7 @@
 
 // open reports whether the endpoint takes a request from this process now.
 func (b *Backpressure) open(now time.Time, id carawayspread.EndpointID, s *state) bool {
-	return !s.draining && (s.limit == nil || s.limit.Allows(now, b.part(now, id, s.limit)))
+	return !s.draining && !s.closed.After(now) && (s.limit == nil || s.limit.Allows(now, b.part(now, id, s.limit)))
 }
 
 // Take is called before a request is sent; false where the endpoint takes none now.
@@ -207,6 +222,39 @@
 	return b.open(now, id, s) && (s.limit == nil || s.limit.Take(now, b.part(now, id, s.limit)))
 }
 
+// Opens returns when the first of the endpoints that are withheld for a time takes a
+// request from this process again; zero where none is.
+func (b *Backpressure) Opens(endpoints []carawayspread.Endpoint) time.Duration {
+	if !b.some.Load() {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.Now()
+	var first time.Duration
+	for _, endpoint := range endpoints {
+		s := b.states[endpoint.ID()]
+		if s == nil || s.draining {
+			continue
+		}
+		wait := max(0, s.closed.Sub(now))
+		if s.limit != nil {
+			wait = max(wait, s.limit.Wait(now, b.part(now, endpoint.ID(), s.limit)))
+		}
+		if wait > 0 && (first == 0 || wait < first) {
+			first = wait
+		}
+	}
+	return first
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // part returns this process's part of the endpoint's rate.
 func (b *Backpressure) part(now time.Time, id carawayspread.EndpointID, limit *ratelimit.Limit) float64 {
 	if b.all == nil || now.Sub(b.asked) >= fleetLife {
--- a/internal/decision/backpressure/backpressure_test.go
+++ b/internal/decision/backpressure/backpressure_test.go
@@ -91,6 +91,48 @@
 	qt.Check(t, met, qt.DeepEquals, map[carawayspread.EndpointID]bool{"v": true})
 }
 
+// A pause is asked of one process, by a refusal: a success that carries the same header
+// speaks to the caller, and a peer's pause is the peer's.
+func TestPauseIsOfTheProcessThatWasRefused(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	pause := carawayspread.Feedback{RetryAfter: time.Second}
+	b.Answered("w", clock.Now(), pause)
+	b.Heard("w", pause)
+	qt.Check(t, withholds(b, "w"), qt.IsFalse)
+	changed, tell := b.Refused("w", pause)
+	qt.Check(t, changed && !tell, qt.IsTrue)
+	clock.Advance(500 * time.Millisecond)
+	changed, _ = b.Refused("w", carawayspread.Feedback{RetryAfter: 100 * time.Millisecond})
+	qt.Check(t, changed, qt.IsFalse)
+	clock.Advance(499 * time.Millisecond)
+	qt.Check(t, withholds(b, "w") && !b.Take("w"), qt.IsTrue)
+	clock.Advance(time.Millisecond)
+	qt.Check(t, !withholds(b, "w") && b.Take("w"), qt.IsTrue)
+	clock.Advance(ended)
+	b.Listed(nil)
+	qt.Check(t, b.states, qt.HasLen, 0)
+}
+
+// The first endpoint that opens again is named, and none that never will.
+func TestOpensNamesTheFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, alone)
+	var all []carawayspread.Endpoint
+	for _, id := range []carawayspread.EndpointID{"free", "leaves", "closed", "slow"} {
+		all = append(all, carawayspread.NewEndpoint(id, "s", "z", "10.0.0.1:1", false))
+	}
+	qt.Check(t, b.Opens(all), qt.Equals, time.Duration(0))
+	b.Refused("leaves", carawayspread.Feedback{Draining: true, RetryAfter: time.Millisecond})
+	qt.Check(t, b.Opens(all), qt.Equals, time.Duration(0))
+	b.Refused("closed", carawayspread.Feedback{RetryAfter: 5 * time.Second})
+	qt.Check(t, b.Opens(all), qt.Equals, 5*time.Second)
+	b.Refused("slow", limit(0.5))
+	qt.Check(t, b.Opens(all), qt.Equals, 2*time.Second)
+	b.Refused("slow", limit(0))
+	qt.Check(t, b.Opens(all), qt.Equals, 5*time.Second)
+}
+
 // An endpoint that leaves is named as ready by a list that is older than its answer. It
 // keeps its identifier to its end, so that it never takes work again.
 func TestDrainingHoldsAgainstTheList(t *testing.T) {
--- a/internal/decision/ratelimit/limit.go
+++ b/internal/decision/ratelimit/limit.go
@@ -72,6 +72,19 @@
 	return true
 }
 
+// Wait returns how long it takes until a request may be sent by a process that has that
+// part of the rate, or by another one where it has none.
+func (l *Limit) Wait(now time.Time, part float64) time.Duration {
+	l.fill(now, part)
+	if part == 0 {
+		part = 1
+	}
+	if l.rate*part*lapse.Seconds() < 1 {
+		return lapse
+	}
+	return time.Duration(max(0, 1-l.tokens) / (l.rate * part) * float64(time.Second))
+}
+
 func (l *Limit) lapsed(now time.Time) bool {
 	return now.Sub(l.named) >= lapse && now.Sub(l.tried) >= lapse
 }
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -156,8 +156,8 @@
 	}
 	c.arrivals++
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, phase)
+	c.feedback(at, reply, verdict, sent)
 	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
-		c.feedback(at, reply, verdict, sent)
 		c.alive(at, sent)
 	}
 	if phase == carawayspread.PhaseContinue {
--- a/internal/process/gateway/feedback.go
+++ b/internal/process/gateway/feedback.go
@@ -41,11 +41,15 @@
 		return
 	}
 	var changed, tell bool
-	switch verdict {
-	case carawayspread.VerdictAnswer:
-		changed, tell = c.g.backpressure.Answered(id, sent, f)
-	case carawayspread.VerdictNotRun:
+	switch {
+	case verdict == carawayspread.VerdictNotRun || verdict == carawayspread.VerdictAnswer && f.RetryAfter > 0:
 		changed, tell = c.g.backpressure.Refused(id, f)
+	case verdict == carawayspread.VerdictAnswer:
+		changed, tell = c.g.backpressure.Answered(id, sent, f)
+	case verdict == carawayspread.VerdictForeign:
+		// What is no answer to this request may be no answer at all: the most that it
+		// can do is to have this process wait.
+		changed, _ = c.g.backpressure.Refused(id, carawayspread.Feedback{RetryAfter: f.RetryAfter})
 	}
 	if changed {
 		c.g.logFeedback(id, f, "answer")
@@ -57,7 +61,7 @@
 
 // logFeedback writes what an endpoint says of itself from now on.
 func (g *Gateway) logFeedback(id carawayspread.EndpointID, f carawayspread.Feedback, from string) {
-	line := decisionlog.Start("feedback").Text("endpoint", string(id)).Text("from", from)
+	line := decisionlog.Start("feedback").Text("endpoint", string(id)).Text("from", from).Ms("retryAfterMs", f.RetryAfter)
 	if f.Limited {
 		line.Text("limit", strconv.FormatFloat(f.Rate, 'g', -1, 64))
 	} else {
@@ -78,9 +82,24 @@
 		if c.expected.First == 0 {
 			c.expected = at
 		}
-		if err != nil || c.g.backpressure.Take(at.Endpoint.ID()) {
-			return p, at, err
+		if err != nil {
+			return p, at, c.returns(err)
+		}
+		if c.g.backpressure.Take(at.Endpoint.ID()) {
+			return p, at, nil
 		}
 	}
-	return p, at, busy()
+	return p, at, c.returns(busy())
+}
+
+// returns tells a caller whom no endpoint takes to come back when the first of those
+// that asked for less opens again.
+func (c *call) returns(err error) error {
+	refusal, ok := carawayspread.AsError(err)
+	opens := c.g.backpressure.Opens((*c.g.listed.Load())[c.service.Name])
+	if !ok || refusal.Code() != carawayspread.CodeNoEndpoint || opens <= refusal.RetryAfter() {
+		return err
+	}
+	return carawayspread.NewError(carawayspread.CodeNoEndpoint, "the endpoints take nothing now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(opens))
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -69,6 +69,7 @@
 	access       authentication.Policy
 	rejections   *rejections.Rejections
 	began        func(workspace string, ago time.Duration)
+	listed       atomic.Pointer[map[string][]carawayspread.Endpoint] // by service
 	running      atomic.Int64
 
 	mu      sync.Mutex
@@ -116,6 +117,7 @@
 		began:        func(string, time.Duration) {},
 		budgets:      map[string]*fleetbudget.Budget{},
 	}
+	g.listed.Store(&map[string][]carawayspread.Endpoint{})
 	for _, opt := range opts {
 		opt(g)
 	}
@@ -161,6 +163,7 @@
 	for _, endpoint := range endpoints {
 		byService[endpoint.Service()] = append(byService[endpoint.Service()], endpoint)
 	}
+	g.listed.Store(&byService)
 	for service, of := range byService {
 		g.placer.SetEndpoints(service, of)
 	}
--- a/internal/process/gateway/hand.go
+++ b/internal/process/gateway/hand.go
@@ -34,9 +34,7 @@
 		return ctx.Err() == nil, err
 	}
 	verdict := c.g.protocol.Judge(reply, c.ask.ID, carawayspread.PhaseRead)
-	if verdict == carawayspread.VerdictAnswer || verdict == carawayspread.VerdictNotRun {
-		c.feedback(at, reply, verdict, sent)
-	}
+	c.feedback(at, reply, verdict, sent)
 	if verdict == carawayspread.VerdictAnswer {
 		c.alive(at, sent)
 	}
--- a/internal/process/gateway/pause_test.go
+++ b/internal/process/gateway/pause_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -56,6 +57,30 @@
 	}
 }
 
+// A reader that turns a prompt away asks for a pause as any endpoint does.
+func TestReaderGetsNothingWhileItAsksForAPause(t *testing.T) {
+	b := newBench(t, answer(503, "Retry-After", "5", "Carawayspread-Server-Seal", ""), events(1, 2, io.EOF))
+	b.engines(carawayspread.RolePrefill, carawayspread.RoleDecode, carawayspread.RoleDecode)
+	ask := func() int {
+		before := len(b.exchange.all())
+		_, _, err := b.ask(t, "/once/x", "p", tokens, "5000,50")
+		qt.Assert(t, err, qt.IsNil)
+		reads := 0
+		for _, s := range b.exchange.all()[before:] {
+			if s.out.Header.Get("Carawayspread-Stage") != "" {
+				reads++
+			}
+		}
+		return reads
+	}
+	qt.Check(t, ask(), qt.Equals, 1)
+	b.exchange.steps = []step{events(1, 2, io.EOF)}
+	qt.Check(t, ask(), qt.Equals, 0)
+	b.clock.Advance(5 * time.Second)
+	b.exchange.steps = []step{handle(), events(1, 2, io.EOF)}
+	qt.Check(t, ask(), qt.Equals, 1)
+}
+
 // All endpoints of a service ask for a pause: its callers are refused at once and told
 // when the first of these ends.
 func TestRefusalNamesTheEndOfThePause(t *testing.T) {
