A sidecar passes nothing on while its endpoint asks for a pause

What callers saw: an endpoint that turns requests away (503 or 429) and says for how long it takes none went on to get each of them from its sidecar, and its refusal was the final answer to each caller, though other endpoints had room.

Cause: as on the platform's way to endpoints, the Retry-After of an endpoint's answer was copied to the caller and not read.

Why this works: the sidecar is the only way to its endpoint; it refuses as not run, with what is left of the pause, and entries place such an attempt elsewhere.

--- a/internal/connection/weights/store.go
+++ b/internal/connection/weights/store.go
@@ -5,18 +5,17 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/retryafter"
 )
 
 const (
 	defaultRetryAfter = 5 * time.Second // where the store names no time
-	maxRetryAfter     = 10 * time.Minute
 	idleConnTimeout   = 90 * time.Second
 )
 
@@ -60,7 +59,10 @@
 		n, err := io.Copy(w, resp.Body)
 		return n, trace.Wrap(err)
 	case http.StatusTooManyRequests:
-		wait := parseRetryAfter(resp.Header.Get("Retry-After"))
+		wait, named := retryafter.Parse(resp.Header, s.clock.Now())
+		if !named {
+			wait = defaultRetryAfter
+		}
 		s.closedUntil.Store(s.clock.Now().Add(wait).UnixNano())
 		return 0, limited(wait)
 	}
@@ -75,15 +77,3 @@
 	return carawayspread.NewError(carawayspread.CodeOverloaded, "the weight store is at its rate limit",
 		carawayspread.NotRun(), carawayspread.RetryAfter(wait))
 }
-
-// parseRetryAfter reads a number of seconds and bounds it.
-func parseRetryAfter(header string) time.Duration {
-	seconds, err := strconv.Atoi(header)
-	if err != nil || seconds < 0 {
-		return defaultRetryAfter
-	}
-	if seconds > int(maxRetryAfter/time.Second) {
-		return maxRetryAfter
-	}
-	return time.Duration(seconds) * time.Second
-}
--- a/internal/connection/weights/store_test.go
+++ b/internal/connection/weights/store_test.go
@@ -43,13 +43,3 @@
 	_, err = store.Fetch(ctx, "model", io.Discard)
 	qt.Check(t, err, qt.IsNil)
 }
-
-func FuzzParseRetryAfter(f *testing.F) {
-	f.Add("7")
-	f.Add("-1")
-	f.Add("99999999999999999999")
-	f.Fuzz(func(t *testing.T, header string) {
-		wait := parseRetryAfter(header)
-		qt.Assert(t, wait >= 0 && wait <= maxRetryAfter, qt.IsTrue)
-	})
-}
--- a/internal/process/sidecar/load.go
+++ b/internal/process/sidecar/load.go
@@ -54,7 +54,7 @@
 		PrefillRate: float32(seen.state.PrefillRate),
 		DecodeRate:  float32(seen.state.DecodeRate),
 		Crashed:     w.down.Load(),
-		Draining:    w.closed(),
+		Draining:    w.isClosed(),
 		Models:      seen.state.Models,
 	}
 	if !seen.at.IsZero() {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -80,9 +80,13 @@
 	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
 		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
 	}
-	if w.closed() {
+	if w.isClosed() {
 		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
 	}
+	if paused := w.paused(s.clock.Now()); paused > 0 {
+		return carawayspread.NewError(carawayspread.CodeOverloaded, "the endpoint asked for a pause",
+			carawayspread.NotRun(), carawayspread.RetryAfter(paused))
+	}
 	if refusal := s.judge(r, w.spec.ID); refusal != nil {
 		return refusal
 	}
@@ -120,6 +124,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	worker.pause(s.clock.Now(), resp)
 	end := s.answer(w, r, worker, resp)
 	if end == sidecarhttp.EndCut && r.Context().Err() == nil && s.crashed(worker, life) {
 		end = sidecarhttp.EndCrashed
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -12,6 +12,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/engine"
+	"carawayspread/internal/connection/retryafter"
 )
 
 // worker is what the sidecar holds of one endpoint.
@@ -23,6 +24,7 @@
 	waiting  atomic.Int64
 	draining atomic.Bool
 	quiet    atomic.Int32 // changes that want the endpoint empty; not negative
+	closed   atomic.Int64 // until when the endpoint takes nothing, in Unix nanoseconds
 	down     atomic.Bool  // the last probe failed
 	late     atomic.Int64 // probes in a row that timed out
 	state    atomic.Pointer[observed]
@@ -89,8 +91,26 @@
 
 func (w *worker) leave() { <-w.slots }
 
-// closed reports whether the endpoint takes no new work.
-func (w *worker) closed() bool { return w.draining.Load() || w.quiet.Load() > 0 }
+// isClosed reports whether the endpoint takes no new work.
+func (w *worker) isClosed() bool { return w.draining.Load() || w.quiet.Load() > 0 }
+
+// paused returns for how long the endpoint takes nothing, as it has asked.
+func (w *worker) paused(now time.Time) time.Duration {
+	return max(0, time.Duration(w.closed.Load()-now.UnixNano()))
+}
+
+// pause takes how long the endpoint wants nothing where its answer turns a request away.
+func (w *worker) pause(now time.Time, resp *http.Response) {
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusTooManyRequests {
+		return
+	}
+	d, ok := retryafter.Parse(resp.Header, now)
+	if !ok || d <= w.paused(now) {
+		return
+	}
+	w.closed.Store(now.Add(d).UnixNano())
+	w.log.WithField("endpoint", w.spec.ID).WithField("ms", d.Milliseconds()).Info("endpoint asks for a pause")
+}
 
 // empty refuses new work and takes every slot as it becomes free: whoever has
 // all of them knows that no request runs and that none can begin.
