--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -47,11 +47,12 @@
 	calls   int
 	lose    int // transactions whose answers are lost
 	hushed  bool
+	era     int // how often the store came back from a copy, and one
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{started: time.Now(), rows: map[id]Row{}, changed: make(chan struct{})}
+	return &Store{started: time.Now(), rows: map[id]Row{}, changed: make(chan struct{}), era: 1}
 }
 
 // shows returns the store's steady clock, which began a second before the store.
@@ -122,6 +123,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.calls++
+	if s.era != 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
 	s.mu.Unlock()
 	switch r.URL.Path {
 	case "/-/rows-get":
@@ -171,7 +175,7 @@
 			}
 		}
 		status, changed, hushed := s.mode, s.changed, s.hushed && wait > 0
-		if status == 0 && after < s.oldest {
+		if status == 0 && (after < s.oldest || after > s.ver) {
 			status = http.StatusGone
 		}
 		s.mu.Unlock()
