Fencing numbers rise over a restore of the table, and two processes do not hold a lease

Cause: the number is the revision of a row, which counts within what the store holds; and a record that is free, older or one's own was taken for the truth.

The number is the epoch and 1,024 for each generation; a process that sees a new one drops its tenure and takes none for a term, nor does one that starts in a generation above the first; an acquisition counts only in one generation. Weighed: the generation as leading bits (longer than 32 bits on a wire whose range is not stated), and asking those that have seen numbers (not all keep them).

--- a/internal/controller/lease/lease.go
+++ b/internal/controller/lease/lease.go
@@ -15,8 +15,15 @@
 	driftPart   = 50 // clock rates may differ by 2%
 	sortHolder  = "holder"
 	sortEpoch   = "epoch"
+	// generationStep is more than the tenures that can begin in the time that a table
+	// loses when it comes back from an older copy: a quarter of an hour of one a second.
+	generationStep = 1024
 )
 
+// errRestored says that the table came back from an older copy meanwhile, so that what
+// was written may be gone.
+var errRestored = errors.New("the table came back from an older copy")
+
 // ErrHeld says that another process holds the lease, or may hold it.
 var ErrHeld = errors.New("lease held by another process")
 
@@ -32,13 +39,22 @@
 
 	held atomic.Pointer[tenure] // nil while not held
 	seen sighting               // what a successor last saw; used by Try alone
+
+	// met says that the table has answered, generation is its own as Try last looked, and
+	// restored when that grew; zero where this process has met one alone that may be the
+	// first.
+	met        bool
+	generation uint64
+	restored   time.Time
 }
 
 // tenure is one holding of the lease; immutable.
 type tenure struct {
-	epoch uint64    // the revision of the epoch item while it lasts
-	rev   uint64    // the newest known revision of the holder item
-	since time.Time // before the last write that succeeded was sent
+	epoch uint64 // the revision of the epoch item while it lasts
+	// generation is that of the table in which the tenure was written.
+	generation uint64
+	rev        uint64    // the newest known revision of the holder item
+	since      time.Time // before the last write that succeeded was sent
 }
 
 // sighting is a revision of the holder item and when it was first read.
@@ -75,14 +91,26 @@
 // Valid reports whether the lease is held now and for the margin to come.
 func (l *Lease) Valid(margin time.Duration) bool {
 	t := l.held.Load()
-	return t != nil && elapsed(t.since, l.clock.Now())+margin < l.term
+	return t != nil && t.generation == l.tableGeneration() && elapsed(t.since, l.clock.Now())+margin < l.term
 }
 
 // Epoch returns the fencing number of the tenure that began last; zero while
 // the lease is not held.
+//
+// A table that comes back from an older copy gives the epochs of the lost seconds out
+// again. Its generation raises the number by more than there can be of those.
 func (l *Lease) Epoch() uint64 {
 	if t := l.held.Load(); t != nil {
-		return t.epoch
+		return t.epoch + t.generation*generationStep
+	}
+	return 0
+}
+
+// tableGeneration returns how often the table came back from an older copy; zero where
+// it does not.
+func (l *Lease) tableGeneration() uint64 {
+	if table, ok := l.table.(carawayspread.Restorable); ok {
+		return table.Generation()
 	}
 	return 0
 }
--- a/internal/controller/lease/try.go
+++ b/internal/controller/lease/try.go
@@ -28,6 +28,32 @@
 	return l.acquire(ctx)
 }
 
+// look takes note of a new generation of the table. The tenure that was written in the
+// one before may be gone from the table, and is dropped.
+//
+// Failure: the record of a holder is gone, and the one in its place is free or has the
+// revision that the holder last wrote. Symptom: two processes hold the lease. Both wait
+// out a term from when they see the new generation: the one acts no more by then, and
+// the other's record has been seen for as long as any.
+func (l *Lease) look() (changed bool) {
+	generation := l.tableGeneration()
+	if l.met && generation == l.generation {
+		return false
+	}
+	changed = l.met || generation > 1
+	l.met, l.generation = true, generation
+	if changed {
+		l.restored = l.clock.Now()
+		l.held.Store(nil)
+	}
+	return changed
+}
+
+// settles reports whether a tenure that is gone from the table may still be acted on.
+func (l *Lease) settles() bool {
+	return !l.restored.IsZero() && l.clock.Now().Sub(l.restored) < l.term+l.term/driftPart
+}
+
 // Release gives the lease up at once, so that a successor need not wait.
 func (l *Lease) Release(ctx context.Context) error {
 	t := l.held.Swap(nil)
@@ -48,24 +74,29 @@
 	}
 	sent := l.clock.Now()
 	err = l.table.Apply(ctx, write)
+	if l.look() {
+		return ErrHeld
+	}
 	if err == nil {
-		l.held.Store(&tenure{epoch: t.epoch, rev: t.rev + 1, since: sent})
+		l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: t.rev + 1, since: sent})
 		return nil
 	}
 	item, record, readErr := l.read(ctx)
 	switch {
+	case l.look():
+		return ErrHeld
 	case readErr != nil:
 		return trace.Wrap(err)
 	case record.Holder != l.holder || record.Epoch != t.epoch:
 		l.held.Store(nil)
 		return ErrHeld
 	case item.Token == write.Item.Token:
-		l.held.Store(&tenure{epoch: t.epoch, rev: item.Rev, since: sent})
+		l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: sent})
 		return nil
 	}
 	// An earlier write of ours may have arrived late. When it was sent is no
 	// longer known, so the term goes on from the last one that is.
-	l.held.Store(&tenure{epoch: t.epoch, rev: item.Rev, since: t.since})
+	l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: t.since})
 	return trace.Wrap(err)
 }
 
@@ -74,9 +105,11 @@
 	if err != nil {
 		return err
 	}
-	if !l.vacant(item, record) {
+	l.look()
+	if l.settles() || !l.vacant(item, record) {
 		return ErrHeld
 	}
+	generation := l.generation
 	next := entry{Holder: l.holder, Epoch: record.Epoch + 1, TermMs: l.term.Milliseconds()}
 	holder, err := l.write(sortHolder, item.Rev, next)
 	if err != nil {
@@ -94,7 +127,10 @@
 	if err != nil {
 		return err
 	}
-	l.held.Store(&tenure{epoch: next.Epoch, rev: item.Rev + 1, since: sent})
+	if l.look() || l.generation != generation {
+		return trace.Wrap(errRestored)
+	}
+	l.held.Store(&tenure{epoch: next.Epoch, generation: generation, rev: item.Rev + 1, since: sent})
 	return nil
 }
 
--- a/table.go
+++ b/table.go
@@ -55,6 +55,14 @@
 	Apply(ctx context.Context, writes ...Write) error
 }
 
+// Restorable is a Table whose service may come back from an older copy of its items:
+// what was written since is gone, and revisions are given out again.
+type Restorable interface {
+	// Generation grows with each time that this has happened, as far as answers to
+	// this process have shown. Above 1 it has happened; up to 1 it may not have.
+	Generation() uint64
+}
+
 // ConditionError names the writes of an Apply whose conditions failed.
 type ConditionError struct {
 	Failed []int // indexes into the writes, ascending, not empty
