The soak has the store come back from a copy, and workers that name a rate or say that they leave

The new kinds are drawn apart from the others, so that the schedules of earlier seeds stay what they were and have them added. Checks from outside: a process sends nothing to a worker once it has passed on an answer that says that it leaves, whatever the store says, and a worker gets no more than one and a half times its rate and 5 in 4 s from the processes that were told; a process that was killed, paused or ended since is excused. Eight rows of TestBreaches, four of them red.

--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -16,14 +16,21 @@
 // paused and replaced, workers misbehave and leave, and the ways between fail, in
 // series that overlap. Whatever comes together, no promise is broken.
 func TestShortSoak(t *testing.T) {
-	const seed, size, length = 6020, 3, 7 * time.Second // has faults of nearly all kinds
+	const size, length = 3, 7 * time.Second
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "gateway")
 	out, err := exec.Command("go", "build", "-o", binary, "../gateway").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	var said strings.Builder
-	found, err := soak(t.Context(), &said, binary, dir, schedule.Draw(seed, length), size)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", said.String()))
-	t.Log(said.String())
+	for name, seed := range map[string]uint64{
+		"nearly all of the common kinds": 6020,
+		"all of the rare kinds":          6028,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var said strings.Builder
+			found, err := soak(t.Context(), &said, binary, dir, schedule.Draw(seed, length), size)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", said.String()))
+			t.Log(said.String())
+		})
+	}
 }
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -80,6 +81,7 @@
 	by      *relay.Relay
 	service string
 	role    string
+	limited atomic.Bool // it names a rate
 }
 
 // New starts stand-ins and so many gateways of the binary, which log to dir.
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -25,6 +25,9 @@
 	mostMisbehaved = 60
 )
 
+// rates are those that workers name, in requests a second.
+var rates = []float64{0.5, 2.2, 4}
+
 // faults are what the steps do to the way to a worker.
 var faults = map[schedule.Kind]relay.Fault{
 	schedule.Delayed: relay.Delayed, schedule.Silent: relay.Silent,
@@ -81,6 +84,12 @@
 		return f.leave(step.Which)
 	case schedule.Routes:
 		f.routes()
+	case schedule.Restore:
+		return f.restore(step.For)
+	case schedule.Leaving:
+		return f.leaveUnlisted(step.Which, step.For)
+	case schedule.Limited:
+		f.limit(step.Which, rates[step.Draw%uint64(len(rates))], step.For)
 	default:
 		p := f.pick(step.Which)
 		f.hurt(history.Hurt(p.worker.ID()), step.For, func() { p.by.Set(faults[step.Kind]) }, func() { p.by.Set(relay.None) })
--- a/internal/soak/fleet/platform.go
+++ b/internal/soak/fleet/platform.go
@@ -2,6 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"carawayspread/internal/soak/history"
 
 	"carawayspread/internal/soak/relay"
 	"carawayspread/internal/standin/rows"
@@ -63,3 +69,66 @@
 	defer f.mu.Unlock()
 	return f.workers[which%len(f.workers)]
 }
+
+// leaveUnlisted has a worker say in its answers that it leaves, a while before the list
+// says so.
+func (f *Fleet) leaveUnlisted(which int, d time.Duration) error {
+	p := f.pick(which)
+	p.worker.Say("Server-Leaving", "1")
+	<-f.clock.After(d)
+	f.mu.Lock()
+	i := slices.Index(f.workers, p)
+	f.mu.Unlock()
+	if i < 0 {
+		return nil // it has left by another step
+	}
+	return f.leave(i)
+}
+
+// limit has a worker name a rate in its answers for a while.
+func (f *Fleet) limit(which int, rate float64, d time.Duration) {
+	p := f.pick(which)
+	if !p.limited.CompareAndSwap(false, true) {
+		return // it names another rate already
+	}
+	defer p.limited.Store(false)
+	from := f.clock.Now()
+	p.worker.Say("Server-Limit", strconv.FormatFloat(rate, 'g', -1, 64))
+	<-f.clock.After(d)
+	f.history.Limited(p.worker.ID(), rate, from, f.clock.Now())
+	p.worker.Say("Server-Limit", "")
+}
+
+const (
+	// away is how long the store is away before it comes back from a copy, and rewritten
+	// how long after that what was lost is written again.
+	away      = 300 * time.Millisecond
+	rewritten = 500 * time.Millisecond
+)
+
+// restore has the store lose what was written in a while, as it comes back from a copy.
+// The operator and the workers that live write again what they had written.
+func (f *Fleet) restore(lost time.Duration) error {
+	from := f.clock.Now()
+	older := f.store.Copy()
+	<-f.clock.After(lost)
+	f.store.Answer(http.StatusServiceUnavailable)
+	<-f.clock.After(away)
+	f.store.Restore(older)
+	f.store.Answer(0)
+	<-f.clock.After(rewritten)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.Publish(f.version, "model")
+	for _, p := range f.all {
+		state := "draining"
+		if slices.Contains(f.workers, p) {
+			state = "ready"
+		}
+		if err := f.list(p, state); err != nil {
+			return err
+		}
+	}
+	f.history.Hurt(history.Store, from, f.clock.Now())
+	return nil
+}
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -45,6 +45,13 @@
 	ordered  bool
 }
 
+// limit is the rate that a worker named for a while, in requests a second.
+type limit struct {
+	worker   string
+	rate     float64
+	from, to time.Time
+}
+
 type answer struct {
 	caller.Answer
 	process string
@@ -65,8 +72,9 @@
 	runs    []run
 	hurt    map[Hurt][]window
 	left    map[string]time.Time // of workers
-	last    []answer             // after all faults had ended
-	memory  map[string]int       // the most of each process, in megabytes
+	limited []limit
+	last    []answer       // after all faults had ended
+	memory  map[string]int // the most of each process, in megabytes
 }
 
 // New returns an empty history that begins now.
@@ -121,6 +129,13 @@
 	h.left[id] = at
 }
 
+// Limited adds that a worker named in its answers how many requests a second it takes.
+func (h *History) Limited(id string, rate float64, from, to time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.limited = append(h.limited, limit{id, rate, from, to})
+}
+
 // Occupied adds what a process occupies.
 func (h *History) Occupied(process string, megabytes int) {
 	h.mu.Lock()
@@ -159,6 +174,8 @@
 		found = append(found, h.kept(a)...)
 	}
 	found = append(found, h.leaving()...)
+	found = append(found, h.toldLeaving()...)
+	found = append(found, h.rates()...)
 	found = append(found, h.budget()...)
 	found = append(found, h.served()...)
 	return append(found, h.bounded()...)
--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -36,6 +37,20 @@
 		}
 		return all
 	}
+	said := func(what func(*caller.Answer)) caller.Answer {
+		a := served(caller.Unsafe, "w answers id")
+		what(&a)
+		return a
+	}
+	// later adds requests that were served by w from that moment on.
+	later := func(h *History, from time.Time, n int, apart time.Duration) {
+		for i := range n {
+			id, asked := fmt.Sprint("later-", i), from.Add(time.Duration(i)*apart)
+			a := caller.Answer{ID: id, Kind: caller.Unsafe, Asked: asked, Ended: asked.Add(time.Second), Status: 200, Seal: "w." + id, Body: "w answers " + id}
+			h.Answered("g", a)
+			h.Ran("w", []worker.Seen{{ID: id, Target: "/order/x", Header: http.Header{}, Ran: true, At: asked}})
+		}
+	}
 	for name, c := range map[string]struct {
 		answer caller.Answer
 		runs   []worker.Seen
@@ -60,8 +75,37 @@
 		"cut as its process ended in order": {cut, nil, func(h *History) { h.Ended("g", at(time.Second-time.Millisecond), at(2*time.Second)) }, "without an answer by g"},
 		"asked when it had ended":           {cut, nil, func(h *History) { h.Ended("g", at(-time.Millisecond), at(2*time.Second)) }, ""},
 		"nobody at the port":                {unconnected, nil, nil, ""},
-		"sent to one that leaves":           {served(caller.Unsafe, "w answers id"), ran(6*time.Second, "id"), func(h *History) { h.Left("w", at(time.Second)) }, "5s after it had said"},
-		"sent just after it said so":        {served(caller.Unsafe, "w answers id"), ran(3*time.Second, "id"), func(h *History) { h.Left("w", at(time.Second)) }, ""},
+		"sent by the one that was told that it leaves": {said(func(a *caller.Answer) { a.Leaving = true }), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 1, 0)
+		}, "4s after an answer had told it"},
+		"sent just after it was told": {said(func(a *caller.Answer) { a.Leaving = true }), ran(0, "id"), func(h *History) {
+			later(h, at(2*time.Second), 1, 0)
+		}, ""},
+		"sent by one that has started again since": {said(func(a *caller.Answer) { a.Leaving = true }), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 1, 0)
+			h.Hurt("g", at(2*time.Second), at(3*time.Second))
+		}, ""},
+		"sent by one that was told nothing": {served(caller.Unsafe, "w answers id"), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 1, 0)
+		}, ""},
+		"more than the rate": {said(func(a *caller.Answer) { a.Limited = true }), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 18, 200*time.Millisecond)
+			h.Limited("w", 2, at(0), at(10*time.Second))
+		}, "got 18 requests in 4s, of 17"},
+		"the rate": {said(func(a *caller.Answer) { a.Limited = true }), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 17, 200*time.Millisecond)
+			h.Limited("w", 2, at(0), at(10*time.Second))
+		}, ""},
+		"more while it is learnt": {said(func(a *caller.Answer) { a.Limited = true }), ran(0, "id"), func(h *History) {
+			later(h, at(2*time.Second), 18, 50*time.Millisecond)
+			h.Limited("w", 2, at(0), at(10*time.Second))
+		}, ""},
+		"more by one that was told nothing": {served(caller.Unsafe, "w answers id"), ran(0, "id"), func(h *History) {
+			later(h, at(5*time.Second), 18, 200*time.Millisecond)
+			h.Limited("w", 2, at(0), at(10*time.Second))
+		}, ""},
+		"sent to one that leaves":    {served(caller.Unsafe, "w answers id"), ran(6*time.Second, "id"), func(h *History) { h.Left("w", at(time.Second)) }, "5s after it had said"},
+		"sent just after it said so": {served(caller.Unsafe, "w answers id"), ran(3*time.Second, "id"), func(h *History) { h.Left("w", at(time.Second)) }, ""},
 		"sent while the store was away": {served(caller.Unsafe, "w answers id"), ran(6*time.Second, "id"), func(h *History) {
 			h.Left("w", at(time.Second))
 			h.Hurt(Store, at(2*time.Second), at(4*time.Second))
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -2,6 +2,7 @@
 package schedule
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -29,8 +30,15 @@
 	Misbehave   Kind = "misbehave"   // a worker, for some requests
 	Drain       Kind = "drain"       // a worker leaves, and another comes
 	Routes      Kind = "routes"      // a newer version of the routes
+
+	Restore Kind = "restore" // the store comes back from a copy that is so old
+	Leaving Kind = "leaving" // a worker says in its answers alone that it leaves
+	Limited Kind = "limited" // a worker names in its answers a rate that it takes
 )
 
+// rare come once in some seconds, drawn apart from the others.
+var rare = []Kind{Restore, Leaving, Limited}
+
 var kinds = []Kind{
 	Kill, Kill, KillAll, Replace, Replace, Pause, Pause, Reload, Delayed, Silent, OneWay, Refused,
 	StoreDown, StoreSilent, StoreForgot, Misbehave, Misbehave, Misbehave, Drain, Drain, Routes, Routes,
@@ -43,6 +51,10 @@
 	// apart is the mean time from one step to the next: faults that last one and a
 	// quarter second on the mean overlap, two or three at a time.
 	apart = 450 * time.Millisecond
+	// rareApart is the same of those that are drawn apart, and limitedFor the least time
+	// for which a worker names a rate: most of it is left to what is under way.
+	rareApart  = 5 * time.Second
+	limitedFor = 6 * time.Second
 )
 
 // Step is one fault.
@@ -61,17 +73,27 @@
 
 // Draw returns the schedule of a seed, for so long.
 func Draw(seed uint64, length time.Duration) *Schedule {
-	r := rand.New(rand.NewPCG(seed, 0))
 	s := &Schedule{seed: seed}
+	s.draw(rand.New(rand.NewPCG(seed, 0)), length, apart, kinds)
+	s.draw(rand.New(rand.NewPCG(seed, 1)), length, rareApart, rare)
+	slices.SortStableFunc(s.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return s
+}
+
+func (s *Schedule) draw(r *rand.Rand, length, apart time.Duration, kinds []Kind) {
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() * float64(apart))
 		if at >= length {
-			return s
+			return
 		}
-		s.steps = append(s.steps, Step{
+		step := Step{
 			At: at.Truncate(time.Millisecond), For: time.Duration(r.Float64() * float64(longest)).Truncate(time.Millisecond),
 			Kind: kinds[r.IntN(len(kinds))], Which: r.IntN(1 << 16), Draw: r.Uint64(),
-		})
+		}
+		if step.Kind == Limited {
+			step.For += limitedFor
+		}
+		s.steps = append(s.steps, step)
 	}
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -38,6 +38,8 @@
 	Status       int // zero where no answer began
 	Seal         string
 	ComeBack     bool // it is told when
+	Leaving      bool // the worker says that it leaves
+	Limited      bool // the worker names the rate that it takes
 	Body         string
 	Err          error // why no answer began, or why it broke off
 }
@@ -91,6 +93,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a.Status, a.Seal, a.ComeBack = resp.StatusCode, resp.Header.Get("Carawayspread-Server-Seal"), resp.Header.Get("Retry-After") != ""
+	a.Leaving, a.Limited = resp.Header.Get("Server-Leaving") != "", resp.Header.Get("Server-Limit") != ""
 	text, err := io.ReadAll(resp.Body)
 	a.Body = string(text)
 	return err
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -61,6 +61,7 @@
 	orders int64
 	busy   bool
 	conns  map[net.Conn]bool
+	says   map[string]string // headers of all answers
 }
 
 // New starts a worker with that identifier, which does what the script says,
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{id: id, listener: listener, script: script, conns: map[net.Conn]bool{}}
+	w := &Worker{id: id, listener: listener, script: script, conns: map[net.Conn]bool{}, says: map[string]string{}}
 	go w.serve()
 	return w, nil
 }
@@ -106,6 +107,13 @@
 	w.script = append(w.script, script...)
 }
 
+// Say has all answers from now on bear a header, or none where the value is empty.
+func (w *Worker) Say(name, value string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.says[name] = value
+}
+
 // Recover drops what is left of the script.
 func (w *Worker) Recover() {
 	w.mu.Lock()
@@ -199,7 +207,7 @@
 		return w.control(conn, s)
 	}
 	does := w.next(s)
-	id := "Carawayspread-Request-Id: " + s.ID
+	id := "Carawayspread-Request-Id: " + s.ID + w.said()
 	seal := "Carawayspread-Server-Seal: " + w.id + "." + s.ID
 	text := w.id + " answers " + s.ID
 	switch does {
@@ -234,6 +242,19 @@
 	return true
 }
 
+// said returns the lines of the headers of all answers, each after a line end.
+func (w *Worker) said() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var lines strings.Builder
+	for name, value := range w.says {
+		if value != "" {
+			lines.WriteString("\r\n" + name + ": " + value)
+		}
+	}
+	return lines.String()
+}
+
 func (w *Worker) succeed(conn net.Conn, s Seen, does Behaviour, text, id, seal string) bool {
 	switch {
 	case s.Header.Get("Carawayspread-Stage") != "":
