The peers' socket receives in a file of its own; terms of feedback in one place

socket.go had grown to 380 lines and two jobs: what is received is receive.go, what endpoints say is feedback.go (moves only). A constant that had the name of a field has its own.

--- a/internal/connection/peers/message.go
+++ b/internal/connection/peers/message.go
@@ -23,8 +23,6 @@
 	mostFleet = 4096
 	// mostStamp bounds readings of clocks, in milliseconds: some 250 years.
 	mostStamp = 1 << 43
-	// mostRate bounds a rate in a message, in requests a second.
-	mostRate = 1_000_000
 	// sizeLimit keeps a message inside one packet of any link.
 	sizeLimit = 1200
 )
@@ -36,12 +34,6 @@
 	Withdrawn   bool // the endpoint has shown since that it lives
 }
 
-// Feedback is what an answer to the sender says of its endpoint.
-type Feedback struct {
-	Endpoint carawayspread.EndpointID
-	Says     carawayspread.Feedback
-}
-
 // message is one datagram.
 type message struct {
 	sender  uint64 // drawn at the start of the process
@@ -108,22 +100,6 @@
 	return b
 }
 
-// rateUnit is the resolution of a rate in a message, in requests a second.
-const rateUnit = 1e-3
-
-func appendFeedback(b []byte, f Feedback) []byte {
-	b = appendText(b, string(f.Endpoint))
-	b = append(b, flag(f.Says.Limited), flag(f.Says.Draining))
-	return binary.AppendUvarint(b, uint64(min(mostRate, f.Says.Rate)/rateUnit))
-}
-
-func (r *reader) feedback() Feedback {
-	return Feedback{
-		Endpoint: carawayspread.EndpointID(r.text()),
-		Says:     carawayspread.Feedback{Limited: r.flag(), Draining: r.flag(), Rate: float64(r.count(mostRate/rateUnit)) * rateUnit},
-	}
-}
-
 // workspaceBytes is the length of a workspace's identifier.
 const workspaceBytes = 5
 
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -31,10 +30,8 @@
 	// openTries bounds the search for a port that is free for both protocols.
 	openTries = 16
 	// waiting bounds what is not sent yet.
-	waiting = 1024
-	// mostFeedback bounds the feedback of one message, a third of a packet.
-	mostFeedback = 20
-	readBuffer   = 64 << 10
+	waiting    = 1024
+	readBuffer = 64 << 10
 )
 
 // Receiver takes what peers tell.
@@ -177,15 +174,6 @@
 	s.rouse()
 }
 
-// TellFeedback queues what an answer says of its endpoint for all peers. It does not
-// block.
-func (s *Socket) TellFeedback(id carawayspread.EndpointID, f carawayspread.Feedback) {
-	s.mu.Lock()
-	s.feedback[id] = f
-	s.mu.Unlock()
-	s.rouse()
-}
-
 func (s *Socket) rouse() {
 	select {
 	case s.wake <- struct{}{}:
@@ -249,21 +237,6 @@
 	return len(to) + len(forward)
 }
 
-// takeFeedbackLocked removes and returns what fits into one message; what is left is
-// sent after it.
-func (s *Socket) takeFeedbackLocked() []Feedback {
-	var taken []Feedback
-	for id, f := range s.feedback {
-		if len(taken) == mostFeedback {
-			s.rouse()
-			break
-		}
-		taken = append(taken, Feedback{id, f})
-		delete(s.feedback, id)
-	}
-	return taken
-}
-
 // urgent reports whether the message tells what no heartbeat repeats and what keeps
 // requests from being lost.
 func (m message) urgent() bool {
@@ -300,81 +273,3 @@
 		_, _ = s.conn.WriteToUDPAddrPort(body, address)
 	}
 }
-
-// Receive passes on what peers tell, until the socket is closed.
-func (s *Socket) Receive(r Receiver) error {
-	buffer := make([]byte, readBuffer)
-	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		if n > 0 && buffer[0] == bundleMagic {
-			for _, body := range unbundle(buffer[:n]) {
-				s.receive(body, r)
-			}
-			continue
-		}
-		s.receive(buffer[:n], r)
-	}
-}
-
-// receive takes one message. One that is malformed is dropped whole.
-func (s *Socket) receive(body []byte, r Receiver) {
-	m, err := decode(body)
-	if err != nil || m.sender == s.id {
-		return
-	}
-	if m.forward {
-		s.pass(m)
-	}
-	s.note(m)
-	if m.presence != nil {
-		r.Presents(m.sender, m.address.String(), *m.presence)
-	}
-	r.Heard(strconv.FormatUint(m.sender, 36), m.notices)
-	for _, c := range m.crashes {
-		r.Crashed(c)
-	}
-	for _, f := range m.feedback {
-		r.FeedbackHeard(f)
-	}
-	s.receiveUsage(m, r)
-}
-
-func (s *Socket) note(m message) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.Now()
-	p := s.peers[m.sender]
-	if p == nil {
-		p = &peer{}
-		s.peers[m.sender] = p
-	}
-	p.address, p.heard = m.address, now
-	if m.presence != nil {
-		p.presence = *m.presence
-	}
-	for id, other := range s.peers {
-		if id != m.sender && other.address == m.address {
-			delete(s.peers, id) // the process before it at this address
-		}
-	}
-	delete(s.rumours, m.address)
-	for _, address := range m.known {
-		if address != s.self && !s.hears(address) {
-			if _, ok := s.rumours[address]; !ok {
-				s.rumours[address] = now
-			}
-		}
-	}
-}
-
-func (s *Socket) hears(address netip.AddrPort) bool {
-	for _, p := range s.peers {
-		if p.address == address {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// ended is how long peers are told again that a limit has ended, as one message
+	// endTold is for how long peers are told again that a limit has ended, as one message
 	// may be lost.
-	ended = 2 * time.Second
+	endTold = 2 * time.Second
 	// memory is how long an endpoint is remembered that is not listed any more.
 	memory = 10 * time.Minute
 	// fleetLife is how long the account of the fleet's processes is used.
@@ -45,7 +45,7 @@
 
 // done reports whether nothing holds any more of what the endpoint has said.
 func (s *state) done(now time.Time) bool {
-	return s.limit == nil && !s.draining && !s.closed.After(now) && now.Sub(s.ended) > ended
+	return s.limit == nil && !s.draining && !s.closed.After(now) && now.Sub(s.ended) > endTold
 }
 
 // Backpressure is one process's account of all endpoints. It is safe for concurrent use.
@@ -85,7 +85,7 @@
 	}
 	f.RetryAfter = 0 // a refusal's to say
 	changed = b.note(now, id, f) || changed
-	return changed, f != (carawayspread.Feedback{}) || s != nil && s.limit == nil && now.Sub(s.ended) < ended
+	return changed, f != (carawayspread.Feedback{}) || s != nil && s.limit == nil && now.Sub(s.ended) < endTold
 }
 
 // Refused takes what an endpoint says that turned a request away. The refusal may come
--- a/internal/decision/backpressure/backpressure_test.go
+++ b/internal/decision/backpressure/backpressure_test.go
@@ -46,7 +46,7 @@
 	qt.Check(t, withholds(b, "w"), qt.IsFalse)
 	changed, tell = b.Answered("w", after, none)
 	qt.Check(t, !changed && tell, qt.IsTrue, qt.Commentf("told again, as messages are lost"))
-	clock.Advance(ended)
+	clock.Advance(endTold)
 	_, tell = b.Answered("w", clock.Now(), none)
 	qt.Check(t, tell, qt.IsFalse)
 }
@@ -110,7 +110,7 @@
 	qt.Check(t, withholds(b, "w") && !b.Take("w"), qt.IsTrue)
 	clock.Advance(time.Millisecond)
 	qt.Check(t, !withholds(b, "w") && b.Take("w"), qt.IsTrue)
-	clock.Advance(ended)
+	clock.Advance(endTold)
 	b.Listed(nil)
 	qt.Check(t, b.states, qt.HasLen, 0)
 }
