A revision that was seen before a restore does not count as seen since; a model of it

What would have been seen: two processes that hold a lease at once. The last holder gets it back under a revision that the table had given out before the restore; another process, which had seen that revision then, takes the record for one that nobody has renewed since.

--- a/internal/controller/lease/try.go
+++ b/internal/controller/lease/try.go
@@ -43,7 +43,7 @@
 	changed = l.met || generation > 1
 	l.met, l.generation = true, generation
 	if changed {
-		l.restored = l.clock.Now()
+		l.restored, l.seen = l.clock.Now(), sighting{} // its revision is given out again
 		l.settling = l.term + l.term/driftPart
 		if l.held.Swap(nil) != nil {
 			l.last = true
