A finding of the soak: a process refuses for two minutes what others answer all the while

Traced by its logs: it had just started, met a reset and an end of file at two endpoints within a millisecond under one request, so that it was convicted; both endpoints answered it nothing within the second that would have shown that they live (one was refused by its relay, the other took few requests, as it named a rate); the other processes had been killed since, knew of no break, and answered the same request without anything to clear.

Not mended: a process must either try a convicted request again, which may crash a third endpoint, or hear of answers elsewhere, which nobody tells of requests that he does not suspect.

--- a/internal/process/gateway/suspect_test.go
+++ b/internal/process/gateway/suspect_test.go
@@ -69,3 +69,27 @@
 	qt.Check(t, resp.StatusCode, qt.Equals, 200)
 	qt.Check(t, len(withdrawn) > 0, qt.IsTrue)
 }
+
+// A process refuses a request for two minutes that others answer all the while: both
+// endpoints broke off their answers and then took long to show that they live, and the
+// others, which had just started, knew of no break that their answers could clear.
+func TestRequestThatOthersAnswerIsNotRefusedForLong(t *testing.T) {
+	b, other := newBench(t, breaks(), breaks()), newBench(t)
+	_, _, err := b.ask(t, "/safe/x", "harmless")
+	qt.Assert(t, err, qt.IsNil)
+	b.gateway.crashed = func(fingerprint uint64, id carawayspread.EndpointID, back bool) {
+		other.gateway.Crashed(fingerprint, id, back)
+	}
+	other.gateway.crashed = func(fingerprint uint64, id carawayspread.EndpointID, back bool) {
+		b.gateway.Crashed(fingerprint, id, back)
+	}
+	for range 100 {
+		b.clock.Advance(100 * time.Millisecond)
+		resp, _, err := other.ask(t, "/safe/x", "harmless")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	}
+	resp, _, err := b.ask(t, "/safe/x", "harmless")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+}
