--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -143,11 +143,15 @@
 	*next = *old // what was seen of the service holds on
 	next.engines, next.ordered = make(map[carawayspread.EndpointID]*engine, len(endpoints)), nil
 	ids := make([]carawayspread.EndpointID, 0, len(endpoints))
+	now := p.env.Clock.Now()
 	for _, endpoint := range endpoints {
 		e := old.engines[endpoint.ID()]
 		if e == nil {
 			e = newEngine(endpoint)
 		}
+		if endpoint.Leaving() && !e.endpoint.Leaving() && !e.aside.After(now) {
+			p.env.Tell(carawayspread.Notice{Endpoint: e.hash, Running: e.own, Tokens: e.tokens, Aside: leavingFor})
+		}
 		e.update(endpoint)
 		e.mostParts = max(1, min(mostParts, allParts/len(endpoints)))
 		next.engines[endpoint.ID()] = e
--- a/internal/decision/placement/roles.go
+++ b/internal/decision/placement/roles.go
@@ -19,6 +19,13 @@
 	// gets request after request; each is refused, and the retries that all
 	// processes share are used up.
 	goneFor = 4 * time.Second
+	// leavingFor is how long an endpoint is out of use of which a peer says that it
+	// leaves: the list is there by then.
+	//
+	// Failure: the list takes seconds to reach hundreds of processes, one after the
+	// other. Symptom: those that it reaches last send requests to an endpoint that has
+	// been leaving for as long.
+	leavingFor = 10 * time.Second
 	// unreachableFor is how long one that takes no connection is out of use, by
 	// this process alone, whose own way to it may be cut.
 	//
--- a/placement.go
+++ b/placement.go
@@ -98,7 +98,7 @@
 	// are through, as an answer to the sender has shown; negative where they are
 	// sooner.
 	Late time.Duration
-	// Aside is how long the endpoint is not to be used, as it changes its role;
+	// Aside is how long the endpoint is not to be used, as it changes its role or leaves;
 	// zero where it does not.
 	Aside time.Duration
 }
