--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -55,6 +55,9 @@
 	// for which a worker names a rate: most of it is left to what is under way.
 	rareApart  = 5 * time.Second
 	limitedFor = 6 * time.Second
+	// unlistedFor is the least time for which a worker that leaves is listed as ready:
+	// longer than what processes have to stop in.
+	unlistedFor = 4 * time.Second
 )
 
 // Step is one fault.
@@ -90,8 +93,11 @@
 			At: at.Truncate(time.Millisecond), For: time.Duration(r.Float64() * float64(longest)).Truncate(time.Millisecond),
 			Kind: kinds[r.IntN(len(kinds))], Which: r.IntN(1 << 16), Draw: r.Uint64(),
 		}
-		if step.Kind == Limited {
+		switch step.Kind {
+		case Limited:
 			step.For += limitedFor
+		case Leaving:
+			step.For += unlistedFor
 		}
 		s.steps = append(s.steps, step)
 	}
