--- a/internal/controller/lease/lease.go
+++ b/internal/controller/lease/lease.go
@@ -43,14 +43,14 @@
 	held atomic.Pointer[tenure] // nil while not held
 	seen sighting               // what a successor last saw; used by Try alone
 
-	// met says that the table has answered, generation is its own as Try last looked, and
+	// hasMet says that the table has answered, generation is its own as Try last looked, and
 	// restored when that grew; zero where this process has met one alone that may be the
 	// first.
-	met        bool
+	hasMet     bool
 	generation uint64
 	restored   time.Time
 	settling   time.Duration // for how long after that the lease is left alone
-	last       bool          // this process held it when the table came back
+	wasHolder  bool          // this process held it when the table came back
 }
 
 // tenure is one holding of the lease; immutable.
--- a/internal/controller/lease/try.go
+++ b/internal/controller/lease/try.go
@@ -28,36 +28,36 @@
 	return l.acquire(ctx)
 }
 
-// look takes note of a new generation of the table. The tenure that was written in the
+// observeGeneration takes note of a new generation of the table. The tenure that was written in the
 // one before may be gone from the table, and is dropped.
 //
 // Failure: the record of a holder is gone, and the one in its place is free or has the
 // revision that the holder last wrote. Symptom: two processes hold the lease. Both wait
 // out a term from when they see the new generation: the one acts no more by then, and
 // the other's record has been seen for as long as any.
-func (l *Lease) look() (changed bool) {
+func (l *Lease) observeGeneration() (changed bool) {
 	generation := l.tableGeneration()
-	if l.met && generation == l.generation {
+	if l.hasMet && generation == l.generation {
 		return false
 	}
-	changed = l.met || generation > 1
-	l.met, l.generation = true, generation
+	changed = l.hasMet || generation > 1
+	l.hasMet, l.generation = true, generation
 	if changed {
 		l.restored, l.seen = l.clock.Now(), sighting{} // its revision is given out again
 		l.settling = l.term + l.term/driftPart
 		if l.held.Swap(nil) != nil {
-			l.last = true
+			l.wasHolder = true
 		}
-		if !l.last {
+		if !l.wasHolder {
 			l.settling += l.term / othersPart
 		}
 	}
 	return changed
 }
 
-// settles reports whether a tenure that is gone from the table may still be acted on, or
+// isSettling reports whether a tenure that is gone from the table may still be acted on, or
 // whether its holder, which alone knows what was written under it, comes first.
-func (l *Lease) settles() bool {
+func (l *Lease) isSettling() bool {
 	return !l.restored.IsZero() && l.clock.Now().Sub(l.restored) < l.settling
 }
 
@@ -81,7 +81,7 @@
 	}
 	sent := l.clock.Now()
 	err = l.table.Apply(ctx, write)
-	if l.look() {
+	if l.observeGeneration() {
 		return ErrHeld
 	}
 	if err == nil {
@@ -90,7 +90,7 @@
 	}
 	item, record, readErr := l.read(ctx)
 	switch {
-	case l.look():
+	case l.observeGeneration():
 		return ErrHeld
 	case readErr != nil:
 		return trace.Wrap(err)
@@ -112,8 +112,8 @@
 	if err != nil {
 		return err
 	}
-	l.look()
-	if l.settles() || !l.vacant(item, record) {
+	l.observeGeneration()
+	if l.isSettling() || !l.vacant(item, record) {
 		return ErrHeld
 	}
 	generation := l.generation
@@ -134,11 +134,11 @@
 	if err != nil {
 		return err
 	}
-	if l.look() || l.generation != generation {
+	if l.observeGeneration() || l.generation != generation {
 		return trace.Wrap(errRestored)
 	}
 	l.held.Store(&tenure{epoch: next.Epoch, generation: generation, rev: item.Rev + 1, since: sent})
-	l.last = false // until the next restore
+	l.wasHolder = false // until the next restore
 	return nil
 }
 
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -50,9 +50,9 @@
 
 // Backpressure is one process's account of all endpoints. It is safe for concurrent use.
 type Backpressure struct {
-	clock carawayspread.Clock
-	fleet Fleet
-	some  atomic.Bool // there are states; requests of a calm fleet look no further
+	clock  carawayspread.Clock
+	fleet  Fleet
+	active atomic.Bool // there are states; requests of a calm fleet look no further
 
 	mu     sync.Mutex
 	states map[carawayspread.EndpointID]*state
@@ -72,7 +72,7 @@
 // Answers on different connections overtake each other: one that names no rate ends a
 // limit only if its request was sent after the limit was last named.
 func (b *Backpressure) Answered(id carawayspread.EndpointID, sent time.Time, f carawayspread.Feedback) (changed, tell bool) {
-	if f == (carawayspread.Feedback{}) && !b.some.Load() {
+	if f == (carawayspread.Feedback{}) && !b.active.Load() {
 		return false, false
 	}
 	b.mu.Lock()
@@ -153,7 +153,7 @@
 	if s == nil {
 		s = &state{listed: now}
 		b.states[id] = s
-		b.some.Store(true)
+		b.active.Store(true)
 	}
 	return s
 }
@@ -162,7 +162,7 @@
 // have said so themselves: the list may be older. What is known of one that is missing
 // is kept for a while, since an entry may be gone and come back.
 func (b *Backpressure) Listed(endpoints []carawayspread.Endpoint) []carawayspread.Endpoint {
-	if !b.some.Load() {
+	if !b.active.Load() {
 		return endpoints
 	}
 	b.mu.Lock()
@@ -183,14 +183,14 @@
 			delete(b.states, id)
 		}
 	}
-	b.some.Store(len(b.states) > 0)
+	b.active.Store(len(b.states) > 0)
 	return listed
 }
 
 // Withheld adds to the set all endpoints that take nothing from this process now. The
 // set is not modified.
 func (b *Backpressure) Withheld(set map[carawayspread.EndpointID]bool) map[carawayspread.EndpointID]bool {
-	if !b.some.Load() {
+	if !b.active.Load() {
 		return set
 	}
 	b.mu.Lock()
@@ -215,7 +215,7 @@
 
 // Take is called before a request is sent; false where the endpoint takes none now.
 func (b *Backpressure) Take(id carawayspread.EndpointID) bool {
-	if !b.some.Load() {
+	if !b.active.Load() {
 		return true
 	}
 	b.mu.Lock()
@@ -231,7 +231,7 @@
 // Opens returns when the first of the endpoints that are withheld for a time takes a
 // request from this process again; zero where none is.
 func (b *Backpressure) Opens(endpoints []carawayspread.Endpoint) time.Duration {
-	if !b.some.Load() {
+	if !b.active.Load() {
 		return 0
 	}
 	b.mu.Lock()
--- a/internal/decision/backpressure/backpressure_test.go
+++ b/internal/decision/backpressure/backpressure_test.go
@@ -80,7 +80,7 @@
 	clock.Advance(memory + 1)
 	b.Listed([]carawayspread.Endpoint{other})
 	qt.Check(t, b.states, qt.HasLen, 0)
-	qt.Check(t, b.some.Load(), qt.IsFalse)
+	qt.Check(t, b.active.Load(), qt.IsFalse)
 }
 
 // The endpoints that a request has met already are not changed by what is withheld.
--- a/internal/process/gateway/feedback.go
+++ b/internal/process/gateway/feedback.go
@@ -83,18 +83,18 @@
 			c.expected = at
 		}
 		if err != nil {
-			return p, at, c.returns(err)
+			return p, at, c.untilOpen(err)
 		}
 		if c.g.backpressure.Take(at.Endpoint.ID()) {
 			return p, at, nil
 		}
 	}
-	return p, at, c.returns(busy())
+	return p, at, c.untilOpen(busy())
 }
 
-// returns tells a caller whom no endpoint takes to come back when the first of those
+// untilOpen tells a caller whom no endpoint takes to come back when the first of those
 // that asked for less opens again.
-func (c *call) returns(err error) error {
+func (c *call) untilOpen(err error) error {
 	refusal, ok := carawayspread.AsError(err)
 	opens := c.g.backpressure.Opens((*c.g.listed.Load())[c.service.Name])
 	if !ok || refusal.Code() != carawayspread.CodeNoEndpoint || opens <= refusal.RetryAfter() {
