--- a/internal/process/gateway/limit_test.go
+++ b/internal/process/gateway/limit_test.go
@@ -46,8 +46,8 @@
 	says carawayspread.Feedback
 }
 
-// hearing is how long a message takes from one process to another.
-const hearing = 50 * time.Millisecond
+// gossipDelay is how long a message takes from one process to another.
+const gossipDelay = 50 * time.Millisecond
 
 type arrival struct {
 	at      time.Time
@@ -111,7 +111,7 @@
 
 // hear has processes hear what their peers told a while ago.
 func (f *feedbackFleet) hear() {
-	for len(f.told) > 0 && f.clock.Now().Sub(f.told[0].at) >= hearing {
+	for len(f.told) > 0 && f.clock.Now().Sub(f.told[0].at) >= gossipDelay {
 		one := f.told[0]
 		f.told = f.told[1:]
 		for n, g := range f.gateways {
