--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -22,6 +22,7 @@
 	"github.com/apex/log"
 
 	"carawayspread"
+	"carawayspread/internal/connection/transfer"
 )
 
 const (
@@ -54,8 +55,9 @@
 	peers   func() []string // addresses, IP number and port
 	clock   carawayspread.Clock
 	log     log.Interface
-	client  *http.Client
 	learnt  *metrics.Counter
+	givenUp *metrics.Counter
+	bytes   *metrics.Counter
 	uptime  carawayspread.Uptime
 	observe func(asked, stamp time.Duration)
 }
@@ -73,8 +75,9 @@
 func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface, set *metrics.Set, opts ...Option) *Learner {
 	learner := &Learner{
 		holder: holder, peers: peers, clock: clock, log: l,
-		client: &http.Client{Timeout: askTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		learnt: set.GetOrCreateCounter("gateway_learnt_from_peers_total"),
+		learnt:  set.GetOrCreateCounter("gateway_learnt_from_peers_total"),
+		givenUp: set.GetOrCreateCounter("gateway_peer_transfers_given_up_total"),
+		bytes:   set.GetOrCreateCounter("gateway_peer_transfer_bytes_total"),
 	}
 	for _, opt := range opts {
 		opt(learner)
@@ -136,7 +139,15 @@
 	if l.observe != nil {
 		asked = l.uptime.Uptime()
 	}
-	got, err := NewKnowledgeProtobufClient("http://"+peer, l.client).Newer(ctx, req)
+	begun := l.clock.Now()
+	way := transfer.New(askTimeout)
+	got, err := NewKnowledgeProtobufClient("http://"+peer, way.Client()).Newer(ctx, req)
+	l.bytes.AddInt64(way.Received())
+	if err != nil && ctx.Err() == nil {
+		l.givenUp.Inc()
+		l.log.WithError(err).WithField("peer", peer).WithField("haveRoutes", req.Routes).WithField("haveList", req.List).
+			WithField("bytes", way.Received()).WithField("ms", l.clock.Now().Sub(begun).Milliseconds()).Warn("peer hands nothing on")
+	}
 	if err == nil && l.observe != nil {
 		l.observe(asked, time.Duration(got.StoreMs)*time.Millisecond)
 	}
@@ -155,7 +166,6 @@
 		Routes: l.holder.Have(carawayspread.MatterRoutes).Version, List: list,
 	})
 	if err != nil {
-		l.log.WithError(err).WithField("peer", peer).Debug("peer hands nothing on")
 		return false, err
 	}
 	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
