--- a/internal/soak/relay/relay.go
+++ b/internal/soak/relay/relay.go
@@ -32,7 +32,8 @@
 	// faultPoll is short against every fault.
 	faultPoll = 10 * time.Millisecond
 	// blockSize holds a whole answer of the stand-ins, so that it comes at once.
-	blockSize = 16 << 10
+	blockSize   = 16 << 10
+	bitsOfAByte = 8
 )
 
 // Relay passes connections on to one address until it is closed.
@@ -41,9 +42,12 @@
 	listener net.Listener
 	target   string
 	fault    atomic.Int32
+	answered atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	rate  float64   // bits a second of all answers; zero for no bound
+	free  time.Time // when the answers that were read are through
 }
 
 // New opens a relay to an address.
@@ -68,6 +72,16 @@
 	}
 }
 
+// Narrow bounds the bits a second of all answers together; zero ends the bound.
+func (r *Relay) Narrow(bits float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rate, r.free = bits, r.clock.Now()
+}
+
+// Answered returns the bytes of answers that were passed on.
+func (r *Relay) Answered() int64 { return r.answered.Load() }
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -138,6 +152,10 @@
 		n, err := from.Read(block)
 		if n > 0 {
 			r.wait(asks)
+			if !asks {
+				r.queue(n)
+				r.answered.Add(int64(n))
+			}
 			if _, failed := to.Write(block[:n]); failed != nil {
 				reset(from)
 				return
@@ -165,3 +183,20 @@
 		<-r.clock.After(faultPoll)
 	}
 }
+
+// queue returns when that many bytes are through behind what came before.
+func (r *Relay) queue(n int) {
+	r.mu.Lock()
+	if r.rate == 0 {
+		r.mu.Unlock()
+		return
+	}
+	now := r.clock.Now()
+	if r.free.Before(now) {
+		r.free = now
+	}
+	r.free = r.free.Add(time.Duration(float64(n) * bitsOfAByte / r.rate * float64(time.Second)))
+	wait := r.free.Sub(now)
+	r.mu.Unlock()
+	<-r.clock.After(wait)
+}
