A change of configuration travels as what it changes

What callers saw: three seconds after a change was confirmed some processes still answered by the service that it had replaced, then stopped being ready. Cause: each change moved the whole file to each process, against a deadline of 400 ms from a peer and of 1.2 s from the store. Class: a fixed deadline on, and a cost of, something whose size the users decide. An older process says nothing of changes and gets the whole.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -90,7 +90,11 @@
 
 // Newer implements the service.
 func (l *Learner) Newer(_ context.Context, req *NewerRequest) (*NewerResponse, error) {
-	known := l.holder.Known(req.Routes, req.List)
+	routes := req.Routes
+	if have := l.holder.Have(carawayspread.MatterRoutes).Version; !req.Changes && have > routes {
+		routes = 0 // the whole
+	}
+	known := l.holder.Known(routes, req.List)
 	return &NewerResponse{
 		Routes: toWire(known.Routes), List: toWire(known.List), StoreMs: uint64(known.StoreTime / time.Millisecond),
 	}, nil
@@ -156,21 +160,18 @@
 
 // learn takes what the peer knows, and reports whether anything was newer.
 func (l *Learner) learn(ctx context.Context, peer string) (bool, error) {
-	return l.learnSince(ctx, peer, l.holder.Have(carawayspread.MatterList).Version)
+	return l.learnSince(ctx, peer, l.holder.Have(carawayspread.MatterRoutes).Version, l.holder.Have(carawayspread.MatterList).Version)
 }
 
-// learnSince takes changes of the list since that version, and the whole where those
-// do not fit.
-func (l *Learner) learnSince(ctx context.Context, peer string, list uint64) (bool, error) {
-	got, err := l.newer(ctx, peer, &NewerRequest{
-		Routes: l.holder.Have(carawayspread.MatterRoutes).Version, List: list,
-	})
+// learnSince takes changes since those versions, and the whole where they do not fit.
+func (l *Learner) learnSince(ctx context.Context, peer string, routes, list uint64) (bool, error) {
+	got, err := l.newer(ctx, peer, &NewerRequest{Routes: routes, List: list, Changes: true})
 	if err != nil {
 		return false, err
 	}
 	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
-	if errors.Is(err, carawayspread.ErrPartial) && list > 0 {
-		return l.learnSince(ctx, peer, 0)
+	if errors.Is(err, carawayspread.ErrPartial) && routes+list > 0 {
+		return l.learnSince(ctx, peer, 0, 0)
 	}
 	if err != nil {
 		l.log.WithError(err).WithField("peer", peer).Warn("what a peer hands on cannot be read")
@@ -188,9 +189,9 @@
 	if d.Version == 0 {
 		return nil
 	}
-	return &Document{Version: d.Version, Body: d.Body}
+	return &Document{Version: d.Version, Since: d.Since, Body: d.Body}
 }
 
 func fromWire(d *Document) carawayspread.Document {
-	return carawayspread.Document{Version: d.GetVersion(), Body: d.GetBody()}
+	return carawayspread.Document{Version: d.GetVersion(), Since: d.GetSince(), Body: d.GetBody()}
 }
--- a/knowledge.go
+++ b/knowledge.go
@@ -33,7 +33,9 @@
 // Document is what a process knows of one matter, as the platform wrote it.
 type Document struct {
 	Version uint64 // grows with each change; zero where nothing is known
-	Body    []byte // read by the platform's translation alone
+	// Since is the version from which the body holds the changes; zero where it holds all.
+	Since uint64
+	Body  []byte // read by the platform's translation alone
 }
 
 // Knowledge is what a process has learnt from the platform's store and can hand
