The list of endpoints does not wait for routes that are on their way

What callers saw: while a configuration did not arrive, requests went to endpoints that were leaving or gone for as long, and new endpoints got none. Cause: one question to a peer brought routes and list in one answer, and one question was asked at a time. Class: head of the line. Change: each matter is asked for by itself, one question at a time for each.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -16,6 +16,8 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -119,26 +121,42 @@
 	peers := l.peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(asked, len(peers))] {
-		if learnt, err := l.learn(ctx, peer); learnt && err == nil {
+		if l.askAll(ctx, peer) {
 			return
 		}
 	}
 }
 
-// Ask has one peer hand on what is newer.
-func (l *Learner) Ask(ctx context.Context, peer string) error {
-	_, err := l.learn(ctx, peer)
+// askAll asks a peer for each matter at once, and reports whether it brought something
+// new and nothing that cannot be read.
+func (l *Learner) askAll(ctx context.Context, peer string) bool {
+	var learnt [carawayspread.Matters]bool
+	var errs [carawayspread.Matters]error
+	var asking sync.WaitGroup
+	for of := range carawayspread.Matters {
+		asking.Go(func() { learnt[of], errs[of] = l.learn(ctx, peer, of) })
+	}
+	asking.Wait()
+	return slices.Contains(learnt[:], true) && errors.Join(errs[:]...) == nil
+}
+
+// Ask has one peer hand on what is newer of a matter.
+func (l *Learner) Ask(ctx context.Context, peer string, of carawayspread.Matter) error {
+	_, err := l.learn(ctx, peer, of)
 	return err
 }
 
 // AskTime has a peer bound the store's steady clock, and hands nothing else on.
 func (l *Learner) AskTime(ctx context.Context, peer string) error {
-	_, err := l.newer(ctx, peer, &NewerRequest{Routes: math.MaxUint64, List: math.MaxUint64})
+	_, err := l.newer(ctx, peer, storeTime, &NewerRequest{Routes: math.MaxUint64, List: math.MaxUint64})
 	return err
 }
 
+// storeTime is what a question for the store's clock alone is about, in logs.
+const storeTime = "storeTime"
+
 // newer asks a peer, and takes its bound on the store's clock.
-func (l *Learner) newer(ctx context.Context, peer string, req *NewerRequest) (*NewerResponse, error) {
+func (l *Learner) newer(ctx context.Context, peer string, about string, req *NewerRequest) (*NewerResponse, error) {
 	var asked time.Duration
 	if l.observe != nil {
 		asked = l.uptime.Uptime()
@@ -149,7 +167,7 @@
 	l.bytes.AddInt64(way.Received())
 	if err != nil && ctx.Err() == nil {
 		l.givenUp.Inc()
-		l.log.WithError(err).WithField("peer", peer).WithField("haveRoutes", req.Routes).WithField("haveList", req.List).
+		l.log.WithError(err).WithField("peer", peer).WithField("of", about).
 			WithField("bytes", way.Received()).WithField("ms", l.clock.Now().Sub(begun).Milliseconds()).Warn("peer hands nothing on")
 	}
 	if err == nil && l.observe != nil {
@@ -158,20 +176,26 @@
 	return got, err
 }
 
-// learn takes what the peer knows, and reports whether anything was newer.
-func (l *Learner) learn(ctx context.Context, peer string) (bool, error) {
-	return l.learnSince(ctx, peer, l.holder.Have(carawayspread.MatterRoutes).Version, l.holder.Have(carawayspread.MatterList).Version)
+// learn takes what the peer knows of a matter, and reports whether it was newer.
+func (l *Learner) learn(ctx context.Context, peer string, of carawayspread.Matter) (bool, error) {
+	return l.learnSince(ctx, peer, of, l.holder.Have(of).Version)
 }
 
-// learnSince takes changes since those versions, and the whole where they do not fit.
-func (l *Learner) learnSince(ctx context.Context, peer string, routes, list uint64) (bool, error) {
-	got, err := l.newer(ctx, peer, &NewerRequest{Routes: routes, List: list, Changes: true})
+// learnSince takes changes since that version, and the whole where they do not fit.
+func (l *Learner) learnSince(ctx context.Context, peer string, of carawayspread.Matter, version uint64) (bool, error) {
+	req := &NewerRequest{Routes: math.MaxUint64, List: math.MaxUint64, Changes: true}
+	if of == carawayspread.MatterRoutes {
+		req.Routes = version
+	} else {
+		req.List = version
+	}
+	got, err := l.newer(ctx, peer, of.String(), req)
 	if err != nil {
 		return false, err
 	}
 	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
-	if errors.Is(err, carawayspread.ErrPartial) && routes+list > 0 {
-		return l.learnSince(ctx, peer, 0, 0)
+	if errors.Is(err, carawayspread.ErrPartial) && version > 0 {
+		return l.learnSince(ctx, peer, of, 0)
 	}
 	if err != nil {
 		l.log.WithError(err).WithField("peer", peer).Warn("what a peer hands on cannot be read")
--- a/internal/connection/knowledge/learner_test.go
+++ b/internal/connection/knowledge/learner_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,7 @@
 
 // holder knows by versions and refuses a body that says so.
 type holder struct {
+	mu    sync.Mutex
 	known carawayspread.Knowledge
 	lost  bool
 	asked int
@@ -24,6 +26,8 @@
 }
 
 func (h *holder) Known(routes, list uint64) carawayspread.Knowledge {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.asked++
 	var newer carawayspread.Knowledge
 	if h.known.Routes.Version > routes {
@@ -39,6 +43,8 @@
 }
 
 func (h *holder) Have(of carawayspread.Matter) carawayspread.Claim {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if of == carawayspread.MatterList {
 		return carawayspread.Claim{Version: h.known.List.Version}
 	}
@@ -46,6 +52,8 @@
 }
 
 func (h *holder) Learn(k carawayspread.Knowledge) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if string(k.Routes.Body) == "broken" {
 		return false, errors.New("broken")
 	}
@@ -102,7 +110,7 @@
 func TestWholeListWhereChangesDoNotFit(t *testing.T) {
 	knows := &holder{known: carawayspread.Knowledge{List: document(20, "list")}, whole: true}
 	h := &holder{known: carawayspread.Knowledge{List: document(5, "old")}, whole: true}
-	qt.Assert(t, learner(h).Ask(context.Background(), serve(t, knows)), qt.IsNil)
+	qt.Assert(t, learner(h).Ask(context.Background(), serve(t, knows), carawayspread.MatterList), qt.IsNil)
 	qt.Check(t, string(h.known.List.Body), qt.Equals, "list")
 }
 
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -26,9 +26,9 @@
 	Learn(carawayspread.Knowledge) (bool, error)
 }
 
-// Asker has a peer hand on what it knows.
+// Asker has a peer hand on what it knows of a matter.
 type Asker interface {
-	Ask(ctx context.Context, peer string) error
+	Ask(ctx context.Context, peer string, of carawayspread.Matter) error
 	// AskTime has it bound the store's steady clock alone.
 	AskTime(ctx context.Context, peer string) error
 }
@@ -67,7 +67,7 @@
 	announce func() // tells the peers of the zone how this process stands
 	clock    carawayspread.Clock
 	store    StoreClock
-	pulls    chan claim
+	pulls    [carawayspread.Matters]chan claim
 	heard    [carawayspread.Matters]chan struct{} // something was heard that moves the next call
 
 	mu    sync.Mutex
@@ -81,10 +81,10 @@
 func New(source Source, rota *readers.Rota, zone string, capacity uint32, announce func(), clock carawayspread.Clock, store StoreClock) *Follower {
 	f := &Follower{
 		source: source, rota: rota, zone: zone, capacity: capacity, announce: announce, clock: clock, store: store,
-		pulls: make(chan claim, 1),
 	}
-	for m := range f.heard {
-		f.heard[m] = make(chan struct{}, 1)
+	for of := range f.heard {
+		f.heard[of] = make(chan struct{}, 1)
+		f.pulls[of] = make(chan claim, 1)
 	}
 	return f
 }
@@ -152,7 +152,7 @@
 		}
 		if f.wants(c, s.Zone) {
 			select {
-			case f.pulls <- c:
+			case f.pulls[of] <- c:
 			default: // the next message says it again
 			}
 		}
@@ -209,13 +209,22 @@
 }
 
 // RunPulls has peers hand on what they know and this process does not, until ctx
-// ends.
+// ends. No matter waits for another one's transfer.
 func (f *Follower) RunPulls(ctx context.Context, asker Asker) error {
+	var running sync.WaitGroup
+	for of := range carawayspread.Matters {
+		running.Go(func() { f.runPulls(ctx, asker, of) })
+	}
+	running.Wait()
+	return ctx.Err()
+}
+
+func (f *Follower) runPulls(ctx context.Context, asker Asker, of carawayspread.Matter) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case c := <-f.pulls:
+			return
+		case c := <-f.pulls[of]:
 			f.pull(ctx, asker, c)
 		}
 	}
@@ -225,7 +234,7 @@
 	if f.agrees(c) || c.claim.Version <= f.have(c.of).Version {
 		return // it has come from elsewhere meanwhile
 	}
-	if asker.Ask(ctx, c.peer) != nil {
+	if asker.Ask(ctx, c.peer, c.of) != nil {
 		return // logged by the asker; the next message says it again
 	}
 	own := f.source.Have(c.of)
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -161,7 +161,7 @@
 func (n *node) Learn(carawayspread.Knowledge) (bool, error) { return false, nil }
 
 // Ask takes what the peer of that name holds.
-func (n *node) Ask(_ context.Context, peer string) error {
+func (n *node) Ask(_ context.Context, peer string, of carawayspread.Matter) error {
 	time.Sleep(4 * time.Millisecond)
 	from := n.w.byName(peer)
 	from.mu.Lock()
@@ -170,9 +170,7 @@
 	if refuses {
 		return errors.New("the peer does not answer")
 	}
-	for of := range carawayspread.Matters {
-		n.take(of, have[of])
-	}
+	n.take(of, have[of])
 	return nil
 }
 
