A transfer between processes ends by silence, and is packed

What callers saw: a process that had no configuration, or one too old for changes, never had a large one: refusals until the next change, or for good. Cause: 400 ms for a peer's whole answer. Class: a fixed deadline on something whose size the users decide. Change: a connection in 400 ms, a byte a second, 15 s in all, 16 MB at the most; a body from 2 KB on is packed with gzip, once for all who ask; one peer at a time is asked for a matter. A packed body that bursts, is cut off or is none is an error and another peer is asked. A process that does not say that it takes them gets bodies as before.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -31,9 +31,19 @@
 	// askEvery is the time between two looks. A store that answers does so in a
 	// tenth of it; routes learnt so are in force inside two seconds.
 	askEvery = 500 * time.Millisecond
-	// askTimeout bounds one peer's answer: many times a message's way, and less
+	// connectTime bounds the connection to a peer: many times a message's way, and less
 	// than a caller's patience.
-	askTimeout = 400 * time.Millisecond
+	connectTime = 400 * time.Millisecond
+	// silence bounds the time without a byte of a peer's answer. In it a small instance
+	// packs the largest configuration, and a link on which callers press passes
+	// something on.
+	silence = time.Second
+	// wholeTime is the end of any answer: by then the promise is lost and the store has
+	// been asked.
+	wholeTime = 15 * time.Second
+	// answerLimit bounds a peer's answer in bytes: several times the largest list or
+	// configuration.
+	answerLimit = 16 << 20
 	// asked is how many peers are tried at one look: one may be cut off as well,
 	// one may have just started.
 	asked = 3
@@ -62,6 +72,9 @@
 	bytes   *metrics.Counter
 	uptime  carawayspread.Uptime
 	observe func(asked, stamp time.Duration)
+	packer  *packer
+	// asking is held while a peer is asked for the matter.
+	asking [carawayspread.Matters]sync.Mutex
 }
 
 // Option sets an optional part of a Learner.
@@ -76,7 +89,7 @@
 // New returns a learner for the holder.
 func New(holder Holder, peers func() []string, clock carawayspread.Clock, l log.Interface, set *metrics.Set, opts ...Option) *Learner {
 	learner := &Learner{
-		holder: holder, peers: peers, clock: clock, log: l,
+		holder: holder, peers: peers, clock: clock, log: l, packer: newPacker(),
 		learnt:  set.GetOrCreateCounter("gateway_learnt_from_peers_total"),
 		givenUp: set.GetOrCreateCounter("gateway_peer_transfers_given_up_total"),
 		bytes:   set.GetOrCreateCounter("gateway_peer_transfer_bytes_total"),
@@ -98,7 +111,9 @@
 	}
 	known := l.holder.Known(routes, req.List)
 	return &NewerResponse{
-		Routes: toWire(known.Routes), List: toWire(known.List), StoreMs: uint64(known.StoreTime / time.Millisecond),
+		Routes:  l.toWire(carawayspread.MatterRoutes, known.Routes, req.Changes),
+		List:    l.toWire(carawayspread.MatterList, known.List, req.Changes),
+		StoreMs: uint64(known.StoreTime / time.Millisecond),
 	}, nil
 }
 
@@ -162,7 +177,7 @@
 		asked = l.uptime.Uptime()
 	}
 	begun := l.clock.Now()
-	way := transfer.New(askTimeout)
+	way := transfer.New(transfer.Bounds{Connect: connectTime, Silence: silence, Whole: wholeTime, Bytes: answerLimit})
 	got, err := NewKnowledgeProtobufClient("http://"+peer, way.Client()).Newer(ctx, req)
 	l.bytes.AddInt64(way.Received())
 	if err != nil && ctx.Err() == nil {
@@ -176,8 +191,13 @@
 	return got, err
 }
 
-// learn takes what the peer knows of a matter, and reports whether it was newer.
+// learn takes what the peer knows of a matter, and reports whether it was newer. One
+// peer at a time is asked for a matter: the same would arrive twice.
 func (l *Learner) learn(ctx context.Context, peer string, of carawayspread.Matter) (bool, error) {
+	if !l.asking[of].TryLock() {
+		return false, carawayspread.ErrBusy
+	}
+	defer l.asking[of].Unlock()
 	return l.learnSince(ctx, peer, of, l.holder.Have(of).Version)
 }
 
@@ -193,7 +213,7 @@
 	if err != nil {
 		return false, err
 	}
-	learnt, err := l.holder.Learn(carawayspread.Knowledge{Routes: fromWire(got.Routes), List: fromWire(got.List)})
+	learnt, err := l.take(got)
 	if errors.Is(err, carawayspread.ErrPartial) && version > 0 {
 		return l.learnSince(ctx, peer, of, 0)
 	}
@@ -209,13 +229,44 @@
 	return learnt, nil
 }
 
-func toWire(d carawayspread.Document) *Document {
+// take takes a peer's answer.
+func (l *Learner) take(got *NewerResponse) (bool, error) {
+	routes, err := fromWire(got.Routes)
+	if err != nil {
+		return false, err
+	}
+	list, err := fromWire(got.List)
+	if err != nil {
+		return false, err
+	}
+	return l.holder.Learn(carawayspread.Knowledge{Routes: routes, List: list})
+}
+
+// toWire returns a document for a peer, packed where the peer takes that and it pays.
+func (l *Learner) toWire(of carawayspread.Matter, d carawayspread.Document, packs bool) *Document {
 	if d.Version == 0 {
 		return nil
 	}
-	return &Document{Version: d.Version, Since: d.Since, Body: d.Body}
+	wire := &Document{Version: d.Version, Since: d.Since, Body: d.Body}
+	if !packs || len(d.Body) < packLeast {
+		return wire
+	}
+	packed, err := l.packer.pack(of, d)
+	if err != nil {
+		l.log.WithError(err).WithField("of", of.String()).Error("cannot be packed")
+		return wire
+	}
+	wire.Body, wire.Packed = packed, true
+	return wire
 }
 
-func fromWire(d *Document) carawayspread.Document {
-	return carawayspread.Document{Version: d.GetVersion(), Since: d.GetSince(), Body: d.GetBody()}
+func fromWire(d *Document) (carawayspread.Document, error) {
+	body := d.GetBody()
+	if d.GetPacked() {
+		var err error
+		if body, err = unpack(body); err != nil {
+			return carawayspread.Document{}, err
+		}
+	}
+	return carawayspread.Document{Version: d.GetVersion(), Since: d.GetSince(), Body: body}, nil
 }
--- a/internal/connection/knowledge/learner_test.go
+++ b/internal/connection/knowledge/learner_test.go
@@ -1,8 +1,10 @@
 package knowledge
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -134,3 +136,96 @@
 	qt.Check(t, knows.asked, qt.Equals, 0)
 	qt.Check(t, h.known, qt.DeepEquals, carawayspread.Knowledge{})
 }
+
+// older is a process that knows nothing of changes and packed bodies.
+type older struct{ known carawayspread.Knowledge }
+
+func (o older) Newer(_ context.Context, req *NewerRequest) (*NewerResponse, error) {
+	got := &NewerResponse{}
+	if o.known.Routes.Version > req.Routes {
+		got.Routes = &Document{Version: o.known.Routes.Version, Body: o.known.Routes.Body}
+	}
+	if o.known.List.Version > req.List {
+		got.List = &Document{Version: o.known.List.Version, Body: o.known.List.Body}
+	}
+	return got, nil
+}
+
+// Guards against a rolling release in which processes of two versions learn nothing from
+// one another.
+func TestOlderProcessesUnderstandOneAnother(t *testing.T) {
+	known := carawayspread.Knowledge{Routes: document(7, strings.Repeat("routes", 1000)), List: document(20, strings.Repeat("list", 1000))}
+	server := httptest.NewServer(NewKnowledgeServer(older{known}))
+	t.Cleanup(server.Close)
+	h := &holder{}
+	l := learner(h)
+	for of := range carawayspread.Matters {
+		qt.Assert(t, l.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), of), qt.IsNil)
+	}
+	qt.Check(t, h.known, qt.DeepEquals, known)
+
+	got, err := NewKnowledgeProtobufClient("http://"+serve(t, &holder{known: known}), http.DefaultClient).Newer(
+		context.Background(), &NewerRequest{Routes: 3, List: 3})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(got.Routes.Body), qt.Equals, string(known.Routes.Body))
+	qt.Check(t, got.Routes.Since, qt.Equals, uint64(0))
+	qt.Check(t, string(got.List.Body), qt.Equals, string(known.List.Body))
+	qt.Check(t, got.Routes.Packed || got.List.Packed, qt.IsFalse)
+}
+
+// forged answers whatever it is told to.
+type forged struct{ answer *NewerResponse }
+
+func (f forged) Newer(context.Context, *NewerRequest) (*NewerResponse, error) { return f.answer, nil }
+
+// Guards against memory that a peer's answer fills, and against an answer that cannot be
+// read and is taken in part: each ends with an error, and another peer is asked.
+func TestAnswersThatCannotBeTaken(t *testing.T) {
+	p := newPacker()
+	packed := func(body []byte) []byte {
+		b, err := p.pack(carawayspread.MatterRoutes, carawayspread.Document{Body: body})
+		qt.Assert(t, err, qt.IsNil)
+		return b
+	}
+	good := packed(bytes.Repeat([]byte("routes"), 1000))
+	for name, body := range map[string][]byte{
+		"no gzip":           []byte("routes"),
+		"cut off":           good[:len(good)-9],
+		"bursts":            packed(make([]byte, unpackedLimit+1)),
+		"larger than taken": make([]byte, answerLimit),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(NewKnowledgeServer(forged{&NewerResponse{Routes: &Document{Version: 9, Body: body, Packed: true}}}))
+			t.Cleanup(server.Close)
+			h := &holder{known: carawayspread.Knowledge{Routes: document(7, "routes")}}
+			l := learner(h)
+			qt.Check(t, l.Ask(context.Background(), strings.TrimPrefix(server.URL, "http://"), carawayspread.MatterRoutes), qt.IsNotNil)
+			qt.Check(t, string(h.known.Routes.Body), qt.Equals, "routes")
+			knows := &holder{known: carawayspread.Knowledge{Routes: document(9, "newer")}}
+			qt.Check(t, l.Ask(context.Background(), serve(t, knows), carawayspread.MatterRoutes), qt.IsNil)
+			qt.Check(t, string(h.known.Routes.Body), qt.Equals, "newer")
+		})
+	}
+}
+
+// What many processes ask for is packed once, and little is kept.
+func TestPackedOnce(t *testing.T) {
+	p := newPacker()
+	body := bytes.Repeat([]byte("routes"), 1000)
+	first, err := p.pack(carawayspread.MatterRoutes, carawayspread.Document{Version: 1, Body: body})
+	qt.Assert(t, err, qt.IsNil)
+	again, err := p.pack(carawayspread.MatterRoutes, carawayspread.Document{Version: 1, Body: bytes.Clone(body)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, &first[0], qt.Equals, &again[0])
+	other, err := p.pack(carawayspread.MatterRoutes, carawayspread.Document{Version: 1, Body: []byte("other")})
+	qt.Assert(t, err, qt.IsNil)
+	unpacked, err := unpack(other)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(unpacked), qt.Equals, "other")
+	for version := range uint64(100) {
+		_, err := p.pack(carawayspread.MatterList, carawayspread.Document{Version: version, Body: body})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Check(t, p.kept, qt.HasLen, packedKept)
+	qt.Check(t, p.names, qt.HasLen, packedKept)
+}
--- /dev/null
+++ b/internal/connection/knowledge/packing.go
@@ -0,0 +1,85 @@
+package knowledge
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"hash/maphash"
+	"io"
+	"sync"
+
+	"carawayspread"
+	"carawayspread/internal/connection/transfer"
+)
+
+const (
+	// packLeast is the shortest body that is packed, in bytes: a packet or two.
+	packLeast = 2 << 10
+	// unpackedLimit bounds what a packed body may hold, in bytes: several times the
+	// largest configuration or list.
+	unpackedLimit = 32 << 20
+	// packedKept are the packed bodies that are kept: of each matter the whole and the
+	// changes since the version before, as many processes ask for the same.
+	packedKept = 4
+)
+
+// name tells bodies apart.
+type name struct {
+	of             carawayspread.Matter
+	version, since uint64
+	sum            uint64 // of the body: a list may be read twice at one version
+}
+
+// packer packs bodies with gzip, each once. It is safe for concurrent use.
+type packer struct {
+	seed  maphash.Seed
+	mu    sync.Mutex
+	names []name // oldest first
+	kept  map[name][]byte
+}
+
+func newPacker() *packer { return &packer{seed: maphash.MakeSeed(), kept: map[name][]byte{}} }
+
+// pack returns the body packed. Others who want the same wait.
+func (p *packer) pack(of carawayspread.Matter, d carawayspread.Document) ([]byte, error) {
+	n := name{of: of, version: d.Version, since: d.Since, sum: maphash.Bytes(p.seed, d.Body)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if packed, ok := p.kept[n]; ok {
+		return packed, nil
+	}
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(d.Body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	if len(p.names) == packedKept {
+		delete(p.kept, p.names[0])
+		p.names = p.names[1:]
+	}
+	p.names = append(p.names, n)
+	p.kept[n] = b.Bytes()
+	return b.Bytes(), nil
+}
+
+// unpack returns what was packed, unless it is larger than anything that is handed on.
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, unpackedLimit+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > unpackedLimit {
+		return nil, fmt.Errorf("%w of %d bytes unpacked", transfer.ErrTooLarge, unpackedLimit)
+	}
+	return body, nil
+}
--- a/internal/connection/transfer/transfer.go
+++ b/internal/connection/transfer/transfer.go
@@ -1,27 +1,46 @@
-// Package transfer is the way of one answer of unknown size from a peer, over a
-// connection of its own, and measures what arrives.
+// Package transfer is the way of one answer of any size from a peer, over a connection
+// of its own.
+//
+// Load pattern: answers from some hundred bytes to some megabytes, over links of which
+// the narrowest carry a megabyte a second, beside answers to callers. A deadline for the
+// whole answer that suits the small ones gives up each large one while it arrives, and
+// begins it again. So what is bounded is silence.
 package transfer
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 )
 
+// ErrTooLarge says that a peer sends more than was agreed on.
+var ErrTooLarge = errors.New("the answer is larger than the limit")
+
+// Bounds are what ends a transfer early.
+type Bounds struct {
+	Connect time.Duration // for the connection
+	Silence time.Duration // without a byte
+	Whole   time.Duration // by which nobody waits for the answer any more
+	Bytes   int64         // of the answer, its header included
+}
+
 // Transfer is one answer. It is safe for concurrent use.
 type Transfer struct {
+	bounds   Bounds
 	client   *http.Client
 	received atomic.Int64
 }
 
-// New returns a transfer that ends after the timeout at the latest.
-func New(timeout time.Duration) *Transfer {
-	t := &Transfer{}
+// New returns a transfer.
+func New(b Bounds) *Transfer {
+	t := &Transfer{bounds: b}
 	t.client = &http.Client{
-		Timeout:   timeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DialContext: t.dial},
+		Timeout:   b.Whole,
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: t.dial},
 	}
 	return t
 }
@@ -33,7 +52,7 @@
 func (t *Transfer) Received() int64 { return t.received.Load() }
 
 func (t *Transfer) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: t.bounds.Connect}
 	c, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -41,14 +60,26 @@
 	return &conn{Conn: c, of: t}, nil
 }
 
-// conn counts what is read.
+// conn bounds the silence before each read, and what is read in all.
 type conn struct {
 	net.Conn
 	of *Transfer
 }
 
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.of.bounds.Silence)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p)
-	c.of.received.Add(int64(n))
+	if received := c.of.received.Add(int64(n)); received > c.of.bounds.Bytes {
+		return n, fmt.Errorf("%w of %d bytes", ErrTooLarge, c.of.bounds.Bytes)
+	}
 	return n, err
 }
+
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.of.bounds.Silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
