A request that peers answer is not refused for the term of a conviction

Cause: an answer clears a request where it was given; peers that know of no break had nothing to clear and told nobody. Class: evidence that exists and does not reach who needs it. Change: with its heartbeats a process tells which requests it refuses, in a datagram of its own kind that older processes drop; who answers one of them within three seconds says so once, and it is cleared. What crashes endpoints is never answered, so no third endpoint is tried for it. Both lists hold 64 requests at the most. The test's wiring has the new message beside the others, its bound and its steps are as they were.

--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -21,6 +21,10 @@
 			}
 			continue
 		}
+		if n > 0 && buffer[0] == doubtMagic {
+			s.receiveDoubt(buffer[:n])
+			continue
+		}
 		s.receive(buffer[:n], r)
 	}
 }
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -71,6 +71,7 @@
 	passes chan struct{}
 	// presence returns how this process stands.
 	presence func() carawayspread.Presence
+	doubter  Doubter // nil where nothing is refused
 
 	mu      sync.Mutex
 	pending []carawayspread.Notice
@@ -196,6 +197,7 @@
 			return ctx.Err()
 		case <-beat:
 			s.beat()
+			s.tellDoubts()
 			beat = s.clock.After(heartbeat)
 		case <-s.wake:
 			n := s.flush()
@@ -267,6 +269,10 @@
 		s.send(m, to)
 		return
 	}
+	s.sendBody(body, to)
+}
+
+func (s *Socket) sendBody(body []byte, to []netip.AddrPort) {
 	for _, address := range to {
 		// A datagram that cannot be sent is as good as lost; the next
 		// heartbeat makes up for it.
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -121,7 +121,9 @@
 		}),
 		gateway.WithCrashed(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
 			d.peers.Crashed(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
-		}))
+		}),
+		gateway.WithAnswered(d.peers.Answered))
+	d.peers.Doubt(d.gateway)
 	d.keep(ports)
 	d.follow(ports)
 	d.account(ports)
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -70,6 +70,7 @@
 	mu     sync.Mutex
 	known  *lru.LRU[uint64, *record]
 	recent map[carawayspread.EndpointID][]watched // breaks of the last aliveWithin; none empty
+	doubts doubts
 
 	watching atomic.Int64 // endpoints in recent
 }
@@ -86,7 +87,7 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	q := &Quarantine{clock: clock, term: defaultTerm, known: known, recent: map[carawayspread.EndpointID][]watched{}}
+	q := &Quarantine{clock: clock, term: defaultTerm, known: known, recent: map[carawayspread.EndpointID][]watched{}, doubts: newDoubts()}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -134,6 +135,7 @@
 		q.watch(fingerprint, crash, now)
 		if isTrial || trial == nil && len(r.crashes) >= maxVictims {
 			r.convicted = now.Add(q.term)
+			q.doubts.own.Add(fingerprint, struct{}{})
 		}
 	}
 }
@@ -179,14 +181,16 @@
 	return ids
 }
 
-// Served clears a suspect that was answered.
-func (q *Quarantine) Served(fingerprint uint64) {
+// Served clears a suspect that was answered, and reports whether a peer that refuses it
+// is to be told.
+func (q *Quarantine) Served(fingerprint uint64) (tell bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.find(fingerprint, q.clock.Now())
 	if r != nil && r.convicted.IsZero() {
 		q.known.Remove(fingerprint)
 	}
+	return q.doubted(fingerprint)
 }
 
 // Len returns the number of fingerprints that are remembered.
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -202,7 +202,9 @@
 	// Failure: connections break under a request that many send, minutes apart.
 	// Symptom: all of them are refused for the term of a conviction. What crashes
 	// endpoints is never answered, so each answer clears it, at every process.
-	c.g.quarantine.Served(c.fingerprint)
+	if c.g.quarantine.Served(c.fingerprint) {
+		c.g.answered(c.fingerprint)
+	}
 	return false, nil
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -63,6 +63,7 @@
 	terms        fleetbudget.Terms
 	share        func() int
 	crashed      func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
+	answered     func(fingerprint uint64)
 	leaves       atomic.Pointer[leave]
 	listAge      func() time.Duration // since the list of endpoints was confirmed
 	evidence     carawayspread.Evidence
@@ -96,6 +97,11 @@
 	return func(g *Gateway) { g.crashed = f }
 }
 
+// WithAnswered is told of each request that was answered though a peer refuses it.
+func WithAnswered(f func(fingerprint uint64)) Option {
+	return func(g *Gateway) { g.answered = f }
+}
+
 // WithListAge sets what says how old the list of endpoints is.
 func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
 
@@ -112,6 +118,7 @@
 		share:        func() int { return 1 },
 		listAge:      func() time.Duration { return 0 },
 		crashed:      func(uint64, carawayspread.EndpointID, bool) {},
+		answered:     func(uint64) {},
 		evidence:     alwaysCurrent{},
 		rejections:   rejections.New(),
 		began:        func(string, time.Duration) {},
@@ -178,6 +185,15 @@
 	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
 }
 
+// Doubts returns the requests that are refused here, of which peers may know an answer.
+func (g *Gateway) Doubts() []uint64 { return g.quarantine.Doubts() }
+
+// Doubted takes what a peer refuses.
+func (g *Gateway) Doubted(refused []uint64) { g.quarantine.Doubted(refused) }
+
+// Cleared takes note that a peer answered a request.
+func (g *Gateway) Cleared(fingerprint uint64) { g.quarantine.Cleared(fingerprint) }
+
 // Leave makes the gateway take, from the first moment on, only what is sure to
 // have its answer before the second.
 func (g *Gateway) Leave(picky, end time.Time) { g.leaves.Store(&leave{picky, end}) }
--- a/internal/process/gateway/suspect_test.go
+++ b/internal/process/gateway/suspect_test.go
@@ -83,8 +83,10 @@
 	other.gateway.crashed = func(fingerprint uint64, id carawayspread.EndpointID, back bool) {
 		b.gateway.Crashed(fingerprint, id, back)
 	}
+	other.gateway.answered = b.gateway.Cleared
 	for range 100 {
 		b.clock.Advance(100 * time.Millisecond)
+		other.gateway.Doubted(b.gateway.Doubts()) // as heartbeats tell
 		resp, _, err := other.ask(t, "/safe/x", "harmless")
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, resp.StatusCode, qt.Equals, 200)
