The line of what was learnt says of what, since when, how many bytes, how long

Cause: a change that is late could not be told apart, from the log of the process that has it, into a difference and a whole. Change: the line has of, version, since, bytes and ms in place of two versions. The names of workspaces are read again only where keys have changed.

--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -170,8 +170,15 @@
 // storeTime is what a question for the store's clock alone is about, in logs.
 const storeTime = "storeTime"
 
+// answer is what a peer hands on.
+type answer struct {
+	*NewerResponse
+	received int64 // bytes
+	took     time.Duration
+}
+
 // newer asks a peer, and takes its bound on the store's clock.
-func (l *Learner) newer(ctx context.Context, peer string, about string, req *NewerRequest) (*NewerResponse, error) {
+func (l *Learner) newer(ctx context.Context, peer string, about string, req *NewerRequest) (answer, error) {
 	var asked time.Duration
 	if l.observe != nil {
 		asked = l.uptime.Uptime()
@@ -179,16 +186,17 @@
 	begun := l.clock.Now()
 	way := transfer.New(transfer.Bounds{Connect: connectTime, Silence: silence, Whole: wholeTime, Bytes: answerLimit})
 	got, err := NewKnowledgeProtobufClient("http://"+peer, way.Client()).Newer(ctx, req)
-	l.bytes.AddInt64(way.Received())
+	received, took := way.Received(), l.clock.Now().Sub(begun)
+	l.bytes.AddInt64(received)
 	if err != nil && ctx.Err() == nil {
 		l.givenUp.Inc()
 		l.log.WithError(err).WithField("peer", peer).WithField("of", about).
-			WithField("bytes", way.Received()).WithField("ms", l.clock.Now().Sub(begun).Milliseconds()).Warn("peer hands nothing on")
+			WithField("bytes", received).WithField("ms", took.Milliseconds()).Warn("peer hands nothing on")
 	}
 	if err == nil && l.observe != nil {
 		l.observe(asked, time.Duration(got.StoreMs)*time.Millisecond)
 	}
-	return got, err
+	return answer{got, received, took}, err
 }
 
 // learn takes what the peer knows of a matter, and reports whether it was newer. One
@@ -213,7 +221,7 @@
 	if err != nil {
 		return false, err
 	}
-	learnt, err := l.take(got)
+	learnt, err := l.take(got.NewerResponse)
 	if errors.Is(err, carawayspread.ErrPartial) && version > 0 {
 		return l.learnSince(ctx, peer, of, 0)
 	}
@@ -223,8 +231,12 @@
 	}
 	if learnt {
 		l.learnt.Inc()
-		l.log.WithField("peer", peer).WithField("routes", got.GetRoutes().GetVersion()).
-			WithField("list", got.GetList().GetVersion()).Info("learnt from a peer")
+		d := got.GetRoutes()
+		if of == carawayspread.MatterList {
+			d = got.GetList()
+		}
+		l.log.WithField("peer", peer).WithField("of", of.String()).WithField("version", d.GetVersion()).
+			WithField("since", d.GetSince()).WithField("bytes", got.received).WithField("ms", got.took.Milliseconds()).Info("learnt from a peer")
 	}
 	return learnt, nil
 }
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carawayspread"
@@ -26,6 +27,7 @@
 	ledger    *usage.Ledger
 	publisher *usagepublisher.Publisher
 	reporter  *usagereporter.Reporter
+	named     atomic.Pointer[carawayspread.Keyring] // whose workspaces the ledger names
 }
 
 // account prepares the counting of usage, where it is reported.
@@ -80,9 +82,11 @@
 }
 
 func (d *Daemon) name(t *carawayspread.Routing) {
-	if d.usage != nil && t.Keyring() != nil {
-		d.usage.ledger.Name(t.Keyring().Names())
+	keyring := t.Keyring()
+	if d.usage == nil || keyring == nil || d.usage.named.Swap(keyring) == keyring {
+		return
 	}
+	d.usage.ledger.Name(keyring.Names())
 }
 
 // began counts a request that began to run so long ago.
