Soak: configurations of many routes, and a narrow way to the store

Change: half of the seeds hold 3,000 or 12,000 routes that nobody uses, and the way to the store carries 10 Mbit/s for a while, drawn apart, so that older seeds keep their other steps. Not shown: that the soak turns red without the fixes; peers reach one another without a relay.

--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -25,6 +25,9 @@
 	mostMisbehaved = 60
 )
 
+// narrow is the link of a small instance, in bits a second.
+const narrow = 10e6
+
 // rates are those that workers name, in requests a second.
 var rates = []float64{0.5, 2.2, 4}
 
@@ -73,6 +76,8 @@
 		f.hurt(history.Store, step.For, func() { f.store.Answer(http.StatusServiceUnavailable) }, func() { f.store.Answer(0) })
 	case schedule.StoreSilent:
 		f.hurt(history.Store, step.For, func() { f.storeBy.Set(relay.Silent) }, func() { f.storeBy.Set(relay.None) })
+	case schedule.Narrow:
+		f.hurt(history.Store, step.For, func() { f.storeBy.Narrow(narrow) }, func() { f.storeBy.Narrow(0) })
 	case schedule.StoreForgot:
 		f.store.Compact()
 	case schedule.Misbehave:
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -40,6 +40,8 @@
 	if err := f.ready(); err != nil {
 		return err
 	}
+	f.store.Idle(s.IdleRoutes())
+	f.routes()
 	f.begun = f.clock.Now()
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -34,11 +34,16 @@
 	Restore Kind = "restore" // the store comes back from a copy that is so old
 	Leaving Kind = "leaving" // a worker says in its answers alone that it leaves
 	Limited Kind = "limited" // a worker names in its answers a rate that it takes
+
+	Narrow Kind = "narrow" // the way to the store carries no more than that of a small instance
 )
 
 // rare come once in some seconds, drawn apart from the others.
 var rare = []Kind{Restore, Leaving, Limited}
 
+// sizes are how many routes that nobody uses a configuration holds.
+var sizes = []int{0, 0, 3000, 12000}
+
 var kinds = []Kind{
 	Kill, Kill, KillAll, Replace, Replace, Pause, Pause, Reload, Delayed, Silent, OneWay, Refused,
 	StoreDown, StoreSilent, StoreForgot, Misbehave, Misbehave, Misbehave, Drain, Drain, Routes, Routes,
@@ -72,6 +77,7 @@
 type Schedule struct {
 	seed  uint64
 	steps []Step
+	idle  int
 }
 
 // Draw returns the schedule of a seed, for so long.
@@ -79,6 +85,9 @@
 	s := &Schedule{seed: seed}
 	s.draw(rand.New(rand.NewPCG(seed, 0)), length, apart, kinds)
 	s.draw(rand.New(rand.NewPCG(seed, 1)), length, rareApart, rare)
+	r := rand.New(rand.NewPCG(seed, 2))
+	s.idle = sizes[r.IntN(len(sizes))]
+	s.draw(r, length, rareApart, []Kind{Narrow})
 	slices.SortStableFunc(s.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
@@ -106,13 +115,16 @@
 // Seed returns what the schedule was drawn from.
 func (s *Schedule) Seed() uint64 { return s.seed }
 
+// IdleRoutes returns how many routes that nobody uses the configuration holds.
+func (s *Schedule) IdleRoutes() int { return s.idle }
+
 // Steps returns the steps in their order.
 func (s *Schedule) Steps() []Step { return slices.Clone(s.steps) }
 
 // String returns the schedule, a step a line.
 func (s *Schedule) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d\n", s.seed)
+	fmt.Fprintf(&b, "seed %d, %d idle routes\n", s.seed, s.idle)
 	for _, step := range s.steps {
 		fmt.Fprintf(&b, "%v %s which=%d for=%v\n", step.At, step.Kind, step.Which, step.For)
 	}
--- a/internal/standin/rows/published.go
+++ b/internal/standin/rows/published.go
@@ -3,19 +3,39 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 )
 
 const routesRow = `{"version":%d,"routes":[
  {"name":"lookup","host":"a.example","prefix":"/lookup/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
  {"name":"order","host":"a.example","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
- {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}],
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}%s],
  "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":100000,"handle_ttl_s":5}}],
  "limits":{"max_body_bytes":1000}%s}`
 
 // Publish writes a version of the routes: one of each kind, of which the streams
 // go to that service.
 func (s *Store) Publish(version int, streams string) {
-	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, ""))
+	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, s.idleRoutes(), ""))
+}
+
+// Idle sets how many routes that nobody uses the next versions hold beside the others.
+func (s *Store) Idle(routes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = routes
+}
+
+func (s *Store) idleRoutes() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var b strings.Builder
+	for n := range s.idle {
+		fmt.Fprintf(&b, `,
+ {"name":"idle-%06d","host":"idle%d.example","prefix":"/idle%d/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2}`,
+			n, n%100, n)
+	}
+	return b.String()
 }
 
 // PublishKeys writes a version whose callers need the API keys of those workspaces.
@@ -32,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, `,"tenants":`+string(body)))
+	s.Put("op", "config", fmt.Appendf(nil, routesRow, version, streams, s.idleRoutes(), `,"tenants":`+string(body)))
 	return nil
 }
 
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -47,6 +47,7 @@
 	calls   int
 	lose    int // transactions whose answers are lost
 	hushed  bool
+	idle    int // routes that nobody uses
 	era     int // how often the store came back from a copy, and one
 }
 
