--- a/cmd/gateway/configuration_test.go
+++ b/cmd/gateway/configuration_test.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// Guards against a version that adds many routes at once and is not in force in time.
+func TestManyRoutesAddedAreInForceInTime(t *testing.T) {
+	from, to := newPeer(t, "127.0.0.1:1"), newPeer(t, "127.0.0.1:1")
+	for _, p := range []*peer{from, to} {
+		p.take(t, 7, configuration(7, 1460, "plain"))
+	}
+	from.take(t, 9, configuration(9, 2860, "other"))
+	to.asks(t, from, "other", inForce)
+	qt.Check(t, to.sink.routing.Len(), qt.Equals, 2860)
+	t.Logf("%d bytes", from.link.Answered())
+}
+
 // whole bounds the time in which a process without a configuration has the largest
 // over a narrow link.
 const whole = 5 * time.Second
