A change of routes comes from whoever has it first

What callers would see: in a zone of small instances alone a large configuration takes the reader longer than is promised to read, and the whole zone is late with it. Cause: a process took routes from its own zone's reader alone, until what it holds was unconfirmed for too long. That was right while each change was the whole. Change: a process that has routes takes a newer version from any peer, readers too; a change is some hundred bytes. The list of endpoints is taken as before. Evidence: TestChangeComesFromAnotherZone, red before (4 of 4 processes of the zone late), green; its mutant is red.

--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -191,14 +191,16 @@
 	}
 }
 
-// wants reports whether the contents that the peer names are to be had from it. A
-// reader has them from the store as soon; from another zone they come only where
-// the own one falls behind.
+// wants reports whether the contents that the peer names are to be had from it. Routes
+// come from whoever has them first, as a change of them is small and the store hands
+// readers the whole. Of endpoints, which change all the time, a reader has news from the
+// store as soon, and another zone's come only where the own one falls behind.
 func (f *Follower) wants(c claim, zone string) bool {
-	if c.claim.Version <= f.have(c.of).Version {
+	have := f.have(c.of).Version
+	if c.claim.Version <= have {
 		return false
 	}
-	return f.rota.Stale(c.of) || zone == f.zone && !f.rota.Reads()
+	return f.rota.Stale(c.of) || zone == f.zone && !f.rota.Reads() || c.of == carawayspread.MatterRoutes && have > 0
 }
 
 func (f *Follower) moved(of carawayspread.Matter) {
--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -70,11 +70,12 @@
 
 	mu      sync.Mutex
 	have    [carawayspread.Matters]carawayspread.Claim
-	away    bool // the store turns it away
-	deaf    bool // hears no peer
-	mute    bool // no peer hears it
-	backs   int  // times that a version went back
-	refuses bool // hands nothing on
+	away    bool          // the store turns it away
+	deaf    bool          // hears no peer
+	mute    bool          // no peer hears it
+	backs   int           // times that a version went back
+	refuses bool          // hands nothing on
+	narrow  time.Duration // that its link adds to a call to the store
 }
 
 // standing is the uptime of a machine that started then.
@@ -98,9 +99,9 @@
 	down, slow := s.down, s.slow
 	s.mu.Unlock()
 	n.mu.Lock()
-	away := n.away
+	away, narrow := n.away, n.narrow
 	n.mu.Unlock()
-	time.Sleep(5*time.Millisecond + slow)
+	time.Sleep(5*time.Millisecond + slow + narrow)
 	if down || away {
 		return errStore
 	}
@@ -532,3 +533,20 @@
 		}
 	})
 }
+
+// Guards against a change that is late in a zone of small instances alone, to which the
+// store hands a large configuration for longer than is promised: who has the change in
+// another zone hands on what it changes.
+func TestChangeComesFromAnotherZone(t *testing.T) {
+	play(t, 3, 4, func(w *world) {
+		for _, n := range w.nodes {
+			if n.zone == "z1" {
+				n.set(func() { n.narrow = inForce })
+			}
+		}
+		time.Sleep(3 * inForce)
+		w.store.change(carawayspread.MatterRoutes)
+		time.Sleep(inForce / 2)
+		qt.Check(t, w.lacks(carawayspread.MatterRoutes), qt.HasLen, 0)
+	})
+}
