--- a/internal/process/confsync/peers.go
+++ b/internal/process/confsync/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,12 +32,33 @@
 	return peers[:askedPeers]
 }
 
-// askPeers asks peers and ends the round with the first proof that is fresh.
+// Bounds of a peer's answer, which may be a snapshot of any size.
+const (
+	connectTime = 500 * time.Millisecond
+	silence     = time.Second
+	wholeTime   = 15 * time.Second
+	answerLimit = 64 << 20 // bytes
+)
+
+// askPeers asks peers and ends the round with the first proof that is fresh. An answer
+// that is still arriving when the round ends without one goes on: begun anew in each
+// round, a large one would never be there.
 func (s *Syncer) askPeers(ctx context.Context, began stamp, enough context.CancelFunc) {
 	var asking sync.WaitGroup
 	for _, address := range s.chosenPeers() {
+		if _, asked := s.asking.LoadOrStore(address, nil); asked {
+			continue
+		}
 		asking.Go(func() {
-			if err := s.askPeer(ctx, address, began); err != nil {
+			defer s.asking.Delete(address)
+			arriving, stop := context.WithCancel(context.WithoutCancel(ctx))
+			defer stop()
+			defer context.AfterFunc(ctx, func() {
+				if errors.Is(ctx.Err(), context.Canceled) { // the round has its proof
+					stop()
+				}
+			})()
+			if err := s.askPeer(arriving, address, began); err != nil {
 				s.logger.WithField("peer", address).WithError(err).Warn("config.peerUnread")
 				return
 			}
@@ -45,7 +67,15 @@
 			}
 		})
 	}
-	asking.Wait()
+	answered := make(chan struct{})
+	go func() {
+		asking.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
 }
 
 func (s *Syncer) askPeer(ctx context.Context, address string, began stamp) error {
--- a/internal/process/confsync/syncer.go
+++ b/internal/process/confsync/syncer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/transfer"
 	"carawayspread/internal/version/record"
 )
 
@@ -57,6 +57,7 @@
 	tried     atomic.Uint64         // the highest version heard of that a read of the log settled
 	heard     atomic.Uint64         // the highest version heard of
 	nudge     chan struct{}         // holds one wake-up of Run
+	asking    sync.Map              // addresses of peers that have not answered yet
 
 	mu      sync.Mutex      // guards what follows, and the writing of state
 	round   *round          // the round in flight, or nil
@@ -107,7 +108,7 @@
 	s := &Syncer{
 		source: source, clock: clock, logger: log.Log,
 		peers:        func() []string { return nil },
-		dial:         dialTwirp(&http.Client{}),
+		dial:         dialTwirp,
 		adopted:      func(*carawayspread.Config) {},
 		roundTimeout: defaultRoundTimeout,
 		spread:       defaultSpread,
@@ -131,10 +132,9 @@
 	return d
 }
 
-func dialTwirp(client *http.Client) func(string) control.Control {
-	return func(address string) control.Control {
-		return control.NewControlProtobufClient("http://"+address, client)
-	}
+func dialTwirp(address string) control.Control {
+	way := transfer.New(transfer.Bounds{Connect: connectTime, Silence: silence, Whole: wholeTime, Bytes: answerLimit})
+	return control.NewControlProtobufClient("http://"+address, way.Client())
 }
 
 // Held returns the configuration held now; its version is 0 before the first.
