The next round may ask a peer that the round before was done with

Class: a list of what is under way that is cleaned up after the result is out. Change: a round that has its proof waits for its questions, which end at once then; one that ran out of time does not wait, as before.

--- a/internal/process/confsync/large_test.go
+++ b/internal/process/confsync/large_test.go
@@ -42,3 +42,20 @@
 	}
 	qt.Check(t, starter.Held().Version(), qt.Equals, carawayspread.Version(300))
 }
+
+// Guards against a round that asks a peer nothing, since the round before, which had its
+// proof from it, has not taken note yet that it is done.
+func TestNextRoundAsksThePeerAgain(t *testing.T) {
+	ctx, clock := context.Background(), &shifted{}
+	source, down := newMemoryLog(0), newMemoryLog(0)
+	down.set(true)
+	veteran := newSyncer(source, clock)
+	address := peer(t, veteran)
+	starter := newSyncer(down, clock, WithPeers(func() []string { return []string{address} }))
+	for n := range 300 {
+		source.append()
+		veteran.refresh(ctx)
+		starter.refresh(ctx)
+		qt.Assert(t, starter.Held().Version(), qt.Equals, carawayspread.Version(n+1))
+	}
+}
--- a/internal/process/confsync/peers.go
+++ b/internal/process/confsync/peers.go
@@ -75,6 +75,9 @@
 	select {
 	case <-answered:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			<-answered // they end at once, and the next round may ask them again
+		}
 	}
 }
 
