--- a/internal/process/confsync/large_test.go
+++ b/internal/process/confsync/large_test.go
@@ -52,7 +52,7 @@
 	veteran := newSyncer(source, clock)
 	address := peer(t, veteran)
 	starter := newSyncer(down, clock, WithPeers(func() []string { return []string{address} }))
-	for n := range 300 {
+	for n := range 1000 {
 		source.append()
 		veteran.refresh(ctx)
 		starter.refresh(ctx)
