--- /dev/null
+++ b/cmd/gateway/grace_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread/internal/standin/worker"
+	"carawayspread/internal/version/gatewaysettings"
+)
+
+// Guards against a caller whose connection is closed without an answer, as its endpoint
+// holds the request and the grace of the process that ends is over before its time limit.
+func TestRequestThatOutlastsTheGraceIsAnswered(t *testing.T) {
+	f := newFleet(t)
+	text := fmt.Sprintf(`{"instance":{"id":"g","zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
+		"store":%q,"seeds":[],"grace":"4s","memoryMegabytes":100,"retries":{"ratio":0.2,"slack":50,"window":"10s"}}`,
+		"127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", f.settings.Store())
+	var err error
+	f.settings, err = gatewaysettings.Parse("test", []byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	script := make([]worker.Behaviour, 20)
+	for i := range script {
+		script[i] = worker.Hang
+	}
+	w := startWorker(t, "w", script...)
+	f.list(w, "model", "decode", "ready", 1)
+	f.start(t)
+	f.ready(t)
+	type answer struct {
+		status int
+		err    error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		resp, _, err := f.ask("POST", "/stream/x", "id-1", "text", prompt, "900,10")
+		if err != nil {
+			answered <- answer{err: err}
+			return
+		}
+		answered <- answer{status: resp.StatusCode}
+	}()
+	until(t, func() bool { return len(w.Seen()) > 0 })
+	time.Sleep(100 * time.Millisecond)
+	f.stop()
+	got := <-answered
+	qt.Check(t, got.err, qt.IsNil)
+	qt.Check(t, strings.Contains("502 504", fmt.Sprint(got.status)), qt.IsTrue, qt.Commentf("%d", got.status))
+}
