--- a/internal/connection/callers/listener_test.go
+++ b/internal/connection/callers/listener_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"testing"
@@ -58,3 +59,42 @@
 	_, err = net.Dial("tcp4", l.Addr().String())
 	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
 }
+
+// Guards against a caller that is connected by a port which is about to close, since the
+// goroutine that accepts is late in letting go of it, and is reset with its request sent.
+func TestPortTakesNobodyOnceItHasDrained(t *testing.T) {
+	l, err := callers.Listen("127.0.0.1:0", carawayspread.SystemClock())
+	qt.Assert(t, err, qt.IsNil)
+	raw, err := l.SyscallConn()
+	qt.Assert(t, err, qt.IsNil)
+	using, late, drained := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	go func() { // a use of the port that has not ended, as a late Accept is
+		_ = raw.Control(func(uintptr) {
+			close(using)
+			<-late
+		})
+	}()
+	<-using
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	go func() { drained <- l.Drain(context.Background()) }()
+	refused := false
+	for end := time.Now().Add(2 * time.Second); !refused && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp4", l.Addr().String())
+		if refused = errors.Is(err, syscall.ECONNREFUSED); err == nil {
+			_ = conn.Close()
+		}
+	}
+	close(late)
+	qt.Check(t, refused, qt.IsTrue, qt.Commentf("the port takes connections until it is let go of"))
+	qt.Check(t, <-drained, qt.IsNil)
+	_, err = l.Accept()
+	qt.Check(t, err, qt.ErrorIs, net.ErrClosed)
+}
