Requests that outlast the grace are answered before their process ends

What callers saw: EOF in place of an answer, where an endpoint held the request until the grace of the process that ends was over. Nobody could tell whether it had run.

Cause: leave waited for running requests until 0.9 of the grace, said that some still ran, and closed their connections. Nothing ended the requests themselves.

Change: all requests of callers descend from one context of the daemon, which ends with a cause at 0.9 of the grace. What still runs gets its final answer by then: 504 where an attempt may have run, 503 and not run where none has (a prompt that is only being read), a broken connection where events of a stream are out already, which HTTP tells from a whole answer. A request of which the caller has sent a part alone is refused as not run. Answers have until 0.95 of the grace.

Kin in the same place: the daemon took a request for ended when its handler was, which is before net/http has written the answer. It follows the state of each connection now, and closes them at once and not after the last counts of usage were told, so that nothing arrives in between.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -81,22 +81,27 @@
 	usage    *usageDuty // nil where no usage is reported
 	listed   atomic.Bool
 	leaving  atomic.Bool
-	open     atomic.Int64 // connections of callers
 
-	callers  *http.Server
-	listener *callers.Listener
-	served   chan struct{} // closed when no connection is accepted any more
-	health   *server.Server
-	metrics  *server.Server
-	control  *server.Server // for peers
+	// serving is the context that all requests of callers descend from.
+	serving    context.Context
+	endServing context.CancelCauseFunc
+
+	callers     *http.Server
+	connections *connections
+	listener    *callers.Listener
+	served      chan struct{} // closed when no connection is accepted any more
+	health      *server.Server
+	metrics     *server.Server
+	control     *server.Server // for peers
 }
 
 // New opens the daemon's addresses. Decisions are logged to out.
 func New(s *gatewaysettings.Settings, clock carawayspread.Clock, l log.Interface, out io.Writer, ports Ports) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, clock: clock, log: l.WithField("instance", s.ID()), lines: decisionlog.New(out),
-		served: make(chan struct{}),
+		served: make(chan struct{}), connections: newConnections(),
 	}
+	d.serving, d.endServing = context.WithCancelCause(context.Background())
 	var err error
 	if d.peers, err = peers.Listen(s.Peer(), s.Seeds(), clock); err != nil {
 		return nil, trace.Wrap(err)
@@ -213,7 +218,8 @@
 	}
 	d.callers = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTime, ReadTimeout: bodyTime, IdleTimeout: idleTime,
-		MaxHeaderBytes: headerBytes, DisableGeneralOptionsHandler: true, ConnState: d.count,
+		MaxHeaderBytes: headerBytes, DisableGeneralOptionsHandler: true, ConnState: d.connections.changed,
+		BaseContext: func(net.Listener) context.Context { return d.serving },
 	}
 	health := http.NewServeMux()
 	health.HandleFunc("GET /{path...}", d.answerReady)
@@ -317,6 +323,7 @@
 	_ = d.metrics.Shutdown(work)
 	_ = d.control.Shutdown(work)
 	_ = d.callers.Close()
+	d.endServing(nil)
 	err := group.Wait()
 	d.log.WithField("running", d.gateway.Running()).Info("stop")
 	return trace.Wrap(err)
--- a/internal/daemon/gatewayd/leave.go
+++ b/internal/daemon/gatewayd/leave.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
+
+	"carawayspread/internal/process/gateway"
 )
 
 const (
@@ -12,9 +12,11 @@
 	// end: the balancer learns of it by its questions, a second apart, of
 	// which it needs two.
 	leaveFor = 3 * time.Second
-	// graceUsed is the part of the grace that running requests may take.
-	graceUsed = 0.9
-	leavePoll = 20 * time.Millisecond
+	// graceUsed is the part of the grace that running requests may take, and
+	// graceAnswered the part in which those that took longer are answered.
+	graceUsed     = 0.9
+	graceAnswered = 0.95
+	leavePoll     = 20 * time.Millisecond
 	// askWait is how long a connection may be open without its request: callers
 	// send it at once, and wait a second for a connection.
 	askWait = time.Second
@@ -37,6 +39,7 @@
 	d.rota.Retire()
 	begun := d.clock.Now()
 	end := begun.Add(time.Duration(graceUsed * float64(d.settings.Grace())))
+	last := begun.Add(time.Duration(graceAnswered * float64(d.settings.Grace())))
 	d.log.WithField("running", d.gateway.Running()).Info("leaving")
 	d.gateway.Leave(begun.Add(leaveFor), end)
 	for now := begun; now.Before(end); now = d.clock.Now() {
@@ -45,11 +48,10 @@
 		}
 		<-d.clock.After(leavePoll)
 	}
-	d.settle(end)
+	d.settle(end, last)
 	d.finish(end)
-	if running := d.gateway.Running(); running > 0 {
-		d.log.WithField("running", running).Warn("the grace ends before the last answer")
-	}
+	d.giveUp(last)
+	_ = d.callers.Close()
 }
 
 // settle takes no more connections and waits for those that it has, for the
@@ -58,8 +60,8 @@
 // Failure: a request arrives between the look that finds none running and the
 // end. Symptom: a connection closed without an answer, its request perhaps
 // passed on. net/http's own Shutdown drops what is being read when it begins.
-func (d *Daemon) settle(end time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), end.Sub(d.clock.Now()))
+func (d *Daemon) settle(end, last time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), last.Sub(d.clock.Now()))
 	defer cancel()
 	if err := d.listener.Drain(ctx); err != nil {
 		d.log.WithError(err).Warn("connections that were not accepted are dropped")
@@ -67,7 +69,7 @@
 	<-d.served // from here each one that was accepted is counted
 	unasked := d.clock.Now().Add(askWait)
 	for now := d.clock.Now(); now.Before(end); now = d.clock.Now() {
-		if d.open.Load() == 0 || d.gateway.Running() == 0 && now.After(unasked) {
+		if d.connections.open() == 0 || d.gateway.Running() == 0 && now.After(unasked) {
 			return
 		}
 		<-d.clock.After(leavePoll)
@@ -79,17 +81,22 @@
 func (d *Daemon) finish(end time.Time) {
 	now := d.clock.Now()
 	d.gateway.Leave(now, now)
-	for ; now.Before(end) && d.gateway.Running() > 0; now = d.clock.Now() {
+	for ; now.Before(end) && d.connections.answering() > 0; now = d.clock.Now() {
 		<-d.clock.After(leavePoll)
 	}
 }
 
-// count follows how many connections of callers there are.
-func (d *Daemon) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		d.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		d.open.Add(-1)
+// giveUp has what still runs answered without its endpoint, and waits until each
+// caller that may have sent a request has its answer.
+//
+// An endpoint may hold a request for longer than the grace. The platform would kill the
+// process meanwhile, and callers could not tell a request that ran from one that did not.
+func (d *Daemon) giveUp(last time.Time) {
+	if running := d.gateway.Running(); running > 0 {
+		d.log.WithField("running", running).Warn("the grace ends before the last answer")
+	}
+	d.endServing(gateway.ErrEnding)
+	for now := d.clock.Now(); now.Before(last) && d.connections.owed() > 0; now = d.clock.Now() {
+		<-d.clock.After(leavePoll)
 	}
 }
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -24,10 +25,16 @@
 	return out
 }
 
+// ErrEnding is the cause of the end of requests that still run as the process ends.
+var ErrEnding = errors.New("the process ends")
+
+// isEnding reports whether the request is given up as the process ends.
+func (c *call) isEnding() bool { return errors.Is(context.Cause(c.r.Context()), ErrEnding) }
+
 // fail gives the final answer to a request that has none from an endpoint.
 func (c *call) fail(ctx context.Context, err error) {
 	switch {
-	case c.r.Context().Err() != nil:
+	case c.r.Context().Err() != nil && !c.isEnding():
 		c.finish("callerLeft", 0)
 		panic(http.ErrAbortHandler)
 	case c.started:
@@ -40,7 +47,8 @@
 	case c.ran == 0:
 		c.refuse(c.notRun(ctx, err))
 	case ctx.Err() != nil:
-		c.refuse(carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "no answer in time", carawayspread.CausedBy(err)))
+		c.refuse(carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "no answer in time",
+			carawayspread.CausedBy(fmt.Errorf("%w: %w", context.Cause(ctx), err))))
 	default:
 		c.refuse(carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint gave no whole answer", carawayspread.CausedBy(err)))
 	}
@@ -51,6 +59,9 @@
 	if refusal, ok := carawayspread.AsError(err); ok && refusal.NotRun() {
 		return refusal
 	}
+	if c.isEnding() {
+		return c.leaving()
+	}
 	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
 		return carawayspread.NewError(carawayspread.CodeOverloaded, "no endpoint took the request in time",
 			carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
@@ -59,6 +70,12 @@
 		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack), carawayspread.CausedBy(err))
 }
 
+// leaving refuses a request that the process cannot answer before it ends.
+func (c *call) leaving() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeDraining, "this process is leaving",
+		carawayspread.NotRun(), carawayspread.RetryAfter(comeBack))
+}
+
 // same names the request's path and body, which are the same whenever its caller
 // sends it again under another identifier.
 func (c *call) same() string { return strconv.FormatUint(c.fingerprint, 36) }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -296,8 +297,7 @@
 	}
 	c.deadline = c.arrived.Add(left)
 	if !c.ends() {
-		return carawayspread.NewError(carawayspread.CodeDraining, "this process is leaving",
-			carawayspread.NotRun(), carawayspread.RetryAfter(comeBack))
+		return c.leaving()
 	}
 	c.fingerprint = fingerprint(path(c.r), c.body)
 	if verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint}); verdict == quarantine.VerdictRefuse {
@@ -311,9 +311,15 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
+	// The end of a request's context does not interrupt a read of its body.
+	defer context.AfterFunc(c.r.Context(), func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.g.clock.Now())
+	})()
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var large *http.MaxBytesError
 	switch {
+	case err != nil && c.isEnding():
+		return c.leaving()
 	case errors.As(err, &large):
 		return carawayspread.NewError(carawayspread.CodeTooLarge, "the body is larger than the limit", carawayspread.NotRun())
 	case err != nil:
