--- a/internal/connection/knowledge/learner.go
+++ b/internal/connection/knowledge/learner.go
@@ -276,7 +276,7 @@
 	body := d.GetBody()
 	if d.GetPacked() {
 		var err error
-		if body, err = unpack(body); err != nil {
+		if body, err = transfer.Unpack(body, unpackedLimit); err != nil {
 			return carawayspread.Document{}, err
 		}
 	}
--- a/internal/connection/knowledge/learner_test.go
+++ b/internal/connection/knowledge/learner_test.go
@@ -16,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"carawayspread"
+	"carawayspread/internal/connection/transfer"
 )
 
 // holder knows by versions and refuses a body that says so.
@@ -219,7 +220,7 @@
 	qt.Check(t, &first[0], qt.Equals, &again[0])
 	other, err := p.pack(carawayspread.MatterRoutes, carawayspread.Document{Version: 1, Body: []byte("other")})
 	qt.Assert(t, err, qt.IsNil)
-	unpacked, err := unpack(other)
+	unpacked, err := transfer.Unpack(other, unpackedLimit)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, string(unpacked), qt.Equals, "other")
 	for version := range uint64(100) {
--- a/internal/connection/knowledge/packing.go
+++ b/internal/connection/knowledge/packing.go
@@ -1,11 +1,7 @@
 package knowledge
 
 import (
-	"bytes"
-	"compress/gzip"
-	"fmt"
 	"hash/maphash"
-	"io"
 	"sync"
 
 	"carawayspread"
@@ -48,38 +44,15 @@
 	if packed, ok := p.kept[n]; ok {
 		return packed, nil
 	}
-	var b bytes.Buffer
-	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	packed, err := transfer.Pack(d.Body)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := w.Write(d.Body); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
 	if len(p.names) == packedKept {
 		delete(p.kept, p.names[0])
 		p.names = p.names[1:]
 	}
 	p.names = append(p.names, n)
-	p.kept[n] = b.Bytes()
-	return b.Bytes(), nil
-}
-
-// unpack returns what was packed, unless it is larger than anything that is handed on.
-func unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r, unpackedLimit+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > unpackedLimit {
-		return nil, fmt.Errorf("%w of %d bytes unpacked", transfer.ErrTooLarge, unpackedLimit)
-	}
-	return body, nil
+	p.kept[n] = packed
+	return packed, nil
 }
