--- a/internal/process/confsync/peers.go
+++ b/internal/process/confsync/peers.go
@@ -13,6 +13,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/transfer"
 	"carawayspread/internal/version/record"
 	"carawayspread/internal/version/snapshot"
 )
@@ -37,7 +38,9 @@
 	connectTime = 500 * time.Millisecond
 	silence     = time.Second
 	wholeTime   = 15 * time.Second
-	answerLimit = 64 << 20 // bytes
+	answerLimit = 64 << 20 // bytes, also unpacked
+	// askAgain is the time between two questions while the peer prepares its answer.
+	askAgain = 50 * time.Millisecond
 )
 
 // askPeers asks peers and ends the round with the first proof that is fresh. An answer
@@ -81,22 +84,38 @@
 	}
 }
 
+// askPeer asks one peer, again while the peer prepares its answer.
 func (s *Syncer) askPeer(ctx context.Context, address string, began stamp) error {
-	held := s.Held()
-	request := &control.ChangesRequest{After: uint64(held.Version()), Instance: s.instance}
-	answer, err := s.dial(address).Changes(ctx, request)
-	if err != nil {
-		return trace.Wrap(err)
+	ctx, cancel := context.WithTimeout(ctx, wholeTime)
+	defer cancel()
+	peer := s.dial(address)
+	for {
+		held := s.Held()
+		request := &control.ChangesRequest{After: uint64(held.Version()), Instance: s.instance, Packs: true}
+		answer, err := peer.Changes(ctx, request)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if !answer.GetPreparing() {
+			return s.take(held, answer, began)
+		}
+		s.pause(ctx, askAgain)
 	}
-	return s.take(held, answer, began)
 }
 
 // take accepts a peer's answer. The evidence is the peer's, as old as the peer
 // says by the moment before it was asked. It speaks of the peer's version: an
 // answer that does not lead there, through a gap, proves nothing.
 func (s *Syncer) take(cfg *carawayspread.Config, answer *control.ChangesResponse, began stamp) error {
-	if len(answer.GetSnapshot()) > 0 {
-		whole, err := snapshot.Decode(answer.GetSnapshot())
+	body := answer.GetSnapshot()
+	if packed := answer.GetPackedSnapshot(); len(packed) > 0 {
+		var err error
+		if body, err = transfer.Unpack(packed, answerLimit); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if len(body) > 0 {
+		whole, err := snapshot.Decode(body)
 		if err != nil {
 			return err
 		}
@@ -128,21 +147,31 @@
 
 // Changes answers a peer: the records after its version, or a snapshot where
 // they are no longer held. It implements that method of control.Control.
-func (s *Syncer) Changes(_ context.Context, request *control.ChangesRequest) (*control.ChangesResponse, error) {
+func (s *Syncer) Changes(ctx context.Context, request *control.ChangesRequest) (*control.ChangesResponse, error) {
 	s.Heard(carawayspread.Version(request.GetAfter()))
 	held, records, known := s.since(carawayspread.Version(request.GetAfter()))
 	if held.proved.zero() {
 		return nil, twirp.NewError(twirp.Unavailable, "no configuration is known here")
 	}
+	switch {
+	case known:
+		return s.answer(held, records)
+	case request.GetPacks():
+		return s.answerPacked(ctx, held.cfg)
+	}
+	answer, err := s.answer(held, nil)
+	if err == nil {
+		answer.Snapshot, err = snapshot.Encode(held.cfg)
+	}
+	return answer, trace.Wrap(err)
+}
+
+// answer returns what is held, with the records that lead to it.
+func (s *Syncer) answer(held *state, records []record.Record) (*control.ChangesResponse, error) {
 	answer := &control.ChangesResponse{
 		Version:       uint64(held.cfg.Version()),
 		EvidenceAgeMs: uint64(held.proved.age(s.clock.Now()).Milliseconds()) + 1, // rounded up
 	}
-	if !known {
-		body, err := snapshot.Encode(held.cfg)
-		answer.Snapshot = body
-		return answer, trace.Wrap(err)
-	}
 	for _, r := range records {
 		body, err := r.Encode()
 		if err != nil {
@@ -159,12 +188,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held = s.state.Load()
-	if after >= held.cfg.Version() {
-		return held, nil, true
+	records, known = s.recordsAfter(after, held.cfg.Version())
+	return held, records, known
+}
+
+// recordsAfter returns the records that lead from one version to the held one. Its
+// caller holds mu.
+func (s *Syncer) recordsAfter(after, held carawayspread.Version) (records []record.Record, known bool) {
+	if after >= held {
+		return nil, true
 	}
 	n := len(s.history)
-	if n == 0 || s.history[0].Version > after+1 || s.history[n-1].Version != held.cfg.Version() {
-		return held, nil, false
+	if n == 0 || s.history[0].Version > after+1 || s.history[n-1].Version != held {
+		return nil, false
 	}
-	return held, s.history[after+1-s.history[0].Version:], true
+	return s.history[after+1-s.history[0].Version:], true
 }
--- /dev/null
+++ b/internal/process/confsync/prepare_test.go
@@ -0,0 +1,94 @@
+package confsync
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/transfer"
+	"carawayspread/internal/version/change"
+	"carawayspread/internal/version/record"
+)
+
+// impatient is a clock on which every wait is over at once.
+type impatient struct{ shifted }
+
+func (c *impatient) After(time.Duration) <-chan time.Time {
+	over := make(chan time.Time, 1)
+	over <- c.Now()
+	return over
+}
+
+func holding(clock carawayspread.Clock, version carawayspread.Version) *Syncer {
+	s := newSyncer(newMemoryLog(0), clock)
+	s.accept(carawayspread.NewConfig(version, nil, map[string]carawayspread.Workspace{"demo": carawayspread.NewWorkspace("demo")}, nil), nil,
+		stamp{at: clock.Now()})
+	return s
+}
+
+// Guards against each peer's question having the same snapshot made anew, and against a
+// peer that is told nothing while it is made.
+func TestSnapshotIsPreparedOnce(t *testing.T) {
+	ctx, ask := context.Background(), &control.ChangesRequest{Packs: true}
+	s := holding(&impatient{}, 300)
+	ready := func() *control.ChangesResponse {
+		for {
+			answer, err := s.Changes(ctx, ask)
+			qt.Assert(t, err, qt.IsNil)
+			if !answer.GetPreparing() {
+				return answer
+			}
+			qt.Check(t, answer.GetVersion(), qt.Equals, uint64(0))
+			time.Sleep(time.Millisecond)
+		}
+	}
+	first := ready()
+	next := record.Record{Version: 301, Change: change.New(change.SetWorkspace(carawayspread.NewWorkspace("later")))}
+	cfg, err := next.Apply(s.Held())
+	qt.Assert(t, err, qt.IsNil)
+	s.accept(cfg, []record.Record{next}, stamp{})
+	second := ready()
+	qt.Check(t, &second.GetPackedSnapshot()[0] == &first.GetPackedSnapshot()[0], qt.IsTrue)
+	qt.Check(t, second.GetVersion(), qt.Equals, uint64(301))
+	starter := newSyncer(newMemoryLog(0), &shifted{})
+	qt.Assert(t, starter.take(starter.Held(), second, stamp{at: time.Now()}), qt.IsNil)
+	qt.Check(t, starter.Held().Version(), qt.Equals, carawayspread.Version(301))
+	qt.Check(t, starter.Held().Workspaces(), qt.HasLen, 2)
+}
+
+// Guards against an older daemon that is answered in a form which it does not know.
+func TestOlderPeerGetsTheSnapshotItKnows(t *testing.T) {
+	s := holding(&shifted{}, 300)
+	answer, err := s.Changes(context.Background(), &control.ChangesRequest{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(answer.GetSnapshot()) > 0, qt.IsTrue)
+	qt.Check(t, answer.GetPackedSnapshot(), qt.HasLen, 0)
+}
+
+// Guards against a forged or endless snapshot that is taken, or fills the memory.
+func TestSnapshotThatCannotBeReadIsDropped(t *testing.T) {
+	endless, err := transfer.Pack(make([]byte, answerLimit+1))
+	qt.Assert(t, err, qt.IsNil)
+	torn, err := transfer.Pack([]byte(`{"version":7,"config":{"set":{"workspaces":[{"name":"demo"}]}}}`))
+	qt.Assert(t, err, qt.IsNil)
+	for name, c := range map[string]struct {
+		packed []byte
+		want   string
+	}{
+		"endless":    {endless, "larger than the limit"},
+		"torn":       {torn[:len(torn)/2], "unexpected EOF"},
+		"not packed": {[]byte(`{"version":7}`), "gzip"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSyncer(newMemoryLog(0), &shifted{})
+			err := s.take(s.Held(), &control.ChangesResponse{Version: 7, PackedSnapshot: c.packed}, stamp{at: time.Now()})
+			qt.Check(t, err, qt.ErrorMatches, ".*"+c.want+".*")
+			qt.Check(t, s.Held().Version(), qt.Equals, carawayspread.Version(0))
+			qt.Check(t, s.Ready(), qt.IsFalse)
+		})
+	}
+}
--- a/internal/process/confsync/syncer.go
+++ b/internal/process/confsync/syncer.go
@@ -62,6 +62,9 @@
 	mu      sync.Mutex      // guards what follows, and the writing of state
 	round   *round          // the round in flight, or nil
 	history []record.Record // without gap, at most maxHistory
+	// prepared is the last snapshot that was made for peers, or is being made; nil
+	// before the first.
+	prepared *preparation
 }
 
 // state is a configuration with its evidence. It is immutable.
