--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -25,6 +25,8 @@
 type Server struct {
 	listener net.Listener
 	http     *http.Server
+	// abort ends the context that all requests descend from.
+	abort context.CancelCauseFunc
 }
 
 // Option sets a limit of a Server.
@@ -54,8 +56,10 @@
 // New returns a server of connections that the listener takes; serving begins
 // with Run.
 func New(listener net.Listener, handler http.Handler, opts ...Option) *Server {
+	serving, abort := context.WithCancelCause(context.Background())
 	s := &http.Server{
 		Handler:           handler,
+		BaseContext:       func(net.Listener) context.Context { return serving },
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -64,7 +68,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	return &Server{listener: listener, http: s}
+	return &Server{listener: listener, http: s, abort: abort}
 }
 
 // Address returns IP number and port.
@@ -82,6 +86,9 @@
 // request has its answer.
 func (s *Server) Shutdown(ctx context.Context) error { return trace.Wrap(s.http.Shutdown(ctx)) }
 
+// Abort ends the contexts of all requests, those that still come included, with the cause.
+func (s *Server) Abort(cause error) { s.abort(cause) }
+
 // Observe adds the paths that every daemon has: /healthz answers while the
 // process lives, /readyz while ready returns true, and /metrics.
 func Observe(mux *http.ServeMux, ready func() bool, sets ...*metrics.Set) {
--- a/internal/process/gateway/end.go
+++ b/internal/process/gateway/end.go
@@ -25,11 +25,10 @@
 	return out
 }
 
-// ErrEnding is the cause of the end of requests that still run as the process ends.
-var ErrEnding = errors.New("the process ends")
-
 // isEnding reports whether the request is given up as the process ends.
-func (c *call) isEnding() bool { return errors.Is(context.Cause(c.r.Context()), ErrEnding) }
+func (c *call) isEnding() bool {
+	return errors.Is(context.Cause(c.r.Context()), carawayspread.ErrEnding)
+}
 
 // fail gives the final answer to a request that has none from an endpoint.
 func (c *call) fail(ctx context.Context, err error) {
--- a/internal/process/gateway/ending_test.go
+++ b/internal/process/gateway/ending_test.go
@@ -104,7 +104,7 @@
 			go func() {
 				<-h.held
 				b.gateway.Leave(b.clock.Now(), b.clock.Now())
-				end(ErrEnding)
+				end(carawayspread.ErrEnding)
 			}()
 			resp, body, err := b.ask(t, c.path, "body", c.headers...)
 			if c.body != "" {
@@ -143,7 +143,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		b.gateway.Leave(b.clock.Now(), b.clock.Now())
-		end(ErrEnding)
+		end(carawayspread.ErrEnding)
 	}()
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	qt.Assert(t, err, qt.IsNil)
