Entries and sidecars answer what outlasts the grace as well

What callers saw: an endpoint that held one request kept its entry, or its sidecar, until the platform killed it; then all callers there got EOF.

Cause: the entry ended by net/http's Shutdown and the sidecar by a wait for its last request, both without a bound; work that runs at most once was kept from ending with its caller for 15 minutes.

A call is answered 504, one that has not run 503 and not run, a stream ends in an error event, work that runs at most once is recorded as unknown, by a context of its own as the run's is over.

--- a/cmd/carawayspread/fleet_test.go
+++ b/cmd/carawayspread/fleet_test.go
@@ -190,13 +190,18 @@
 
 // sidecar starts a sidecar before those endpoints.
 func (f *fleet) sidecar(id string, endpoints ...endpoint) *process {
+	return f.sidecarWith(sidecarSettings, id, endpoints...)
+}
+
+// sidecarWith starts a sidecar with settings of that form.
+func (f *fleet) sidecarWith(settings, id string, endpoints ...endpoint) *process {
 	rows, parts := []carawayspread.InstanceEndpoint{}, []string{}
 	for _, e := range endpoints {
 		rows = append(rows, carawayspread.InstanceEndpoint{ID: carawayspread.EndpointID(e.id), Service: e.service})
 		parts = append(parts, fmt.Sprintf(`{"id": %q, "service": %q, "kind": %q, "address": %q, "checksFence": true, "slots": 256}`,
 			e.id, e.service, e.kind, serve(f.t, e.handler)))
 	}
-	return f.start(carawayspread.InstanceSidecar, id, fmt.Sprintf(sidecarSettings, id, f.platform, strings.Join(parts, ",")), rows...)
+	return f.start(carawayspread.InstanceSidecar, id, fmt.Sprintf(settings, id, f.platform, strings.Join(parts, ",")), rows...)
 }
 
 type endpoint struct {
@@ -209,8 +214,10 @@
 func records(id string, s *plain.Service) endpoint { return endpoint{id, "records", "plain", s} }
 
 // entry starts an entry and returns when it can serve.
-func (f *fleet) entry(id string) *process {
-	p := f.start(carawayspread.InstanceEntry, id, fmt.Sprintf(entrySettings, id, f.platform))
+func (f *fleet) entry(id string) *process { return f.entryWith(entrySettings, id) }
+
+func (f *fleet) entryWith(settings, id string) *process {
+	p := f.start(carawayspread.InstanceEntry, id, fmt.Sprintf(settings, id, f.platform))
 	f.eventually(func() bool { return ready(p.admin) })
 	return p
 }
--- a/internal/daemon/base/group.go
+++ b/internal/daemon/base/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -45,3 +46,30 @@
 	}
 	return err
 }
+
+const (
+	// endTime is the last part of the grace, in which the daemon ends by itself, and
+	// answerTime the part before it, in which requests are answered that outlast the rest.
+	endTime    = time.Second
+	answerTime = 500 * time.Millisecond
+)
+
+// Finish returns when wait does, which waits for the last request of the server or for
+// the end of its context.
+//
+// An endpoint may hold a request for longer than the platform waits before it kills the
+// daemon, and its caller could not tell whether it ran. What outlasts the grace is
+// answered without its endpoint.
+func (b *Base) Finish(work context.Context, s *server.Server, wait func(context.Context) error) error {
+	used, cancel := context.WithTimeout(work, b.settings.Timeouts().Grace()-answerTime-endTime)
+	defer cancel()
+	err := wait(used)
+	if err == nil || work.Err() != nil {
+		return err
+	}
+	b.log.WithError(err).Warn("the grace ends before the last answer")
+	s.Abort(carawayspread.ErrEnding)
+	last, cancel := context.WithTimeout(work, answerTime)
+	defer cancel()
+	return wait(last)
+}
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -135,7 +135,7 @@
 	}
 	d.entry.Leave()
 	d.base.Log().Info("entry leaves")
-	return d.data.Shutdown(work)
+	return d.base.Finish(work, d.data, d.data.Shutdown)
 }
 
 func (d *Daemon) adopted() {
--- a/internal/daemon/sidecard/daemon.go
+++ b/internal/daemon/sidecard/daemon.go
@@ -98,7 +98,7 @@
 	}
 	d.base.Log().WithField("running", d.sidecar.Drain("")).Info("sidecar drains")
 	d.report()
-	return d.sidecar.Wait(work)
+	return d.base.Finish(work, d.data, d.sidecar.Wait)
 }
 
 func (d *Daemon) listed(instances []carawayspread.Instance) {
--- a/internal/process/confsync/prepare_test.go
+++ b/internal/process/confsync/prepare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/transfer"
+	"carawayspread/internal/soak/relay"
 	"carawayspread/internal/version/change"
 	"carawayspread/internal/version/record"
 )
@@ -60,6 +62,36 @@
 	qt.Check(t, starter.Held().Workspaces(), qt.HasLen, 2)
 }
 
+// Guards against a daemon that begins a snapshot anew in each round, over a link on which
+// the packed one takes longer than a round.
+func TestSnapshotOutlastsTheRound(t *testing.T) {
+	const (
+		workspaces = 20_000
+		narrow     = 2e5 // bits a second
+		within     = 10 * time.Second
+	)
+	clock, all := &shifted{}, map[string]carawayspread.Workspace{}
+	for n := range workspaces {
+		name := fmt.Sprintf("workspace-%08d", n)
+		all[name] = carawayspread.NewWorkspace(name)
+	}
+	veteran := newSyncer(newMemoryLog(0), clock)
+	veteran.accept(carawayspread.NewConfig(300, nil, all, nil), nil, stamp{at: clock.Now()})
+	link, err := relay.New(peer(t, veteran), carawayspread.SystemClock())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(link.Close)
+	link.Narrow(narrow)
+	down := newMemoryLog(0)
+	down.set(true)
+	starter := newSyncer(down, clock, WithPeers(func() []string { return []string{link.Address()} }))
+	begun := time.Now()
+	for rounds := 0; !starter.Ready(); rounds++ {
+		starter.refresh(context.Background())
+		qt.Assert(t, time.Since(begun) < within, qt.IsTrue, qt.Commentf("%d rounds, %d bytes", rounds, link.Answered()))
+	}
+	qt.Check(t, time.Since(begun) > defaultRoundTimeout, qt.IsTrue)
+}
+
 // Guards against an older daemon that is answered in a form which it does not know.
 func TestOlderPeerGetsTheSnapshotItKnows(t *testing.T) {
 	s := holding(&shifted{}, 300)
--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -73,6 +73,8 @@
 	if !failure.NotRun() {
 		final, record = unknown(failure), claim.Unknown
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout) // the run's may be over
+	defer cancel()
 	err := record(ctx)
 	if err == nil {
 		return final
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -17,8 +17,7 @@
 func (e *Entry) run(w http.ResponseWriter, r *http.Request) {
 	started := e.clock.Now()
 	if e.leaving.Load() {
-		e.refuse(w, r, nil, carawayspread.NewError(carawayspread.CodeDraining, "this entry is leaving",
-			carawayspread.NotRun(), carawayspread.RetryAfter(leavingRetry)))
+		e.refuse(w, r, nil, leaving())
 		return
 	}
 	cfg := e.config.Current(r.Context())
@@ -42,10 +41,22 @@
 }
 
 // scope returns the context of the run. Work that must not run twice goes on
-// when its caller has gone, so that its end is known to the caller's retry.
+// when its caller has gone, so that its end is known to the caller's retry, but not
+// when the process ends.
 func (e *Entry) scope(ctx context.Context, c *call.Call) (context.Context, context.CancelFunc) {
 	if c.Once() {
-		return context.WithTimeout(context.WithoutCancel(ctx), longestOnce)
+		run, end := context.WithCancelCause(context.WithoutCancel(ctx))
+		stop := context.AfterFunc(ctx, func() {
+			if cause := context.Cause(ctx); errors.Is(cause, carawayspread.ErrEnding) {
+				end(cause)
+			}
+		})
+		run, cancel := context.WithTimeout(run, longestOnce)
+		return run, func() {
+			stop()
+			cancel()
+			end(nil)
+		}
 	}
 	if deadline := c.Job().Deadline; !deadline.IsZero() {
 		return context.WithDeadline(ctx, deadline)
@@ -71,6 +82,9 @@
 			carawayspread.NotRun(), carawayspread.RetryAfter(leavingRetry))
 	}
 	if err := l.Wait(ctx, c.Job()); err != nil {
+		if isEnding(ctx) {
+			return leaving()
+		}
 		return typed(err)
 	}
 	began := e.clock.Now()
@@ -107,8 +121,26 @@
 	}
 }
 
+// leaving refuses a request that this entry does not run before it ends.
+func leaving() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeDraining, "this entry is leaving",
+		carawayspread.NotRun(), carawayspread.RetryAfter(leavingRetry))
+}
+
+// isEnding reports whether a run is given up as the process ends.
+func isEnding(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), carawayspread.ErrEnding)
+}
+
+// gone returns the failure of a run whose context has ended.
 func gone(ctx context.Context, failure *carawayspread.Error, mayHaveRun bool) *carawayspread.Error {
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case isEnding(ctx) && !mayHaveRun:
+		return leaving()
+	case isEnding(ctx):
+		return carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "this entry ends before the answer does",
+			carawayspread.CausedBy(failure))
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return honest(failure, mayHaveRun)
 	}
 	return honest(carawayspread.NewError(carawayspread.CodeDeadlineExceeded, "the deadline has passed",
--- a/internal/version/settings/parse.go
+++ b/internal/version/settings/parse.go
@@ -23,6 +23,8 @@
 	// minSilence exceeds the second between two heartbeats of a sidecar; a
 	// shorter bound would cut every request that waits for its first byte.
 	minSilence = 1500 * time.Millisecond
+	// minGrace leaves running requests more time than a daemon takes to end.
+	minGrace = 5 * time.Second
 )
 
 // Parse checks a settings file. Its error lists every finding.
@@ -134,6 +136,7 @@
 		"configPoll":    &t.configPoll,
 		"configFresh":   &t.configFresh,
 		"configRefresh": &t.configRefresh,
+		"grace":         &t.grace,
 	}
 	names := make([]string, 0, len(fields))
 	for name := range fields {
@@ -142,8 +145,11 @@
 	node = node.Object(names...)
 	for name, target := range fields {
 		overlay(target, node.Field(name), func(n document.Node) time.Duration {
-			if name == "betweenBytes" {
+			switch name {
+			case "betweenBytes":
 				return n.Duration(minSilence, maxTimeout)
+			case "grace":
+				return n.Duration(minGrace, maxTimeout)
 			}
 			return n.Duration(minTimeout, maxTimeout)
 		})
--- a/internal/version/settings/parts.go
+++ b/internal/version/settings/parts.go
@@ -90,6 +90,7 @@
 	readHeader, readBody, idle, betweenBytes time.Duration
 	table                                    time.Duration
 	configPoll, configFresh, configRefresh   time.Duration
+	grace                                    time.Duration
 }
 
 // ReadHeader bounds the reading of a request's header.
@@ -117,3 +118,6 @@
 
 // ConfigRefresh bounds how long a request waits for that proof.
 func (t Timeouts) ConfigRefresh() time.Duration { return t.configRefresh }
+
+// Grace returns how long the daemon may take to end after the order to.
+func (t Timeouts) Grace() time.Duration { return t.grace }
