Soaks beside each other do not take each other's ports

Cause: a gateway's ports are chosen free and let go of until it starts, and again while it restarts; another soak had taken one. g2.log: listen tcp4 127.0.0.1:41947: bind: address already in use; its callers asked the other soak's gateway.

Change: each soak has a loopback address of its own, from its process id. Checks, bounds and schedules are as they were.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -162,11 +162,18 @@
 	return nil
 }
 
+// ownHost returns a loopback address of this process alone. Another soak, or a connection
+// that leaves from the common one, would take the port of a gateway while it restarts.
+func ownHost() string {
+	pid := os.Getpid()
+	return net.IPv4(127, 1+byte(pid>>16&0x3f), byte(pid>>8), byte(pid)).String()
+}
+
 // freePorts returns addresses on loopback that nobody listens on.
 func freePorts(n int) ([]string, error) {
 	var all []string
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", net.JoinHostPort(ownHost(), "0"))
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
