--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -176,7 +176,7 @@
 }
 
 // MarshalJSON returns the change in the form that Parse reads.
-func (c *Change) MarshalJSON() ([]byte, error) { return json.Marshal(c.wire()) }
+func (c *Change) MarshalJSON() ([]byte, error) { return json.Marshal(c.Stored()) }
 
 func nameList[T interface{ Name() string }](values []T) []string {
 	list := make([]string, 0, len(values))
--- a/internal/version/change/codec.go
+++ b/internal/version/change/codec.go
@@ -9,7 +9,9 @@
 	"carawayspread/internal/version/finding"
 )
 
-type wireChange struct {
+// Stored is the JSON form of a change inside a larger document, which reads and writes it
+// in one pass: encoding/json takes two more for a type that encodes itself, as Change does.
+type Stored struct {
 	Set    *wireValues `json:"set,omitempty"`
 	Delete *names      `json:"delete,omitempty"`
 }
@@ -73,8 +75,9 @@
 	return d.String()
 }
 
-func (c *Change) wire() wireChange {
-	wire := wireChange{}
+// Stored returns the JSON form of the change.
+func (c *Change) Stored() Stored {
+	wire := Stored{}
 	if n := len(c.set.classes) + len(c.set.workspaces) + len(c.set.services); n > 0 {
 		wire.Set = &wireValues{}
 		for _, class := range c.set.classes {
--- a/internal/version/change/stored.go
+++ b/internal/version/change/stored.go
@@ -14,22 +14,31 @@
 // daemon takes. Unknown fields are ignored: a daemon that stopped at
 // what a newer one stored would never have the versions after it.
 func (c *Change) UnmarshalJSON(body []byte) error {
-	var wire wireChange
-	if err := json.Unmarshal(body, &wire); err != nil {
+	var stored Stored
+	if err := json.Unmarshal(body, &stored); err != nil {
 		return trace.BadParameter("stored change: %v", err)
 	}
-	stored := Change{}
-	if wire.Delete != nil {
-		stored.delete = *wire.Delete
+	read, err := stored.Change()
+	if err != nil {
+		return err
 	}
-	if wire.Set != nil {
+	*c = *read
+	return nil
+}
+
+// Change returns the change that the form is of.
+func (s Stored) Change() (*Change, error) {
+	c := &Change{}
+	if s.Delete != nil {
+		c.delete = *s.Delete
+	}
+	if s.Set != nil {
 		var err error
-		if stored.set, err = wire.Set.values(); err != nil {
-			return err
+		if c.set, err = s.Set.values(); err != nil {
+			return nil, err
 		}
 	}
-	*c = stored
-	return nil
+	return c, nil
 }
 
 func (w *wireValues) values() (values, error) {
--- a/internal/version/snapshot/snapshot.go
+++ b/internal/version/snapshot/snapshot.go
@@ -14,12 +14,13 @@
 // Snapshot is the JSON form of one version.
 type Snapshot struct {
 	Version carawayspread.Version `json:"version"`
-	Config  *change.Change        `json:"config"` // makes the version out of an empty configuration
+	Config  *change.Stored        `json:"config"` // makes the version out of an empty configuration
 }
 
 // Encode returns the JSON form of a configuration.
 func Encode(cfg *carawayspread.Config) ([]byte, error) {
-	body, err := json.Marshal(Snapshot{Version: cfg.Version(), Config: change.Of(cfg)})
+	stored := change.Of(cfg).Stored()
+	body, err := json.Marshal(Snapshot{Version: cfg.Version(), Config: &stored})
 	return body, trace.Wrap(err)
 }
 
@@ -32,6 +33,9 @@
 	if s.Version == 0 || s.Config == nil {
 		return nil, trace.BadParameter("configuration snapshot lacks its version or content")
 	}
-	empty := carawayspread.NewConfig(s.Version-1, nil, nil, nil)
-	return s.Config.Replay(empty), nil
+	whole, err := s.Config.Change()
+	if err != nil {
+		return nil, err
+	}
+	return whole.Replay(carawayspread.NewConfig(s.Version-1, nil, nil, nil)), nil
 }
