--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -114,7 +114,7 @@
 		qt.Assert(t, json.Unmarshal(stored, again), qt.IsNil)
 		repeated, err := again.Apply(cfg)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, Of(repeated).Stored(), qt.DeepEquals, Of(next).wire())
+		qt.Check(t, Of(repeated).Stored(), qt.DeepEquals, Of(next).Stored())
 	})
 }
 
