--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the first seed"},
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "how many seeds, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "in which faults begin"},
+			&cli.BoolFlag{Name: "stops", Usage: "most faults are orders to end, and workers that hold requests"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
 		},
@@ -43,9 +44,12 @@
 }
 
 func run(c *cli.Context) error {
-	broken := 0
+	broken, draw := 0, schedule.Draw
+	if c.Bool("stops") {
+		draw = schedule.DrawStops
+	}
 	for n := range uint64(max(1, c.Int("runs"))) {
-		found, err := soak(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), schedule.Draw(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"))
+		found, err := soak(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), draw(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"))
 		if err != nil {
 			return err
 		}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -49,6 +49,12 @@
 	StoreDown, StoreSilent, StoreForgot, Misbehave, Misbehave, Misbehave, Drain, Drain, Routes, Routes,
 }
 
+// stops have many orders to end meet requests that workers hold.
+var stops = []Kind{
+	Replace, Replace, Replace, Replace, Replace, Replace, Misbehave, Misbehave, Misbehave, Misbehave, Misbehave,
+	Silent, Silent, Silent, OneWay,
+}
+
 const (
 	// longest is how long one fault lasts at most: callers of the routes wait for
 	// two to four seconds.
@@ -81,9 +87,15 @@
 }
 
 // Draw returns the schedule of a seed, for so long.
-func Draw(seed uint64, length time.Duration) *Schedule {
+func Draw(seed uint64, length time.Duration) *Schedule { return draw(seed, length, kinds) }
+
+// DrawStops returns a schedule in which most faults are orders to end, and workers that
+// hold requests.
+func DrawStops(seed uint64, length time.Duration) *Schedule { return draw(seed, length, stops) }
+
+func draw(seed uint64, length time.Duration, often []Kind) *Schedule {
 	s := &Schedule{seed: seed}
-	s.draw(rand.New(rand.NewPCG(seed, 0)), length, apart, kinds)
+	s.draw(rand.New(rand.NewPCG(seed, 0)), length, apart, often)
 	s.draw(rand.New(rand.NewPCG(seed, 1)), length, rareApart, rare)
 	r := rand.New(rand.NewPCG(seed, 2))
 	s.idle = sizes[r.IntN(len(sizes))]
