Daemons end although a request to one of their servers does not

What operators saw: none saw it yet; found by looking for the fault of a grace without an end elsewhere.

Cause: the group ended each server by Shutdown with no end.

Change: a server has 150 ms for what runs, then its requests' contexts end with ErrEnding, then its connections are closed. The actor of a server lasts until that is done: net/http's Serve returns as soon as Shutdown begins, which ended the other servers under the answers of callers.

TestServerEndsThoughARequestDoesNot; without the change of the group nothing of it is called. The gateway calls none of it.

--- a/internal/daemon/base/group.go
+++ b/internal/daemon/base/group.go
@@ -24,13 +24,29 @@
 	g := &Group{}
 	g.work, g.stop = context.WithCancel(context.WithoutCancel(ctx))
 	for _, s := range servers {
-		g.Add(s.Run, func(error) { _ = s.Shutdown(context.Background()) })
+		g.addServer(s)
 	}
 	g.Go(func(work context.Context) error { return b.watch.Run(work, changed) })
 	g.Go(b.config.Run)
 	return g
 }
 
+// addServer adds an actor that ends when its server has, not when that takes no more
+// connections: the end of one actor ends all others.
+func (g *Group) addServer(s *server.Server) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		if err := s.Run(); err != nil {
+			return err
+		}
+		<-ended
+		return nil
+	}, func(error) {
+		s.End(serverEnd)
+		close(ended)
+	})
+}
+
 // Go adds an actor that ends with its context.
 func (g *Group) Go(actor func(work context.Context) error) {
 	g.Add(func() error { return actor(g.work) }, func(error) { g.stop() })
@@ -52,6 +68,9 @@
 	// answerTime the part before it, in which requests are answered that outlast the rest.
 	endTime    = time.Second
 	answerTime = 500 * time.Millisecond
+	// serverEnd is the time of a server for requests that run as the daemon ends by
+	// itself: three servers, one after the other, each twice as long at the most.
+	serverEnd = 150 * time.Millisecond
 )
 
 // Finish returns when wait does, which waits for the last request of the server or for
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
+
+	"carawayspread"
 )
 
 // Defaults of a Server.
@@ -89,6 +91,24 @@
 // Abort ends the contexts of all requests, those that still come included, with the cause.
 func (s *Server) Abort(cause error) { s.abort(cause) }
 
+// End stops accepting and returns after twice that time at the latest. Requests that take
+// longer than it have their contexts ended, and what is left then is closed.
+func (s *Server) End(within time.Duration) {
+	if s.shutdown(within) == nil {
+		return
+	}
+	s.Abort(carawayspread.ErrEnding)
+	if s.shutdown(within) != nil {
+		_ = s.http.Close()
+	}
+}
+
+func (s *Server) shutdown(within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return s.http.Shutdown(ctx)
+}
+
 // Observe adds the paths that every daemon has: /healthz answers while the
 // process lives, /readyz while ready returns true, and /metrics.
 func Observe(mux *http.ServeMux, ready func() bool, sets ...*metrics.Set) {
