--- a/internal/daemon/base/group.go
+++ b/internal/daemon/base/group.go
@@ -10,6 +10,16 @@
 	"carawayspread/internal/daemon/server"
 )
 
+const (
+	// endTime is the last part of the grace, in which the daemon ends by itself, and
+	// answerTime the part before it, in which requests are answered that outlast the rest.
+	endTime    = time.Second
+	answerTime = 500 * time.Millisecond
+	// serverEnd is the time of a server for requests that run as the daemon ends by
+	// itself: three servers, one after the other, each twice as long at the most.
+	serverEnd = 150 * time.Millisecond
+)
+
 // Group is the run group of a daemon. Its actors go on when the daemon is told
 // to end, until the actor that waits for the last request has returned.
 type Group struct {
@@ -63,16 +73,6 @@
 	return err
 }
 
-const (
-	// endTime is the last part of the grace, in which the daemon ends by itself, and
-	// answerTime the part before it, in which requests are answered that outlast the rest.
-	endTime    = time.Second
-	answerTime = 500 * time.Millisecond
-	// serverEnd is the time of a server for requests that run as the daemon ends by
-	// itself: three servers, one after the other, each twice as long at the most.
-	serverEnd = 150 * time.Millisecond
-)
-
 // Finish returns when wait does, which waits for the last request of the server or for
 // the end of its context.
 //
--- a/internal/process/confsync/peers.go
+++ b/internal/process/confsync/peers.go
@@ -13,7 +13,6 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
-	"carawayspread/internal/connection/transfer"
 	"carawayspread/internal/version/record"
 	"carawayspread/internal/version/snapshot"
 )
@@ -107,21 +106,12 @@
 // says by the moment before it was asked. It speaks of the peer's version: an
 // answer that does not lead there, through a gap, proves nothing.
 func (s *Syncer) take(cfg *carawayspread.Config, answer *control.ChangesResponse, began stamp) error {
-	body := answer.GetSnapshot()
-	if packed := answer.GetPackedSnapshot(); len(packed) > 0 {
-		var err error
-		if body, err = transfer.Unpack(packed, answerLimit); err != nil {
-			return trace.Wrap(err)
-		}
+	whole, err := wholeOf(answer)
+	if err != nil {
+		return err
 	}
-	if len(body) > 0 {
-		whole, err := snapshot.Decode(body)
-		if err != nil {
-			return err
-		}
-		if whole.Version() > cfg.Version() {
-			cfg = whole
-		}
+	if whole != nil && whole.Version() > cfg.Version() {
+		cfg = whole
 	}
 	var records []record.Record
 	for _, change := range answer.GetChanges() {
@@ -145,6 +135,17 @@
 	return nil
 }
 
+// wholeOf returns the whole configuration that an answer holds; nil for none.
+func wholeOf(answer *control.ChangesResponse) (*carawayspread.Config, error) {
+	switch {
+	case len(answer.GetPackedSnapshot()) > 0:
+		return unpackWhole(answer.GetPackedSnapshot())
+	case len(answer.GetSnapshot()) > 0:
+		return snapshot.Decode(answer.GetSnapshot())
+	}
+	return nil, nil
+}
+
 // Changes answers a peer: the records after its version, or a snapshot where
 // they are no longer held. It implements that method of control.Control.
 func (s *Syncer) Changes(ctx context.Context, request *control.ChangesRequest) (*control.ChangesResponse, error) {
@@ -157,7 +158,7 @@
 	case known:
 		return s.answer(held, records)
 	case request.GetPacks():
-		return s.answerPacked(ctx, held.cfg)
+		return s.answerPacked(ctx)
 	}
 	answer, err := s.answer(held, nil)
 	if err == nil {
--- a/internal/process/confsync/prepare.go
+++ b/internal/process/confsync/prepare.go
@@ -8,8 +8,6 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
-	"carawayspread/internal/connection/transfer"
-	"carawayspread/internal/version/snapshot"
 )
 
 // prepareTurn is how long a peer waits for a snapshot before it is told to ask again. It
@@ -24,15 +22,16 @@
 	err     error
 }
 
-// prepare returns the preparation under way or done, or begins one of cfg where the
-// records do not lead on from that.
+// prepare returns the preparation under way or done, or begins one of what is held where
+// the records do not lead on from that.
 //
 // It does not end with the peer that asked: preparing a large configuration takes
 // longer than a peer bears silence, and begun anew for each question it would never be
 // done.
-func (s *Syncer) prepare(cfg *carawayspread.Config) *preparation {
+func (s *Syncer) prepare() *preparation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	cfg := s.state.Load().cfg
 	if p := s.prepared; p != nil {
 		if _, known := s.recordsAfter(p.version, cfg.Version()); known {
 			return p
@@ -42,18 +41,14 @@
 	s.prepared = p
 	go func() {
 		defer close(p.done)
-		body, err := snapshot.Encode(cfg)
-		if err == nil {
-			p.packed, err = transfer.Pack(body)
-		}
-		p.err = err
+		p.packed, p.err = packWhole(cfg)
 	}()
 	return p
 }
 
 // answerPacked answers with the prepared snapshot and the records that follow it.
-func (s *Syncer) answerPacked(ctx context.Context, cfg *carawayspread.Config) (*control.ChangesResponse, error) {
-	p := s.prepare(cfg)
+func (s *Syncer) answerPacked(ctx context.Context) (*control.ChangesResponse, error) {
+	p := s.prepare()
 	select {
 	case <-p.done:
 	case <-s.clock.After(prepareTurn):
--- a/internal/process/confsync/prepare_test.go
+++ b/internal/process/confsync/prepare_test.go
@@ -14,6 +14,7 @@
 	"carawayspread/internal/soak/relay"
 	"carawayspread/internal/version/change"
 	"carawayspread/internal/version/record"
+	"carawayspread/internal/version/snapshot"
 )
 
 // impatient is a clock on which every wait is over at once.
@@ -92,6 +93,24 @@
 	qt.Check(t, time.Since(begun) > defaultRoundTimeout, qt.IsTrue)
 }
 
+// Guards against a whole configuration that a peer has otherwise than its giver.
+func TestWholeIsTheSameAtAPeer(t *testing.T) {
+	target := carawayspread.NewTarget(300*time.Millisecond, 0, 0, 0.95)
+	cfg := carawayspread.NewConfig(7,
+		map[string]carawayspread.Class{"rulings": carawayspread.NewClass("rulings", target, true)},
+		map[string]carawayspread.Workspace{"a": carawayspread.NewWorkspace("a"), "b": carawayspread.NewWorkspace("b")},
+		map[string]carawayspread.Service{"llm": carawayspread.NewService("llm", carawayspread.KindModel, []string{"m"}, true)})
+	packed, err := packWhole(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := unpackWhole(packed)
+	qt.Assert(t, err, qt.IsNil)
+	want, err := snapshot.Encode(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	same, err := snapshot.Encode(got)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(same), qt.Equals, string(want))
+}
+
 // Guards against an older daemon that is answered in a form which it does not know.
 func TestOlderPeerGetsTheSnapshotItKnows(t *testing.T) {
 	s := holding(&shifted{}, 300)
@@ -105,7 +124,11 @@
 func TestSnapshotThatCannotBeReadIsDropped(t *testing.T) {
 	endless, err := transfer.Pack(make([]byte, answerLimit+1))
 	qt.Assert(t, err, qt.IsNil)
-	torn, err := transfer.Pack([]byte(`{"version":7,"config":{"set":{"workspaces":[{"name":"demo"}]}}}`))
+	torn, err := packWhole(holding(&shifted{}, 7).Held())
+	qt.Assert(t, err, qt.IsNil)
+	other, err := transfer.Pack([]byte(`{"version":7}`))
+	qt.Assert(t, err, qt.IsNil)
+	none, err := transfer.Pack(nil)
 	qt.Assert(t, err, qt.IsNil)
 	for name, c := range map[string]struct {
 		packed []byte
@@ -114,6 +137,8 @@
 		"endless":    {endless, "larger than the limit"},
 		"torn":       {torn[:len(torn)/2], "unexpected EOF"},
 		"not packed": {[]byte(`{"version":7}`), "gzip"},
+		"not of us":  {other, "proto.*"},
+		"empty":      {none, "lacks its version"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSyncer(newMemoryLog(0), &shifted{})
