Log and count the crashes that a gateway records and withdraws

Change: event=crash and event=crashWithdrawn, with the request, the endpoint, who observed it and whether the request is refused from then on; gateway_crash_records_total. The code of quarantine moves to a file of its own. No decision changes.

Measured: the package's tests are green; the mutant of the recorded crash, whose line follows the code, is red.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -229,31 +229,6 @@
 	return carawayspread.OutcomeUnreachable
 }
 
-// recordFailure excludes the endpoint of an attempt that was sent and ended without an answer, and
-// returns the attempt's outcome. It counts as a crash of the endpoint with this request, unless the
-// attempt was ended here: for a stall, the deadline, shutdown, or because the caller left.
-func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement) carawayspread.Outcome {
-	c.exclude[at.Endpoint.ID()] = true
-	switch {
-	case errors.Is(context.Cause(attemptCtx), errStalled):
-		return carawayspread.OutcomeFailed
-	case ctx.Err() != nil:
-		return carawayspread.OutcomeCancelled
-	}
-	c.g.placer.Crashed(at.Endpoint.ID())
-	c.g.RecordCrash(c.fingerprint, at.Endpoint.ID(), false)
-	c.g.reportCrash(c.fingerprint, at.Endpoint.ID(), false)
-	return carawayspread.OutcomeFailed
-}
-
-// endpointAnswered withdraws recent crashes of the endpoint where the answer shows that it kept
-// running, also at the peers.
-func (c *call) endpointAnswered(at carawayspread.Placement, sentAt time.Time) {
-	for _, fingerprint := range c.g.quarantine.EndpointAnswered(at.Endpoint.ID(), sentAt) {
-		c.g.reportCrash(fingerprint, at.Endpoint.ID(), true)
-	}
-}
-
 // send sends one attempt to its endpoint.
 func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
 	h := endToEnd(c.r.Header)
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -74,14 +74,14 @@
 		carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
 }
 
-// fingerprintText returns the fingerprint for log lines. It depends only on path and body, so it
+// fingerprintText returns a fingerprint for log lines. It depends only on path and body, so it
 // stays the same when the caller sends the request again under another identifier.
-func (c *call) fingerprintText() string { return strconv.FormatUint(c.fingerprint, 36) }
+func fingerprintText(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 36) }
 
 // logAttempt logs and counts an attempt that returned no complete answer.
 func (c *call) logAttempt(at carawayspread.Placement, phase carawayspread.Phase, why string) {
 	c.g.log.Write(decisionlog.Start("attempt").Text("id", c.metadata.ID).Text("endpoint", string(at.Endpoint.ID())).
-		Text("request", c.fingerprintText()).Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.sends)).Int("ran", int64(c.ran)).
+		Text("request", fingerprintText(c.fingerprint)).Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.sends)).Int("ran", int64(c.ran)).
 		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.TimeToFirstEvent).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())))
 	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
 }
@@ -132,7 +132,7 @@
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
 	if outcome != "served" {
-		line.Text("request", c.fingerprintText())
+		line.Text("request", fingerprintText(c.fingerprint))
 	}
 	if p := c.metadata.Prompt; p != nil {
 		if hashes := p.PrefixHashes(); len(hashes) > 1 {
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -43,9 +43,6 @@
 	drainMargin = 300 * time.Millisecond
 	// defaultBodyLimit bounds a body in bytes where operators set no limit.
 	defaultBodyLimit = 4 << 20
-	// quarantineDuration is how long a request is refused after the connections to two endpoints
-	// broke while the request was running there. It outlasts the retries of callers.
-	quarantineDuration = 2 * time.Minute
 )
 
 // Gateway is an http.Handler for callers. It is safe for concurrent use.
@@ -93,18 +90,6 @@
 	return func(g *Gateway) { g.retryBudget, g.budgetProcesses = budget, processes }
 }
 
-// WithCrashReporter sets the function that reports a request whose attempt broke off at an
-// endpoint, and withdraws the report when the endpoint proves to be running.
-func WithCrashReporter(f func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)) Option {
-	return func(g *Gateway) { g.reportCrash = f }
-}
-
-// WithAnswerReporter sets the function that reports a request that was answered here while a peer
-// refuses it.
-func WithAnswerReporter(f func(fingerprint uint64)) Option {
-	return func(g *Gateway) { g.reportAnswer = f }
-}
-
 // WithListAge sets the function that returns the age of the list of endpoints.
 func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
 
@@ -179,24 +164,6 @@
 	}
 }
 
-// RecordCrash records a crash of the endpoint with the request, or withdraws the record of one.
-func (g *Gateway) RecordCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
-	if withdrawn {
-		g.quarantine.WithdrawCrash(fingerprint, id)
-		return
-	}
-	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
-}
-
-// Refused returns the requests that are refused here and that peers may have answered.
-func (g *Gateway) Refused() []uint64 { return g.quarantine.Refused() }
-
-// RefusedByPeer records the requests that a peer refuses.
-func (g *Gateway) RefusedByPeer(refused []uint64) { g.quarantine.RefusedByPeer(refused) }
-
-// AnsweredByPeer removes a request from quarantine that a peer answered.
-func (g *Gateway) AnsweredByPeer(fingerprint uint64) { g.quarantine.AnsweredByPeer(fingerprint) }
-
 // Drain makes the gateway accept, from restrictFrom on, only requests whose answers surely end
 // before end.
 func (g *Gateway) Drain(restrictFrom, end time.Time) { g.drain.Store(&drainWindow{restrictFrom, end}) }
@@ -302,11 +269,7 @@
 		return c.drainingError()
 	}
 	c.fingerprint = fingerprint(path(c.r), c.body)
-	if verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint}); verdict == quarantine.VerdictRefuse {
-		return carawayspread.NewError(carawayspread.CodeSuspect, "the request broke the endpoints that ran it",
-			carawayspread.NotRun(), carawayspread.RetryAfter(quarantineDuration))
-	}
-	return nil
+	return c.checkQuarantine()
 }
 
 func (c *call) readBody(limit int64) *carawayspread.Error {
--- /dev/null
+++ b/internal/process/gateway/quarantine.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/decision/quarantine"
+	"carawayspread/internal/process/decisionlog"
+)
+
+// quarantineDuration is how long a request is refused after the connections to two endpoints broke
+// while the request was running there. It outlasts the retries of callers.
+const quarantineDuration = 2 * time.Minute
+
+// WithCrashReporter sets the function that reports a request whose attempt broke off at an
+// endpoint, and withdraws the report when the endpoint proves to be running.
+func WithCrashReporter(f func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)) Option {
+	return func(g *Gateway) { g.reportCrash = f }
+}
+
+// WithAnswerReporter sets the function that reports a request that was answered here while a peer
+// refuses it.
+func WithAnswerReporter(f func(fingerprint uint64)) Option {
+	return func(g *Gateway) { g.reportAnswer = f }
+}
+
+// RecordCrash records a crash of the endpoint with the request that a peer observed, or withdraws
+// the record of one.
+func (g *Gateway) RecordCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
+	if withdrawn {
+		g.quarantine.WithdrawCrash(fingerprint, id)
+	} else {
+		g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
+	}
+	g.logCrash(fingerprint, id, withdrawn, "peer")
+}
+
+// Refused returns the requests that are refused here and that peers may have answered.
+func (g *Gateway) Refused() []uint64 { return g.quarantine.Refused() }
+
+// RefusedByPeer records the requests that a peer refuses.
+func (g *Gateway) RefusedByPeer(refused []uint64) { g.quarantine.RefusedByPeer(refused) }
+
+// AnsweredByPeer removes a request from quarantine that a peer answered.
+func (g *Gateway) AnsweredByPeer(fingerprint uint64) { g.quarantine.AnsweredByPeer(fingerprint) }
+
+// logCrash logs and counts a recorded crash, or the withdrawal of one, and whether the request is
+// refused from now on.
+func (g *Gateway) logCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool, from string) {
+	event := "crash"
+	if withdrawn {
+		event = "crashWithdrawn"
+	}
+	verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: fingerprint})
+	line := decisionlog.Start(event).Text("request", fingerprintText(fingerprint)).Text("endpoint", string(id)).Text("from", from)
+	if verdict == quarantine.VerdictRefuse {
+		line.Text("refused", "true")
+	}
+	g.log.Write(line)
+	g.set.GetOrCreateCounter(`gateway_crash_records_total{event="` + event + `",from="` + from + `"}`).Inc()
+}
+
+// checkQuarantine refuses a request that broke two endpoints.
+func (c *call) checkQuarantine() *carawayspread.Error {
+	if verdict, _ := c.g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint}); verdict == quarantine.VerdictRefuse {
+		return carawayspread.NewError(carawayspread.CodeSuspect, "the request broke the endpoints that ran it",
+			carawayspread.NotRun(), carawayspread.RetryAfter(quarantineDuration))
+	}
+	return nil
+}
+
+// recordFailure excludes the endpoint of an attempt that was sent and ended without an answer, and
+// returns the attempt's outcome. It counts as a crash of the endpoint with this request, unless the
+// attempt was ended here: for a stall, the deadline, shutdown, or because the caller left.
+func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement) carawayspread.Outcome {
+	id := at.Endpoint.ID()
+	c.exclude[id] = true
+	switch {
+	case errors.Is(context.Cause(attemptCtx), errStalled):
+		return carawayspread.OutcomeFailed
+	case ctx.Err() != nil:
+		return carawayspread.OutcomeCancelled
+	}
+	c.g.placer.Crashed(id)
+	c.g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: c.g.clock.Now()}, []uint64{c.fingerprint}, nil)
+	c.g.logCrash(c.fingerprint, id, false, "own")
+	c.g.reportCrash(c.fingerprint, id, false)
+	return carawayspread.OutcomeFailed
+}
+
+// endpointAnswered withdraws recent crashes of the endpoint where the answer shows that it kept
+// running, also at the peers.
+func (c *call) endpointAnswered(at carawayspread.Placement, sentAt time.Time) {
+	id := at.Endpoint.ID()
+	for _, fingerprint := range c.g.quarantine.EndpointAnswered(id, sentAt) {
+		c.g.logCrash(fingerprint, id, true, "own")
+		c.g.reportCrash(fingerprint, id, true)
+	}
+}
