--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -33,6 +33,7 @@
 	Encoded                      // a body with a content encoding that was not requested
 	LostHandle                   // the KV cache cannot be fetched; the request was not run
 	SlowEvents                   // as Answer, with a delay before each event
+	Crash                        // runs the request and closes all connections and the listener, as a process that ends
 )
 
 // Events is the number of events in a complete stream.
@@ -221,6 +222,9 @@
 		w.write(conn, "500 Internal Server Error", text, id, seal)
 	case CloseWithoutAnswer:
 		return false
+	case Crash:
+		w.Close()
+		return false
 	case WrongRequestID:
 		w.write(conn, "200 OK", "another", "Carawayspread-Request-Id: other", seal)
 	case Unsealed:
