Count a crash wherever the answer breaks off

What callers saw: a request that crashes the engine which runs it was sent on, 17 times in the record's lines, and each crash ended up to twenty answers of others.

Cause: a crash was recorded where a send fails, which is before the header of the answer. Engines answer 200 when they start to run a request and crash after that. Ends in the body, after an event, without an event, and in the body of a prefill were failures of the attempt alone.

Why it works: every end of an answer that the endpoint causes is one error type, which is recorded in one place. What ends here (stall, deadline, caller, shutdown) and what the endpoint answers in full still counts for nothing.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -66,6 +66,12 @@
 // errIncomplete says that an attempt may have run and returned no complete answer.
 var errIncomplete = errors.New("the endpoint returned no complete answer")
 
+// brokenOffError says that the endpoint broke off its answer after the header.
+type brokenOffError struct{ cause error }
+
+func (e brokenOffError) Error() string   { return errors.Join(e.Unwrap()...).Error() }
+func (e brokenOffError) Unwrap() []error { return []error{errIncomplete, e.cause} }
+
 func (c *call) serve() {
 	c.g.budget(c.service.Name).CountRequest()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
@@ -194,6 +200,9 @@
 			return false, ctx.Err()
 		}
 		c.exclude[at.Endpoint.ID()] = true
+		if errors.As(err, &brokenOffError{}) {
+			outcome = c.recordFailure(ctx, attemptCtx, at)
+		}
 		c.logAttempt(at, phase, err.Error())
 		return c.mayRetry(), err
 	}
@@ -254,7 +263,7 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	_ = reply.Body.Close()
 	if err != nil {
-		return carawayspread.OutcomeFailed, errors.Join(errIncomplete, err)
+		return carawayspread.OutcomeFailed, brokenOffError{err}
 	}
 	tracker.Answered()
 	c.countUsage(c.g.clock.Now().Sub(sentAt))
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -51,18 +51,21 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	_ = reply.Body.Close()
-	if err == nil {
-		var handover carawayspread.Handover
-		if handover, err = c.g.protocol.ParseHandover(body, at.Endpoint); err == nil {
-			tracker.Answered()
-			c.prefillDuration = c.g.clock.Now().Sub(sentAt)
-			outcome = carawayspread.OutcomeServed
-			c.handover, c.singleEndpoint = &handover, false
-			c.sends--
-			return true, errPrefilled
-		}
+	if err != nil {
+		outcome = c.recordFailure(ctx, attemptCtx, at)
+		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
+		return ctx.Err() == nil, err
+	}
+	handover, err := c.g.protocol.ParseHandover(body, at.Endpoint)
+	if err != nil {
+		return ctx.Err() == nil, err
 	}
-	return ctx.Err() == nil, err
+	tracker.Answered()
+	c.prefillDuration = c.g.clock.Now().Sub(sentAt)
+	outcome = carawayspread.OutcomeServed
+	c.handover, c.singleEndpoint = &handover, false
+	c.sends--
+	return true, errPrefilled
 }
 
 // errPrefilled keeps the loop of run going after a prefill, which gives no answer yet.
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -71,9 +71,10 @@
 	return nil
 }
 
-// recordFailure excludes the endpoint of an attempt that was sent and ended without an answer, and
-// returns the attempt's outcome. It counts as a crash of the endpoint with this request, unless the
-// attempt was ended here: for a stall, the deadline, shutdown, or because the caller left.
+// recordFailure excludes the endpoint of an attempt that was sent and whose answer broke off, before
+// or after its header, and returns the attempt's outcome. It counts as a crash of the endpoint with
+// this request, unless the attempt was ended here: for a stall, the deadline, shutdown, or because
+// the caller left.
 func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement) carawayspread.Outcome {
 	id := at.Endpoint.ID()
 	c.exclude[id] = true
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -31,13 +31,13 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && !c.started {
-			return carawayspread.OutcomeFailed, errIncomplete
+			return carawayspread.OutcomeFailed, brokenOffError{io.ErrUnexpectedEOF}
 		}
 		if errors.Is(err, io.EOF) {
 			return carawayspread.OutcomeServed, nil
 		}
 		if err != nil {
-			return carawayspread.OutcomeFailed, errors.Join(errIncomplete, err)
+			return carawayspread.OutcomeFailed, brokenOffError{err}
 		}
 		if !c.started {
 			c.started, c.status = true, reply.Status
