Check quarantine before each further attempt

What callers saw: one call of a route with four attempts crashed three engines, where two are allowed; a prompt whose prefill was under way as peers reported two crashes was decoded all the same, and crashed a third.

Cause: quarantine was checked as a request arrived, and not again.

Evidence: TestCrashingRequestIsNotRetriedAfterTwoCrashes, red in each of its four cases before (3 crashes for 2, 1 for 0, 2 for 1).

Why it works: every attempt but the first of a call, which is checked as the request is accepted, is preceded by the check. What has not run is refused as such (503), what may have run ends as a failure (502).

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -89,10 +89,15 @@
 
 // run sends the request until it is answered or must not be retried.
 func (c *call) run(ctx context.Context) error {
-	for range maxSends {
+	for n := range maxSends {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if n > 0 { // earlier attempts, or copies at peers, may have crashed endpoints since
+			if refusal := c.checkQuarantine(); refusal != nil {
+				return refusal
+			}
+		}
 		retry, err := c.attempt(ctx)
 		if err == nil || !retry {
 			return err
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -28,6 +28,8 @@
 type crashingTransport struct {
 	crash        step
 	crashPrefill step // nil if the prefill alone does not crash an engine
+	// duringPrefill is called as an engine prefills a prompt; nil if nothing happens then.
+	duringPrefill func()
 
 	mu      sync.Mutex
 	crashes int
@@ -47,6 +49,9 @@
 		return crash(s)
 	}
 	if prefill {
+		if c.duringPrefill != nil {
+			c.duringPrefill()
+		}
 		return kvHandle()(s)
 	}
 	return events(1, 2, io.EOF)(s)
@@ -129,3 +134,42 @@
 		})
 	}
 }
+
+// A request that crashed two endpoints is sent on by the process that already holds it: its route
+// allows more attempts, or its prompt was prefilled when peers reported the crashes.
+func TestCrashingRequestIsNotRetriedAfterTwoCrashes(t *testing.T) {
+	alone := []carawayspread.Role{carawayspread.RoleDecode, carawayspread.RoleDecode, carawayspread.RoleDecode}
+	split := []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleDecode, carawayspread.RoleDecode}
+	for name, test := range map[string]struct {
+		path          string
+		header        []string
+		roles         []carawayspread.Role
+		crash         step
+		peerCrashes   int // during the prefill
+		status, sends int
+	}{
+		"four attempts, before the header": {"/often/x", nil, alone, disconnect(), 0, http.StatusBadGateway, 2},
+		"four attempts, in the body":       {"/often/x", nil, alone, truncatedAfter("who"), 0, http.StatusBadGateway, 2},
+		"peers report both crashes":        {"/once/x", []string{tokens, "5000,50"}, split, truncatedAfter(""), 2, http.StatusServiceUnavailable, 0},
+		"peers report one crash":           {"/often/x", []string{tokens, "5000,50"}, split, truncatedAfter(""), 1, http.StatusBadGateway, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			often := route("often", carawayspread.RetryIdempotent, false, 4)
+			often.Prompt = true
+			b.gateway.Adopt(b.gateway.Routing().Next(carawayspread.RoutingEdit{Version: 2, Put: []*carawayspread.Route{often}}))
+			transport := &crashingTransport{crash: test.crash}
+			transport.duringPrefill = func() {
+				for n := range test.peerCrashes {
+					b.gateway.RecordCrash(fingerprint(test.path, []byte(harmful)), carawayspread.EndpointID(fmt.Sprint("elsewhere-", n)), false)
+				}
+			}
+			b.gateway.transport = transport
+			b.restartedEngines(0, test.roles)
+			resp, _, err := b.post(t, test.path, harmful, test.header...)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, transport.crashed(), qt.Equals, test.sends)
+		})
+	}
+}
