Count repeated failures at one endpoint, when each copy was sent after the last

What callers saw: a request that breaks the only endpoint of its service was sent eight times in 30 s (1.5 s apart) before it was refused; two are allowed.

Cause: reports about one endpoint within ten seconds count as one crash, since several processes report the same one. A copy that was sent after a crash cannot have been broken off by it.

Evidence: TestRepeatedFailuresAtOneEndpointCount, red in its three cases before (8 for 2). Copies that run together and are broken off together count once still (TestCopiesBrokenOffTogetherCountOnce; its mutant is red).

Why it works: the process knows when it sent a copy; reports of peers, which do not say so, are merged as before.

--- a/internal/decision/quarantine/alive.go
+++ b/internal/decision/quarantine/alive.go
@@ -89,7 +89,7 @@
 		q.records.Remove(fingerprint)
 		return
 	}
-	if len(left) < maxCrashedEndpoints {
+	if len(left) < maxCrashes {
 		r.quarantinedUntil = time.Time{}
 	}
 }
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -14,9 +14,9 @@
 	// defaultDuration is how long a request stays quarantined or suspect. It outlasts callers that
 	// resend, and ends by itself, since a new version of the engine may be able to run the request.
 	defaultDuration = 10 * time.Minute
-	// maxCrashedEndpoints is the number of endpoints that one request may crash.
-	maxCrashedEndpoints = 2
-	// sameCrashWindow merges the reports of sidecar and entry about one crash. An engine takes
+	// maxCrashes is the number of crashes after which a request is quarantined.
+	maxCrashes = 2
+	// sameCrashWindow merges the reports of several processes about one crash. An engine takes
 	// longer than this to restart.
 	sameCrashWindow = 10 * time.Second
 	// maxRecords bounds the memory, at about 200 bytes per fingerprint. A crash adds the requests
@@ -28,10 +28,14 @@
 type Crash struct {
 	Endpoint carawayspread.EndpointID
 	At       time.Time
+	// Sent is when the request was sent to the endpoint; zero if unknown.
+	Sent time.Time
 }
 
-func (c Crash) same(other Crash) bool {
-	return c.Endpoint == other.Endpoint && c.At.Sub(other.At).Abs() < sameCrashWindow
+// same reports whether a later report may be about the crash c. A request that was sent after a
+// crash was not broken off by it.
+func (c Crash) same(report Crash) bool {
+	return c.Endpoint == report.Endpoint && c.At.Sub(report.At).Abs() < sameCrashWindow && !report.Sent.After(c.At)
 }
 
 // Attempt is a request that is about to be sent or run.
@@ -55,7 +59,7 @@
 
 // record is the state of one fingerprint.
 type record struct {
-	crashes          []Crash   // distinct, at most maxCrashedEndpoints
+	crashes          []Crash   // distinct, at most maxCrashes
 	quarantinedUntil time.Time // end of the quarantine; zero for suspects
 	expires          time.Time // when the record is dropped
 }
@@ -129,7 +133,7 @@
 		r := q.suspect(fingerprint, now)
 		r.add(crash)
 		q.trackCrash(fingerprint, crash, now)
-		if isTrial || trial == nil && len(r.crashes) >= maxCrashedEndpoints {
+		if isTrial || trial == nil && len(r.crashes) >= maxCrashes {
 			r.quarantinedUntil = now.Add(q.duration)
 			q.refusals.own.Add(fingerprint, struct{}{})
 		}
@@ -223,7 +227,7 @@
 			return
 		}
 	}
-	if len(r.crashes) < maxCrashedEndpoints {
+	if len(r.crashes) < maxCrashes {
 		r.crashes = append(r.crashes, crash)
 	}
 }
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -159,7 +159,7 @@
 	case err != nil:
 		c.sends++
 		c.ran++
-		outcome = c.recordFailure(ctx, attemptCtx, at)
+		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, phase, err.Error())
 		return c.mayRetry(), errors.Join(errIncomplete, err)
 	}
@@ -206,7 +206,7 @@
 		}
 		c.exclude[at.Endpoint.ID()] = true
 		if errors.As(err, &brokenOffError{}) {
-			outcome = c.recordFailure(ctx, attemptCtx, at)
+			outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		}
 		c.logAttempt(at, phase, err.Error())
 		return c.mayRetry(), err
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -63,6 +63,13 @@
 	return c.crashes
 }
 
+// transportFunc is a carawayspread.EndpointTransport.
+type transportFunc func(to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error)
+
+func (f transportFunc) Send(_ context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+	return f(to, out)
+}
+
 // truncatedAfter answers 200 and breaks off after that part of the body.
 func truncatedAfter(part string) step {
 	return func(s sentAttempt) (*carawayspread.Reply, error) {
@@ -173,3 +180,54 @@
 		})
 	}
 }
+
+// A request is sent again and again to one endpoint that breaks off each of its answers, since the
+// failures within ten seconds count as one crash although each copy was sent after the one before.
+func TestRepeatedFailuresAtOneEndpointCount(t *testing.T) {
+	for name, crash := range map[string]step{
+		"before the header": disconnect(), "after the header": truncatedAfter(""), "in the body": truncatedAfter("who"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			transport := &crashingTransport{crash: crash}
+			b.gateway.transport = transport
+			b.engines(carawayspread.RoleDecode)
+			var last *http.Response
+			var err error
+			for range copies {
+				last, _, err = b.post(t, "/never/x", harmful)
+				qt.Assert(t, err, qt.IsNil)
+				b.clock.Advance(copyInterval)
+			}
+			qt.Check(t, transport.crashed(), qt.Equals, maxCrashes)
+			qt.Check(t, last.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// Copies of a request that run at one endpoint together are all broken off by its crash, which must
+// count once, here and at the peers: the copies may be harmless.
+func TestCopiesBrokenOffTogetherCountOnce(t *testing.T) {
+	b := newHarness(t)
+	b.engines(carawayspread.RoleDecode)
+	const concurrent = 3
+	var sent, ended sync.WaitGroup
+	sent.Add(concurrent)
+	b.gateway.transport = transportFunc(func(to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+		sent.Done()
+		sent.Wait()
+		return disconnect()(sentAttempt{to.ID(), out})
+	})
+	for range concurrent {
+		ended.Go(func() {
+			_, _, err := b.post(t, "/never/x", "harmless")
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	ended.Wait()
+	b.gateway.RecordCrash(fingerprint("/never/x", []byte("harmless")), "w0", false) // a peer had a copy there too
+	b.gateway.transport = b.transport
+	resp, _, err := b.post(t, "/never/x", "harmless")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+}
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -30,7 +30,7 @@
 	}
 	c.sends++
 	if err != nil {
-		outcome = c.recordFailure(ctx, attemptCtx, at)
+		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
 		return ctx.Err() == nil, err
 	}
@@ -52,7 +52,7 @@
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	_ = reply.Body.Close()
 	if err != nil {
-		outcome = c.recordFailure(ctx, attemptCtx, at)
+		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
 		return ctx.Err() == nil, err
 	}
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -75,7 +75,7 @@
 // or after its header, and returns the attempt's outcome. It counts as a crash of the endpoint with
 // this request, unless the attempt was ended here: for a stall, the deadline, shutdown, or because
 // the caller left.
-func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement) carawayspread.Outcome {
+func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement, sentAt time.Time) carawayspread.Outcome {
 	id := at.Endpoint.ID()
 	c.exclude[id] = true
 	switch {
@@ -85,7 +85,7 @@
 		return carawayspread.OutcomeCancelled
 	}
 	c.g.placer.Crashed(id)
-	c.g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: c.g.clock.Now()}, []uint64{c.fingerprint}, nil)
+	c.g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: c.g.clock.Now(), Sent: sentAt}, []uint64{c.fingerprint}, nil)
 	c.g.logCrash(c.fingerprint, id, false, "own")
 	c.g.reportCrash(c.fingerprint, id, false)
 	return carawayspread.OutcomeFailed
