Check endpoints that break off answers, before requests are refused for it

What callers saw: harmless requests were refused as suspects. Two endpoints broke off their answers, and their callers came back before either endpoint had answered anything else, which is what withdraws a crash.

Cause: that an endpoint has crashed was concluded from one broken answer, and nobody looked.

Why it works: a restart takes seconds, so an endpoint that accepts a connection 50 ms after the break has not crashed. One check serves all requests that broke off together. A request that would be refused for a crash of the last 150 ms waits for the check. An endpoint that refuses the connection or cannot be reached stays recorded as crashed.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -121,6 +122,18 @@
 	return &carawayspread.Reply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
 }
 
+// Probe implements carawayspread.EndpointProber with a connection that is closed at once.
+func (c *Client) Probe(ctx context.Context, to carawayspread.Endpoint) error {
+	conn, err := dial(ctx, "tcp", to.Address())
+	if errors.Is(err, unix.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", carawayspread.ErrNotListening, err)
+	}
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // withoutDefaults returns a copy of the headers that keeps net/http from adding its User-Agent.
 func withoutDefaults(h http.Header) http.Header {
 	out := h.Clone()
--- a/internal/connection/direct/client_test.go
+++ b/internal/connection/direct/client_test.go
@@ -174,3 +174,24 @@
 		})
 	}
 }
+
+// An endpoint that is running must be told from one that has ended, and from one that cannot be
+// reached: the first was wrongly suspected of a crash, of the last nothing is known.
+func TestProbe(t *testing.T) {
+	c := New()
+	defer c.Close()
+	running := listen(t, func(_ int64, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	qt.Check(t, c.Probe(context.Background(), running), qt.IsNil)
+
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ended := carawayspread.NewEndpoint("w", "s", "z", listener.Addr().String(), false)
+	_ = listener.Close()
+	qt.Check(t, c.Probe(context.Background(), ended), qt.ErrorIs, carawayspread.ErrNotListening)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	err = c.Probe(ctx, ended)
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, errors.Is(err, carawayspread.ErrNotListening), qt.IsFalse)
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -52,7 +52,9 @@
 // Ports are the adapters between the gateway and the platform.
 type Ports struct {
 	Transport carawayspread.EndpointTransport
-	Protocol  carawayspread.Protocol
+	// Prober checks endpoints that broke off an answer. It is nil if they are not checked.
+	Prober   carawayspread.EndpointProber
+	Protocol carawayspread.Protocol
 	// Source reads what operators and endpoints publish, and passes it to the sink.
 	Source func(sink *Daemon) follower.Source
 	// Table stores the lease for orders to engines, and Engine returns the client that sends them.
@@ -128,7 +130,8 @@
 		gateway.WithCrashReporter(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
 			d.peers.BroadcastCrash(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
 		}),
-		gateway.WithAnswerReporter(d.peers.BroadcastAnswered))
+		gateway.WithAnswerReporter(d.peers.BroadcastAnswered),
+		gateway.WithEndpointProber(ports.Prober))
 	d.peers.SetRefusalTracker(d.gateway)
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -180,6 +180,19 @@
 	return ids
 }
 
+// LastCrash returns the time of the newest crash that is known of the request; zero if there is none.
+func (q *Quarantine) LastCrash(fingerprint uint64) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var last time.Time
+	if r := q.find(fingerprint, q.clock.Now()); r != nil {
+		for _, crash := range r.crashes {
+			last = later(last, crash.At)
+		}
+	}
+	return last
+}
+
 // Served clears a suspect that was answered, and reports whether a peer that refuses the request
 // must be notified.
 func (q *Quarantine) Served(fingerprint uint64) (notify bool) {
--- /dev/null
+++ b/internal/process/gateway/check.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	// checkDelay is the time from a broken answer to the check of its endpoint. A process that ends
+	// may close its connections a little before its listener.
+	checkDelay = 50 * time.Millisecond
+	// checkTimeout bounds one probe. Endpoints accept connections within a few milliseconds.
+	checkTimeout = 200 * time.Millisecond
+	// checkAttempts bounds the probes of one check. They end before a restart could have finished.
+	checkAttempts = 3
+	// checkWait is how long after a crash a request that would be refused for it waits for the check
+	// instead.
+	checkWait = checkDelay + 100*time.Millisecond
+	// checkPollInterval is the time between two looks at the result of a check.
+	checkPollInterval = 10 * time.Millisecond
+)
+
+// WithEndpointProber makes the gateway check each endpoint that broke off an answer, and withdraw
+// the crash if the endpoint is running.
+//
+// An endpoint can break off single answers, or its connections can be reset. Other answers of the
+// endpoint show that it runs, but may take longer than the next attempt of the same request.
+func WithEndpointProber(p carawayspread.EndpointProber) Option {
+	return func(g *Gateway) { g.prober = p }
+}
+
+// checkCrash checks in the background whether the endpoint of a recorded crash is still running,
+// unless a check of it is about to be sent.
+func (g *Gateway) checkCrash(at carawayspread.Endpoint) {
+	if g.prober == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.checks[at.ID()] {
+		g.checks[at.ID()] = true
+		go g.runCheck(at)
+	}
+}
+
+func (g *Gateway) runCheck(at carawayspread.Endpoint) {
+	for range checkAttempts {
+		<-g.clock.After(checkDelay)
+		g.mu.Lock()
+		delete(g.checks, at.ID())
+		g.mu.Unlock()
+		sentAt := g.clock.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		err := g.prober.Probe(ctx, at)
+		cancel()
+		if err == nil {
+			g.endpointAnswered(at.ID(), sentAt)
+		}
+		if err == nil || errors.Is(err, carawayspread.ErrNotListening) {
+			return
+		}
+	}
+}
+
+// awaitCheck waits a moment if the endpoints of a crash at that time may still be checked. It
+// reports whether the decision on the request may have changed.
+func (c *call) awaitCheck(crashedAt time.Time) bool {
+	if c.g.prober == nil || c.g.clock.Now().Sub(crashedAt) >= checkWait {
+		return false
+	}
+	select {
+	case <-c.r.Context().Done():
+		return false
+	case <-c.g.clock.After(checkPollInterval):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/check_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+// proberFunc is a carawayspread.EndpointProber.
+type proberFunc func(to carawayspread.Endpoint) error
+
+func (f proberFunc) Probe(_ context.Context, to carawayspread.Endpoint) error { return f(to) }
+
+var (
+	errNoAnswer       = errors.New("no answer")
+	running           = proberFunc(func(carawayspread.Endpoint) error { return nil })
+	ended             = proberFunc(func(carawayspread.Endpoint) error { return carawayspread.ErrNotListening })
+	unreachableProber = proberFunc(func(carawayspread.Endpoint) error { return errNoAnswer })
+)
+
+// runClock advances the clock of the harness, faster than real time, until the test ends.
+func (b *harness) runClock(t *testing.T) {
+	t.Helper()
+	stop := make(chan struct{})
+	var advancing sync.WaitGroup
+	advancing.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+				b.clock.Advance(5 * time.Millisecond)
+			}
+		}
+	})
+	t.Cleanup(func() {
+		close(stop)
+		advancing.Wait()
+	})
+}
+
+// Harmless requests are refused, since two endpoints broke off their answers and have not answered
+// anything else yet: callers retry sooner than that. What crashed stays refused, and so does what
+// cannot be checked.
+func TestHarmlessRequestIsServedOnceItsEndpointsAreChecked(t *testing.T) {
+	for name, test := range map[string]struct {
+		prober carawayspread.EndpointProber
+		status int
+	}{
+		"both run":                  {running, http.StatusOK},
+		"both have ended":           {ended, http.StatusServiceUnavailable},
+		"neither can be reached":    {unreachableProber, http.StatusServiceUnavailable},
+		"endpoints not checked":     {nil, http.StatusServiceUnavailable},
+		"reached at the second try": {firstFails(), http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, disconnect(), truncated())
+			b.gateway.prober = test.prober
+			var mu sync.Mutex
+			withdrawn := 0
+			b.gateway.reportCrash = func(_ uint64, _ carawayspread.EndpointID, isWithdrawal bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				if isWithdrawal {
+					withdrawn++
+				}
+			}
+			b.runClock(t)
+			resp, _, err := b.post(t, "/safe/x", "body")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+			if name == "reached at the second try" {
+				time.Sleep(200 * time.Millisecond)
+			}
+			resp, text, err := b.post(t, "/safe/x", "body")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			mu.Lock()
+			defer mu.Unlock()
+			if test.status == http.StatusOK {
+				qt.Check(t, withdrawn > 0, qt.IsTrue)
+				return
+			}
+			qt.Check(t, withdrawn, qt.Equals, 0)
+			qt.Check(t, text, qt.Contains, `"notRun":true`)
+		})
+	}
+}
+
+// firstFails returns a prober whose first probe of each endpoint is lost.
+func firstFails() carawayspread.EndpointProber {
+	var mu sync.Mutex
+	probed := map[carawayspread.EndpointID]bool{}
+	return proberFunc(func(to carawayspread.Endpoint) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if !probed[to.ID()] {
+			probed[to.ID()] = true
+			return errNoAnswer
+		}
+		return nil
+	})
+}
+
+// Many requests that an endpoint breaks off at once must not cost a connection each.
+func TestEndpointIsCheckedOnceForAllItsRequests(t *testing.T) {
+	b := newHarness(t)
+	probes := make(chan carawayspread.EndpointID, copies)
+	b.gateway.prober = proberFunc(func(to carawayspread.Endpoint) error {
+		probes <- to.ID()
+		return nil
+	})
+	endpoint := carawayspread.NewEndpoint("w0", "s", "z", "10.0.0.1:100", false)
+	for n := range uint64(copies) {
+		b.gateway.recordOwnCrash(n, "w0", time.Time{})
+		b.gateway.checkCrash(endpoint)
+	}
+	time.Sleep(20 * time.Millisecond) // for further checks, which there must not be, to start
+	qt.Assert(t, b.clock.BlockUntilContext(context.Background(), 1), qt.IsNil)
+	b.clock.Advance(checkDelay)
+	qt.Check(t, <-probes, qt.Equals, carawayspread.EndpointID("w0"))
+	for deadline := time.Now().Add(5 * time.Second); b.gateway.quarantine.Len() > 0; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+	}
+	time.Sleep(20 * time.Millisecond)
+	qt.Check(t, probes, qt.HasLen, 0)
+}
--- a/internal/process/gateway/crash_test.go
+++ b/internal/process/gateway/crash_test.go
@@ -64,10 +64,10 @@
 }
 
 // transportFunc is a carawayspread.EndpointTransport.
-type transportFunc func(to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error)
+type transportFunc func(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error)
 
-func (f transportFunc) Send(_ context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
-	return f(to, out)
+func (f transportFunc) Send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+	return f(ctx, to, out)
 }
 
 // truncatedAfter answers 200 and breaks off after that part of the body.
@@ -213,7 +213,7 @@
 	const concurrent = 3
 	var sent, ended sync.WaitGroup
 	sent.Add(concurrent)
-	b.gateway.transport = transportFunc(func(to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+	b.gateway.transport = transportFunc(func(_ context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
 		sent.Done()
 		sent.Wait()
 		return disconnect()(sentAttempt{to.ID(), out})
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,9 +70,11 @@
 	recordUsage     func(workspace string, ago time.Duration)
 	endpoints       atomic.Pointer[map[string][]carawayspread.Endpoint] // by service
 	running         atomic.Int64
+	prober          carawayspread.EndpointProber // nil if endpoints are not checked
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
+	checks  map[carawayspread.EndpointID]bool // scheduled and not sent yet
 }
 
 // drainWindow is the remaining time of a process that has been told to shut down.
@@ -111,6 +113,7 @@
 		rejections:      rejections.New(),
 		recordUsage:     func(string, time.Duration) {},
 		budgets:         map[string]*fleetbudget.Budget{},
+		checks:          map[carawayspread.EndpointID]bool{},
 	}
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
 	for _, opt := range opts {
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -37,7 +37,7 @@
 	kind := c.g.protocol.ClassifyReply(reply, c.metadata.ID, carawayspread.PhasePrefill)
 	c.recordFeedback(at, reply, kind, sentAt)
 	if kind == carawayspread.ReplyAnswer {
-		c.endpointAnswered(at, sentAt)
+		c.g.endpointAnswered(at.Endpoint.ID(), sentAt)
 	}
 	if kind == carawayspread.ReplyWrongEndpoint {
 		c.g.placer.MarkStale(at.Endpoint.ID())
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -62,13 +62,21 @@
 	g.set.GetOrCreateCounter(`gateway_crash_records_total{event="` + event + `",from="` + from + `"}`).Inc()
 }
 
-// checkQuarantine refuses a request that broke two endpoints.
+// checkQuarantine refuses a request that broke two endpoints. It waits for the check of endpoints
+// that broke off an answer just now.
 func (c *call) checkQuarantine() *carawayspread.Error {
-	if verdict, _ := c.g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint}); verdict == quarantine.VerdictRefuse {
+	for {
+		verdict, _ := c.g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint})
+		if verdict != quarantine.VerdictRefuse {
+			return nil
+		}
+		crashedAt := c.g.quarantine.LastCrash(c.fingerprint)
+		if c.awaitCheck(crashedAt) {
+			continue
+		}
 		return carawayspread.NewError(carawayspread.CodeSuspect, "the request broke the endpoints that ran it",
 			carawayspread.NotRun(), carawayspread.RetryAfter(quarantineDuration))
 	}
-	return nil
 }
 
 // recordFailure excludes the endpoint of an attempt that was sent and whose answer broke off, before
@@ -85,18 +93,24 @@
 		return carawayspread.OutcomeCancelled
 	}
 	c.g.placer.Crashed(id)
-	c.g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: c.g.clock.Now(), Sent: sentAt}, []uint64{c.fingerprint}, nil)
-	c.g.logCrash(c.fingerprint, id, false, "own")
-	c.g.reportCrash(c.fingerprint, id, false)
+	c.g.recordOwnCrash(c.fingerprint, id, sentAt)
+	c.g.checkCrash(at.Endpoint)
 	return carawayspread.OutcomeFailed
 }
 
-// endpointAnswered withdraws recent crashes of the endpoint where the answer shows that it kept
-// running, also at the peers.
-func (c *call) endpointAnswered(at carawayspread.Placement, sentAt time.Time) {
-	id := at.Endpoint.ID()
-	for _, fingerprint := range c.g.quarantine.EndpointAnswered(id, sentAt) {
-		c.g.logCrash(fingerprint, id, true, "own")
-		c.g.reportCrash(fingerprint, id, true)
+// recordOwnCrash records a crash that this process observed, also at the peers. The request was
+// sent at sentAt; zero if unknown.
+func (g *Gateway) recordOwnCrash(fingerprint uint64, id carawayspread.EndpointID, sentAt time.Time) {
+	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now(), Sent: sentAt}, []uint64{fingerprint}, nil)
+	g.logCrash(fingerprint, id, false, "own")
+	g.reportCrash(fingerprint, id, false)
+}
+
+// endpointAnswered withdraws recent crashes of the endpoint where an answer to what was sent at
+// sentAt shows that it kept running, also at the peers.
+func (g *Gateway) endpointAnswered(id carawayspread.EndpointID, sentAt time.Time) {
+	for _, fingerprint := range g.quarantine.EndpointAnswered(id, sentAt) {
+		g.logCrash(fingerprint, id, true, "own")
+		g.reportCrash(fingerprint, id, true)
 	}
 }
--- a/transport.go
+++ b/transport.go
@@ -27,6 +27,9 @@
 // ErrUnsent means that no byte of the request can have reached the endpoint.
 var ErrUnsent = errors.New("nothing was sent")
 
+// ErrNotListening means that nothing accepts connections at the endpoint's address.
+var ErrNotListening = errors.New("nothing listens at the address")
+
 // EndpointTransport sends requests to endpoints. It sends each request once and never retries.
 // Cancelling the context stops the work at the endpoint as far as the endpoint supports that.
 type EndpointTransport interface {
@@ -34,3 +37,10 @@
 	// proves that the request has not run; after any other error that is unknown.
 	Send(ctx context.Context, to Endpoint, out Outbound) (*Reply, error)
 }
+
+// EndpointProber checks whether endpoints are running.
+type EndpointProber interface {
+	// Probe returns nil if the endpoint accepts a connection. An error that matches ErrNotListening
+	// proves that nothing runs at its address; after any other error that is unknown.
+	Probe(ctx context.Context, to Endpoint) error
+}
