Count a crash after the process stopped waiting, if the endpoint is gone

What callers could see: a request that takes its endpoint down after the deadline, after its caller has left, or after the process has taken the attempt for stalled was held against nothing, and was sent on to the next endpoint.

Cause: what this process ends was never a crash, since a slow endpoint, an impatient caller or a cut link is none. But then no connection is left to show a crash.

Evidence: TestCrashAfterTheAttemptWasAbandonedCounts has the three ends with an endpoint that has ended, one that runs, and one that cannot be reached; red without the record, for each end.

Why it works: the endpoint is checked as after a broken answer. Only one that refuses the connection has crashed; one that is slow or cut off does not count.

--- a/internal/process/gateway/check.go
+++ b/internal/process/gateway/check.go
@@ -32,34 +32,59 @@
 	return func(g *Gateway) { g.prober = p }
 }
 
-// checkCrash checks in the background whether the endpoint of a recorded crash is still running,
-// unless a check of it is about to be sent.
-func (g *Gateway) checkCrash(at carawayspread.Endpoint) {
+// endpointCheck is a check that has not been sent yet.
+type endpointCheck struct {
+	// abandoned are requests whose attempts were ended by this process while the endpoint was silent.
+	abandoned []uint64
+}
+
+// checkCrash checks whether the endpoint of a recorded crash is still running.
+func (g *Gateway) checkCrash(at carawayspread.Endpoint) { g.scheduleCheck(at) }
+
+// checkAbandoned checks whether the endpoint crashed with a request that this process stopped
+// waiting for. Its connection is closed by then, so that nothing else shows the crash.
+func (g *Gateway) checkAbandoned(at carawayspread.Endpoint, fingerprint uint64) {
+	g.scheduleCheck(at, fingerprint)
+}
+
+// scheduleCheck starts a check of the endpoint, unless one is about to be sent.
+func (g *Gateway) scheduleCheck(at carawayspread.Endpoint, abandoned ...uint64) {
 	if g.prober == nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.checks[at.ID()] {
-		g.checks[at.ID()] = true
+	check := g.checks[at.ID()]
+	if check == nil {
+		check = &endpointCheck{}
+		g.checks[at.ID()] = check
 		go g.runCheck(at)
 	}
+	check.abandoned = append(check.abandoned, abandoned...)
 }
 
 func (g *Gateway) runCheck(at carawayspread.Endpoint) {
+	var check *endpointCheck
 	for range checkAttempts {
 		<-g.clock.After(checkDelay)
-		g.mu.Lock()
-		delete(g.checks, at.ID())
-		g.mu.Unlock()
+		if check == nil {
+			g.mu.Lock()
+			check = g.checks[at.ID()]
+			delete(g.checks, at.ID())
+			g.mu.Unlock()
+		}
 		sentAt := g.clock.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 		err := g.prober.Probe(ctx, at)
 		cancel()
-		if err == nil {
+		switch {
+		case err == nil:
 			g.endpointAnswered(at.ID(), sentAt)
-		}
-		if err == nil || errors.Is(err, carawayspread.ErrNotListening) {
+			return
+		case errors.Is(err, carawayspread.ErrNotListening):
+			for _, fingerprint := range check.abandoned {
+				g.recordOwnCrash(fingerprint, at.ID(), time.Time{})
+			}
 			return
 		}
 	}
--- a/internal/process/gateway/check_test.go
+++ b/internal/process/gateway/check_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +111,80 @@
 	})
 }
 
+// An endpoint crashes with a request for which the process has stopped waiting, so that no
+// connection shows the crash, and the request is sent to one endpoint after the other. An endpoint
+// that is only slow, or that cannot be reached, must not count.
+func TestCrashAfterTheAttemptWasAbandonedCounts(t *testing.T) {
+	for ending, test := range map[string]struct {
+		path   string
+		header []string
+		leave  bool // the caller leaves
+	}{
+		"deadline":      {path: "/never/x", header: []string{"Carawayspread-Deadline-Ms", "30"}},
+		"caller leaves": {path: "/never/x", leave: true},
+		"stall":         {path: "/safe/x"},
+	} {
+		for state, prober := range map[string]carawayspread.EndpointProber{"ended": ended, "running": running, "unreachable": unreachableProber} {
+			t.Run(ending+"/"+state, func(t *testing.T) {
+				b := newHarness(t)
+				crashed := make(chan carawayspread.EndpointID, copies)
+				b.gateway.reportCrash = func(_ uint64, id carawayspread.EndpointID, _ bool) { crashed <- id }
+				checked := make(chan struct{}, copies)
+				b.gateway.prober = proberFunc(func(to carawayspread.Endpoint) error {
+					defer func() { checked <- struct{}{} }()
+					return prober.Probe(context.Background(), to)
+				})
+				b.gateway.transport = hangingTransport()
+				b.runClock(t)
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				if test.leave {
+					time.AfterFunc(20*time.Millisecond, leave)
+				}
+				b.postUntil(ctx, t, test.path, "body", test.header...)
+				<-checked
+				if state != "ended" {
+					time.Sleep(20 * time.Millisecond)
+					qt.Check(t, crashed, qt.HasLen, 0)
+					return
+				}
+				select {
+				case <-crashed:
+				case <-time.After(5 * time.Second):
+					t.Error("the crash is not reported")
+				}
+			})
+		}
+	}
+}
+
+// hangingTransport returns a transport whose first request gets no answer.
+func hangingTransport() carawayspread.EndpointTransport {
+	var sent atomic.Int64
+	return transportFunc(func(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+		if sent.Add(1) > 1 {
+			return answer(http.StatusOK)(sentAttempt{to.ID(), out})
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+}
+
+// postUntil sends a request and ignores the outcome.
+func (b *harness) postUntil(ctx context.Context, t *testing.T, path, body string, header ...string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+path, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "a.example"
+	req.Header.Set("Carawayspread-Request-Id", "id-1")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
 // Many requests that an endpoint breaks off at once must not cost a connection each.
 func TestEndpointIsCheckedOnceForAllItsRequests(t *testing.T) {
 	b := newHarness(t)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -74,7 +74,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
-	checks  map[carawayspread.EndpointID]bool // scheduled and not sent yet
+	checks  map[carawayspread.EndpointID]*endpointCheck
 }
 
 // drainWindow is the remaining time of a process that has been told to shut down.
@@ -113,7 +113,7 @@
 		rejections:      rejections.New(),
 		recordUsage:     func(string, time.Duration) {},
 		budgets:         map[string]*fleetbudget.Budget{},
-		checks:          map[carawayspread.EndpointID]bool{},
+		checks:          map[carawayspread.EndpointID]*endpointCheck{},
 	}
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
 	for _, opt := range opts {
