A suspect's refusal says when its quarantine may end

What callers saw: Retry-After of two minutes, whatever was left, and also in the second in which the crash may be withdrawn.

Cause: a constant in place of the time that the quarantine knows.

Why it works: within the second after the newest crash the answer is the rest of that second, then the rest of the quarantine.

--- a/internal/decision/quarantine/alive.go
+++ b/internal/decision/quarantine/alive.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// aliveWithin is how soon after a crash was recorded an answer proves that the endpoint did not
+	// AliveWithin is how soon after a crash was recorded an answer proves that the endpoint did not
 	// stop. A restart takes seconds.
-	aliveWithin = time.Second
+	AliveWithin = time.Second
 	// maxRecentCrashes bounds the crashes kept for this check per endpoint: the requests of one
 	// batch of a large engine.
 	maxRecentCrashes = 256
@@ -21,10 +21,10 @@
 	at          time.Time
 }
 
-// trackCrash keeps a crash until aliveWithin has passed.
+// trackCrash keeps a crash until AliveWithin has passed.
 func (q *Quarantine) trackCrash(fingerprint uint64, crash Crash, now time.Time) {
 	for id, crashes := range q.recent {
-		if now.Sub(crashes[len(crashes)-1].at) > aliveWithin {
+		if now.Sub(crashes[len(crashes)-1].at) > AliveWithin {
 			delete(q.recent, id)
 		}
 	}
@@ -52,7 +52,7 @@
 	kept := q.recent[endpoint][:0]
 	for _, crash := range q.recent[endpoint] {
 		switch {
-		case now.Sub(crash.at) > aliveWithin:
+		case now.Sub(crash.at) > AliveWithin:
 		case crash.at.Before(sent):
 			cleared = append(cleared, crash.fingerprint)
 			q.withdraw(crash.fingerprint, endpoint, now)
--- a/internal/decision/quarantine/alive_test.go
+++ b/internal/decision/quarantine/alive_test.go
@@ -75,10 +75,10 @@
 		q.Crashed(Crash{Endpoint: "a", At: clock.Now()}, []uint64{uint64(i)}, nil)
 	}
 	qt.Check(t, len(q.recent["a"]), qt.Equals, maxRecentCrashes)
-	clock.Advance(2 * aliveWithin)
+	clock.Advance(2 * AliveWithin)
 	q.Crashed(Crash{Endpoint: "b", At: clock.Now()}, []uint64{1}, nil)
 	qt.Check(t, q.recent, qt.HasLen, 1)
-	clock.Advance(2 * aliveWithin)
+	clock.Advance(2 * AliveWithin)
 	q.EndpointAnswered("b", clock.Now())
 	qt.Check(t, q.recentEndpoints.Load(), qt.Equals, int64(0))
 }
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -71,7 +71,7 @@
 
 	mu       sync.Mutex
 	records  *lru.LRU[uint64, *record]
-	recent   map[carawayspread.EndpointID][]recentCrash // crashes of the last aliveWithin; no empty lists
+	recent   map[carawayspread.EndpointID][]recentCrash // crashes of the last AliveWithin; no empty lists
 	refusals refusals
 
 	recentEndpoints atomic.Int64 // number of endpoints in recent, readable without the lock
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -66,7 +66,7 @@
 // that broke off an answer just now.
 func (c *call) checkQuarantine() *carawayspread.Error {
 	for {
-		verdict, _ := c.g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint})
+		verdict, refusal := c.g.quarantine.Decide(quarantine.Attempt{Fingerprint: c.fingerprint})
 		if verdict != quarantine.VerdictRefuse {
 			return nil
 		}
@@ -75,10 +75,19 @@
 			continue
 		}
 		return carawayspread.NewError(carawayspread.CodeSuspect, "the request broke the endpoints that ran it",
-			carawayspread.NotRun(), carawayspread.RetryAfter(quarantineDuration))
+			carawayspread.NotRun(), carawayspread.RetryAfter(c.suspectRetryAfter(crashedAt, refusal.RetryAfter())))
 	}
 }
 
+// suspectRetryAfter returns when the refusal of a request may end: when its newest crash can no
+// longer be withdrawn, and after that with its quarantine.
+func (c *call) suspectRetryAfter(crashedAt time.Time, left time.Duration) time.Duration {
+	if open := quarantine.AliveWithin - c.g.clock.Now().Sub(crashedAt); open > 0 {
+		return min(open, left)
+	}
+	return left
+}
+
 // recordFailure excludes the endpoint of an attempt that was sent and whose answer broke off, before
 // or after its header, and returns the attempt's outcome. It counts as a crash of the endpoint with
 // this request, unless the attempt was ended here: for a stall, the deadline, shutdown, or because
--- a/internal/process/gateway/quarantine_test.go
+++ b/internal/process/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +96,29 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, resp.StatusCode, qt.Equals, 200)
 }
+
+// A refusal says that the request may come back in two minutes, whatever is left of its quarantine,
+// and although a crash of just now may yet turn out to be none.
+func TestRetryAfterOfASuspect(t *testing.T) {
+	for name, test := range map[string]struct{ since, want time.Duration }{
+		"just now":            {0, time.Second},
+		"may be withdrawn":    {400 * time.Millisecond, 600 * time.Millisecond},
+		"a minute ago":        {time.Minute, time.Minute},
+		"nearly at its end":   {quarantineDuration - time.Second, time.Second},
+		"longer than a crash": {time.Second, quarantineDuration - time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			for _, id := range []carawayspread.EndpointID{"one", "another"} {
+				b.gateway.RecordCrash(fingerprint("/safe/x", []byte("body")), id, false)
+			}
+			b.clock.Advance(test.since)
+			resp, _, err := b.post(t, "/safe/x", "body")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, resp.StatusCode, qt.Equals, 503)
+			seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, time.Duration(seconds*float64(time.Second)), qt.Equals, test.want)
+		})
+	}
+}
