An answer ends the quarantine of its request, also when it comes later

What callers saw: a harmless request that many callers send was refused for two minutes, although a copy of it that was running as two others were broken off was answered. Peers, which had recorded the same crashes, refused it too.

Cause: an answer cleared suspects, not quarantined requests, and peers were notified only if they had already said that they refuse the request.

Evidence: TestCopyThatIsAnsweredLaterEndsTheQuarantine, red before (503 for 200, and nobody notified).

Why it works: a request that crashes endpoints is never answered, so each answer clears it, and who had it on record notifies the peers.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -193,16 +193,15 @@
 	return last
 }
 
-// Served clears a suspect that was answered, and reports whether a peer that refuses the request
-// must be notified.
+// Served clears a request that was answered, and reports whether the peers, which may refuse it,
+// must be notified. Also a quarantined request can be answered: a copy was running by then. One that
+// crashes endpoints is never answered.
 func (q *Quarantine) Served(fingerprint uint64) (notify bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.find(fingerprint, q.clock.Now())
-	if r != nil && r.quarantinedUntil.IsZero() {
-		q.records.Remove(fingerprint)
-	}
-	return q.takePeerRefusal(fingerprint)
+	recorded := q.find(fingerprint, q.clock.Now()) != nil
+	q.clear(fingerprint)
+	return q.takePeerRefusal(fingerprint) || recorded
 }
 
 // Len returns the number of fingerprints that are recorded.
--- a/internal/decision/quarantine/refusals.go
+++ b/internal/decision/quarantine/refusals.go
@@ -78,6 +78,10 @@
 func (q *Quarantine) AnsweredByPeer(fingerprint uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.clear(fingerprint)
+}
+
+func (q *Quarantine) clear(fingerprint uint64) {
 	q.records.Remove(fingerprint)
 	q.refusals.own.Remove(fingerprint)
 }
--- a/internal/process/gateway/quarantine_test.go
+++ b/internal/process/gateway/quarantine_test.go
@@ -122,3 +122,24 @@
 		})
 	}
 }
+
+// A harmless request that many callers send is refused for two minutes, here and at the peers: two of
+// its copies were broken off, and a third, which was running, is answered after that.
+func TestCopyThatIsAnsweredLaterEndsTheQuarantine(t *testing.T) {
+	b := newHarness(t)
+	var reported []uint64
+	b.gateway.reportAnswer = func(fingerprint uint64) { reported = append(reported, fingerprint) }
+	same := fingerprint("/safe/x", []byte("harmless"))
+	b.transport.steps = []step{func(s sentAttempt) (*carawayspread.Reply, error) {
+		for _, id := range []carawayspread.EndpointID{"one", "another"} {
+			b.gateway.RecordCrash(same, id, false)
+		}
+		return answer(200)(s)
+	}}
+	for range 2 {
+		resp, _, err := b.post(t, "/safe/x", "harmless")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	}
+	qt.Check(t, reported, qt.DeepEquals, []uint64{same})
+}
