Repeat to peers which requests have crashed endpoints

What callers saw: a process that starts after a request has crashed two endpoints, or that misses the datagram which says so, sends it on, to two more of its own.

Cause: a crash was told once, to the peers of that moment, in a datagram that may be lost. The heartbeats of a process that refuses a request carried its name, but only so that a peer with an answer could clear it.

The age keeps a report from outliving the quarantine as it goes round. Who knows that the endpoint runs, or that the request was answered, says so to the reporter, so a lost withdrawal is made up for as well. Refusals go to the same three peers; to all of 300 they were 600 datagrams a second of each process. Older processes drop the new datagram and get the notifications as before.

--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -25,6 +25,10 @@
 			s.receiveRefusals(buffer[:n])
 			continue
 		}
+		if n > 0 && buffer[0] == crashMagic {
+			s.receiveCrashes(buffer[:n])
+			continue
+		}
 		s.receive(buffer[:n], r)
 	}
 }
--- a/internal/connection/peers/refusals.go
+++ b/internal/connection/peers/refusals.go
@@ -1,6 +1,9 @@
 package peers
 
-import "encoding/binary"
+import (
+	"encoding/binary"
+	"net/netip"
+)
 
 const (
 	// refusalMagic starts a kind of datagram that processes of older releases drop.
@@ -38,19 +41,16 @@
 	s.sendBody(refusalMessage{sender: s.id, answered: []uint64{fingerprint}}.encode(), to)
 }
 
-// broadcastRefusals sends to all peers which requests are refused here. It is called with each
+// sendRefusals sends to some peers which requests are refused here. It is called with each
 // heartbeat.
-func (s *Socket) broadcastRefusals() {
-	if s.refusals == nil {
+func (s *Socket) sendRefusals(to []netip.AddrPort) {
+	if s.refusals == nil || len(to) == 0 {
 		return
 	}
 	refused := s.refusals.Refused()
 	if len(refused) == 0 {
 		return
 	}
-	s.mu.Lock()
-	to := s.activeLocked()
-	s.mu.Unlock()
 	s.sendBody(refusalMessage{sender: s.id, refused: refused[:min(maxRefusals, len(refused))]}.encode(), to)
 }
 
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -72,6 +72,8 @@
 	// status returns the status of this process.
 	status   func() carawayspread.PeerStatus
 	refusals RefusalTracker // nil if nothing is refused
+	// crashTracker is nil if crashes are not reported.
+	crashTracker CrashTracker
 
 	mu      sync.Mutex
 	pending []carawayspread.LoadUpdate
@@ -196,7 +198,9 @@
 			return ctx.Err()
 		case <-heartbeat:
 			s.sendHeartbeat()
-			s.broadcastRefusals()
+			targets := s.gossipTargets()
+			s.sendRefusals(targets)
+			s.gossipCrashes(targets)
 			heartbeat = s.clock.After(heartbeatInterval)
 		case <-s.wake:
 			n := s.flush()
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -133,6 +133,7 @@
 		gateway.WithAnswerReporter(d.peers.BroadcastAnswered),
 		gateway.WithEndpointProber(ports.Prober))
 	d.peers.SetRefusalTracker(d.gateway)
+	d.peers.SetCrashTracker(d.gateway)
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
--- a/internal/decision/quarantine/alive.go
+++ b/internal/decision/quarantine/alive.go
@@ -75,6 +75,7 @@
 }
 
 func (q *Quarantine) withdraw(fingerprint uint64, endpoint carawayspread.EndpointID, now time.Time) {
+	q.dismiss(dismissal{fingerprint, endpoint}, now)
 	r := q.find(fingerprint, now)
 	if r == nil {
 		return
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -73,6 +73,7 @@
 	records  *lru.LRU[uint64, *record]
 	recent   map[carawayspread.EndpointID][]recentCrash // crashes of the last AliveWithin; no empty lists
 	refusals refusals
+	reports  reports
 
 	recentEndpoints atomic.Int64 // number of endpoints in recent, readable without the lock
 }
@@ -89,7 +90,7 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	q := &Quarantine{clock: clock, duration: defaultDuration, records: records, recent: map[carawayspread.EndpointID][]recentCrash{}, refusals: newRefusals()}
+	q := &Quarantine{clock: clock, duration: defaultDuration, records: records, recent: map[carawayspread.EndpointID][]recentCrash{}, refusals: newRefusals(), reports: newReports()}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -130,7 +131,7 @@
 	now := q.clock.Now()
 	for _, fingerprint := range running {
 		isTrial := trial != nil && *trial == fingerprint
-		r := q.suspect(fingerprint, now)
+		r := q.suspect(fingerprint, now, now)
 		r.add(crash)
 		q.trackCrash(fingerprint, crash, now)
 		if isTrial || trial == nil && len(r.crashes) >= maxCrashes {
@@ -145,7 +146,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	r := q.suspect(fingerprint, now)
+	r := q.suspect(fingerprint, now, now)
 	r.quarantinedUntil = now.Add(left)
 	r.expires = later(r.expires, r.quarantinedUntil)
 }
@@ -157,7 +158,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
-	r := q.suspect(fingerprint, now)
+	r := q.suspect(fingerprint, now, now)
 	if endpoint != "" {
 		r.add(Crash{Endpoint: endpoint, At: now})
 	}
@@ -184,13 +185,10 @@
 func (q *Quarantine) LastCrash(fingerprint uint64) time.Time {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var last time.Time
 	if r := q.find(fingerprint, q.clock.Now()); r != nil {
-		for _, crash := range r.crashes {
-			last = later(last, crash.At)
-		}
+		return r.lastCrash()
 	}
-	return last
+	return time.Time{}
 }
 
 // Served clears a request that was answered, and reports whether the peers, which may refuse it,
@@ -199,9 +197,14 @@
 func (q *Quarantine) Served(fingerprint uint64) (notify bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	recorded := q.find(fingerprint, q.clock.Now()) != nil
+	now := q.clock.Now()
+	recorded := q.find(fingerprint, now) != nil
 	q.clear(fingerprint)
-	return q.takePeerRefusal(fingerprint) || recorded
+	notify = q.takePeerRefusal(fingerprint) || recorded
+	if notify {
+		q.dismiss(dismissal{fingerprint: fingerprint}, now)
+	}
+	return notify
 }
 
 // Len returns the number of fingerprints that are recorded.
@@ -223,13 +226,15 @@
 	return r
 }
 
-func (q *Quarantine) suspect(fingerprint uint64, now time.Time) *record {
+// suspect returns the record of a request that has been a suspect since then.
+func (q *Quarantine) suspect(fingerprint uint64, now, since time.Time) *record {
 	r := q.find(fingerprint, now)
 	if r == nil {
 		r = &record{}
 		q.records.Add(fingerprint, r)
 	}
-	r.expires = later(r.expires, now.Add(q.duration))
+	q.reports.reportable.Add(fingerprint, struct{}{})
+	r.expires = later(r.expires, since.Add(q.duration))
 	return r
 }
 
@@ -253,6 +258,14 @@
 	return false
 }
 
+func (r *record) lastCrash() time.Time {
+	var last time.Time
+	for _, crash := range r.crashes {
+		last = later(last, crash.At)
+	}
+	return last
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/decision/quarantine/refusals.go
+++ b/internal/decision/quarantine/refusals.go
@@ -79,6 +79,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.clear(fingerprint)
+	q.dismiss(dismissal{fingerprint: fingerprint}, q.clock.Now())
 }
 
 func (q *Quarantine) clear(fingerprint uint64) {
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -46,6 +46,18 @@
 // AnsweredByPeer removes a request from quarantine that a peer answered.
 func (g *Gateway) AnsweredByPeer(fingerprint uint64) { g.quarantine.AnsweredByPeer(fingerprint) }
 
+// Reports returns crashes that peers may not know.
+func (g *Gateway) Reports() []carawayspread.CrashReport { return g.quarantine.Reports() }
+
+// LearnCrash records a crash that a peer reports again, or says why it is none.
+func (g *Gateway) LearnCrash(r carawayspread.CrashReport) carawayspread.CrashVerdict {
+	verdict, isNew := g.quarantine.Learn(r)
+	if isNew {
+		g.logCrash(r.Fingerprint, r.Endpoint, false, "report")
+	}
+	return verdict
+}
+
 // logCrash logs and counts a recorded crash, or the withdrawal of one, and whether the request is
 // refused from now on.
 func (g *Gateway) logCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool, from string) {
