sidecar: record a crash after the request was abandoned

What callers could see: a request that takes its engine down after its caller has left or its time is up is no suspect anywhere, and is sent to the next engine.

Cause: the sidecar checks the engine's boot ID when an answer breaks off, but not when the request was ended from outside, and forgets the request at once.

Why it works: an abandoned request stays on record for 50 ms and until the engine has been asked. Only another boot ID or a refused connection is a crash; a late answer changes nothing, also not whether the engine counts as down.

--- a/internal/process/sidecar/crash.go
+++ b/internal/process/sidecar/crash.go
@@ -10,8 +10,13 @@
 	"carawayspread/internal/decision/quarantine"
 )
 
-// crashReportTimeout limits the recording of a crash for the fleet.
-const crashReportTimeout = 5 * time.Second
+const (
+	// crashReportTimeout limits the recording of a crash for the fleet.
+	crashReportTimeout = 5 * time.Second
+	// abandonedCheckDelay is the time from the end of an abandoned request to the check of its
+	// endpoint, which may crash a little later.
+	abandonedCheckDelay = 50 * time.Millisecond
+)
 
 // checkQuarantine refuses a request that may crash the endpoint: one in quarantine, or
 // a suspected one that was not sent as a trial.
@@ -41,14 +46,37 @@
 	if worker.probe(context.Background(), s.once, s.clock.Now(), boot) {
 		return false
 	}
+	s.recordCrash(worker, boot)
+	return true
+}
+
+// endRecord ends the record of a request that ran. One whose caller left, or whose time was up, stays
+// on record until the endpoint has been checked: its connection is closed, so that nothing else shows
+// whether it crashed the endpoint.
+func (s *Sidecar) endRecord(r *http.Request, worker *worker, boot string, fingerprint uint64, end string) {
+	if end != sidecarhttp.EndCut || r.Context().Err() == nil {
+		worker.recordEnd(fingerprint)
+		return
+	}
+	go func() {
+		defer worker.recordEnd(fingerprint)
+		<-s.clock.After(abandonedCheckDelay)
+		if worker.isGone(context.Background(), s.once, boot) {
+			s.recordCrash(worker, boot)
+		}
+	}()
+}
+
+// recordCrash records the requests that were running on the endpoint with that boot ID as suspects,
+// here and for the fleet, unless that was done before.
+func (s *Sidecar) recordCrash(worker *worker, boot string) {
 	running, trial := worker.takeSuspects(boot)
 	if len(running) == 0 {
-		return true
+		return
 	}
 	s.suspects.Crashed(quarantine.Crash{Endpoint: worker.spec.ID, At: s.clock.Now()}, running, trial)
 	s.log.WithField("endpoint", worker.spec.ID).WithField("suspects", len(running)).Warn("endpoint crashed")
 	go s.reportCrash(worker.spec.ID, running)
-	return true
 }
 
 func (s *Sidecar) reportCrash(id carawayspread.EndpointID, running []uint64) {
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -106,8 +106,11 @@
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	fingerprint := fingerprintOf(r)
 	boot := worker.bootID()
+	worker.running.Add(1)
+	defer worker.running.Add(-1)
 	worker.recordStart(fingerprint, isTrial(r))
-	defer worker.recordEnd(fingerprint)
+	end := sidecarhttp.EndCut
+	defer func() { s.endRecord(r, worker, boot, fingerprint, end) }()
 	var connected atomic.Bool
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -125,7 +128,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	worker.suspend(s.clock.Now(), resp)
-	end := s.copyAnswer(w, r, worker, resp)
+	end = s.copyAnswer(w, r, worker, resp)
 	if end == sidecarhttp.EndCut && r.Context().Err() == nil && s.crashed(worker, boot) {
 		end = sidecarhttp.EndCrashed
 	}
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -137,7 +138,6 @@
 }
 
 func (w *worker) recordStart(fingerprint uint64, trial bool) {
-	w.running.Add(1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runningRequests[fingerprint]++
@@ -147,7 +147,6 @@
 }
 
 func (w *worker) recordEnd(fingerprint uint64) {
-	w.running.Add(-1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.runningRequests[fingerprint]--; w.runningRequests[fingerprint] <= 0 {
@@ -201,6 +200,18 @@
 	return state.Boot == boot || boot == ""
 }
 
+// isGone reports whether the endpoint provably no longer runs with that boot ID. Unlike probe, it
+// does not change whether the endpoint counts as down.
+func (w *worker) isGone(ctx context.Context, client http.RoundTripper, boot string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	state, err := engine.New(w.spec.Address, &http.Client{Transport: client}).State(ctx)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	return boot != "" && state.Boot != boot
+}
+
 func (w *worker) setDown(down bool, err error) {
 	if w.down.Swap(down) != down {
 		w.log.WithField("endpoint", w.spec.ID).WithField("down", down).WithField("error", err).Warn("endpoint availability changed")
