entry: a lost instance is a crash with the request that was running

What callers saw: a request that takes down the whole instance, the sidecar with the engine, cost three instances, where the design promises two.

Cause: only the sidecar told the entry of a crash. When the sidecar is lost with its engine, the entry sees a broken connection, which counted for nothing; the request went to its other candidate as if nothing had happened, and from there to a trial outside its affinity.

Why it works: after a broken connection the entry connects to the sidecar once more, 50 ms later. One that refuses the connection is gone, and the request is a suspect, here and in the table, before its next attempt. A sidecar that accepts it, or cannot be reached, proves nothing.

--- a/cmd/carawayspread/crash_test.go
+++ b/cmd/carawayspread/crash_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"bytes"
+	"io"
+	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,3 +84,53 @@
 	qt.Check(t, got.text(), qt.Equals, want.text())
 	qt.Check(t, stream(entries[1], "innocent", 60, nil).complete(), qt.IsTrue)
 }
+
+// killMarker makes the engine of a killingInstance kill its whole instance.
+const killMarker = "kill-this-instance"
+
+// killingInstance is an engine whose instance, sidecar included, is lost when a prompt contains
+// killMarker.
+type killingInstance struct {
+	*engine.Engine
+	sidecar chan *process
+	lost    atomic.Bool
+}
+
+func (k *killingInstance) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	if bytes.Contains(body, []byte(killMarker)) && !k.lost.Swap(true) {
+		sidecar := <-k.sidecar
+		sidecar.kill()
+		panic(http.ErrAbortHandler)
+	}
+	k.Engine.ServeHTTP(w, r)
+}
+
+// Guards against a request that takes down one instance after the other, the sidecar with the engine:
+// nobody is left to say that the engine crashed, but the entry that lost the connection.
+func TestRequestThatTakesDownInstancesIsRefused(t *testing.T) {
+	f := newFleet(t)
+	var instances []*killingInstance
+	for i := range 6 {
+		k := &killingInstance{Engine: engine.New(engine.TokenEvery(gap), engine.ChecksFence()), sidecar: make(chan *process, 1)}
+		id := string(rune('1' + i))
+		k.sidecar <- f.sidecar("sidecar-"+id, endpoint{"engine-" + id, "assistant", "model", k})
+		instances = append(instances, k)
+	}
+	entries := []*process{f.entry("entry-1"), f.entry("entry-2")}
+	for i := range 12 {
+		got := stream(entries[i%2], killMarker, 5, nil)
+		qt.Check(t, got.complete(), qt.IsFalse)
+		time.Sleep(200 * time.Millisecond) // callers that send it again take longer
+	}
+	lost := 0
+	for _, k := range instances {
+		if k.lost.Load() {
+			lost++
+		}
+	}
+	qt.Check(t, lost <= 2, qt.IsTrue, qt.Commentf("%d instances lost", lost))
+	got := stream(entries[0], "innocent", 5, nil)
+	qt.Check(t, got.complete(), qt.IsTrue, qt.Commentf("%s", got.body))
+}
--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -8,7 +8,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -21,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"carawayspread"
+	"carawayspread/internal/connection/listening"
 )
 
 const (
@@ -123,15 +123,8 @@
 }
 
 // Probe implements carawayspread.EndpointProber with a connection that is closed at once.
-func (c *Client) Probe(ctx context.Context, to carawayspread.Endpoint) error {
-	conn, err := dial(ctx, "tcp", to.Address())
-	if errors.Is(err, unix.ECONNREFUSED) {
-		return fmt.Errorf("%w: %w", carawayspread.ErrNotListening, err)
-	}
-	if err != nil {
-		return err
-	}
-	return conn.Close()
+func (*Client) Probe(ctx context.Context, to carawayspread.Endpoint) error {
+	return listening.Probe(ctx, to.Address())
 }
 
 // withoutDefaults returns a copy of the headers that keeps net/http from adding its User-Agent.
--- a/internal/connection/sidecarhttp/body.go
+++ b/internal/connection/sidecarhttp/body.go
@@ -98,7 +98,7 @@
 	case errors.Is(err, io.EOF) && b.resp.Header.Get(TrailerEnd) == EndWhole:
 		return io.EOF // an answer without a body has a header instead of the trailer
 	case !errors.Is(err, io.EOF):
-		return incompleteError("the answer was cut on its way", err)
+		return incompleteError("the answer was cut on its way", errors.Join(ErrConnectionLost, err))
 	case end == EndCrashed:
 		return incompleteError("the endpoint crashed while it answered", ErrCrashed)
 	case end != EndWhole:
--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -158,7 +158,7 @@
 			carawayspread.CausedBy(cause))
 	}
 	return carawayspread.NewError(carawayspread.CodeEndpointFailed, "the connection to the endpoint's sidecar was cut",
-		carawayspread.CausedBy(err))
+		carawayspread.CausedBy(errors.Join(ErrConnectionLost, err)))
 }
 
 // RefusalBody is the body of a refusal by the sidecar.
@@ -198,5 +198,9 @@
 // ErrCrashed is in the chain of an error if the endpoint crashed while it ran the request.
 var ErrCrashed = trace.Errorf("the endpoint crashed while it ran the request")
 
+// ErrConnectionLost is in the chain of an error if the connection to the sidecar broke while the
+// endpoint may have been running the request.
+var ErrConnectionLost = trace.Errorf("the connection to the sidecar was lost")
+
 // ErrUnreachable is in the chain of an error if no connection to the sidecar was established.
 var ErrUnreachable = trace.Errorf("no connection to the sidecar")
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -34,7 +34,7 @@
 		d.RecordRefusal()
 	}
 	slot.Release(e.latency(c, slot, firstByte, answer.events-eventsBefore), ended)
-	e.recordOutcome(ctx, c, id, trial, failure, ended)
+	e.recordOutcome(ctx, c, slot.Endpoint(), trial, failure, ended)
 	return failure, false
 }
 
--- a/internal/process/entry/suspects.go
+++ b/internal/process/entry/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/connection/listening"
 	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/process/dispatcher"
@@ -98,15 +99,15 @@
 const suspectRetry = 5 * time.Second
 
 // recordOutcome updates the quarantine and the trial with the outcome of an attempt.
-func (e *Entry) recordOutcome(ctx context.Context, c *call.Call, id carawayspread.EndpointID, trial bool, failure *carawayspread.Error, ended carawayspread.Outcome) {
-	fingerprint := c.Job().Fingerprint
+func (e *Entry) recordOutcome(ctx context.Context, c *call.Call, endpoint carawayspread.Endpoint, trial bool, failure *carawayspread.Error, ended carawayspread.Outcome) {
+	fingerprint, id := c.Job().Fingerprint, endpoint.ID()
 	if trial && failure != nil {
 		e.endTrial(ctx, c, ended)
 	}
 	switch {
 	case failure == nil:
 		e.suspects.Served(fingerprint)
-	case errors.Is(failure, sidecarhttp.ErrCrashed):
+	case errors.Is(failure, sidecarhttp.ErrCrashed), e.instanceLost(ctx, endpoint, failure):
 		e.suspects.Crashed(quarantine.Crash{Endpoint: id, At: e.clock.Now()}, []uint64{fingerprint}, trialFingerprint(trial, fingerprint))
 		if !trial {
 			e.reportCrash(ctx, c, id)
@@ -116,6 +117,30 @@
 	}
 }
 
+// instanceLost reports whether the sidecar of the endpoint is gone after the connection to it broke.
+// Then nobody but this entry can say that the request may have crashed the endpoint.
+func (e *Entry) instanceLost(ctx context.Context, endpoint carawayspread.Endpoint, failure *carawayspread.Error) bool {
+	if ctx.Err() != nil || !errors.Is(failure, sidecarhttp.ErrConnectionLost) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, lostCheckTimeout)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.clock.After(lostCheckDelay):
+	}
+	return errors.Is(listening.Probe(ctx, endpoint.Address()), carawayspread.ErrNotListening)
+}
+
+const (
+	// lostCheckDelay is the time from a broken connection to the check of the sidecar. A process that
+	// ends may close its connections a little before its listener.
+	lostCheckDelay = 50 * time.Millisecond
+	// lostCheckTimeout bounds the check, delay included. It delays the next attempt.
+	lostCheckTimeout = 300 * time.Millisecond
+)
+
 func trialFingerprint(trial bool, fingerprint uint64) *uint64 {
 	if !trial {
 		return nil
