Log peers' crashes only where the request is refused for them

Cause: each broken answer wrote a line in every process of the fleet, and one more for its withdrawal; of 300 processes that is 600 lines for one answer.

Change: own observations are logged as before, those of peers if the request is refused from then on; all are counted. No decision changes. The package's tests are green.

--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -14,6 +14,13 @@
 // while the request was running there. It outlasts the retries of callers.
 const quarantineDuration = 2 * time.Minute
 
+// Who observed a crash or its withdrawal, in logs and metrics.
+const (
+	fromOwn    = "own"    // this process
+	fromPeer   = "peer"   // a peer, which has just said so
+	fromReport = "report" // some peer; another has repeated it
+)
+
 // WithCrashReporter sets the function that reports a request whose attempt broke off at an
 // endpoint, and withdraws the report when the endpoint proves to be running.
 func WithCrashReporter(f func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)) Option {
@@ -34,7 +41,7 @@
 	} else {
 		g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
 	}
-	g.logCrash(fingerprint, id, withdrawn, "peer")
+	g.logCrash(fingerprint, id, withdrawn, fromPeer)
 }
 
 // Refused returns the requests that are refused here and that peers may have answered.
@@ -53,25 +60,30 @@
 func (g *Gateway) LearnCrash(r carawayspread.CrashReport) carawayspread.CrashVerdict {
 	verdict, isNew := g.quarantine.Learn(r)
 	if isNew {
-		g.logCrash(r.Fingerprint, r.Endpoint, false, "report")
+		g.logCrash(r.Fingerprint, r.Endpoint, false, fromReport)
 	}
 	return verdict
 }
 
-// logCrash logs and counts a recorded crash, or the withdrawal of one, and whether the request is
-// refused from now on.
+// logCrash counts a recorded crash, or the withdrawal of one. It logs those that this process observed
+// and those for which the request is refused from now on: in a large fleet, each process gets the
+// records of all others.
 func (g *Gateway) logCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool, from string) {
 	event := "crash"
 	if withdrawn {
 		event = "crashWithdrawn"
 	}
+	g.set.GetOrCreateCounter(`gateway_crash_records_total{event="` + event + `",from="` + from + `"}`).Inc()
 	verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: fingerprint})
+	refused := verdict == quarantine.VerdictRefuse
+	if from != fromOwn && !refused {
+		return
+	}
 	line := decisionlog.Start(event).Text("request", fingerprintText(fingerprint)).Text("endpoint", string(id)).Text("from", from)
-	if verdict == quarantine.VerdictRefuse {
+	if refused {
 		line.Text("refused", "true")
 	}
 	g.log.Write(line)
-	g.set.GetOrCreateCounter(`gateway_crash_records_total{event="` + event + `",from="` + from + `"}`).Inc()
 }
 
 // checkQuarantine refuses a request that broke two endpoints. It waits for the check of endpoints
@@ -125,7 +137,7 @@
 // sent at sentAt; zero if unknown.
 func (g *Gateway) recordOwnCrash(fingerprint uint64, id carawayspread.EndpointID, sentAt time.Time) {
 	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now(), Sent: sentAt}, []uint64{fingerprint}, nil)
-	g.logCrash(fingerprint, id, false, "own")
+	g.logCrash(fingerprint, id, false, fromOwn)
 	g.reportCrash(fingerprint, id, false)
 }
 
@@ -133,7 +145,7 @@
 // sentAt shows that it kept running, also at the peers.
 func (g *Gateway) endpointAnswered(id carawayspread.EndpointID, sentAt time.Time) {
 	for _, fingerprint := range g.quarantine.EndpointAnswered(id, sentAt) {
-		g.logCrash(fingerprint, id, true, "own")
+		g.logCrash(fingerprint, id, true, fromOwn)
 		g.reportCrash(fingerprint, id, true)
 	}
 }
