soak: a caller whose requests crash the workers that run them

After three crashes a request may be sent three times more, as long as a process runs on that may know.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -32,6 +32,7 @@
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "how many seeds, one after the other"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "in which faults begin"},
 			&cli.BoolFlag{Name: "stops", Usage: "most faults are orders to end, and workers that hold requests"},
+			&cli.BoolFlag{Name: "harmful", Usage: "a caller sends requests that crash the workers which run them"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
 		},
@@ -48,8 +49,11 @@
 	if c.Bool("stops") {
 		generate = schedule.GenerateStops
 	}
+	if c.Bool("harmful") {
+		generate = schedule.GenerateHarmful
+	}
 	for n := range uint64(max(1, c.Int("runs"))) {
-		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"))
+		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), c.Bool("harmful"))
 		if err != nil {
 			return err
 		}
@@ -65,7 +69,7 @@
 
 // runSchedule runs one schedule of faults and returns the violated guarantees. If there are any, the
 // logs of the run, the schedule and the findings are kept in a folder named after the seed.
-func runSchedule(ctx context.Context, out io.Writer, binary, findings string, s *schedule.Schedule, size int) ([]string, error) {
+func runSchedule(ctx context.Context, out io.Writer, binary, findings string, s *schedule.Schedule, size int, harmful bool) ([]string, error) {
 	dir := filepath.Join(findings, fmt.Sprint(s.Seed()))
 	if err := os.RemoveAll(dir); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -78,6 +82,9 @@
 		return nil, err
 	}
 	defer f.Close()
+	if harmful {
+		f.Harmful()
+	}
 	if err := f.Run(ctx, s); err != nil {
 		return nil, err
 	}
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -58,6 +58,7 @@
 	storeRelay *relay.Relay
 	gateways   []*gateway
 	loadStart  time.Time
+	harmful    bool // a caller sends requests that crash workers
 
 	mu              sync.Mutex
 	workers         []*listedWorker
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -55,6 +55,9 @@
 			})
 		}
 	}
+	if f.harmful {
+		callers.Go(func() { f.sendHarmful(loadCtx, rand.New(rand.NewPCG(s.Seed(), 0))) })
+	}
 	f.inject(s)
 	<-f.clock.After(misbehaviourTime)
 	for _, p := range f.workers {
--- a/internal/soak/fleet/platform.go
+++ b/internal/soak/fleet/platform.go
@@ -36,6 +36,9 @@
 		return err
 	}
 	p := &listedWorker{worker: w, relay: workerRelay, service: service, role: role}
+	if f.harmful {
+		f.crashOnHarmful(p)
+	}
 	f.workers, f.allWorkers = append(f.workers, p), append(f.allWorkers, p)
 	return f.publishWorker(p, "ready")
 }
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -178,6 +178,7 @@
 	found = append(found, h.checkDrainFeedback()...)
 	found = append(found, h.checkRateLimits()...)
 	found = append(found, h.checkRetryBudget()...)
+	found = append(found, h.checkHarmful()...)
 	found = append(found, h.checkRecovery()...)
 	return append(found, h.checkMemory()...)
 }
--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -52,21 +52,41 @@
 			h.RecordRequests("w", []worker.Request{{ID: id, Target: "/order/x", Header: http.Header{}, Ran: true, At: sentAt}})
 		}
 	}
+	// harmful adds a harmful request that three workers crashed with, and that is sent n times more.
+	harmful := func(h *History, n int, ran bool) {
+		for i := range 3 + n {
+			id, sentAt := fmt.Sprint("harmful-", i), at(time.Duration(i)*5*time.Second)
+			h.RecordAnswer("g", caller.Answer{ID: id, Kind: caller.Unsafe, SentAt: sentAt, EndedAt: sentAt, Status: 502})
+			h.RecordRequests("w", []worker.Request{{ID: id, Target: "/order/x", Body: worker.HarmfulBody, Header: http.Header{}, Ran: ran || i < 3, At: sentAt}})
+		}
+	}
 	for name, c := range map[string]struct {
 		answer   caller.Answer
 		requests []worker.Request
 		with     func(*History)
 		want     string
 	}{
-		"served":                          {served(caller.Unsafe, "w answers id"), ran(0, "id"), nil, ""},
-		"ran twice":                       {served(caller.Unsafe, "w answers id"), ran(0, "id", "id"), nil, "ran 2 times"},
-		"a safe request ran twice":        {served(caller.Safe, "w answers id"), ran(0, "id", "id"), nil, ""},
-		"answer to another request":       {served(caller.Unsafe, "w answers other"), ran(0, "id"), nil, "as its own"},
-		"answer without an execution":     {served(caller.Unsafe, "w answers id"), nil, nil, "as its own"},
-		"complete stream":                 {served(caller.Stream, streamBody("id")), ran(0, "id"), nil, ""},
-		"stream cut without an error":     {served(caller.Stream, "id: 1\ndata: part 1 of id\n\n"), ran(0, "id"), nil, "as whole"},
-		"answer cut with an error":        {truncated, ran(0, "id"), nil, ""},
-		"refused":                         {refused, nil, nil, ""},
+		"served":                        {served(caller.Unsafe, "w answers id"), ran(0, "id"), nil, ""},
+		"ran twice":                     {served(caller.Unsafe, "w answers id"), ran(0, "id", "id"), nil, "ran 2 times"},
+		"a safe request ran twice":      {served(caller.Safe, "w answers id"), ran(0, "id", "id"), nil, ""},
+		"answer to another request":     {served(caller.Unsafe, "w answers other"), ran(0, "id"), nil, "as its own"},
+		"answer without an execution":   {served(caller.Unsafe, "w answers id"), nil, nil, "as its own"},
+		"complete stream":               {served(caller.Stream, streamBody("id")), ran(0, "id"), nil, ""},
+		"stream cut without an error":   {served(caller.Stream, "id: 1\ndata: part 1 of id\n\n"), ran(0, "id"), nil, "as whole"},
+		"answer cut with an error":      {truncated, ran(0, "id"), nil, ""},
+		"refused":                       {refused, nil, nil, ""},
+		"harmful, three times more":     {refused, nil, func(h *History) { harmful(h, 3, true) }, ""},
+		"harmful, four times more":      {refused, nil, func(h *History) { harmful(h, 4, true) }, "was sent 4 times more after 3 crashes, 7 in all"},
+		"harmful, prefilled four times": {refused, nil, func(h *History) { harmful(h, 4, false) }, "was sent 4 times more after 3 crashes, 3 in all"},
+		"harmful, by a killed process": {refused, nil, func(h *History) {
+			harmful(h, 4, false)
+			h.RecordAnswer("other", refused)
+			h.RecordFault("g", at(24*time.Second), at(36*time.Second))
+		}, ""},
+		"harmful, all processes killed": {refused, nil, func(h *History) {
+			harmful(h, 4, true)
+			h.RecordFault("g", at(15500*time.Millisecond), at(16*time.Second))
+		}, ""},
 		"refused but ran":                 {refused, ran(0, "id"), nil, "as not run"},
 		"late":                            {late, ran(0, "id"), nil, "after 4s, of 3s"},
 		"late from a paused process":      {late, ran(0, "id"), func(h *History) { h.RecordFault("g", at(time.Second), at(3*time.Second)) }, ""},
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -56,6 +56,9 @@
 	Silent, Silent, Silent, OneWay,
 }
 
+// harmfulKinds are faults of processes and of the store.
+var harmfulKinds = []Kind{Kill, Replace, Pause, StoreDown, Drain}
+
 const (
 	// maxDuration is how long one fault lasts at most: callers of the routes wait for
 	// two to four seconds.
@@ -99,6 +102,14 @@
 	return generate(seed, length, stopKinds)
 }
 
+// GenerateHarmful returns a schedule with few faults, all of which make processes forget or miss which
+// requests are harmful.
+func GenerateHarmful(seed uint64, length time.Duration) *Schedule {
+	s := &Schedule{seed: seed}
+	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, rareMeanInterval, harmfulKinds)
+	return s
+}
+
 func generate(seed uint64, length time.Duration, common []Kind) *Schedule {
 	s := &Schedule{seed: seed}
 	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, meanInterval, common)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -67,14 +67,19 @@
 
 // Send sends one request and waits for the complete answer.
 func (c *Caller) Send(ctx context.Context, kind Kind, id string) Answer {
+	return c.SendBody(ctx, kind, id, id)
+}
+
+// SendBody is Send with a body that other requests may have too. Safe requests have none.
+func (c *Caller) SendBody(ctx context.Context, kind Kind, id, text string) Answer {
 	a := Answer{ID: id, Kind: kind, SentAt: time.Now()}
-	a.Err = c.send(ctx, &a)
+	a.Err = c.send(ctx, &a, text)
 	a.EndedAt = time.Now()
 	return a
 }
 
-func (c *Caller) send(ctx context.Context, a *Answer) error {
-	method, body := http.MethodPost, io.Reader(strings.NewReader(a.ID))
+func (c *Caller) send(ctx context.Context, a *Answer, text string) error {
+	method, body := http.MethodPost, io.Reader(strings.NewReader(text))
 	if a.Kind == Safe {
 		method, body = http.MethodGet, nil
 	}
@@ -95,7 +100,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a.Status, a.Seal, a.HasRetryAfter = resp.StatusCode, resp.Header.Get("Carawayspread-Server-Seal"), resp.Header.Get("Retry-After") != ""
 	a.ServerLeaving, a.HasServerLimit = resp.Header.Get("Server-Leaving") != "", resp.Header.Get("Server-Limit") != ""
-	text, err := io.ReadAll(resp.Body)
-	a.Body = string(text)
+	answer, err := io.ReadAll(resp.Body)
+	a.Body = string(answer)
 	return err
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +40,9 @@
 // Events is the number of events in a complete stream.
 const Events = 4
 
+// HarmfulBody is the body of a request that crashes each worker which runs it, if OnCrash is set.
+const HarmfulBody = "harmful"
+
 // Request is one request as it arrived at the worker.
 type Request struct {
 	ID, Method, Target, Host, Body string
@@ -63,6 +67,7 @@
 	busy        bool
 	conns       map[net.Conn]bool
 	headers     map[string]string // additional headers of responses
+	onCrash     func()            // nil if requests crash no worker
 }
 
 // New starts a worker with that id. Each request takes the next behaviour from the script; after its
@@ -115,6 +120,14 @@
 	w.headers[name] = value
 }
 
+// OnCrash makes requests with HarmfulBody crash the worker as it answers, each at another point than
+// the one before. f is called before the connections are closed.
+func (w *Worker) OnCrash(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.onCrash = f
+}
+
 // ClearScript drops the rest of the script, so that the worker answers normally.
 func (w *Worker) ClearScript() {
 	w.mu.Lock()
@@ -208,6 +221,12 @@
 		return w.control(conn, got)
 	}
 	behaviour := w.next(got)
+	if crash := w.crashFor(got); crash != nil {
+		writeUntilCrash(conn, got)
+		crash()
+		w.Close()
+		return false
+	}
 	id := "Carawayspread-Request-Id: " + got.ID + w.extraHeaders()
 	seal := "Carawayspread-Server-Seal: " + w.id + "." + got.ID
 	text := w.id + " answers " + got.ID
@@ -246,6 +265,31 @@
 	return true
 }
 
+// crashFor returns the function to call as the request crashes the worker; nil if it does not.
+func (w *Worker) crashFor(got Request) func() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if got.Body != HarmfulBody || got.PrefillOnly {
+		return nil
+	}
+	return w.onCrash
+}
+
+// writeUntilCrash writes nothing, a header, or a part of a body, by the identifier of the request.
+func writeUntilCrash(conn net.Conn, got Request) {
+	parts := []string{
+		"HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: " + got.ID + "\r\nCarawayspread-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent),
+	}
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, got.ID)
+	for _, part := range parts[:int(h.Sum32())%(len(parts)+1)] {
+		_, _ = io.WriteString(conn, part)
+	}
+}
+
+const firstEvent = "id: 1\ndata: part 1\n\n"
+
 // extraHeaders returns the additional headers of responses, each preceded by a line break.
 func (w *Worker) extraHeaders() string {
 	w.mu.Lock()
