--- a/internal/process/gateway/check.go
+++ b/internal/process/gateway/check.go
@@ -34,7 +34,7 @@
 
 // endpointCheck is a check that has not been sent yet.
 type endpointCheck struct {
-	// abandoned are requests whose attempts were ended by this process while the endpoint was silent.
+	// abandoned are requests whose attempts this process ended before they were answered in full.
 	abandoned []uint64
 }
 
--- a/internal/process/sidecar/abandoned_test.go
+++ b/internal/process/sidecar/abandoned_test.go
@@ -58,7 +58,8 @@
 				verdict, _ := s.suspects.Decide(quarantine.Attempt{Fingerprint: fingerprint})
 				return verdict == quarantine.VerdictTrial
 			}
-			for deadline := time.Now().Add(time.Second); !suspect() && time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+			for deadline := time.Now().Add(time.Second); !suspect() && time.Now().Before(deadline); {
+				time.Sleep(5 * time.Millisecond)
 			}
 			qt.Check(t, suspect(), qt.Equals, crashes)
 			qt.Check(t, s.Running(), qt.Equals, 0)
