Log how an endpoint's answer ended where its framing proves nothing

A line says framing, end (closed, inEvent, broken) and the bytes left over behind the last complete event; a counter has all answers. Nothing of the logic changes.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -119,7 +119,20 @@
 		}
 		return nil, err
 	}
-	return &carawayspread.Reply{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength}, nil
+	return &carawayspread.Reply{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framing(resp),
+	}, nil
+}
+
+func framing(resp *http.Response) carawayspread.Framing {
+	switch {
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return carawayspread.FramingLength
+	case len(resp.TransferEncoding) > 0:
+		return carawayspread.FramingChunks
+	default:
+		return carawayspread.FramingClose
+	}
 }
 
 // Probe implements carawayspread.EndpointProber with a connection that is closed at once.
--- a/internal/connection/openai/events.go
+++ b/internal/connection/openai/events.go
@@ -29,6 +29,10 @@
 // NewEvents returns Events that reads from the stream.
 func NewEvents(r io.Reader) *Events { return &Events{r: bufio.NewReaderSize(r, readBufferSize)} }
 
+// Rest returns the length in bytes of the incomplete event at the end of the stream, after Next has
+// returned an error.
+func (e *Events) Rest() int { return len(e.event) }
+
 // Next returns the bytes of the next complete event, including its terminating blank line. They are
 // valid until the next call. If the stream ends within an event, that event is dropped and Next
 // returns the error of the stream.
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -268,6 +268,7 @@
 func (c *call) relayBuffered(reply *carawayspread.Reply, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	_ = reply.Body.Close()
+	c.recordEnd(reply, 0, err)
 	if err != nil {
 		return carawayspread.OutcomeFailed, brokenOffError{err}
 	}
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -78,6 +79,22 @@
 // stays the same when the caller sends the request again under another identifier.
 func fingerprintText(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 36) }
 
+// recordEnd counts how an endpoint's answer ended, and adds it to the request's log line where its
+// framing does not prove that it is complete, or an incomplete event of rest bytes was left.
+func (c *call) recordEnd(reply *carawayspread.Reply, rest int, err error) {
+	end := "closed"
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		end = "broken"
+	case rest > 0:
+		end = "inEvent"
+	}
+	c.g.set.GetOrCreateCounter(`gateway_answer_ends_total{framing="` + reply.Framing.String() + `",end="` + end + `"}`).Inc()
+	if reply.Framing == carawayspread.FramingClose || rest > 0 {
+		c.line.Text("framing", reply.Framing.String()).Text("end", end).Int("rest", int64(rest))
+	}
+}
+
 // logAttempt logs and counts an attempt that returned no complete answer.
 func (c *call) logAttempt(at carawayspread.Placement, phase carawayspread.Phase, why string) {
 	c.g.log.Write(decisionlog.Start("attempt").Text("id", c.metadata.ID).Text("endpoint", string(at.Endpoint.ID())).
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -30,6 +30,9 @@
 	events := openai.NewEvents(reply.Body)
 	for {
 		event, err := events.Next()
+		if err != nil {
+			c.recordEnd(reply, events.Rest(), err)
+		}
 		if errors.Is(err, io.EOF) && !c.started {
 			return carawayspread.OutcomeFailed, brokenOffError{io.ErrUnexpectedEOF}
 		}
--- a/transport.go
+++ b/transport.go
@@ -16,12 +16,35 @@
 	Body   []byte      // not modified
 }
 
+// Framing is how the end of an answer is marked.
+type Framing int
+
+// Framings of an answer.
+const (
+	FramingChunks Framing = iota // a last chunk
+	FramingLength                // an announced length
+	FramingClose                 // the end of the connection
+)
+
+// String returns the name of the framing in logs and metrics.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingClose:
+		return "close"
+	default:
+		return "chunks"
+	}
+}
+
 // Reply is an endpoint's answer. Its Body may still be arriving.
 type Reply struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser // ends with io.EOF only if the answer is complete
-	Length int64         // of the body in bytes; -1 if unknown
+	Status  int
+	Header  http.Header
+	Body    io.ReadCloser // ends with io.EOF only if the answer is complete
+	Length  int64         // of the body in bytes; -1 if unknown
+	Framing Framing
 }
 
 // ErrUnsent means that no byte of the request can have reached the endpoint.
