Tests that fail: broken answers that look complete, and whole ones that arrive cut

On real sockets: each framing, end, point of the answer, kind of route and version of the caller's HTTP. TestBrokenAnswerNeverLooksComplete fails in 104 cases, TestWholeAnswerReachesItsCaller in 42; both are listed.

--- /dev/null
+++ b/internal/process/gateway/framing_test.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+	"carawayspread/internal/connection/direct"
+)
+
+// How an endpoint's or the gateway's answer ends.
+type ending int
+
+const (
+	endMarked ending = iota // by its framing: the last chunk, or the announced length
+	endFIN                  // the connection is closed in order, without such a mark
+	endReset                // the connection is reset
+	endGone                 // as endFIN, and nothing listens at the address any more
+)
+
+func (e ending) String() string { return [...]string{"marked", "FIN", "reset", "gone"}[e] }
+
+const (
+	wholeStream = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\nid: 3\ndata: part 3\n\n"
+	wholeBody   = "the whole answer"
+)
+
+// rawEndpoint answers every request in the same way on a real socket.
+type rawEndpoint struct {
+	listener net.Listener
+	framing  carawayspread.Framing
+	whole    string // its length is announced with FramingLength
+	sent     string // the part of whole that is sent
+	end      ending
+	arrived  atomic.Int32
+}
+
+func newRawEndpoint(t *testing.T) *rawEndpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	e := &rawEndpoint{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return e
+}
+
+func (e *rawEndpoint) serve(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	e.arrived.Add(1)
+	var b bytes.Buffer
+	_, _ = fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: %s\r\nCarawayspread-Server-Seal: s\r\n", req.Header.Get("Carawayspread-Request-Id"))
+	switch e.framing {
+	case carawayspread.FramingLength:
+		_, _ = fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(e.whole), e.sent)
+	case carawayspread.FramingChunks:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if e.sent != "" {
+			_, _ = fmt.Fprintf(&b, "%x\r\n%s\r\n", len(e.sent), e.sent)
+		}
+		if e.end == endMarked {
+			b.WriteString("0\r\n\r\n")
+		}
+	case carawayspread.FramingClose:
+		b.WriteString("Connection: close\r\n\r\n" + e.sent)
+	}
+	_, _ = conn.Write(b.Bytes())
+	switch e.end {
+	case endReset:
+		time.Sleep(20 * time.Millisecond) // so that what was sent is read before the reset
+		_ = conn.SetLinger(0)
+	case endGone:
+		_ = e.listener.Close()
+	}
+}
+
+// received is an answer as its caller received it.
+type received struct {
+	status  int
+	framing carawayspread.Framing
+	end     ending
+	body    string
+}
+
+// complete reports whether the caller has been told that the answer is complete.
+func (r received) complete() bool { return r.end == endMarked }
+
+// receive sends a request and reads its answer from the socket.
+func receive(t *testing.T, b *harness, proto, path string) received {
+	t.Helper()
+	conn, err := net.Dial("tcp4", b.server.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nCarawayspread-Request-Id: id-1\r\n%s: 100,50\r\nContent-Length: 4\r\n\r\nbody", path, proto, tokens)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return received{end: endReset}
+	}
+	body, err := io.ReadAll(resp.Body)
+	got := received{status: resp.StatusCode, body: string(body), end: endMarked}
+	switch {
+	case resp.ContentLength >= 0:
+		got.framing = carawayspread.FramingLength
+	case len(resp.TransferEncoding) == 0:
+		got.framing, got.end = carawayspread.FramingClose, endFIN
+	}
+	if err != nil {
+		got.end = endReset
+	}
+	return got
+}
+
+// framingHarness is a gateway before three endpoints with real sockets.
+func framingHarness(t *testing.T, answers func(e *rawEndpoint)) (*harness, []*rawEndpoint) {
+	t.Helper()
+	b := newHarness(t)
+	client := direct.New()
+	t.Cleanup(client.Close)
+	b.gateway.transport, b.gateway.prober = client, client
+	b.runClock(t)
+	var list []*rawEndpoint
+	var endpoints []carawayspread.Endpoint
+	for i := range 3 {
+		e := newRawEndpoint(t)
+		answers(e)
+		list = append(list, e)
+		endpoints = append(endpoints, carawayspread.NewEndpoint(carawayspread.EndpointID(fmt.Sprint("w", i)), "s", "z", e.listener.Addr().String(), false,
+			carawayspread.WithRole(carawayspread.RoleDecode), carawayspread.WithSlots(8)))
+	}
+	b.gateway.SetEndpoints(endpoints)
+	return b, list
+}
+
+// A broken answer is passed on as complete because it has neither a length nor chunks, or because its
+// stream ends inside an event.
+func TestBrokenAnswerNeverLooksComplete(t *testing.T) {
+	type point struct{ stream, body string } // what is sent of either kind of answer
+	firstEvent, twoEvents := wholeStream[:20], wholeStream[:40]
+	points := map[string]point{
+		"nothing":         {"", ""},
+		"in an event":     {firstEvent + "id: 2\nda", wholeBody[:9]},
+		"in a line break": {twoEvents + "id: 3\ndata: part 3\n", wholeBody[:15]},
+		"after an event":  {twoEvents, wholeBody[:9]},
+	}
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, path := range []string{"/never/x", "/safe/x", "/once/x", "/resume/x"} {
+			stream := path == "/once/x" || path == "/resume/x"
+			for _, framing := range []carawayspread.Framing{carawayspread.FramingChunks, carawayspread.FramingLength, carawayspread.FramingClose} {
+				for _, end := range []ending{endMarked, endFIN, endReset, endGone} {
+					for name, p := range points {
+						sent := p.body
+						if stream {
+							sent = p.stream
+						}
+						inEvent := stream && sent != "" && !strings.HasSuffix(sent, "\n\n")
+						if end == endMarked && (framing != carawayspread.FramingChunks || !inEvent) {
+							continue // not a broken answer
+						}
+						t.Run(strings.Join([]string{proto, path, framing.String(), end.String(), name}, ","), func(t *testing.T) {
+							b, _ := framingHarness(t, func(e *rawEndpoint) {
+								e.framing, e.end, e.sent, e.whole = framing, end, sent, wholeBody
+								if stream {
+									e.whole = wholeStream
+								}
+							})
+							got := receive(t, b, proto, path)
+							if got.status >= http.StatusInternalServerError {
+								return
+							}
+							qt.Check(t, got.complete(), qt.IsFalse, qt.Commentf("%+v", got))
+							// Only where nothing tells that the answer is broken may it end like one
+							// whose end is not marked.
+							undecidable := framing == carawayspread.FramingClose && end == endFIN && !inEvent
+							qt.Check(t, undecidable || got.end == endReset, qt.IsTrue, qt.Commentf("%+v", got))
+						})
+					}
+				}
+			}
+		}
+	}
+}
+
+// Harmless answers are lost or cut short because of how they are framed or how long they are.
+func TestWholeAnswerReachesItsCaller(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 9<<20/16)
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for _, path := range []string{"/never/x", "/safe/x", "/once/x", "/resume/x"} {
+			stream := path == "/once/x" || path == "/resume/x"
+			bodies := map[string]string{"short": wholeBody, "long": long, "empty": ""}
+			if stream {
+				bodies = map[string]string{
+					"events":                  wholeStream,
+					"a comment after them":    wholeStream + ": keep-alive\n",
+					"line breaks after them":  wholeStream + "\n",
+					"lines with two marks":    strings.ReplaceAll(wholeStream, "\n", "\r\n"),
+					"the closing event":       wholeStream + "data: [DONE]\n\n",
+					"an event of many chunks": "data: " + long[:512<<10] + "\n\n" + wholeStream,
+				}
+			}
+			for _, framing := range []carawayspread.Framing{carawayspread.FramingChunks, carawayspread.FramingLength, carawayspread.FramingClose} {
+				for name, body := range bodies {
+					t.Run(strings.Join([]string{proto, path, framing.String(), name}, ","), func(t *testing.T) {
+						end := endMarked
+						if framing == carawayspread.FramingClose {
+							end = endFIN
+						}
+						b, endpoints := framingHarness(t, func(e *rawEndpoint) { e.framing, e.end, e.sent, e.whole = framing, end, body, body })
+						got := receive(t, b, proto, path)
+						qt.Check(t, got.status, qt.Equals, http.StatusOK)
+						qt.Check(t, got.body == body, qt.IsTrue, qt.Commentf("%d of %d bytes", len(got.body), len(body)))
+						qt.Check(t, got.end, qt.Not(qt.Equals), endReset)
+						if framing == carawayspread.FramingClose {
+							qt.Check(t, got.framing, qt.Equals, carawayspread.FramingClose, qt.Commentf("a proof that the endpoint did not give"))
+						}
+						arrived := int32(0)
+						for _, e := range endpoints {
+							arrived += e.arrived.Load()
+						}
+						qt.Check(t, arrived, qt.Equals, int32(1))
+					})
+				}
+			}
+		}
+	}
+}
