A stream that ends inside an event has been broken off

Callers saw a stream without its last events, with status 200, the engine's signature and the closing chunk of a complete answer. The reader of events dropped an incomplete event and returned the end of the file as it came, and relayStream took any end of file for a proof. Now the reader says that the stream ended inside an event, so the answer counts as broken: a stream that may be resumed goes on elsewhere, any other is reset. Complete lines of comments behind the last event are no part of an event and are passed on; they were dropped.

--- a/internal/connection/openai/events.go
+++ b/internal/connection/openai/events.go
@@ -19,6 +19,9 @@
 	doneMarker = []byte("[DONE]")
 )
 
+// ErrInsideEvent means that a stream ended inside an event. Its sender has broken it off.
+var ErrInsideEvent = errors.New("the stream ended inside an event")
+
 // Events reads server-sent events one complete event at a time, so that a truncated event is never
 // forwarded.
 type Events struct {
@@ -34,8 +37,9 @@
 func (e *Events) Rest() int { return len(e.event) }
 
 // Next returns the bytes of the next complete event, including its terminating blank line. They are
-// valid until the next call. If the stream ends within an event, that event is dropped and Next
-// returns the error of the stream.
+// valid until the next call. Complete lines of comments at the end of the stream are returned as an
+// event. If the stream ends within an event, that event is dropped, and Next returns the error of the
+// stream, or ErrInsideEvent if that is io.EOF.
 func (e *Events) Next() ([]byte, error) {
 	e.event = e.event[:0]
 	lineStart := 0
@@ -48,6 +52,9 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
+		if errors.Is(err, io.EOF) {
+			return e.last()
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -58,6 +65,27 @@
 	}
 }
 
+// last returns what is left at the end of the stream.
+func (e *Events) last() ([]byte, error) {
+	switch {
+	case len(e.event) == 0:
+		return nil, io.EOF
+	case onlyComments(e.event):
+		return e.event, nil
+	}
+	return nil, ErrInsideEvent
+}
+
+// onlyComments reports whether the bytes are complete lines of comments, which are no part of an event.
+func onlyComments(p []byte) bool {
+	for line := range bytes.Lines(p) {
+		if line[0] != ':' || line[len(line)-1] != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
 // Data returns the content of the first data field of an event; nil if it has none.
 func Data(event []byte) []byte {
 	for line := range bytes.Lines(event) {
--- a/internal/connection/openai/openai_test.go
+++ b/internal/connection/openai/openai_test.go
@@ -81,6 +81,39 @@
 	})
 }
 
+// A stream that was broken off inside an event is taken for complete.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	for name, test := range map[string]struct {
+		stream string
+		events int
+		end    error
+	}{
+		"empty":                              {"", 0, io.EOF},
+		"whole":                              {whole, 1, io.EOF},
+		"whole, two line breaks more":        {whole + "\n\r\n", 3, io.EOF},
+		"a comment at the end":               {whole + ": a\n: b\n", 2, io.EOF},
+		"an incomplete comment at the end":   {whole + ": a", 1, ErrInsideEvent},
+		"a comment, then a field":            {whole + ": a\nid: 2\n", 1, ErrInsideEvent},
+		"in a name":                          {whole + "da", 1, ErrInsideEvent},
+		"in a value":                         {whole + "data: b", 1, ErrInsideEvent},
+		"before its blank line":              {whole + "data: b\n", 1, ErrInsideEvent},
+		"in the last line break":             {whole + "data: b\r\n\r", 1, ErrInsideEvent},
+		"without any event":                  {"id: 1\ndata: a\n", 0, ErrInsideEvent},
+		"in an event longer than the buffer": {whole + "data: " + strings.Repeat("x", 2*readBufferSize), 1, ErrInsideEvent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			events := NewEvents(strings.NewReader(test.stream))
+			for range test.events {
+				_, err := events.Next()
+				qt.Assert(t, err, qt.IsNil)
+			}
+			_, err := events.Next()
+			qt.Check(t, err, qt.Equals, test.end)
+		})
+	}
+}
+
 type chunked struct {
 	rest []byte
 	size int
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -114,7 +114,7 @@
 }
 
 func streamError(err error) error {
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) || errors.Is(err, openai.ErrInsideEvent) {
 		return incomplete("the stream ended without its closing event")
 	}
 	return err
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -11,6 +11,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
 	"carawayspread/internal/connection/hopbyhop"
+	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/process/decisionlog"
 )
 
@@ -84,10 +85,10 @@
 func (c *call) recordEnd(reply *carawayspread.Reply, rest int, err error) {
 	end := "closed"
 	switch {
+	case errors.Is(err, openai.ErrInsideEvent):
+		end = "inEvent"
 	case err != nil && !errors.Is(err, io.EOF):
 		end = "broken"
-	case rest > 0:
-		end = "inEvent"
 	}
 	c.g.set.GetOrCreateCounter(`gateway_answer_ends_total{framing="` + reply.Framing.String() + `",end="` + end + `"}`).Inc()
 	if reply.Framing == carawayspread.FramingClose || rest > 0 {
