An answer that ends with its connection is passed on as one

Callers were given a length or a closing chunk for answers that had neither, so that half a body, or a stream without its last events, was complete to them. A reply knows its framing now; the caller's answer proves no more than the endpoint's did: it ends with its connection too. Where such an answer is known to be broken, the connection is reset, as a close in order would look complete. A resumed stream whose caller was promised a closing chunk is not ended by an answer that proves nothing: it is resumed again, or broken off.

Ruled out: resetting all such answers would lose every harmless one; nothing in the bytes tells them apart.

TestResumedStreamEndsAsItsPartsProve is new.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -41,12 +41,13 @@
 	connBroken  bool // the connection to the caller cannot be used any more
 
 	exclude          map[carawayspread.EndpointID]bool
-	sends            int  // attempts that may have reached an endpoint; they count against the retry budget
-	ran              int  // attempts that may have run
-	retryReserved    bool // the next attempt has been charged to the retry budget already
-	singleEndpoint   bool // one endpoint must do both prefill and decode
-	started          bool // the header of the answer has been sent to the caller
-	status           int  // of the answer that was relayed
+	sends            int                   // attempts that may have reached an endpoint; they count against the retry budget
+	ran              int                   // attempts that may have run
+	retryReserved    bool                  // the next attempt has been charged to the retry budget already
+	singleEndpoint   bool                  // one endpoint must do both prefill and decode
+	started          bool                  // the header of the answer has been sent to the caller
+	status           int                   // of the answer that was relayed
+	framing          carawayspread.Framing // of the answer to the caller, once started
 	lastEventID      string
 	usageCounted     bool                    // the request was recorded as usage of its workspace
 	handover         *carawayspread.Handover // a KV cache that no decode engine has taken yet
@@ -66,6 +67,10 @@
 // errIncomplete says that an attempt may have run and returned no complete answer.
 var errIncomplete = errors.New("the endpoint returned no complete answer")
 
+// errUnmarkedEnd says that the endpoint closed the connection at the end of an event, and that nothing
+// proves that it was the last one.
+var errUnmarkedEnd = errors.New("nothing marks the end of the endpoint's answer")
+
 // brokenOffError says that the endpoint broke off its answer after the header.
 type brokenOffError struct{ cause error }
 
@@ -287,13 +292,28 @@
 	}
 	c.started, c.status = true, reply.Status
 	c.timeToFirstEvent = c.g.clock.Now().Sub(c.arrived)
-	c.copyHeader(reply)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(reply.Status)
+	c.sendHeader(reply, int64(len(body)))
 	_, _ = c.w.Write(body)
 	return outcome, nil
 }
 
+// sendHeader sends the header of an answer with a body of that length in bytes; -1 if unknown. Its
+// framing proves no more than that of the endpoint's answer: one that ends with its connection is
+// passed on as such.
+func (c *call) sendHeader(reply *carawayspread.Reply, length int64) {
+	c.copyHeader(reply)
+	h := c.w.Header()
+	switch {
+	case reply.Framing == carawayspread.FramingClose:
+		c.framing = carawayspread.FramingClose
+		h.Set("Transfer-Encoding", "identity") // net/http sends neither chunks nor a length
+	case length >= 0:
+		c.framing = carawayspread.FramingLength
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	c.w.WriteHeader(reply.Status)
+}
+
 // countUsage records the request once as usage; it started running that long ago.
 func (c *call) countUsage(ago time.Duration) {
 	if c.usageCounted || c.workspace.Name() == "" {
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -10,6 +10,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/hopbyhop"
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/process/decisionlog"
@@ -39,10 +40,13 @@
 		c.finish("callerLeft", 0)
 		panic(http.ErrAbortHandler)
 	case c.started:
-		// The answer broke off and cannot be resumed. Resetting the connection is the only
-		// ending that no HTTP client takes for a complete answer.
+		// The answer broke off and cannot be resumed. No HTTP client takes this end for that of a
+		// complete answer.
 		c.line.Text("error", err.Error())
 		c.finish("cut", 0)
+		if c.framing == carawayspread.FramingClose {
+			callers.Reset(c.w)
+		}
 		panic(http.ErrAbortHandler)
 	case c.ran == 0:
 		c.writeError(c.notRunError(ctx, err))
--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -247,3 +247,39 @@
 		}
 	}
 }
+
+// framed changes the framing of an answer.
+func framed(framing carawayspread.Framing, s step) step {
+	return func(a sentAttempt) (*carawayspread.Reply, error) {
+		reply, err := s(a)
+		if reply != nil {
+			reply.Framing = framing
+		}
+		return reply, err
+	}
+}
+
+// A stream that goes on elsewhere gets the framing of its first part, although its last part has
+// another.
+func TestResumedStreamEndsAsItsPartsProve(t *testing.T) {
+	const chunks, unmarked = carawayspread.FramingChunks, carawayspread.FramingClose
+	for name, test := range map[string]struct {
+		first, second carawayspread.Framing
+		framing       carawayspread.Framing
+		end           ending
+	}{
+		"marked, then marked":   {chunks, chunks, chunks, endMarked},
+		"marked, then unmarked": {chunks, unmarked, chunks, endReset},
+		"unmarked, then marked": {unmarked, chunks, unmarked, endFIN},
+		"unmarked, twice":       {unmarked, unmarked, unmarked, endFIN},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, framed(test.first, events(1, 2, io.ErrUnexpectedEOF)), framed(test.second, events(3, 4, io.EOF)))
+			got := receive(t, b, "HTTP/1.1", "/resume/x")
+			qt.Check(t, got.framing, qt.Equals, test.framing)
+			qt.Check(t, got.end, qt.Equals, test.end)
+			qt.Check(t, got.body, qt.Contains, "part 4")
+			qt.Check(t, b.transport.all(), qt.HasLen, 2)
+		})
+	}
+}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -37,7 +37,7 @@
 			return carawayspread.OutcomeFailed, brokenOffError{io.ErrUnexpectedEOF}
 		}
 		if errors.Is(err, io.EOF) {
-			return carawayspread.OutcomeServed, nil
+			return c.endStream(reply)
 		}
 		if err != nil {
 			return carawayspread.OutcomeFailed, brokenOffError{err}
@@ -46,8 +46,7 @@
 			c.started, c.status = true, reply.Status
 			c.countUsage(0)
 			c.timeToFirstEvent = c.g.clock.Now().Sub(c.arrived)
-			c.copyHeader(reply)
-			c.w.WriteHeader(reply.Status)
+			c.sendHeader(reply, -1)
 		}
 		now := c.g.clock.Now()
 		if !c.lastEventAt.IsZero() {
@@ -67,3 +66,13 @@
 		}
 	}
 }
+
+// endStream ends an answer whose last event was complete. Where its framing does not prove that no
+// event is missing, it ends as one that another endpoint may resume, unless the caller's answer is
+// framed in the same way.
+func (c *call) endStream(reply *carawayspread.Reply) (carawayspread.Outcome, error) {
+	if reply.Framing == carawayspread.FramingClose && c.framing != carawayspread.FramingClose {
+		return carawayspread.OutcomeFailed, errUnmarkedEnd
+	}
+	return carawayspread.OutcomeServed, nil
+}
--- a/transport.go
+++ b/transport.go
@@ -42,9 +42,9 @@
 type Reply struct {
 	Status  int
 	Header  http.Header
-	Body    io.ReadCloser // ends with io.EOF only if the answer is complete
+	Body    io.ReadCloser // ends with io.EOF only if the answer is complete; see Framing
 	Length  int64         // of the body in bytes; -1 if unknown
-	Framing Framing
+	Framing Framing       // FramingClose proves nothing: an answer that was broken off may end in the same way
 }
 
 // ErrUnsent means that no byte of the request can have reached the endpoint.
