A broken stream is reset at callers that speak HTTP/1.0

HTTP/1.0 has no chunks, so a stream ends with its connection, and one that was broken off ended in the same order as a complete one: status 200, events missing, nothing that tells. The connection is reset there too.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -310,6 +310,8 @@
 	case length >= 0:
 		c.framing = carawayspread.FramingLength
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	case !c.r.ProtoAtLeast(1, 1):
+		c.framing = carawayspread.FramingClose
 	}
 	c.w.WriteHeader(reply.Status)
 }
