Check the endpoint before an answer ends whose end nothing marks

An endpoint whose process ends closes its connections in order, and an answer without length and chunks then ended like a complete one; the crash counted for nothing, so a request that crashes endpoints was sent on, 20 times of 20 copies. Before such an answer ends, the endpoint is asked for a connection. If nothing listens, the answer was broken off: it is tried again or resumed where its route allows it, else 502 or a broken connection, and the crash counts. A prefill whose unmarked answer cannot be read counts as broken off too.

TestCrashAtAnUnmarkedEndCounts: four of five cases red without the check (20 crashes), the fifth without what is new in the prefill.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -200,9 +200,9 @@
 	}
 	c.ran++
 	if c.route.Stream && reply.Status == http.StatusOK {
-		outcome, err = c.relayStream(reply, tracker)
+		outcome, err = c.relayStream(ctx, reply, at.Endpoint, tracker)
 	} else {
-		outcome, err = c.relayBuffered(reply, tracker, sentAt)
+		outcome, err = c.relayBuffered(ctx, reply, at.Endpoint, tracker, sentAt)
 	}
 	if err != nil {
 		if ctx.Err() != nil {
@@ -270,9 +270,12 @@
 }
 
 // relayBuffered relays an answer once it is complete.
-func (c *call) relayBuffered(reply *carawayspread.Reply, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
+func (c *call) relayBuffered(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
 	_ = reply.Body.Close()
+	if err == nil {
+		err = c.checkEnd(ctx, reply, at)
+	}
 	c.recordEnd(reply, 0, err)
 	if err != nil {
 		return carawayspread.OutcomeFailed, brokenOffError{err}
--- a/internal/process/gateway/check.go
+++ b/internal/process/gateway/check.go
@@ -74,9 +74,7 @@
 			g.mu.Unlock()
 		}
 		sentAt := g.clock.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
-		err := g.prober.Probe(ctx, at)
-		cancel()
+		err := g.probe(context.Background(), at)
 		switch {
 		case err == nil:
 			g.endpointAnswered(at.ID(), sentAt)
@@ -90,6 +88,32 @@
 	}
 }
 
+func (g *Gateway) probe(ctx context.Context, at carawayspread.Endpoint) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	return g.prober.Probe(ctx, at)
+}
+
+// errEndpointGone says that the endpoint ended at the end of its answer.
+var errEndpointGone = errors.New("the endpoint closed the connection and no longer runs")
+
+// checkEnd returns errEndpointGone if nothing marks the end of the reply and its endpoint no longer
+// runs. The end of the connection may be that of the process then.
+func (c *call) checkEnd(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint) error {
+	if reply.Framing != carawayspread.FramingClose || c.g.prober == nil {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-c.g.clock.After(checkDelay):
+	}
+	if errors.Is(c.g.probe(ctx, at), carawayspread.ErrNotListening) {
+		return errEndpointGone
+	}
+	return nil
+}
+
 // awaitCheck waits a moment if the endpoints of a crash at that time may still be checked. It
 // reports whether the decision on the request may have changed.
 func (c *call) awaitCheck(crashedAt time.Time) bool {
--- a/internal/process/gateway/check_test.go
+++ b/internal/process/gateway/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -208,3 +209,44 @@
 	time.Sleep(20 * time.Millisecond)
 	qt.Check(t, probes, qt.HasLen, 0)
 }
+
+// A request that crashes endpoints is sent to one after the other, since the connection of an answer
+// without length and chunks is closed in order as the endpoint's process ends.
+func TestCrashAtAnUnmarkedEndCounts(t *testing.T) {
+	alone := []carawayspread.Role{carawayspread.RoleDecode, carawayspread.RoleDecode, carawayspread.RoleDecode}
+	split := []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleDecode, carawayspread.RoleDecode}
+	unmarked := func(part string) step {
+		return framed(carawayspread.FramingClose, func(s sentAttempt) (*carawayspread.Reply, error) {
+			return reply(s, http.StatusOK, part, io.EOF), nil
+		})
+	}
+	oneEvent := framed(carawayspread.FramingClose, events(1, 1, io.EOF))
+	stream, prompt := []string{tokens, "100,50"}, []string{tokens, "5000,50"}
+	for name, test := range map[string]struct {
+		path           string
+		header         []string
+		roles          []carawayspread.Role
+		crash, prefill step
+	}{
+		"without retry":  {"/never/x", nil, alone, unmarked("who"), nil},
+		"idempotent":     {"/safe/x", nil, alone, unmarked(""), nil},
+		"stream":         {"/once/x", stream, alone, oneEvent, nil},
+		"resumable":      {"/resume/x", stream, alone, oneEvent, nil},
+		"during prefill": {"/once/x", prompt, split, unmarked("who"), unmarked(`{"kv_han`)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			transport := &crashingTransport{crash: test.crash, crashPrefill: test.prefill}
+			b.gateway.transport, b.gateway.prober = transport, ended
+			b.runClock(t)
+			for range copies {
+				b.restartedEngines(transport.crashed(), test.roles)
+				_, _, _ = b.post(t, test.path, harmful, test.header...)
+			}
+			qt.Check(t, transport.crashed() <= maxCrashes, qt.IsTrue, qt.Commentf("%d crashes", transport.crashed()))
+			resp, _, err := b.post(t, test.path, "harmless", test.header...)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		})
+	}
+}
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -91,7 +90,9 @@
 	switch {
 	case errors.Is(err, openai.ErrInsideEvent):
 		end = "inEvent"
-	case err != nil && !errors.Is(err, io.EOF):
+	case errors.Is(err, errEndpointGone):
+		end = "gone"
+	case err != nil:
 		end = "broken"
 	}
 	c.g.set.GetOrCreateCounter(`gateway_answer_ends_total{framing="` + reply.Framing.String() + `",end="` + end + `"}`).Inc()
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -58,6 +58,10 @@
 	}
 	handover, err := c.g.protocol.ParseHandover(body, at.Endpoint)
 	if err != nil {
+		if reply.Framing == carawayspread.FramingClose {
+			outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
+		}
+		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
 		return ctx.Err() == nil, err
 	}
 	tracker.Answered()
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -24,23 +25,14 @@
 
 // relayStream relays an answer event by event. An incomplete event at the end of a broken answer
 // never reaches the caller.
-func (c *call) relayStream(reply *carawayspread.Reply, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
+func (c *call) relayStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
 	defer func() { _ = reply.Body.Close() }()
 	flush := http.NewResponseController(c.w)
 	events := openai.NewEvents(reply.Body)
 	for {
 		event, err := events.Next()
 		if err != nil {
-			c.recordEnd(reply, events.Rest(), err)
-		}
-		if errors.Is(err, io.EOF) && !c.started {
-			return carawayspread.OutcomeFailed, brokenOffError{io.ErrUnexpectedEOF}
-		}
-		if errors.Is(err, io.EOF) {
-			return c.endStream(reply)
-		}
-		if err != nil {
-			return carawayspread.OutcomeFailed, brokenOffError{err}
+			return c.endStream(ctx, reply, at, events.Rest(), err)
 		}
 		if !c.started {
 			c.started, c.status = true, reply.Status
@@ -67,11 +59,21 @@
 	}
 }
 
-// endStream ends an answer whose last event was complete. Where its framing does not prove that no
-// event is missing, it ends as one that another endpoint may resume, unless the caller's answer is
-// framed in the same way.
-func (c *call) endStream(reply *carawayspread.Reply) (carawayspread.Outcome, error) {
-	if reply.Framing == carawayspread.FramingClose && c.framing != carawayspread.FramingClose {
+// endStream returns how an answer ended whose reader returned err, rest bytes behind its last complete
+// event. Where its framing does not prove that no event is missing, it ends as one that another
+// endpoint may resume, unless the caller's answer is framed in the same way.
+func (c *call) endStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, rest int, err error) (carawayspread.Outcome, error) {
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd(ctx, reply, at)
+	}
+	if err == nil && !c.started {
+		err = io.ErrUnexpectedEOF
+	}
+	c.recordEnd(reply, rest, err)
+	switch {
+	case err != nil:
+		return carawayspread.OutcomeFailed, brokenOffError{err}
+	case reply.Framing == carawayspread.FramingClose && c.framing != carawayspread.FramingClose:
 		return carawayspread.OutcomeFailed, errUnmarkedEnd
 	}
 	return carawayspread.OutcomeServed, nil
