Answers of more than 8 MiB reach their callers whole

Callers got the first 8,388,608 bytes of a longer answer, with that as its length: a bounded reader ends like a complete answer. What is held in memory until an answer is complete keeps its bound; a longer answer is passed on as it arrives, with the framing of its endpoint, and breaks off where that breaks off. The answer to a prefill, which names a KV cache, is bounded by 64 KiB.

The tests on real sockets run on the system's clock: on the faster one of the harness an idempotent request counted as stalled beside the race detector, and was sent twice.

--- /dev/null
+++ b/internal/process/gateway/buffered.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"carawayspread"
+)
+
+const (
+	// maxHeldBytes bounds the part of an answer that is held in memory until the answer is complete.
+	maxHeldBytes = 8 << 20
+	// copyBytes is the size of the buffer for the rest of a longer answer.
+	copyBytes = 32 << 10
+)
+
+// relayBuffered relays an answer once it is complete, so that one that breaks off can be tried again.
+// An answer of more than maxHeldBytes is relayed as it arrives.
+func (c *call) relayBuffered(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxHeldBytes+1))
+	held := len(body) <= maxHeldBytes
+	if held || err != nil {
+		if err := c.endBody(ctx, reply, at, err); err != nil {
+			return carawayspread.OutcomeFailed, err
+		}
+	}
+	tracker.Answered()
+	c.countUsage(c.g.clock.Now().Sub(sentAt))
+	outcome := carawayspread.OutcomeServed
+	if reply.Status >= http.StatusInternalServerError {
+		outcome = carawayspread.OutcomeFailed
+		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.g.budget(c.service.Name).Allow() {
+			c.retryReserved = true
+			return outcome, errServerError
+		}
+	}
+	if c.started {
+		return carawayspread.OutcomeFailed, errIncomplete // no second answer within a stream
+	}
+	c.started, c.status = true, reply.Status
+	c.timeToFirstEvent = c.g.clock.Now().Sub(c.arrived)
+	length := int64(len(body))
+	if !held {
+		length = reply.Length
+	}
+	c.sendHeader(reply, length)
+	_, _ = c.w.Write(body)
+	if held {
+		return outcome, nil
+	}
+	return outcome, c.relayRest(ctx, reply, at)
+}
+
+// relayRest relays what has not arrived yet of an answer whose beginning was sent.
+func (c *call) relayRest(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint) error {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := reply.Body.Read(buffer)
+		if _, err := c.w.Write(buffer[:n]); err != nil {
+			return err
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return c.endBody(ctx, reply, at, nil)
+		case err != nil:
+			return c.endBody(ctx, reply, at, err)
+		}
+	}
+}
+
+// endBody returns nil if nothing shows that an answer was broken off whose reader returned err.
+func (c *call) endBody(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, err error) error {
+	if err == nil {
+		err = c.checkEnd(ctx, reply, at)
+	}
+	c.recordEnd(reply, 0, err)
+	if err != nil {
+		return brokenOffError{err}
+	}
+	return nil
+}
+
+// sendHeader sends the header of an answer with a body of that length in bytes; -1 if unknown. Its
+// framing proves no more than that of the endpoint's answer: one that ends with its connection is
+// passed on as such.
+func (c *call) sendHeader(reply *carawayspread.Reply, length int64) {
+	c.copyHeader(reply)
+	h := c.w.Header()
+	switch {
+	case reply.Framing == carawayspread.FramingClose:
+		c.framing = carawayspread.FramingClose
+		h.Set("Transfer-Encoding", "identity") // net/http sends neither chunks nor a length
+	case length >= 0:
+		c.framing = carawayspread.FramingLength
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	case !c.r.ProtoAtLeast(1, 1):
+		c.framing = carawayspread.FramingClose
+	}
+	c.w.WriteHeader(reply.Status)
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxAnswerBytes bounds an answer that is buffered in memory until it is complete.
-	maxAnswerBytes = 8 << 20
 	// maxSends bounds the attempts of one request, whatever its route and the retry budget allow.
 	maxSends = 6
 	// releaseTimeout bounds the call that frees a KV cache.
@@ -269,56 +267,6 @@
 	})
 }
 
-// relayBuffered relays an answer once it is complete.
-func (c *call) relayBuffered(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
-	_ = reply.Body.Close()
-	if err == nil {
-		err = c.checkEnd(ctx, reply, at)
-	}
-	c.recordEnd(reply, 0, err)
-	if err != nil {
-		return carawayspread.OutcomeFailed, brokenOffError{err}
-	}
-	tracker.Answered()
-	c.countUsage(c.g.clock.Now().Sub(sentAt))
-	outcome := carawayspread.OutcomeServed
-	if reply.Status >= http.StatusInternalServerError {
-		outcome = carawayspread.OutcomeFailed
-		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.g.budget(c.service.Name).Allow() {
-			c.retryReserved = true
-			return outcome, errServerError
-		}
-	}
-	if c.started {
-		return carawayspread.OutcomeFailed, errIncomplete // no second answer within a stream
-	}
-	c.started, c.status = true, reply.Status
-	c.timeToFirstEvent = c.g.clock.Now().Sub(c.arrived)
-	c.sendHeader(reply, int64(len(body)))
-	_, _ = c.w.Write(body)
-	return outcome, nil
-}
-
-// sendHeader sends the header of an answer with a body of that length in bytes; -1 if unknown. Its
-// framing proves no more than that of the endpoint's answer: one that ends with its connection is
-// passed on as such.
-func (c *call) sendHeader(reply *carawayspread.Reply, length int64) {
-	c.copyHeader(reply)
-	h := c.w.Header()
-	switch {
-	case reply.Framing == carawayspread.FramingClose:
-		c.framing = carawayspread.FramingClose
-		h.Set("Transfer-Encoding", "identity") // net/http sends neither chunks nor a length
-	case length >= 0:
-		c.framing = carawayspread.FramingLength
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
-	case !c.r.ProtoAtLeast(1, 1):
-		c.framing = carawayspread.FramingClose
-	}
-	c.w.WriteHeader(reply.Status)
-}
-
 // countUsage records the request once as usage; it started running that long ago.
 func (c *call) countUsage(ago time.Duration) {
 	if c.usageCounted || c.workspace.Name() == "" {
--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -141,7 +141,7 @@
 	client := direct.New()
 	t.Cleanup(client.Close)
 	b.gateway.transport, b.gateway.prober = client, client
-	b.runClock(t)
+	b.gateway.clock = carawayspread.SystemClock() // as fast as the sockets
 	var list []*rawEndpoint
 	var endpoints []carawayspread.Endpoint
 	for i := range 3 {
@@ -181,6 +181,7 @@
 							continue // not a broken answer
 						}
 						t.Run(strings.Join([]string{proto, path, framing.String(), end.String(), name}, ","), func(t *testing.T) {
+							t.Parallel()
 							b, _ := framingHarness(t, func(e *rawEndpoint) {
 								e.framing, e.end, e.sent, e.whole = framing, end, sent, wholeBody
 								if stream {
@@ -224,6 +225,7 @@
 			for _, framing := range []carawayspread.Framing{carawayspread.FramingChunks, carawayspread.FramingLength, carawayspread.FramingClose} {
 				for name, body := range bodies {
 					t.Run(strings.Join([]string{proto, path, framing.String(), name}, ","), func(t *testing.T) {
+						t.Parallel()
 						end := endMarked
 						if framing == carawayspread.FramingClose {
 							end = endFIN
@@ -283,3 +285,29 @@
 		})
 	}
 }
+
+// An answer that is too long to be held until it is complete breaks off after its beginning was
+// passed on, and looks complete.
+func TestBrokenLongAnswerIsNotComplete(t *testing.T) {
+	whole := strings.Repeat("0123456789abcdef", 9<<20/16)
+	for _, framing := range []carawayspread.Framing{carawayspread.FramingChunks, carawayspread.FramingLength, carawayspread.FramingClose} {
+		for _, end := range []ending{endFIN, endReset, endGone} {
+			t.Run(framing.String()+","+end.String(), func(t *testing.T) {
+				b, endpoints := framingHarness(t, func(e *rawEndpoint) {
+					e.framing, e.end, e.whole, e.sent = framing, end, whole, whole[:len(whole)-100]
+				})
+				got := receive(t, b, "HTTP/1.1", "/safe/x")
+				want := endReset
+				if framing == carawayspread.FramingClose && end == endFIN {
+					want = endFIN // nothing tells that it is broken
+				}
+				qt.Check(t, got.end, qt.Equals, want)
+				arrived := int32(0)
+				for _, e := range endpoints {
+					arrived += e.arrived.Load()
+				}
+				qt.Check(t, arrived, qt.Equals, int32(1))
+			})
+		}
+	}
+}
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -11,6 +11,9 @@
 	"carawayspread/internal/process/decisionlog"
 )
 
+// maxHandoverBytes bounds the answer to a prefill, which names a KV cache.
+const maxHandoverBytes = 64 << 10
+
 // prefill has one engine prefill the prompt for a decode engine. After a success, err is
 // errPrefilled and retry is true, so that the next attempt decodes.
 func (c *call) prefill(ctx context.Context, p carawayspread.PlacementRequest, at carawayspread.Placement) (retry bool, err error) {
@@ -49,7 +52,7 @@
 		c.logAttempt(at, carawayspread.PhasePrefill, "no prefill, status "+strconv.Itoa(reply.Status))
 		return true, overloaded()
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxHandoverBytes))
 	_ = reply.Body.Close()
 	if err != nil {
 		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
