Test of abandoned attempts: a deadline that a slow machine does not miss

TestCrashAfterTheAttemptWasAbandonedCounts hung once, for ten minutes, beside the race detector: its request had 30 ms on the harness's clock, which had not begun to run ahead yet, so the deadline had passed before the request was sent, and nothing was checked. A pause of 200 ms before the request brings that back in each run; with a deadline of 1 s the same pause passes. What is checked is the same, and a check that does not come fails the test after 10 s instead of hanging.

--- a/internal/process/gateway/check_test.go
+++ b/internal/process/gateway/check_test.go
@@ -121,7 +121,7 @@
 		header []string
 		leave  bool // the caller leaves
 	}{
-		"deadline":      {path: "/never/x", header: []string{"Carawayspread-Deadline-Ms", "30"}},
+		"deadline":      {path: "/never/x", header: []string{"Carawayspread-Deadline-Ms", "1000"}},
 		"caller leaves": {path: "/never/x", leave: true},
 		"stall":         {path: "/safe/x"},
 	} {
@@ -143,7 +143,11 @@
 					time.AfterFunc(20*time.Millisecond, leave)
 				}
 				b.postUntil(ctx, t, test.path, "body", test.header...)
-				<-checked
+				select {
+				case <-checked:
+				case <-time.After(10 * time.Second):
+					t.Fatal("the endpoint is not checked")
+				}
 				if state != "ended" {
 					time.Sleep(20 * time.Millisecond)
 					qt.Check(t, crashed, qt.HasLen, 0)
