sidecar: a stream that ends inside its closing event has been broken off

The sidecar told the entry that a stream was complete when its last bytes held the text of the closing event, also where its line break or blank line was missing, and where another event held that text. The closing event must be there up to its blank line.

--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -241,12 +241,24 @@
 	if err != nil || !framed {
 		return sidecarhttp.EndCut
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && !bytes.Contains(tail, []byte("data: [DONE]")) {
+	if isStream(resp) && !endsWithClosingEvent(tail) {
 		return sidecarhttp.EndCut
 	}
 	return sidecarhttp.EndWhole
 }
 
+func isStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// endsWithClosingEvent reports whether the last bytes of a stream hold its closing event up to the
+// blank line at its end.
+func endsWithClosingEvent(tail []byte) bool {
+	_, rest, found := bytes.Cut(tail, []byte("data: [DONE]"))
+	rest = bytes.ReplaceAll(rest, []byte("\r\n"), []byte("\n"))
+	return found && bytes.HasPrefix(rest, []byte("\n\n"))
+}
+
 // copyFlushing copies src and flushes after every read, so that each token is sent
 // immediately. It returns the last bytes.
 func copyFlushing(w http.ResponseWriter, src io.Reader, sum sidecarhttp.Sum) ([]byte, error) {
