entry, sidecar: answers that end with their connection are served

No answer without a length and chunks reached a caller through entry and sidecar: the sidecar called it cut, and checked its endpoint for a crash; an idempotency key then had an unknown outcome for ever (409). Whole streams with their closing event were lost in the same way.

The sidecar says now that nothing marks the end, after it has checked that the endpoint still runs; the closing event proves the end of a stream in any framing. The entry hands such an answer on as one that ends with its connection, also when it is replayed from the record of its key. Two words of the protocol are new; an entry that does not know them takes the answer for cut, as before.

--- /dev/null
+++ b/cmd/carawayspread/framing_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread/internal/standin/plain"
+)
+
+// unframed serves a plain service, whose answers at /raw end with their connection.
+type unframed struct {
+	*plain.Service
+	body string
+}
+
+func (u unframed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasPrefix(r.URL.Path, "/raw") {
+		u.Service.ServeHTTP(w, r)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"+u.body)
+}
+
+// rawCall returns the header of the answer and its body up to the end of the connection.
+func rawCall(t *testing.T, p *process, header string) (*http.Response, string, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", p.row.Address)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+	_, err = fmt.Fprintf(conn, "POST /services/records/raw HTTP/1.1\r\nHost: a\r\nX-Workspace: demo\r\nX-Class: interactive\r\n%sContent-Length: 4\r\n\r\nbody", header)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// An answer without a length and chunks never reaches its caller through entry and sidecar, or
+// reaches it with a proof that its endpoint did not give, also when it is replayed.
+func TestUnframedAnswerReachesItsCaller(t *testing.T) {
+	for name, body := range map[string]string{"empty": "", "short": "the whole answer", "long": strings.Repeat("0123456789abcdef", 1<<20/16)} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.sidecar("sidecar-1", endpoint{"records-1", "records", "plain", unframed{plain.New(0), body}})
+			entries := []*process{f.entry("entry-1"), f.entry("entry-2")}
+			for i, header := range []string{"", "Idempotency-Key: one\r\n", "Idempotency-Key: one\r\n"} {
+				resp, got, err := rawCall(t, entries[i%2], header)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+				qt.Check(t, got == body, qt.IsTrue, qt.Commentf("%d of %d bytes", len(got), len(body)))
+				qt.Check(t, resp.ContentLength, qt.Equals, int64(-1))
+				qt.Check(t, resp.TransferEncoding, qt.HasLen, 0)
+				qt.Check(t, resp.Header.Get("Idempotent-Replayed") != "", qt.Equals, i == 2)
+			}
+		})
+	}
+}
--- a/internal/connection/sidecarhttp/body.go
+++ b/internal/connection/sidecarhttp/body.go
@@ -60,14 +60,15 @@
 // Add adds the next bytes of the body.
 func (s Sum) Add(p []byte) { s.checksum.add(p) }
 
-// Write sets the trailer of an answer; end is one of EndWhole, EndCut and EndCrashed.
+// Write sets the trailer of an answer; end is one of the values of TrailerEnd.
 func (s Sum) Write(header http.Header, end string) {
 	header.Set(http.TrailerPrefix+TrailerEnd, end)
 	header.Set(http.TrailerPrefix+TrailerBytes, strconv.FormatInt(s.checksum.bytes, 10))
 	header.Set(http.TrailerPrefix+TrailerSum, strconv.FormatUint(s.checksum.digest.Sum64(), 16))
 }
 
-// verifiedBody is a body that ends with io.EOF only if its trailer proves that it is complete.
+// verifiedBody is a body that ends with io.EOF only if its trailer proves that it is complete, or that
+// all of an answer arrived whose end nothing marks.
 //
 // If the endpoint or the sidecar dies in the middle of an answer, or answers are mixed up, a
 // truncated answer could look complete. HTTP itself detects a connection that breaks between entry
@@ -101,7 +102,7 @@
 		return incompleteError("the answer was cut on its way", errors.Join(ErrConnectionLost, err))
 	case end == EndCrashed:
 		return incompleteError("the endpoint crashed while it answered", ErrCrashed)
-	case end != EndWhole:
+	case end != EndWhole && (end != EndUnmarked || !unmarked(b.resp)):
 		return incompleteError("the endpoint ended the answer early", nil)
 	case !b.checksum.matches(b.resp.Trailer):
 		return incompleteError("the answer does not match its sum", nil)
--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -42,13 +42,14 @@
 }
 
 // Answer is the answer of an endpoint. Its body returns io.EOF only if the answer is proved to be
-// complete; otherwise it ends with a *carawayspread.Error.
+// complete, or nothing marks its end; otherwise it ends with a *carawayspread.Error.
 type Answer struct {
-	Status int
-	Header http.Header
-	Length int64 // in bytes; -1 if the endpoint did not announce it
-	Load   *Load // nil if the sidecar did not report it
-	Body   io.ReadCloser
+	Status   int
+	Header   http.Header
+	Length   int64 // in bytes; -1 if the endpoint did not announce it
+	Unmarked bool  // nothing marks the end at the endpoint but the end of the connection
+	Load     *Load // nil if the sidecar did not report it
+	Body     io.ReadCloser
 }
 
 // Client sends attempts to sidecars. It is safe for concurrent use.
@@ -115,7 +116,7 @@
 		_ = body.Close()
 		return nil, carawayspread.NewError(carawayspread.CodeEndpointFailed, "the answer belongs to another attempt")
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announcedLength(resp), Load: ParseLoad(resp.Header), Body: body}, nil
+	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announcedLength(resp), Unmarked: unmarked(resp), Load: ParseLoad(resp.Header), Body: body}, nil
 }
 
 func (c *Client) transport(a Attempt) *http.Transport {
@@ -187,6 +188,8 @@
 	return carawayspread.NewError(carawayspread.Code(code), body.Error.Message, opts...)
 }
 
+func unmarked(resp *http.Response) bool { return resp.Header.Get(HeaderFraming) == FramingClose }
+
 func announcedLength(resp *http.Response) int64 {
 	length, err := strconv.ParseInt(resp.Header.Get(HeaderLength), 10, 64)
 	if err != nil {
--- a/internal/connection/sidecarhttp/protocol.go
+++ b/internal/connection/sidecarhttp/protocol.go
@@ -33,16 +33,22 @@
 	HeaderNotRun  = "Carawayspread-Not-Run" // it is certain that the endpoint has not started the request
 	HeaderCrashed = "Carawayspread-Crashed" // the endpoint crashed while it ran the request
 	HeaderLength  = "Carawayspread-Length"  // the length that the endpoint announced, in bytes
-	TrailerEnd    = "Carawayspread-End"     // EndWhole, EndCut or EndCrashed
+	HeaderFraming = "Carawayspread-Framing" // FramingClose; missing otherwise
+	TrailerEnd    = "Carawayspread-End"     // EndWhole, EndUnmarked, EndCut or EndCrashed
 	TrailerBytes  = "Carawayspread-Bytes"   // length of the body
 	TrailerSum    = "Carawayspread-Sum"     // xxhash of the body, hexadecimal
 )
 
+// FramingClose is the value of HeaderFraming of an answer that has neither a length nor chunks at the
+// endpoint and ends with its connection.
+const FramingClose = "close"
+
 // Values of TrailerEnd.
 const (
-	EndWhole   = "whole"
-	EndCut     = "cut"
-	EndCrashed = "crashed"
+	EndWhole    = "whole"
+	EndUnmarked = "unmarked" // the endpoint closed the connection, which does not prove that the answer is complete
+	EndCut      = "cut"
+	EndCrashed  = "crashed"
 )
 
 // Headers of the engines' resume protocol.
--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -11,9 +11,10 @@
 
 // Stored is the answer of a finished request as stored in the ledger.
 type Stored struct {
-	Status int
-	Header map[string]string
-	Body   []byte
+	Status   int
+	Header   map[string]string
+	Body     []byte
+	Unmarked bool `json:",omitempty"` // nothing marked the end of the answer
 }
 
 // Claim is the exclusive right of one entry to run one request. Its methods return
@@ -90,6 +91,9 @@
 		w.Header().Set(name, value)
 	}
 	w.Header().Set("Idempotent-Replayed", "true")
+	if stored.Unmarked {
+		setUnmarked(w.Header())
+	}
 	w.WriteHeader(stored.Status)
 	_, _ = w.Write(stored.Body)
 }
@@ -129,5 +133,6 @@
 		return
 	}
 	a.record.stored.Status = got.Status
+	a.record.stored.Unmarked = got.Unmarked && !isStream(got)
 	a.record.stored.Header = map[string]string{"Content-Type": got.Header.Get("Content-Type")}
 }
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -197,11 +197,19 @@
 	}
 	hopbyhop.Strip(header)
 	header.Del(sidecarhttp.HeaderResumedFrom)
-	if got.Length >= 0 && !isStream(got) {
+	switch {
+	case isStream(got): // its closing event marks the end
+	case got.Unmarked:
+		setUnmarked(header)
+	case got.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(got.Length, 10))
 	}
 	a.w.WriteHeader(got.Status)
 }
 
+// setUnmarked makes an answer end with its connection. Its endpoint marked the end in no other way, so
+// that a length or a last chunk would claim a proof that does not exist.
+func setUnmarked(header http.Header) { header.Set("Transfer-Encoding", "identity") }
+
 // sendError ends an incomplete stream with an error event.
 func (a *relay) sendError(failure *carawayspread.Error) { _ = a.write(openai.ErrorEvent(failure)) }
--- a/internal/process/sidecar/crash.go
+++ b/internal/process/sidecar/crash.go
@@ -50,6 +50,17 @@
 	return true
 }
 
+// crashedAfterEnd reports whether the endpoint provably no longer runs with that boot ID, a moment
+// after it closed the connection at the end of an answer. If so, it records the crash.
+func (s *Sidecar) crashedAfterEnd(worker *worker, boot string) bool {
+	<-s.clock.After(abandonedCheckDelay)
+	if !worker.isGone(context.Background(), s.once, boot) {
+		return false
+	}
+	s.recordCrash(worker, boot)
+	return true
+}
+
 // endRecord ends the record of a request that ran. One whose caller left, or whose time was up, stays
 // on record until the endpoint has been checked: its connection is closed, so that nothing else shows
 // whether it crashed the endpoint.
--- a/internal/process/sidecar/ending_test.go
+++ b/internal/process/sidecar/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,13 +37,18 @@
 				return
 			}
 			req, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil && req.URL.Path == "/x" {
+			if err != nil {
+				_ = conn.Close()
+				continue
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			if req.URL.Path != "/x" {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			} else {
 				if gone {
 					_ = listener.Close()
 				}
 				_, _ = io.WriteString(conn, bytes)
-			} else if err == nil {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 			}
 			_ = conn.Close()
 		}
@@ -95,3 +101,32 @@
 		})
 	}
 }
+
+// Answers that end with their connection are taken for broken off, so that none of them is served, or
+// for complete although their endpoint has crashed.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		header, body string
+		gone         bool
+		unmarked     bool
+		crashed, cut bool
+	}{
+		"a body":                       {"", "who", false, true, false, false},
+		"no body":                      {"", "", false, true, false, false},
+		"a body, the endpoint is gone": {"", "who", true, true, true, true},
+		"a whole stream":               {streamHeader, events + closing, false, true, false, false},
+		"a stream without its end":     {streamHeader, events, false, true, false, true},
+		"a stream inside its end":      {streamHeader, events + "data: [DONE]\n", false, true, false, true},
+		"a length":                     {"Content-Length: 3\r\n", "who", false, false, false, false},
+		"a length that is not reached": {"Content-Length: 4\r\n", "who", false, false, false, true},
+		"no content":                   {"Content-Length: 0\r\n", "", false, false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, body, err := run(t, endpointAnswering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"+test.body, test.gone))
+			qt.Check(t, body, qt.Equals, test.body)
+			qt.Check(t, got.Unmarked, qt.Equals, test.unmarked)
+			qt.Check(t, err != nil, qt.Equals, test.cut, qt.Commentf("%v", err))
+			qt.Check(t, errors.Is(err, sidecarhttp.ErrCrashed), qt.Equals, test.crashed)
+		})
+	}
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -129,10 +129,13 @@
 	defer func() { _ = resp.Body.Close() }()
 	worker.suspend(s.clock.Now(), resp)
 	end = s.copyAnswer(w, r, worker, resp)
-	if end == sidecarhttp.EndCut && r.Context().Err() == nil && s.crashed(worker, boot) {
+	switch {
+	case r.Context().Err() != nil:
+	case end == sidecarhttp.EndCut && s.crashed(worker, boot),
+		end == sidecarhttp.EndUnmarked && s.crashedAfterEnd(worker, boot):
 		end = sidecarhttp.EndCrashed
 	}
-	if end == sidecarhttp.EndWhole {
+	if end == sidecarhttp.EndWhole || end == sidecarhttp.EndUnmarked {
 		s.suspects.Served(fingerprint)
 	}
 	s.setEndTrailer(w, end)
@@ -210,6 +213,9 @@
 	header.Del("Content-Length")
 	header.Set(sidecarhttp.HeaderAttempt, r.Header.Get(sidecarhttp.HeaderAttempt))
 	worker.answerLoad().Write(header)
+	if !framed(resp) {
+		header.Set(sidecarhttp.HeaderFraming, sidecarhttp.FramingClose)
+	}
 	if resp.ContentLength >= 0 {
 		header.Set(sidecarhttp.HeaderLength, strconv.FormatInt(resp.ContentLength, 10))
 	}
@@ -222,7 +228,7 @@
 	sum := sidecarhttp.NewSum()
 	tail, err := copyFlushing(w, resp.Body, sum)
 	end := ending(resp, tail, err)
-	if end != sidecarhttp.EndWhole {
+	if end == sidecarhttp.EndCut {
 		s.event(r).WithField("status", resp.StatusCode).WithField("error", err).Info("answer cut")
 	}
 	sum.Write(header, end)
@@ -234,17 +240,23 @@
 }
 
 // ending decides whether an answer is complete. HTTP detects a cut if the body is
-// framed by a length or by chunks. A stream of events must also contain its last
-// event, since an engine that aborts may close its stream properly.
+// framed by a length or by chunks. A stream of events must contain its last event,
+// since an engine that aborts may close its stream properly; this proves the end in
+// any framing.
 func ending(resp *http.Response, tail []byte, err error) string {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if err != nil || !framed {
-		return sidecarhttp.EndCut
-	}
-	if isStream(resp) && !endsWithClosingEvent(tail) {
+	switch {
+	case err != nil || isStream(resp) && !endsWithClosingEvent(tail):
 		return sidecarhttp.EndCut
+	case isStream(resp) || framed(resp):
+		return sidecarhttp.EndWhole
+	default:
+		return sidecarhttp.EndUnmarked
 	}
-	return sidecarhttp.EndWhole
+}
+
+// framed reports whether the end of the body is marked by a length or by chunks.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
 func isStream(resp *http.Response) bool {
