entry: reset the connection of a caller whose answer breaks off

A long answer of a plain service that broke off behind its beginning ended, at callers that speak HTTP/1.0 or whose answer ends with its connection, in the same order as a complete one. TestBrokenAnswerIsResetByTheEntry failed for HTTP/1.0 before.

--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/decision/retry"
 	"carawayspread/internal/process/dispatcher"
@@ -194,7 +195,7 @@
 	default:
 		// The status has been sent, so only an aborted connection can show the
 		// caller that the answer is incomplete.
-		panic(http.ErrAbortHandler)
+		callers.Reset(w)
 	}
 }
 
