Objects, weights and peers' messages are not read without a marked end

What the object store, the weight store or a peer answered without a length and chunks was read up to the end of the connection: the beginning of an object is an object, and the beginning of a protobuf message, also an empty one, is a message. Their clients return an error for such an answer now. The bodies that prove their end themselves stay as they are: JSON of the rows, engines, instance list and administration API.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/listening"
 )
 
@@ -126,12 +127,12 @@
 
 func framing(resp *http.Response) carawayspread.Framing {
 	switch {
-	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
-		return carawayspread.FramingLength
+	case !framed.Marked(resp):
+		return carawayspread.FramingClose
 	case len(resp.TransferEncoding) > 0:
 		return carawayspread.FramingChunks
 	default:
-		return carawayspread.FramingClose
+		return carawayspread.FramingLength
 	}
 }
 
--- /dev/null
+++ b/internal/connection/framed/transport.go
@@ -0,0 +1,37 @@
+// Package framed rejects answers whose end nothing marks.
+//
+// An HTTP answer that has neither a length nor chunks ends with its connection, and looks the same
+// when it is broken off. Bytes that prove nothing by themselves, such as an object or a protobuf
+// message, must not be read from one.
+package framed
+
+import (
+	"errors"
+	"net/http"
+)
+
+// ErrUnmarked means that an answer has neither a length nor chunks.
+var ErrUnmarked = errors.New("the answer has neither a length nor chunks")
+
+// Marked reports whether the end of the answer's body is marked by a length or by chunks.
+func Marked(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
+// Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks.
+type Transport struct{ next *http.Transport }
+
+// New returns a Transport that sends requests through next.
+func New(next *http.Transport) *Transport { return &Transport{next: next} }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.next.RoundTrip(req)
+	if err != nil || Marked(resp) {
+		return resp, err
+	}
+	return nil, errors.Join(ErrUnmarked, resp.Body.Close())
+}
+
+// CloseIdleConnections closes the idle connections of the next transport.
+func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
--- /dev/null
+++ b/internal/connection/framed/transport_test.go
@@ -0,0 +1,101 @@
+package framed_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+
+	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/framed"
+	"carawayspread/internal/connection/knowledge"
+	"carawayspread/internal/connection/s3"
+	"carawayspread/internal/connection/transfer"
+	"carawayspread/internal/connection/weights"
+)
+
+// answering serves these bytes as the answer to each request and then closes the connection.
+func answering(t *testing.T, answer string) (url string) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = io.WriteString(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
+// The beginning of an object or of a message is taken for the whole, as its connection was closed in
+// order and nothing else marks its end.
+func TestAnswerWithoutAMarkedEndIsNotRead(t *testing.T) {
+	peer := transfer.New(transfer.Limits{ConnectTimeout: time.Second, IdleTimeout: time.Second, TotalTimeout: 5 * time.Second, MaxBytes: 1 << 20})
+	clients := map[string]func(ctx context.Context, url string) error{
+		"transport": func(ctx context.Context, url string) error {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+			if err != nil {
+				return err
+			}
+			resp, err := framed.New(&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+			if err != nil {
+				return err
+			}
+			_, err = io.ReadAll(resp.Body)
+			return errors.Join(err, resp.Body.Close())
+		},
+		"object": func(ctx context.Context, url string) error {
+			client := s3.New(url)
+			defer client.Close()
+			_, err := client.Get(ctx, "answers/7")
+			return err
+		},
+		"weights": func(ctx context.Context, url string) error {
+			client := weights.New(url, clockwork.NewRealClock())
+			defer client.Close()
+			_, err := client.Fetch(ctx, "model", io.Discard)
+			return err
+		},
+		"configuration of a peer": func(ctx context.Context, url string) error {
+			_, err := control.NewControlProtobufClient(url, peer.Client()).Changes(ctx, &control.ChangesRequest{})
+			return err
+		},
+		"routes of a peer": func(ctx context.Context, url string) error {
+			_, err := knowledge.NewKnowledgeProtobufClient(url, peer.Client()).Newer(ctx, &knowledge.NewerRequest{})
+			return err
+		},
+	}
+	for framing, test := range map[string]struct {
+		header string
+		read   bool
+	}{
+		"unmarked":             {"", false},
+		"a length":             {"Content-Length: 0\r\n\r\n", true},
+		"chunks":               {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"a length not reached": {"Content-Length: 5\r\n\r\n", false},
+		"chunks not ended":     {"Transfer-Encoding: chunked\r\n\r\n", false},
+	} {
+		for name, get := range clients {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				err := get(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"))
+				qt.Check(t, err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
+			})
+		}
+	}
+}
--- a/internal/connection/s3/objects.go
+++ b/internal/connection/s3/objects.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 )
 
 const (
@@ -57,10 +58,10 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
-	httpClient := &http.Client{Transport: &http.Transport{
+	httpClient := &http.Client{Transport: framed.New(&http.Transport{
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleConnTimeout,
-	}}
+	})}
 	client := s3.New(s3.Options{
 		BaseEndpoint:               aws.String(baseURL),
 		Region:                     s.region,
--- a/internal/connection/transfer/transfer.go
+++ b/internal/connection/transfer/transfer.go
@@ -15,6 +15,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"carawayspread/internal/connection/framed"
 )
 
 // ErrTooLarge means that an answer exceeds the limit.
@@ -40,7 +42,7 @@
 	t := &Transfer{limits: l}
 	t.client = &http.Client{
 		Timeout:   l.TotalTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: t.dial},
+		Transport: framed.New(&http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: t.dial}),
 	}
 	return t
 }
--- a/internal/connection/weights/store.go
+++ b/internal/connection/weights/store.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/retryafter"
 )
 
@@ -31,7 +32,7 @@
 // New returns the weight store at a base URL such as http://127.0.0.1:6000.
 func New(baseURL string, clock carawayspread.Clock) *Store {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
-	return &Store{client: &http.Client{Transport: transport}, url: baseURL + "/weights/", clock: clock}
+	return &Store{client: &http.Client{Transport: framed.New(transport)}, url: baseURL + "/weights/", clock: clock}
 }
 
 // Close closes idle connections.
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -15,6 +15,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/report"
 	"carawayspread/internal/controller/trial"
 	"carawayspread/internal/daemon/base"
@@ -102,7 +103,7 @@
 // entry.
 func (d *Daemon) adminHandler() http.Handler {
 	instances := func(context.Context) ([]carawayspread.Instance, error) { return d.base.Instances(), nil }
-	client := &http.Client{}
+	client := &http.Client{Transport: framed.New(http.DefaultTransport.(*http.Transport).Clone())}
 	dial := func(address string) control.Control {
 		return control.NewControlProtobufClient("http://"+address, client)
 	}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -18,6 +18,7 @@
 	"github.com/apex/log"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/sidecarhttp"
 )
 
@@ -213,7 +214,7 @@
 	header.Del("Content-Length")
 	header.Set(sidecarhttp.HeaderAttempt, r.Header.Get(sidecarhttp.HeaderAttempt))
 	worker.answerLoad().Write(header)
-	if !framed(resp) {
+	if !framed.Marked(resp) {
 		header.Set(sidecarhttp.HeaderFraming, sidecarhttp.FramingClose)
 	}
 	if resp.ContentLength >= 0 {
@@ -247,18 +248,13 @@
 	switch {
 	case err != nil || isStream(resp) && !endsWithClosingEvent(tail):
 		return sidecarhttp.EndCut
-	case isStream(resp) || framed(resp):
+	case isStream(resp) || framed.Marked(resp):
 		return sidecarhttp.EndWhole
 	default:
 		return sidecarhttp.EndUnmarked
 	}
 }
 
-// framed reports whether the end of the body is marked by a length or by chunks.
-func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
-}
-
 func isStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
