Stand-ins and soak: answers that end with their connection

Workers of the soak answer without a length and chunks: whole, cut inside an event or a body and closed in order, and cut and reset. New checks: no caller is told that an answer is complete of which its worker had not marked the end; an answer that a worker gave in full in this way reaches its caller; a body may lack its end only where the worker did not send it and nothing marks it.

--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -170,6 +170,8 @@
 	for _, a := range h.answers {
 		found = append(found, h.checkAtMostOnce(a, executions[a.ID])...)
 		found = append(found, checkOwnAnswer(a, executions[a.ID])...)
+		found = append(found, checkProof(a, executions[a.ID])...)
+		found = append(found, h.checkUnframed(a, executions[a.ID])...)
 		found = append(found, checkRefusal(a, executions[a.ID])...)
 		found = append(found, h.checkTimeout(a)...)
 		found = append(found, h.checkAnswered(a)...)
@@ -202,7 +204,7 @@
 		}
 		return nil
 	}
-	if !slices.ContainsFunc(executions, func(r request) bool { return a.Body == r.worker+" answers "+a.ID }) {
+	if !slices.ContainsFunc(executions, func(r request) bool { return ownBody(a, r) }) {
 		return finding("%s got as its own %q", a.ID, a.Body)
 	}
 	return nil
--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -38,6 +38,12 @@
 		}
 		return all
 	}
+	// unframed is one execution whose answer has no length or chunks, and lacks its end if short.
+	unframed := func(short bool) []worker.Request {
+		all := ran(0, "id")
+		all[0].Unframed, all[0].Short = true, short
+		return all
+	}
 	servedWith := func(change func(*caller.Answer)) caller.Answer {
 		a := served(caller.Unsafe, "w answers id")
 		change(&a)
@@ -87,11 +93,22 @@
 			harmful(h, 4, true)
 			h.RecordFault("g", at(15500*time.Millisecond), at(16*time.Second))
 		}, ""},
-		"refused but ran":                 {refused, ran(0, "id"), nil, "as not run"},
-		"late":                            {late, ran(0, "id"), nil, "after 4s, of 3s"},
-		"late from a paused process":      {late, ran(0, "id"), func(h *History) { h.RecordFault("g", at(time.Second), at(3*time.Second)) }, ""},
-		"no answer":                       {unanswered, nil, nil, "without an answer by g"},
-		"no answer from a killed process": {unanswered, nil, func(h *History) { h.RecordFault("g", at(time.Second/2), at(2*time.Second)) }, ""},
+		"unframed":                           {servedWith(func(a *caller.Answer) { a.Unframed = true }), unframed(false), nil, ""},
+		"unframed, told that it is complete": {servedWith(func(*caller.Answer) {}), unframed(false), nil, "had not marked the end"},
+		"unframed, cut by its worker":        {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(true), nil, ""},
+		"unframed, cut elsewhere":            {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(false), nil, "as its own"},
+		"unframed, a stream that is cut": {servedWith(func(a *caller.Answer) {
+			a.Kind, a.Unframed, a.Body = caller.Stream, true, "id: 1\ndata: part 1 of id\n\n"
+		}), unframed(true), nil, "as whole"},
+		"unframed, not passed on":                    {truncated, unframed(false), nil, "did not get the answer that w gave in full"},
+		"unframed, cut with an error":                {truncated, unframed(true), nil, ""},
+		"unframed, at a faulty worker":               {truncated, unframed(false), func(h *History) { h.RecordFault("w", at(0), at(time.Second)) }, ""},
+		"unframed, from a killed process":            {truncated, unframed(false), func(h *History) { h.RecordFault("g", at(0), at(time.Second)) }, ""},
+		"refused but ran":                            {refused, ran(0, "id"), nil, "as not run"},
+		"late":                                       {late, ran(0, "id"), nil, "after 4s, of 3s"},
+		"late from a paused process":                 {late, ran(0, "id"), func(h *History) { h.RecordFault("g", at(time.Second), at(3*time.Second)) }, ""},
+		"no answer":                                  {unanswered, nil, nil, "without an answer by g"},
+		"no answer from a killed process":            {unanswered, nil, func(h *History) { h.RecordFault("g", at(time.Second/2), at(2*time.Second)) }, ""},
 		"no answer while another process was killed": {unanswered, nil, func(h *History) { h.RecordFault("h", at(time.Second/2), at(2*time.Second)) }, "without an answer by g"},
 		"no answer on a shutdown":                    {unanswered, nil, func(h *History) { h.RecordShutdown("g", at(time.Second-time.Millisecond), at(2*time.Second)) }, "without an answer by g"},
 		"sent after the process had exited":          {unanswered, nil, func(h *History) { h.RecordShutdown("g", at(-time.Millisecond), at(2*time.Second)) }, ""},
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -41,6 +41,7 @@
 	HasRetryAfter   bool // the response has Retry-After
 	ServerLeaving   bool // the worker announces that it is leaving
 	HasServerLimit  bool // the worker reports its rate limit
+	Unframed        bool // the response has neither a length nor chunks
 	Body            string
 	Err             error // why there is no response, or why its body is incomplete
 }
@@ -100,6 +101,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a.Status, a.Seal, a.HasRetryAfter = resp.StatusCode, resp.Header.Get("Carawayspread-Server-Seal"), resp.Header.Get("Retry-After") != ""
 	a.ServerLeaving, a.HasServerLimit = resp.Header.Get("Server-Leaving") != "", resp.Header.Get("Server-Limit") != ""
+	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	answer, err := io.ReadAll(resp.Body)
 	a.Body = string(answer)
 	return err
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -27,7 +27,9 @@
 	WrongRequestID               // the response has the id of another request
 	Unsealed                     // a success without a signature (server seal)
 	Error500                     // a signed failure of the worker itself
-	Unframed                     // the body has no length and ends when the connection closes
+	Unframed                     // neither a length nor chunks: the answer ends when the connection closes
+	UnframedShort                // as Unframed, but closes the connection in the middle of an event or a body
+	UnframedReset                // as UnframedShort, but resets the connection
 	ExtraAnswer                  // a second, unrequested response after the first
 	Hang                         // sends nothing until the caller closes the connection
 	Misdirected                  // a 421: another worker has the address
@@ -49,6 +51,8 @@
 	Header                         http.Header
 	Ran                            bool
 	PrefillOnly                    bool // only the prompt is prefilled here; another worker decodes
+	Unframed                       bool // the answer has neither a length nor chunks
+	Short                          bool // the answer has no length or chunks and lacks its end
 	At                             time.Time
 }
 
@@ -185,7 +189,8 @@
 	}
 }
 
-func (w *Worker) next(got Request) Behaviour {
+// next returns the behaviour for a request, and records the request.
+func (w *Worker) next(got *Request) Behaviour {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	behaviour := Answer
@@ -200,7 +205,9 @@
 	if strings.HasPrefix(got.Target, "/-/") {
 		got.Ran = false
 	}
-	w.requests = append(w.requests, got)
+	got.Short = behaviour == UnframedShort || behaviour == UnframedReset
+	got.Unframed = behaviour == Unframed || got.Short
+	w.requests = append(w.requests, *got)
 	return behaviour
 }
 
@@ -220,7 +227,7 @@
 	if strings.HasPrefix(got.Target, "/-/report") || strings.HasPrefix(got.Target, "/-/order") {
 		return w.control(conn, got)
 	}
-	behaviour := w.next(got)
+	behaviour := w.next(&got)
 	if crash := w.crashFor(got); crash != nil {
 		writeUntilCrash(conn, got)
 		crash()
@@ -256,9 +263,6 @@
 		w.disconnects++
 		w.mu.Unlock()
 		return false
-	case Unframed:
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"\r\n"+seal+"\r\nConnection: close\r\n\r\n"+text)
-		return false
 	default:
 		return w.succeed(conn, got, behaviour, text, id, seal)
 	}
@@ -305,8 +309,11 @@
 
 func (w *Worker) succeed(conn net.Conn, got Request, behaviour Behaviour, text, id, seal string) bool {
 	switch {
+	case got.Unframed:
+		writeUnframed(conn, got, behaviour, text, id, seal)
+		return false
 	case got.Header.Get("Carawayspread-Stage") != "":
-		w.write(conn, "200 OK", `{"kv_handle":"h-`+got.ID+`","tokens":10,"version":1}`, id)
+		w.write(conn, "200 OK", handleOf(got), id)
 	case strings.Contains(got.Target, "/stream/"):
 		return w.stream(conn, got, behaviour, id, seal)
 	case behaviour == Truncate:
@@ -321,15 +328,45 @@
 	return true
 }
 
+// writeUnframed answers without a length or chunks, up to the end of the connection.
+func writeUnframed(conn net.Conn, got Request, behaviour Behaviour, text, id, seal string) {
+	header := "HTTP/1.1 200 OK\r\n" + id + "\r\n" + seal + "\r\nConnection: close\r\n\r\n"
+	switch {
+	case got.PrefillOnly:
+		text = handleOf(got)
+	case strings.Contains(got.Target, "/stream/"):
+		text = ""
+		for n := firstMissing(got); n <= Events; n++ {
+			text += event(n, got.ID)
+		}
+	}
+	if got.Short {
+		text = text[:len(text)*2/3+1] // not the end of an event
+	}
+	_, _ = io.WriteString(conn, header+text)
+	if tcp, ok := conn.(*net.TCPConn); ok && behaviour == UnframedReset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func handleOf(got Request) string { return `{"kv_handle":"h-` + got.ID + `","tokens":10,"version":1}` }
+
+// firstMissing returns the number of the first event that the caller of a stream does not have.
+func firstMissing(got Request) int {
+	last := 0
+	if text := got.Header.Get("Last-Event-Id"); text != "" {
+		_, _ = fmt.Sscan(text, &last)
+	}
+	return last + 1
+}
+
+func event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, id) }
+
 func (w *Worker) stream(conn net.Conn, got Request, behaviour Behaviour, id, seal string) bool {
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"\r\n"+seal+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
-	first := 1
-	if last := got.Header.Get("Last-Event-Id"); last != "" {
-		_, _ = fmt.Sscan(last, &first)
-		first++
-	}
+	first := firstMissing(got)
 	for n := first; n <= Events; n++ {
-		event := fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, got.ID)
+		event := event(n, got.ID)
 		if behaviour == Truncate && n == first+1 {
 			event = event[:len(event)/2]
 		}
