An answer to HEAD keeps the length that its endpoint announced

Callers that ask for a header alone were told that the body has no bytes: what is relayed is the length of the body that arrived. TestAnswerWithoutABodyKeepsItsLength failed for HEAD, with and without a length.

--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -91,6 +91,9 @@
 func (c *call) sendHeader(reply *carawayspread.Reply, length int64) {
 	c.copyHeader(reply)
 	h := c.w.Header()
+	if c.r.Method == http.MethodHead {
+		length = reply.Length // of the body that is not sent
+	}
 	switch {
 	case reply.Framing == carawayspread.FramingClose:
 		c.framing = carawayspread.FramingClose
--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -42,6 +42,7 @@
 	whole    string // its length is announced with FramingLength
 	sent     string // the part of whole that is sent
 	end      ending
+	head     string // if not empty, all that is sent
 	arrived  atomic.Int32
 }
 
@@ -71,6 +72,10 @@
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
 	e.arrived.Add(1)
+	if e.head != "" {
+		_, _ = io.WriteString(conn, e.head)
+		return
+	}
 	var b bytes.Buffer
 	_, _ = fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: %s\r\nCarawayspread-Server-Seal: s\r\n", req.Header.Get("Carawayspread-Request-Id"))
 	switch e.framing {
@@ -311,3 +316,32 @@
 		}
 	}
 }
+
+// The length of a body that an answer only announces is passed on as zero.
+func TestAnswerWithoutABodyKeepsItsLength(t *testing.T) {
+	for name, test := range map[string]struct {
+		method, status, header string
+		length                 string
+	}{
+		"HEAD":                    {http.MethodHead, "200 OK", "Content-Length: 800\r\n", "800"},
+		"HEAD, no length":         {http.MethodHead, "200 OK", "", ""},
+		"HEAD, an empty body":     {http.MethodHead, "200 OK", "Content-Length: 0\r\n", "0"},
+		"not modified":            {http.MethodGet, "304 Not Modified", "Content-Length: 800\r\n", ""},
+		"not modified, no length": {http.MethodGet, "304 Not Modified", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := framingHarness(t, func(e *rawEndpoint) {
+				e.head = "HTTP/1.1 " + test.status + "\r\nCarawayspread-Request-Id: id-1\r\nCarawayspread-Server-Seal: s\r\n" + test.header + "\r\n"
+			})
+			req, err := http.NewRequest(test.method, b.server.URL+"/safe/x", nil)
+			qt.Assert(t, err, qt.IsNil)
+			req.Host = "a.example"
+			req.Header.Set("Carawayspread-Request-Id", "id-1")
+			resp, err := http.DefaultClient.Do(req)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.Body.Close(), qt.IsNil)
+			qt.Check(t, resp.Header.Get("Content-Length"), qt.Equals, test.length)
+			qt.Check(t, strings.HasPrefix(test.status, fmt.Sprint(resp.StatusCode)), qt.IsTrue)
+		})
+	}
+}
