Keep quarantined requests in the platform's table

A request that had crashed two endpoints was sent to two more each time that all processes were lost at once, with up to 64 answers of others at each. The gossip of crashes needs one that is left.

Way: a process that observed a crash of a request that is refused, once the crash can no longer be withdrawn, adds the request to one item of the table, with the end of its quarantine by the store's clock. A process that starts reads the item and refuses what has not ended, for what is left, and asks peers as usual whether they answered it. A crash that is withdrawn is not written.

TestReplacedProcessRefusesWhatCrashedEndpoints: the request runs at a third endpoint without it (its mutant).

--- a/cmd/gateway/crash_test.go
+++ b/cmd/gateway/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +53,37 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
 }
+
+// All processes of a fleet are replaced, and a request that has crashed two endpoints is sent to a
+// third one.
+func TestReplacedProcessRefusesWhatCrashedEndpoints(t *testing.T) {
+	f := newFleet(t)
+	for _, id := range []string{"w-1", "w-2"} {
+		f.putServer(startWorker(t, id, worker.Crash), "plain", "", "ready", 1)
+	}
+	f.start(t)
+	f.waitReady(t)
+	for i := range 2 {
+		resp, _, err := f.send("POST", "/order/x", fmt.Sprint("id-", i), "harmful")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusBadGateway)
+	}
+	waitUntil(t, func() bool { return strings.Contains(f.out.String(), "event=quarantineLog saved=1") })
+	f.stop()
+	f.ended <- <-f.ended // for the cleanup
+	spare := startWorker(t, "w-3")
+	f.putServer(spare, "plain", "", "ready", 1)
+
+	next := f.secondGateway(t, f.settings.Store())
+	next.start(t)
+	next.waitReady(t)
+	waitUntil(t, func() bool { return strings.Contains(next.out.String(), "event=quarantineLog restored=1") })
+	resp, body, err := next.send("POST", "/order/x", "id-3", "harmful")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, body, qt.Contains, `"notRun":true`)
+	qt.Check(t, spare.Runs(), qt.Equals, 0)
+	resp, _, err = next.send("POST", "/order/x", "id-4", "harmless")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -22,6 +22,7 @@
 	"carawayspread/internal/connection/knowledge"
 	"carawayspread/internal/connection/peers"
 	"carawayspread/internal/connection/storetime"
+	"carawayspread/internal/controller/quarantinelog"
 	"carawayspread/internal/controller/rolecontroller"
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
@@ -80,6 +81,7 @@
 	follower       *follower.Follower
 	learner        *knowledge.Learner
 	roleController *rolecontroller.Controller // nil if roles do not change
+	quarantineLog  *quarantinelog.Log         // nil without a table
 	syncedClock    *clocksync.Clock
 	usage          *usageAccounting // nil if no usage is reported
 	endpointsKnown atomic.Bool
@@ -137,6 +139,9 @@
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
+	if ports.Table != nil {
+		d.quarantineLog = quarantinelog.New(ports.Table, d.gateway, ports.StoreTime, clock, d.decisionLog, d.gateway.QuarantineDuration())
+	}
 	d.gateway.Metrics().NewGauge(fmt.Sprintf("gateway_settings_info{instance=%q,zone=%q,settings=%q}", s.ID(), s.Zone(), s.Digest()),
 		func() float64 { return 1 })
 	return d, trace.Wrap(d.listen())
@@ -308,6 +313,9 @@
 	if d.roleController != nil {
 		run(d.roleController.Run)
 	}
+	if d.quarantineLog != nil {
+		run(d.quarantineLog.Run)
+	}
 	run(func(context.Context) error { return d.control.Run() })
 	run(func(context.Context) error { return d.peers.Receive(d) })
 	run(func(context.Context) error { return d.health.Run() })
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -149,6 +149,7 @@
 	r := q.suspect(fingerprint, now, now)
 	r.quarantinedUntil = now.Add(left)
 	r.expires = later(r.expires, r.quarantinedUntil)
+	q.refusals.own.Add(fingerprint, struct{}{})
 }
 
 // Suspected records that the sidecar of the endpoint refused the request as a suspect. An empty
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -75,6 +75,9 @@
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
 	checks  map[carawayspread.EndpointID]*endpointCheck
+	// observed are the requests whose crashes this process observed, until they can no longer be
+	// withdrawn.
+	observed map[uint64]struct{}
 }
 
 // drainWindow is the remaining time of a process that has been told to shut down.
@@ -114,6 +117,7 @@
 		recordUsage:     func(string, time.Duration) {},
 		budgets:         map[string]*fleetbudget.Budget{},
 		checks:          map[carawayspread.EndpointID]*endpointCheck{},
+		observed:        map[uint64]struct{}{},
 	}
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
 	for _, opt := range opts {
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -14,6 +14,9 @@
 // while the request was running there. It outlasts the retries of callers.
 const quarantineDuration = 2 * time.Minute
 
+// maxObserved bounds the requests whose crashes this process observed and that may have to be saved.
+const maxObserved = 1024
+
 // Who observed a crash or its withdrawal, in logs and metrics.
 const (
 	fromOwn    = "own"    // this process
@@ -44,6 +47,32 @@
 	g.logCrash(fingerprint, id, withdrawn, fromPeer)
 }
 
+// QuarantineDuration returns how long a request stays quarantined.
+func (*Gateway) QuarantineDuration() time.Duration { return quarantineDuration }
+
+// TakeSettled returns requests that are refused for crashes which this process observed and that can
+// no longer be withdrawn, with the time left; each of them once.
+func (g *Gateway) TakeSettled() map[uint64]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	settled := map[uint64]time.Duration{}
+	for fingerprint := range g.observed {
+		if g.clock.Now().Sub(g.quarantine.LastCrash(fingerprint)) <= quarantine.AliveWithin {
+			continue
+		}
+		delete(g.observed, fingerprint)
+		if verdict, refusal := g.quarantine.Decide(quarantine.Attempt{Fingerprint: fingerprint}); verdict == quarantine.VerdictRefuse {
+			settled[fingerprint] = refusal.RetryAfter()
+		}
+	}
+	return settled
+}
+
+// Restore refuses a request that processes before this one have quarantined.
+func (g *Gateway) Restore(fingerprint uint64, left time.Duration) {
+	g.quarantine.Quarantined(fingerprint, left)
+}
+
 // Refused returns the requests that are refused here and that peers may have answered.
 func (g *Gateway) Refused() []uint64 { return g.quarantine.Refused() }
 
@@ -137,6 +166,11 @@
 // sent at sentAt; zero if unknown.
 func (g *Gateway) recordOwnCrash(fingerprint uint64, id carawayspread.EndpointID, sentAt time.Time) {
 	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now(), Sent: sentAt}, []uint64{fingerprint}, nil)
+	g.mu.Lock()
+	if len(g.observed) < maxObserved {
+		g.observed[fingerprint] = struct{}{}
+	}
+	g.mu.Unlock()
 	g.logCrash(fingerprint, id, false, fromOwn)
 	g.reportCrash(fingerprint, id, false)
 }
--- a/internal/process/gateway/quarantine_test.go
+++ b/internal/process/gateway/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"carawayspread"
+	"carawayspread/internal/decision/quarantine"
 )
 
 // Guards against a request that crashes one endpoint after the other: it must be refused after two
@@ -143,3 +145,51 @@
 	}
 	qt.Check(t, reported, qt.DeepEquals, []uint64{same})
 }
+
+// What is saved for processes that start later is not settled: one crash, or crashes that are
+// withdrawn, so that harmless requests are refused; or nothing is saved.
+func TestOnlySettledQuarantinesAreSaved(t *testing.T) {
+	for name, test := range map[string]struct {
+		crashes   int
+		withdrawn bool
+		after     time.Duration
+		saved     bool
+	}{
+		"two crashes":              {2, false, quarantine.AliveWithin + 1, true},
+		"two crashes, just now":    {2, false, quarantine.AliveWithin, false},
+		"one crash":                {1, false, quarantine.AliveWithin + 1, false},
+		"two crashes, one is none": {2, true, quarantine.AliveWithin + 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			for n := range test.crashes {
+				b.gateway.recordOwnCrash(7, carawayspread.EndpointID(fmt.Sprint("w", n)), b.clock.Now())
+			}
+			if test.withdrawn {
+				b.gateway.endpointAnswered("w0", b.clock.Now().Add(1))
+			}
+			b.clock.Advance(test.after)
+			got := b.gateway.TakeSettled()
+			qt.Check(t, len(got) == 1, qt.Equals, test.saved, qt.Commentf("%v", got))
+			b.clock.Advance(quarantine.AliveWithin)
+			again := b.gateway.TakeSettled()
+			qt.Check(t, len(again) == 1, qt.Equals, name == "two crashes, just now", qt.Commentf("%v", again))
+		})
+	}
+}
+
+// A request that processes before this one have quarantined is run, or refused for longer than is left.
+func TestRestoredQuarantineIsRefused(t *testing.T) {
+	b := newHarness(t)
+	b.gateway.Restore(fingerprint("/never/x", []byte("body")), 10*time.Second)
+	resp, body, err := b.post(t, "/never/x", "body")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, resp.Header.Get("Retry-After"), qt.Equals, "10.000")
+	qt.Check(t, body, qt.Contains, `"notRun":true`)
+	qt.Check(t, b.gateway.Refused(), qt.HasLen, 1, qt.Commentf("peers are not asked whether they answered it"))
+	b.clock.Advance(10 * time.Second)
+	resp, _, err = b.post(t, "/never/x", "body")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+}
