--- a/internal/connection/framed/transport_test.go
+++ b/internal/connection/framed/transport_test.go
@@ -1,7 +1,6 @@
 package framed_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -19,28 +18,16 @@
 	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/connection/transfer"
 	"carawayspread/internal/connection/weights"
+	"carawayspread/internal/standin/raw"
 )
 
 // answering serves these bytes as the answer to each request and then closes the connection.
 func answering(t *testing.T, answer string) (url string) {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	server, err := raw.New(func(conn *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(conn, answer) })
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	t.Cleanup(server.Close)
+	return "http://" + server.Address()
 }
 
 // The beginning of an object or of a message is taken for the whole, as its connection was closed in
--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -16,6 +16,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/direct"
+	"carawayspread/internal/standin/raw"
 )
 
 // How an endpoint's or the gateway's answer ends.
@@ -37,40 +38,26 @@
 
 // rawEndpoint answers every request in the same way on a real socket.
 type rawEndpoint struct {
-	listener net.Listener
-	framing  carawayspread.Framing
-	whole    string // its length is announced with FramingLength
-	sent     string // the part of whole that is sent
-	end      ending
-	head     string // if not empty, all that is sent
-	arrived  atomic.Int32
+	*raw.Server
+	framing carawayspread.Framing
+	whole   string // its length is announced with FramingLength
+	sent    string // the part of whole that is sent
+	end     ending
+	head    string // if not empty, all that is sent
+	arrived atomic.Int32
 }
 
 func newRawEndpoint(t *testing.T) *rawEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	e := &rawEndpoint{}
+	var err error
+	e.Server, err = raw.New(e.answer)
 	qt.Assert(t, err, qt.IsNil)
-	e := &rawEndpoint{listener: listener}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn.(*net.TCPConn))
-		}
-	}()
+	t.Cleanup(e.Close)
 	return e
 }
 
-func (e *rawEndpoint) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
+func (e *rawEndpoint) answer(conn *net.TCPConn, req *http.Request) {
 	e.arrived.Add(1)
 	if e.head != "" {
 		_, _ = io.WriteString(conn, e.head)
@@ -98,7 +85,7 @@
 		time.Sleep(20 * time.Millisecond) // so that what was sent is read before the reset
 		_ = conn.SetLinger(0)
 	case endGone:
-		_ = e.listener.Close()
+		e.Close()
 	}
 }
 
@@ -153,7 +140,7 @@
 		e := newRawEndpoint(t)
 		answers(e)
 		list = append(list, e)
-		endpoints = append(endpoints, carawayspread.NewEndpoint(carawayspread.EndpointID(fmt.Sprint("w", i)), "s", "z", e.listener.Addr().String(), false,
+		endpoints = append(endpoints, carawayspread.NewEndpoint(carawayspread.EndpointID(fmt.Sprint("w", i)), "s", "z", e.Address(), false,
 			carawayspread.WithRole(carawayspread.RoleDecode), carawayspread.WithSlots(8)))
 	}
 	b.gateway.SetEndpoints(endpoints)
--- a/internal/process/sidecar/ending_test.go
+++ b/internal/process/sidecar/ending_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +14,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/standin/raw"
 )
 
 const (
@@ -27,33 +27,20 @@
 // connection, and its listener before that if gone is set.
 func endpointAnswering(t *testing.T, bytes string, gone bool) Worker {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			req, err := http.ReadRequest(bufio.NewReader(conn))
-			if err != nil {
-				_ = conn.Close()
-				continue
-			}
-			_, _ = io.Copy(io.Discard, req.Body)
-			if req.URL.Path != "/x" {
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-			} else {
-				if gone {
-					_ = listener.Close()
-				}
-				_, _ = io.WriteString(conn, bytes)
-			}
-			_ = conn.Close()
+	var server *raw.Server
+	server, err := raw.New(func(conn *net.TCPConn, req *http.Request) {
+		if req.URL.Path != "/x" { // the sidecar asks for the endpoint's state
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+			return
+		}
+		if gone {
+			server.Close()
 		}
-	}()
-	return Worker{ID: "engine-1", Kind: carawayspread.KindPlain, Address: listener.Addr().String()}
+		_, _ = io.WriteString(conn, bytes)
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Close)
+	return Worker{ID: "engine-1", Kind: carawayspread.KindPlain, Address: server.Address()}
 }
 
 // run sends a request to the endpoint through a sidecar and reads the answer as an entry does.
--- /dev/null
+++ b/internal/standin/raw/server.go
@@ -0,0 +1,54 @@
+// Package raw is a stand-in for servers whose answers net/http would not write.
+package raw
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+)
+
+// Server answers each request on a connection of its own, which ends with the answer.
+type Server struct {
+	listener net.Listener
+	answer   func(conn *net.TCPConn, req *http.Request)
+}
+
+// New starts a server on a loopback address. answer writes an answer to a request whose body has been
+// read; the connection is closed after it.
+func New(answer func(conn *net.TCPConn, req *http.Request)) (*Server, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: listener, answer: answer}
+	go s.serve()
+	return s, nil
+}
+
+// Address returns the IP address and port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close stops listening. Open connections go on.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(conn.(*net.TCPConn))
+	}
+}
+
+func (s *Server) serveConn(conn *net.TCPConn) {
+	defer func() { _ = conn.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err == nil {
+		s.answer(conn, req)
+	}
+}
