Stand-in of an engine: answers that end with their connection

Through entry and sidecar, a whole completion and a stream arrive and a broken stream is resumed also where the engine marks no end (TestWholePath, TestStreamIsResumed).

--- a/cmd/carawayspread/processes_test.go
+++ b/cmd/carawayspread/processes_test.go
@@ -21,11 +21,11 @@
 
 // twoEngines starts two sidecars with one engine each, and an entry. A crashed engine does not
 // restart during the test.
-func twoEngines(t *testing.T) (f *fleet, entry *process, sidecars map[*engine.Engine]*process) {
+func twoEngines(t *testing.T, opts ...engine.Option) (f *fleet, entry *process, sidecars map[*engine.Engine]*process) {
 	f = newFleet(t)
 	sidecars = map[*engine.Engine]*process{}
 	for _, id := range []string{"1", "2"} {
-		e := engine.New(engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Hour))
+		e := engine.New(append(opts, engine.TokenEvery(gap), engine.ChecksFence(), engine.Restart(time.Hour))...)
 		sidecars[e] = f.sidecar("sidecar-"+id, model("engine-"+id, e))
 		sidecars[e].link = f.insertLink(sidecars[e])
 	}
@@ -53,17 +53,21 @@
 // Guards against an answer that is incomplete or differs between a streamed and an unstreamed
 // completion, through separate entry and sidecar processes. A plain service is called as well.
 func TestWholePath(t *testing.T) {
-	f := newFleet(t)
-	f.sidecar("sidecar-1", model("engine-1", engine.New(engine.ChecksFence())), records("records-1", plain.New(0)))
-	entry := f.entry("entry-1")
+	for name, opts := range map[string][]engine.Option{"framed": nil, "unframed": {engine.Unframed()}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.sidecar("sidecar-1", model("engine-1", engine.New(append(opts, engine.ChecksFence())...)), records("records-1", plain.New(0)))
+			entry := f.entry("entry-1")
 
-	streamed := stream(entry, "vereda", 5, nil)
-	qt.Check(t, streamed.complete(), qt.IsTrue)
-	whole := call(entry, http.MethodPost, "/v1/completions", "interactive", `{"model":"stand-in","prompt":"vereda","max_tokens":5}`, nil)
-	qt.Check(t, whole.status, qt.Equals, http.StatusOK)
-	qt.Check(t, whole.text(), qt.Equals, streamed.text())
-	record := call(entry, http.MethodGet, "/services/records/records/7", "interactive", "", nil)
-	qt.Check(t, record.body, qt.Equals, "{\"record\":\"7\"}\n")
+			streamed := stream(entry, "vereda", 5, nil)
+			qt.Check(t, streamed.complete(), qt.IsTrue)
+			whole := call(entry, http.MethodPost, "/v1/completions", "interactive", `{"model":"stand-in","prompt":"vereda","max_tokens":5}`, nil)
+			qt.Check(t, whole.status, qt.Equals, http.StatusOK)
+			qt.Check(t, whole.text(), qt.Equals, streamed.text())
+			record := call(entry, http.MethodGet, "/services/records/records/7", "interactive", "", nil)
+			qt.Check(t, record.body, qt.Equals, "{\"record\":\"7\"}\n")
+		})
+	}
 }
 
 // Guards against a stream that the caller sees interrupted. After the first tokens the sidecar is
@@ -71,26 +75,34 @@
 // The entry detects the closed connection or the missing events, and has another engine resume after
 // the last event that the caller has.
 func TestStreamIsResumed(t *testing.T) {
-	tests := map[string]func(e *engine.Engine, sidecar *process){
-		"sidecar killed": func(_ *engine.Engine, sidecar *process) { sidecar.kill() },
-		"sidecar paused": func(_ *engine.Engine, sidecar *process) { sidecar.signal(syscall.SIGSTOP) },
-		"network cut":    func(_ *engine.Engine, sidecar *process) { sidecar.link.cut.Store(true) },
-		"engine crashed": func(e *engine.Engine, _ *process) { e.Crash() },
+	kill := func(_ *engine.Engine, sidecar *process) { sidecar.kill() }
+	crash := func(e *engine.Engine, _ *process) { e.Crash() }
+	tests := map[string]struct {
+		fail    func(e *engine.Engine, sidecar *process)
+		crash   bool
+		engines []engine.Option
+	}{
+		"sidecar killed":           {kill, false, nil},
+		"sidecar killed, unframed": {kill, false, []engine.Option{engine.Unframed()}},
+		"sidecar paused":           {func(_ *engine.Engine, sidecar *process) { sidecar.signal(syscall.SIGSTOP) }, false, nil},
+		"network cut":              {func(_ *engine.Engine, sidecar *process) { sidecar.link.cut.Store(true) }, false, nil},
+		"engine crashed":           {crash, true, nil},
+		"engine crashed, unframed": {crash, true, []engine.Option{engine.Unframed()}},
 	}
-	for name, fail := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			f, entry, sidecars := twoEngines(t)
+			f, entry, sidecars := twoEngines(t, test.engines...)
 			want := stream(entry, "municipio", 40, nil)
 			qt.Assert(t, want.complete(), qt.IsTrue, qt.Commentf("%s", want.body))
 			// A crash makes the request a suspect, and claiming its trial needs the table.
-			f.table.SetDown(name != "engine crashed")
+			f.table.SetDown(!test.crash)
 			got := stream(entry, "municipio", 40, func() {
 				e := busy(sidecars)
 				if e == nil {
 					t.Error(entry.logged())
 					return
 				}
-				fail(e, sidecars[e])
+				test.fail(e, sidecars[e])
 			})
 			qt.Check(t, got.complete(), qt.IsTrue, qt.Commentf("%s\n%s", got.body, logs(entry, sidecars)))
 			qt.Check(t, got.text(), qt.Equals, want.text())
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -127,11 +127,17 @@
 	}
 	body := a.body()
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if e.unframed {
+		setUnframed(w)
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	_, _ = w.Write(body)
 	e.served.Add(1)
 }
 
+func setUnframed(w http.ResponseWriter) { w.Header().Set("Transfer-Encoding", "identity") }
+
 func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, a answer) {
 	offset, ok := a.resume(r)
 	if !ok {
@@ -139,6 +145,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.unframed {
+		setUnframed(w)
+	}
 	if offset > 0 {
 		w.Header().Set(headerResumed, strconv.Itoa(offset))
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -28,6 +28,7 @@
 	prefillRate int           // prompt tokens per second; zero takes no time
 	roleChange  time.Duration // duration of a role change
 	restart     time.Duration // time from a crash until the engine serves again
+	unframed    bool          // completions end with their connection
 	// roleChangeEnds, unless it is nil, ends role changes when it is closed.
 	roleChangeEnds <-chan struct{}
 
@@ -75,6 +76,9 @@
 // Restart sets the time from a crash until the engine serves again.
 func Restart(d time.Duration) Option { return func(e *Engine) { e.restart = d } }
 
+// Unframed makes completions end with their connection, without a length and chunks.
+func Unframed() Option { return func(e *Engine) { e.unframed = true } }
+
 // New returns an engine.
 func New(opts ...Option) *Engine {
 	e := &Engine{
