--- /dev/null
+++ b/internal/standin/worker/answer.go
@@ -0,0 +1,104 @@
+package worker
+
+import (
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"strings"
+	"time"
+)
+
+func (w *Worker) succeed(conn net.Conn, got Request, behaviour Behaviour, text, id, seal string) bool {
+	switch {
+	case got.Unframed:
+		writeUnframed(conn, got, behaviour, text, id, seal)
+		return false
+	case got.Header.Get("Carawayspread-Stage") != "":
+		w.write(conn, "200 OK", handleOf(got), id)
+	case strings.Contains(got.Target, "/stream/"):
+		return w.stream(conn, got, behaviour, id, seal)
+	case behaviour == Truncate:
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"\r\n"+seal+"\r\nContent-Length: 100\r\n\r\n"+text)
+		return false
+	default:
+		w.write(conn, "200 OK", text, id, seal)
+	}
+	if behaviour == ExtraAnswer {
+		w.write(conn, "200 OK", "late "+text, id, seal)
+	}
+	return true
+}
+
+// writeUnframed answers without a length or chunks, up to the end of the connection.
+func writeUnframed(conn net.Conn, got Request, behaviour Behaviour, text, id, seal string) {
+	header := "HTTP/1.1 200 OK\r\n" + id + "\r\n" + seal + "\r\nConnection: close\r\n\r\n"
+	switch {
+	case got.PrefillOnly:
+		text = handleOf(got)
+	case strings.Contains(got.Target, "/stream/"):
+		text = ""
+		for n := firstMissing(got); n <= Events; n++ {
+			text += event(n, got.ID)
+		}
+	}
+	if got.Short {
+		text = text[:len(text)*2/3+1] // not the end of an event
+	}
+	_, _ = io.WriteString(conn, header+text)
+	if tcp, ok := conn.(*net.TCPConn); ok && behaviour == UnframedReset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+func handleOf(got Request) string { return `{"kv_handle":"h-` + got.ID + `","tokens":10,"version":1}` }
+
+// firstMissing returns the number of the first event that the caller of a stream does not have.
+func firstMissing(got Request) int {
+	last := 0
+	if text := got.Header.Get("Last-Event-Id"); text != "" {
+		_, _ = fmt.Sscan(text, &last)
+	}
+	return last + 1
+}
+
+func event(n int, id string) string { return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", n, n, id) }
+
+func (w *Worker) stream(conn net.Conn, got Request, behaviour Behaviour, id, seal string) bool {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"\r\n"+seal+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	first := firstMissing(got)
+	for n := first; n <= Events; n++ {
+		event := event(n, got.ID)
+		if behaviour == Truncate && n == first+1 {
+			event = event[:len(event)/2]
+		}
+		if behaviour == SlowEvents {
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+		if behaviour == Truncate && n == first+1 {
+			return false
+		}
+	}
+	_, _ = io.WriteString(conn, "0\r\n\r\n")
+	return true
+}
+
+func (w *Worker) write(conn net.Conn, status, body string, headers ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, strings.Join(headers, "\r\n"), len(body), body)
+}
+
+// writeUntilCrash writes nothing, a header, or a part of a body, by the identifier of the request.
+func writeUntilCrash(conn net.Conn, got Request) {
+	parts := []string{
+		"HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: " + got.ID + "\r\nCarawayspread-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent),
+	}
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, got.ID)
+	for _, part := range parts[:int(h.Sum32())%(len(parts)+1)] {
+		_, _ = io.WriteString(conn, part)
+	}
+}
+
+const firstEvent = "id: 1\ndata: part 1\n\n"
