--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -184,7 +184,6 @@
 							continue // not a broken answer
 						}
 						t.Run(strings.Join([]string{proto, path, framing.String(), end.String(), name}, ","), func(t *testing.T) {
-							t.Parallel()
 							b, _ := framingHarness(t, func(e *rawEndpoint) {
 								e.framing, e.end, e.sent, e.whole = framing, end, sent, wholeBody
 								if stream {
@@ -228,7 +227,6 @@
 			for _, framing := range []carawayspread.Framing{carawayspread.FramingChunks, carawayspread.FramingLength, carawayspread.FramingClose} {
 				for name, body := range bodies {
 					t.Run(strings.Join([]string{proto, path, framing.String(), name}, ","), func(t *testing.T) {
-						t.Parallel()
 						end := endMarked
 						if framing == carawayspread.FramingClose {
 							end = endFIN
