An unframed answer of the table with nothing in it is not a missing item

The SDK takes an empty body for an empty answer, so a read whose answer was broken off before its body, with neither a length nor chunks, found no item: a claim, lease or record that is there did not exist for its reader. Its client returns an error for such an answer now, like those of objects and weights; a write is read back.

--- a/internal/connection/dynamodb/table.go
+++ b/internal/connection/dynamodb/table.go
@@ -11,6 +11,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 )
 
 const (
@@ -54,7 +55,7 @@
 	for _, opt := range opts {
 		opt(&s)
 	}
-	sender := &sender{client: &http.Client{Transport: newTransport()}}
+	sender := &sender{client: &http.Client{Transport: framed.New(newTransport())}}
 	client := dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(baseURL),
 		Region:       s.region,
--- a/internal/connection/framed/transport_test.go
+++ b/internal/connection/framed/transport_test.go
@@ -12,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"carawayspread"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/dynamodb"
 	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/knowledge"
 	"carawayspread/internal/connection/s3"
@@ -53,6 +55,15 @@
 			_, err := client.Get(ctx, "answers/7")
 			return err
 		},
+		"item": func(ctx context.Context, url string) error {
+			client := dynamodb.New(url)
+			defer client.Close()
+			_, err := client.Get(ctx, carawayspread.Key{Partition: "p", Sort: "s"})
+			if errors.Is(err, carawayspread.ErrNoItem) {
+				return nil // an empty answer is one without the item
+			}
+			return err
+		},
 		"weights": func(ctx context.Context, url string) error {
 			client := weights.New(url, clockwork.NewRealClock())
 			defer client.Close()
@@ -69,18 +80,18 @@
 		},
 	}
 	for framing, test := range map[string]struct {
-		header string
-		read   bool
+		header, body string
+		read         bool
 	}{
-		"unmarked":             {"", false},
-		"a length":             {"Content-Length: 0\r\n\r\n", true},
-		"chunks":               {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
-		"a length not reached": {"Content-Length: 5\r\n\r\n", false},
-		"chunks not ended":     {"Transfer-Encoding: chunked\r\n\r\n", false},
+		"unmarked":             {"", "", false},
+		"a length":             {"Content-Length: 0\r\n", "", true},
+		"chunks":               {"Transfer-Encoding: chunked\r\n", "0\r\n\r\n", true},
+		"a length not reached": {"Content-Length: 5\r\n", "", false},
+		"chunks not ended":     {"Transfer-Encoding: chunked\r\n", "", false},
 	} {
 		for name, get := range clients {
 			t.Run(name+", "+framing, func(t *testing.T) {
-				err := get(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"))
+				err := get(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"+test.body))
 				qt.Check(t, err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
 			})
 		}
