--- a/internal/controller/quarantinelog/log.go
+++ b/internal/controller/quarantinelog/log.go
@@ -71,8 +71,8 @@
 	return &Log{table: table, quarantine: q, storeTime: storeTime, clock: clock, log: log, longest: longest, unsaved: map[uint64]time.Time{}}
 }
 
-// Run restores what is saved, and then saves what is new, until ctx ends. While the table cannot be
-// read, what is saved may still be in force; afterwards it no longer is.
+// Run restores what is saved, and then saves what is new, until ctx ends. If the table cannot be read,
+// it tries again for as long as a saved quarantine may last.
 func (l *Log) Run(ctx context.Context) error {
 	started := l.clock.Now()
 	restored := false
