--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -209,7 +209,7 @@
 	}
 	if err != nil {
 		if ctx.Err() != nil {
-			c.g.checkAbandoned(at.Endpoint, c.fingerprint)
+			c.g.checkAbandoned(at.Endpoint, c.broken())
 			outcome = carawayspread.OutcomeCancelled
 			return false, ctx.Err()
 		}
--- a/internal/process/gateway/check.go
+++ b/internal/process/gateway/check.go
@@ -35,7 +35,7 @@
 // endpointCheck is a check that has not been sent yet.
 type endpointCheck struct {
 	// abandoned are requests whose attempts this process ended before they were answered in full.
-	abandoned []uint64
+	abandoned []brokenRequest
 }
 
 // checkCrash checks whether the endpoint of a recorded crash is still running.
@@ -43,12 +43,12 @@
 
 // checkAbandoned checks whether the endpoint crashed with a request that this process stopped
 // waiting for. Its connection is closed by then, so that nothing else shows the crash.
-func (g *Gateway) checkAbandoned(at carawayspread.Endpoint, fingerprint uint64) {
-	g.scheduleCheck(at, fingerprint)
+func (g *Gateway) checkAbandoned(at carawayspread.Endpoint, request brokenRequest) {
+	g.scheduleCheck(at, request)
 }
 
 // scheduleCheck starts a check of the endpoint, unless one is about to be sent.
-func (g *Gateway) scheduleCheck(at carawayspread.Endpoint, abandoned ...uint64) {
+func (g *Gateway) scheduleCheck(at carawayspread.Endpoint, abandoned ...brokenRequest) {
 	if g.prober == nil {
 		return
 	}
@@ -80,8 +80,8 @@
 			g.endpointAnswered(at.ID(), sentAt)
 			return
 		case errors.Is(err, carawayspread.ErrNotListening):
-			for _, fingerprint := range check.abandoned {
-				g.recordOwnCrash(fingerprint, at.ID(), time.Time{})
+			for _, request := range check.abandoned {
+				g.recordOwnCrash(request, at.ID(), time.Time{})
 			}
 			return
 		}
--- a/internal/process/gateway/check_test.go
+++ b/internal/process/gateway/check_test.go
@@ -200,7 +200,7 @@
 	})
 	endpoint := carawayspread.NewEndpoint("w0", "s", "z", "10.0.0.1:100", false)
 	for n := range uint64(copies) {
-		b.gateway.recordOwnCrash(n, "w0", time.Time{})
+		b.gateway.recordOwnCrash(brokenRequest{fingerprint: n}, "w0", time.Time{})
 		b.gateway.checkCrash(endpoint)
 	}
 	time.Sleep(20 * time.Millisecond) // for further checks, which there must not be, to start
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strconv"
+	"strings"
 	"time"
 
 	"carawayspread"
@@ -50,7 +52,7 @@
 	} else {
 		g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now()}, []uint64{fingerprint}, nil)
 	}
-	g.logCrash(fingerprint, id, withdrawn, fromPeer)
+	g.logCrash(brokenRequest{fingerprint: fingerprint}, id, withdrawn, fromPeer)
 }
 
 // RefuteCrash removes the record of a crash that a peer proved to be none.
@@ -100,26 +102,44 @@
 func (g *Gateway) LearnCrash(r carawayspread.CrashReport) carawayspread.CrashVerdict {
 	verdict, isNew := g.quarantine.Learn(r)
 	if isNew {
-		g.logCrash(r.Fingerprint, r.Endpoint, false, fromReport)
+		g.logCrash(brokenRequest{fingerprint: r.Fingerprint}, r.Endpoint, false, fromReport)
 	}
 	return verdict
 }
 
+// brokenRequest is a request whose answer an endpoint broke off.
+type brokenRequest struct {
+	fingerprint uint64
+	prompt      *carawayspread.Prompt // nil if it has none
+}
+
+func (c *call) broken() brokenRequest { return brokenRequest{c.fingerprint, c.metadata.Prompt} }
+
+// partsText returns the identifiers of the parts of the request's prompt that others may share.
+func (b brokenRequest) partsText() string {
+	var ids []string
+	for _, part := range b.prompt.SharedParts() {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // logCrash counts a recorded crash, or the withdrawal of one. It logs those that this process observed
 // and those for which the request is refused from now on: in a large fleet, each process gets the
 // records of all others.
-func (g *Gateway) logCrash(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool, from string) {
+func (g *Gateway) logCrash(request brokenRequest, id carawayspread.EndpointID, withdrawn bool, from string) {
 	event := "crash"
 	if withdrawn {
 		event = "crashWithdrawn"
 	}
 	g.set.GetOrCreateCounter(`gateway_crash_records_total{event="` + event + `",from="` + from + `"}`).Inc()
-	verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: fingerprint})
+	verdict, _ := g.quarantine.Decide(quarantine.Attempt{Fingerprint: request.fingerprint})
 	refused := verdict == quarantine.VerdictRefuse
 	if from != fromOwn && !refused {
 		return
 	}
-	line := decisionlog.Start(event).Text("request", fingerprintText(fingerprint)).Text("endpoint", string(id)).Text("from", from)
+	line := decisionlog.Start(event).Text("request", fingerprintText(request.fingerprint)).
+		Text("endpoint", string(id)).Text("parts", request.partsText()).Text("from", from)
 	if refused {
 		line.Text("refused", "true")
 	}
@@ -161,29 +181,29 @@
 	c.exclude[id] = true
 	switch {
 	case errors.Is(context.Cause(attemptCtx), errStalled):
-		c.g.checkAbandoned(at.Endpoint, c.fingerprint)
+		c.g.checkAbandoned(at.Endpoint, c.broken())
 		return carawayspread.OutcomeFailed
 	case ctx.Err() != nil:
-		c.g.checkAbandoned(at.Endpoint, c.fingerprint)
+		c.g.checkAbandoned(at.Endpoint, c.broken())
 		return carawayspread.OutcomeCancelled
 	}
 	c.g.placer.Crashed(id)
-	c.g.recordOwnCrash(c.fingerprint, id, sentAt)
+	c.g.recordOwnCrash(c.broken(), id, sentAt)
 	c.g.checkCrash(at.Endpoint)
 	return carawayspread.OutcomeFailed
 }
 
 // recordOwnCrash records a crash that this process observed, also at the peers. The request was
 // sent at sentAt; zero if unknown.
-func (g *Gateway) recordOwnCrash(fingerprint uint64, id carawayspread.EndpointID, sentAt time.Time) {
-	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now(), Sent: sentAt}, []uint64{fingerprint}, nil)
+func (g *Gateway) recordOwnCrash(request brokenRequest, id carawayspread.EndpointID, sentAt time.Time) {
+	g.quarantine.Crashed(quarantine.Crash{Endpoint: id, At: g.clock.Now(), Sent: sentAt}, []uint64{request.fingerprint}, nil)
 	g.mu.Lock()
 	if len(g.observed) < maxObserved {
-		g.observed[fingerprint] = struct{}{}
+		g.observed[request.fingerprint] = struct{}{}
 	}
 	g.mu.Unlock()
-	g.logCrash(fingerprint, id, false, fromOwn)
-	g.reportCrash(fingerprint, id, false)
+	g.logCrash(request, id, false, fromOwn)
+	g.reportCrash(request.fingerprint, id, false)
 }
 
 // endpointAnswered withdraws recent crashes of the endpoint where an answer to what was sent at
@@ -197,7 +217,7 @@
 func (g *Gateway) endpointAnsweredOver(id carawayspread.EndpointID, sentAt, connectedAt time.Time) {
 	cleared, proved := g.quarantine.EndpointAnsweredOver(id, sentAt, connectedAt)
 	for _, fingerprint := range cleared {
-		g.logCrash(fingerprint, id, true, fromOwn)
+		g.logCrash(brokenRequest{fingerprint: fingerprint}, id, true, fromOwn)
 		g.reportCrash(fingerprint, id, true)
 	}
 	for _, fingerprint := range proved {
--- a/internal/process/gateway/quarantine_test.go
+++ b/internal/process/gateway/quarantine_test.go
@@ -163,7 +163,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(t)
 			for n := range test.crashes {
-				b.gateway.recordOwnCrash(7, carawayspread.EndpointID(fmt.Sprint("w", n)), b.clock.Now())
+				b.gateway.recordOwnCrash(brokenRequest{fingerprint: 7}, carawayspread.EndpointID(fmt.Sprint("w", n)), b.clock.Now())
 			}
 			if test.withdrawn {
 				b.gateway.endpointAnswered("w0", b.clock.Now().Add(1))
--- a/prompt.go
+++ b/prompt.go
@@ -17,6 +17,14 @@
 	Parts      []PromptPart // in order; together they are the prompt. The last is not shared.
 }
 
+// SharedParts returns the parts that other prompts may share: all but the last. A nil prompt has none.
+func (p *Prompt) SharedParts() []PromptPart {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // PrefixHashes returns for each part the hash of the prefix that ends with it: equal parts have
 // equal hashes only after equal prefixes.
 func (p Prompt) PrefixHashes() []uint64 {
