--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -75,6 +75,7 @@
 	conns       map[net.Conn]bool
 	headers     map[string]string // additional headers of responses
 	onCrash     func()            // nil if requests crash no worker
+	harmfulPart string            // of a prompt that crashes the worker; empty if none does
 	eventDelay  time.Duration     // before each event of a stream after the first
 	version     string            // of its software, which each event names; empty if they name none
 }
@@ -151,6 +152,14 @@
 	w.onCrash = f
 }
 
+// CrashOnPart makes requests with that part of their prompts crash the worker as it begins to answer.
+// f is called before the connections are closed.
+func (w *Worker) CrashOnPart(part string, f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.harmfulPart, w.onCrash = part, f
+}
+
 // ClearScript drops the rest of the script, so that the worker answers normally.
 func (w *Worker) ClearScript() {
 	w.mu.Lock()
@@ -293,12 +302,23 @@
 func (w *Worker) crashFor(got Request) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if got.Body != HarmfulBody || got.PrefillOnly {
+	if got.PrefillOnly || got.Body != HarmfulBody && !w.hasHarmfulPart(got) {
 		return nil
 	}
 	return w.onCrash
 }
 
+// hasHarmfulPart reports whether the prompt has the part that crashes the worker. It must be called with
+// mu held.
+func (w *Worker) hasHarmfulPart(got Request) bool {
+	for part := range strings.SplitSeq(got.Header.Get("Carawayspread-Prefix-Hash"), ",") {
+		if id, _, _ := strings.Cut(part, ":"); w.harmfulPart != "" && id == w.harmfulPart {
+			return true
+		}
+	}
+	return false
+}
+
 // extraHeaders returns the additional headers of responses, each preceded by a line break.
 func (w *Worker) extraHeaders() string {
 	w.mu.Lock()
