Quarantine: a crash that a part of a prompt explains is held against no other request

Cause: a request that ran at two crashed endpoints is refused, whatever the cause of the crashes.

Change: once a part is refused by itself, the crashes of its endpoints are withdrawn from all requests, and later reports of them do not count. One crash has one cause; a request with the part is refused for it anyway.

Evidence: TestRequestBesideAHarmfulPartIsServed, both orders, 503 on the code before, 200 now.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -30,6 +30,8 @@
 	// maxRecords bounds the memory, at about 200 bytes per fingerprint. A crash adds the requests
 	// of one batch.
 	maxRecords = 16384
+	// maxExplained bounds the endpoints whose crashes have a known cause.
+	maxExplained = 1024
 )
 
 // Crash is one crash of an endpoint.
@@ -83,6 +85,8 @@
 	recent   map[carawayspread.EndpointID][]recentCrash // crashes of the last AliveWithin; no empty lists
 	refusals refusals
 	reports  reports
+	// explained are endpoints whose crashes have a known cause, and when that was learned.
+	explained *lru.LRU[carawayspread.EndpointID, time.Time]
 
 	recentEndpoints atomic.Int64 // number of endpoints in recent, readable without the lock
 }
@@ -99,7 +103,14 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	q := &Quarantine{clock: clock, duration: defaultDuration, records: records, recent: map[carawayspread.EndpointID][]recentCrash{}, refusals: newRefusals(), reports: newReports()}
+	explained, err := lru.NewLRU[carawayspread.EndpointID, time.Time](maxExplained, nil)
+	if err != nil {
+		panic(err)
+	}
+	q := &Quarantine{
+		clock: clock, duration: defaultDuration, records: records, recent: map[carawayspread.EndpointID][]recentCrash{},
+		refusals: newRefusals(), reports: newReports(), explained: explained,
+	}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -138,6 +149,9 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock.Now()
+	if q.isExplained(crash) {
+		return
+	}
 	for _, fingerprint := range running {
 		isTrial := trial != nil && *trial == fingerprint
 		r := q.suspect(fingerprint, now, now)
--- a/internal/decision/quarantine/reports.go
+++ b/internal/decision/quarantine/reports.go
@@ -94,6 +94,8 @@
 		return carawayspread.CrashAnswered, false
 	case q.isDismissed(dismissal{report.Fingerprint, report.Endpoint}, at):
 		return carawayspread.CrashWithdrawn, false
+	case q.isExplained(Crash{Endpoint: report.Endpoint, At: at}):
+		return carawayspread.CrashWithdrawn, false
 	case report.Age >= q.duration:
 		return carawayspread.CrashAccepted, false
 	}
--- a/internal/decision/suspectparts/parts.go
+++ b/internal/decision/suspectparts/parts.go
@@ -16,8 +16,9 @@
 	memory = 10 * time.Minute
 	// maxParts bounds the parts with crashes, and maxSuspects those that may be refused: about 500 bytes
 	// each.
-	maxParts    = 2048
-	maxSuspects = 128
+	maxParts     = 2048
+	maxSuspects  = 128
+	maxExplained = 1024 // endpoints
 )
 
 // Request is what counts of a prompt that broke off.
@@ -34,9 +35,10 @@
 	rng *rand.Rand
 	// weak are the parts with crashes that do not suffice; suspects those with enough, counted alone.
 	weak, suspects *lru.LRU[uint64, *record]
-	answered       *lru.LRU[uint64, time.Time] // when each part that had crashes was answered last
-	unsaved        map[uint64]struct{}         // with a crash that this process observed, since they were last taken
-	cleared        []uint64                    // were refused and answered here; not taken yet
+	answered       *lru.LRU[uint64, time.Time]              // when each part that had crashes was answered last
+	unsaved        map[uint64]struct{}                      // with a crash that this process observed, since they were last taken
+	explained      *lru.LRU[carawayspread.EndpointID, bool] // whose crashes a refused part explains; whether taken
+	cleared        []uint64                                 // were refused and answered here; not taken yet
 
 	known atomic.Int64 // number of parts in weak and suspects, readable without the lock
 }
@@ -46,7 +48,7 @@
 	return &Parts{
 		clock: clock, rng: rng, unsaved: map[uint64]struct{}{},
 		weak: newLRU[uint64, *record](maxParts), suspects: newLRU[uint64, *record](maxSuspects),
-		answered: newLRU[uint64, time.Time](maxParts),
+		answered: newLRU[uint64, time.Time](maxParts), explained: newLRU[carawayspread.EndpointID, bool](maxExplained),
 	}
 }
 
@@ -76,6 +78,7 @@
 			}
 		}
 	}
+	p.explain()
 	return news
 }
 
@@ -99,9 +102,38 @@
 
 func (p *Parts) count() { p.known.Store(int64(p.weak.Len() + p.suspects.Len())) }
 
+// explain notes the endpoints whose crashes refused parts explain.
+func (p *Parts) explain() {
+	for _, part := range p.suspects.Keys() {
+		r, _ := p.suspects.Peek(part)
+		if !p.refused([]uint64{part}, r) {
+			continue
+		}
+		for _, c := range r.crashes {
+			if !p.explained.Contains(c.endpoint) {
+				p.explained.Add(c.endpoint, false)
+			}
+		}
+	}
+}
+
 // refused reports whether a prompt with the part of r is refused for it.
 func (p *Parts) refused(prompt []uint64, r *record) bool { return r.restored || p.harmful(prompt, r) }
 
+// TakeExplained returns endpoints whose crashes a refused part explains, each once.
+func (p *Parts) TakeExplained() []carawayspread.EndpointID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var explained []carawayspread.EndpointID
+	for _, endpoint := range p.explained.Keys() {
+		if taken, _ := p.explained.Peek(endpoint); !taken {
+			explained = append(explained, endpoint)
+			p.explained.Add(endpoint, true)
+		}
+	}
+	return explained
+}
+
 // Empty reports whether nothing is known of any part.
 func (p *Parts) Empty() bool { return p.known.Load() == 0 }
 
--- a/internal/decision/suspectparts/reports.go
+++ b/internal/decision/suspectparts/reports.go
@@ -60,5 +60,6 @@
 			p.record(report.Part, crash{report.Endpoint, at, report.Witness, report.Doubtful}, now)
 		}
 	}
+	p.explain()
 	return answered
 }
--- a/internal/process/gateway/parts.go
+++ b/internal/process/gateway/parts.go
@@ -8,6 +8,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/decision/suspectparts"
+	"carawayspread/internal/process/decisionlog"
 )
 
 // trialRetry is the Retry-After of a request whose part another process tries, or whose trial cannot be
@@ -84,6 +85,15 @@
 	if news := g.parts.Crashed(id, at, doubtful, prompts); len(news) > 0 {
 		g.reportParts(news)
 	}
+	g.excuseExplained()
+}
+
+// excuseExplained removes crashes from quarantine that a refused part explains.
+func (g *Gateway) excuseExplained() {
+	for _, id := range g.parts.TakeExplained() {
+		g.quarantine.Explained(id)
+		g.log.Write(decisionlog.Start("crashExplained").Text("endpoint", string(id)))
+	}
 }
 
 // checkParts refuses a request with a part that crashes endpoints, unless it is the trial of the part.
@@ -127,7 +137,9 @@
 
 // LearnParts records crashes that a peer reports, and returns the parts that were answered since.
 func (g *Gateway) LearnParts(crashes []carawayspread.PartCrash) (answered []uint64) {
-	return g.parts.Learn(crashes)
+	answered = g.parts.Learn(crashes)
+	g.excuseExplained()
+	return answered
 }
 
 // PartsAnsweredByPeer clears parts of prompts that a peer answered.
--- a/internal/process/gateway/parts_test.go
+++ b/internal/process/gateway/parts_test.go
@@ -82,3 +82,26 @@
 }
 
 const prefixHash = "Carawayspread-Prefix-Hash"
+
+// A harmless request is refused for two minutes, as it ran at two endpoints that another request's part
+// crashed.
+func TestRequestBesideAHarmfulPartIsServed(t *testing.T) {
+	for name, partFirst := range map[string]bool{"the part is found later": false, "the part is found first": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			find := func() { b.gateway.LearnParts(crashedAt(keysOf("", "dd:5,01:5")[0], 1, 2, 3)) }
+			if partFirst {
+				find()
+			}
+			for _, id := range []carawayspread.EndpointID{"x", "z"} {
+				b.gateway.RecordCrash(fingerprint("/never/x", []byte("harmless")), id, false)
+			}
+			if !partFirst {
+				find()
+			}
+			resp, _, err := b.post(t, "/never/x", "harmless", tokens, "100,5", prefixHash, "aa:5,02:5")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, 200)
+		})
+	}
+}
