Tests of refused parts: peers, the table, trials and processes that start later

Cause: had tests of its decisions and of two gateways that run all the time. What it says of gossip, of the table and of trials was not shown.

Change: tests alone, and the error of a read of the table is taken before its entries are returned.

--- a/cmd/gateway/part_test.go
+++ b/cmd/gateway/part_test.go
@@ -134,3 +134,42 @@
 		})
 	}
 }
+
+// A process that starts after a part has crashed engines sends requests with it on; also if all others are
+// gone by then.
+func TestProcessThatStartsLaterRefusesAHarmfulPart(t *testing.T) {
+	for name, replaced := range map[string]bool{"beside others": false, "in place of all": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			e := &engines{t: t, fleet: f}
+			for range 4 {
+				e.start()
+			}
+			f.start(t)
+			f.waitReady(t)
+			send := func(f *fleet, id, parts string) int {
+				resp, _, err := f.send("POST", "/stream/x", id, "prompt "+id, tokenCountHeader, "900,20", "Carawayspread-Prefix-Hash", parts+":5,"+id+":5")
+				qt.Assert(t, err, qt.IsNil)
+				return resp.StatusCode
+			}
+			for n := 0; !strings.Contains(f.out.String(), "item=parts") || n == 0; n++ {
+				_, _, _ = f.send("POST", "/stream/x", fmt.Sprint("a", n), fmt.Sprint("prompt ", n), tokenCountHeader, "900,20",
+					"Carawayspread-Prefix-Hash", fmt.Sprintf("a%d:5,%s:5,b%d:5", n, harmfulPart, n))
+				time.Sleep(2 * engineRestart)
+				qt.Assert(t, n < 20, qt.IsTrue)
+			}
+			if replaced {
+				f.stop()
+				f.ended <- <-f.ended // for the cleanup
+			}
+			later := f.secondGateway(t, f.settings.Store())
+			later.start(t)
+			later.waitReady(t)
+			time.Sleep(contactTime)
+			qt.Check(t, send(later, "c1", "aa:5,"+harmfulPart), qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, send(later, "c2", "aa:5,bb"), qt.Equals, http.StatusOK)
+			e.end(func(string) bool { return false })
+		})
+	}
+}
--- a/internal/controller/quarantinelog/log.go
+++ b/internal/controller/quarantinelog/log.go
@@ -267,5 +267,6 @@
 		return 0, nil, err
 	}
 	var entries []entry
-	return item.Rev, entries, trace.Wrap(json.Unmarshal(item.Body, &entries))
+	err = json.Unmarshal(item.Body, &entries)
+	return item.Rev, entries, trace.Wrap(err)
 }
--- a/internal/controller/quarantinelog/log_test.go
+++ b/internal/controller/quarantinelog/log_test.go
@@ -210,3 +210,38 @@
 		})
 	}
 }
+
+// Each process runs a trial of its own as a quarantine ends, or one after another without an end; or none is
+// ever run again.
+func TestOneTrialInTheWholeFleet(t *testing.T) {
+	f := newFleet(t)
+	trials := WithTrials(func(n int) time.Duration { return time.Duration(n) * time.Minute })
+	processes := []*process{f.process(), f.process(), f.process()}
+	granted := func() (n int) {
+		for _, p := range processes {
+			trials(p.Log)
+			if p.Claim(t.Context(), 1) {
+				n++
+			}
+		}
+		return n
+	}
+	processes[0].saveAll(t, map[uint64]time.Duration{1: time.Minute})
+	qt.Check(t, granted(), qt.Equals, 0)
+	qt.Check(t, processes[1].memory.restored[1], qt.Equals, time.Minute)
+	f.clock.Advance(time.Minute)
+	qt.Check(t, granted(), qt.Equals, 1)
+	qt.Check(t, processes[2].memory.restored[1], qt.Equals, time.Minute)
+	f.clock.Advance(time.Minute)
+	processes[2].saveAll(t, map[uint64]time.Duration{2: time.Minute}) // which keeps what had trials
+	qt.Check(t, granted(), qt.Equals, 1)
+	qt.Check(t, processes[2].memory.restored[1], qt.Equals, 2*time.Minute)
+	f.clock.Advance(2 * time.Minute)
+	for _, p := range processes {
+		p.table.reads = 1
+	}
+	qt.Check(t, granted(), qt.Equals, 0)
+	qt.Check(t, processes[0].memory.restored[1], qt.Equals, claimRetry)
+	processes[0].table.lost = 1 // the write takes effect
+	qt.Check(t, granted(), qt.Equals, 0)
+}
