entry: a message that crashes engines is found and refused by all entries

What callers would see: requests that share a message of their prompts, no two alike, crash one engine after the other, two for each request, as the second is the trial of the first.

Change: an entry holds suspectparts too; the parts of a chat are its messages but the last. Entries do not talk to each other, so that crashes and answers go through one item of the table, which each reads every two seconds (controller/partexchange). A trial is claimed as that of a request is.

--- a/cmd/carawayspread/crash_test.go
+++ b/cmd/carawayspread/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -134,3 +135,25 @@
 	got := stream(entries[0], "innocent", 5, nil)
 	qt.Check(t, got.complete(), qt.IsTrue, qt.Commentf("%s", got.body))
 }
+
+// Requests that share a message of their prompts crash one engine after the other, as no two of them are
+// alike and each entry learns of it by itself; or requests that share another message are refused.
+func TestMessageThatCrashesEngines(t *testing.T) {
+	_, entries, engines := crashFleet(t)
+	ask := func(n int, system string) answer {
+		body := fmt.Sprintf(`{"model":"stand-in","stream":true,"max_tokens":3,"messages":[{"role":"system","content":"be brief"},{"role":"system","content":%q},{"role":"user","content":"question %d"}]}`, system, n)
+		return call(entries[n%2], http.MethodPost, "/v1/chat/completions", "interactive", body, nil)
+	}
+	const requests, crashesUnnoticed, later = 24, 5, 3
+	served := 0
+	for n := range requests {
+		qt.Check(t, ask(n, engine.CrashMarker).complete(), qt.IsFalse)
+		if ask(requests+n, "harmless").complete() {
+			served++
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	qt.Check(t, crashes(engines) > 0, qt.IsTrue)
+	qt.Check(t, crashes(engines) <= crashesUnnoticed+later, qt.IsTrue, qt.Commentf("%d crashes", crashes(engines)))
+	qt.Check(t, 2*served >= requests, qt.IsTrue, qt.Commentf("%d of %d served", served, requests))
+}
--- a/internal/connection/openai/decode.go
+++ b/internal/connection/openai/decode.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,6 +23,8 @@
 	prefixBytes = 1024
 	// defaultMaxTokens is the assumed length of an answer whose request sets no limit.
 	defaultMaxTokens = 256
+	// maxParts bounds the messages of a prompt that are told apart.
+	maxParts = 64
 )
 
 // Completion contains the parsed parameters of a completion request.
@@ -30,6 +33,7 @@
 	stream bool
 	cost   carawayspread.Cost
 	prefix uint64 // hash of the prompt's prefix
+	parts  []uint64
 }
 
 type completionBody struct {
@@ -64,7 +68,25 @@
 	}
 	cost := carawayspread.Cost{Prefill: len(prompt)/bytesPerToken + 1, Decode: maxTokens}
 	prefix := xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)])
-	return Completion{model: b.Model, stream: b.Stream, cost: cost, prefix: prefix}, nil
+	return Completion{model: b.Model, stream: b.Stream, cost: cost, prefix: prefix, parts: b.parts()}, nil
+}
+
+// parts returns a hash of each message that other requests may share, for the same model: all but the last.
+func (b completionBody) parts() []uint64 {
+	var messages []json.RawMessage
+	if json.Unmarshal(b.Messages, &messages) != nil || len(messages) == 0 {
+		return nil // a prompt, or what the endpoint will refuse
+	}
+	var parts []uint64
+	for _, message := range messages[:min(len(messages)-1, maxParts)] {
+		digest := xxhash.New()
+		_, _ = digest.WriteString(b.Model + "\x00")
+		_, _ = digest.Write(message)
+		if part := digest.Sum64(); !slices.Contains(parts, part) {
+			parts = append(parts, part)
+		}
+	}
+	return parts
 }
 
 // maxTokens returns the limit of the answer in tokens.
@@ -95,5 +117,8 @@
 // Cost returns the estimated work.
 func (c Completion) Cost() carawayspread.Cost { return c.cost }
 
+// Parts returns a hash of each message of a chat that other requests may share, without repetitions.
+func (c Completion) Parts() []uint64 { return c.parts }
+
 // Prefix returns the hash of the prompt's prefix.
 func (c Completion) Prefix() uint64 { return c.prefix }
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -17,6 +17,7 @@
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/report"
+	"carawayspread/internal/controller/partexchange"
 	"carawayspread/internal/controller/trial"
 	"carawayspread/internal/daemon/base"
 	"carawayspread/internal/daemon/server"
@@ -37,6 +38,7 @@
 	control       *server.Server
 	reports       *report.Socket
 	ledger        *ledger.Ledger
+	exchange      *partexchange.Exchange
 	configChanged chan struct{} // signals planRoles; capacity 1
 	directory     atomic.Pointer[directory]
 	loads         *loads.Completer // used by handleReport only
@@ -55,11 +57,13 @@
 	d := &Daemon{base: b, loads: loads.New(), configChanged: make(chan struct{}, 1)}
 	d.directory.Store(&directory{})
 	s := b.Settings()
+	d.exchange = partexchange.New(b.Table(), b.Clock(), b.Log())
 	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
 	opts = append([]entry.Option{
 		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
 		entry.WithBodyLimit(s.Limits().BodyBytes()), entry.WithStall(s.Timeouts().BetweenBytes()),
 		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
+		entry.WithPartExchange(d.exchange),
 	}, opts...)
 	d.entry = entry.New(b.Config(), moduleFactory(s.Zone(), b.Clock()), opts...)
 	b.OnAdopted(func(*carawayspread.Config) { d.configAdopted() })
@@ -116,6 +120,7 @@
 	group := d.base.Group(ctx, d.instancesChanged, d.data, d.admin, d.control)
 	group.Go(d.entry.Run)
 	group.Go(d.ledger.Run)
+	group.Go(func(runCtx context.Context) error { return d.exchange.Run(runCtx, d.entry.Parts()) })
 	group.Go(func(runCtx context.Context) error { return d.reports.Receive(runCtx, d.handleReport) })
 	group.Go(d.planRoles)
 	group.Go(func(runCtx context.Context) error { return d.drainAfter(ctx, runCtx) })
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -16,6 +16,12 @@
 // attempt sends the call to one endpoint and forwards its answer to the end.
 // If final is set, no other attempt may follow the failure.
 func (e *Entry) attempt(ctx context.Context, d *dispatcher.Dispatcher, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int) (failure *carawayspread.Error, final bool) {
+	part, refusal := e.checkParts(ctx, c)
+	if refusal != nil {
+		return refusal, true
+	}
+	ended := carawayspread.OutcomeRefused
+	defer func() { e.endPartTrial(ctx, c, part, ended) }()
 	slot, trial, refusal := e.acquireSlot(ctx, d, c, tried, n)
 	if refusal != nil {
 		return refusal, true
@@ -29,7 +35,7 @@
 	}
 	failure, firstByte := e.sendAttempt(ctx, c, answer, slot, n, trial)
 	answer.beforeEnd = previous
-	ended := outcome(ctx, failure)
+	ended = outcome(ctx, failure)
 	if ended == carawayspread.OutcomeRefused && failure.Code() == carawayspread.CodeOverloaded {
 		d.RecordRefusal()
 	}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/decision/quarantine"
+	"carawayspread/internal/decision/suspectparts"
 	"carawayspread/internal/process/dispatcher"
 	"carawayspread/internal/request/call"
 )
@@ -56,6 +58,8 @@
 	stall       time.Duration
 	ledger      Ledger
 	suspects    *quarantine.Quarantine
+	parts       *suspectparts.Parts
+	exchange    PartExchange
 	trials      Trials
 	dispatchers atomic.Pointer[map[string]*dispatcher.Dispatcher] // by service; copy on write
 	draining    atomic.Bool
@@ -99,6 +103,7 @@
 		stall:    defaultStall,
 		ledger:   noLedger{},
 		trials:   noTrials{},
+		exchange: noExchange{},
 		counters: newCounters(),
 	}
 	e.dispatchers.Store(&map[string]*dispatcher.Dispatcher{})
@@ -106,6 +111,7 @@
 		opt(e)
 	}
 	e.suspects = quarantine.New(e.clock)
+	e.parts = suspectparts.New(e.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.client = sidecarhttp.NewClient(e.stall)
 	e.mux.HandleFunc("/v1/models", allowMethod(http.MethodGet, e.listModels))
 	e.mux.HandleFunc("/v1/chat/completions", allowMethod(http.MethodPost, e.run))
--- a/internal/process/entry/suspects.go
+++ b/internal/process/entry/suspects.go
@@ -108,8 +108,10 @@
 	case failure == nil:
 		if answer.succeeded() {
 			e.suspects.Served(fingerprint)
+			e.partsAnswered(c)
 		}
 	case errors.Is(failure, sidecarhttp.ErrCrashed):
+		e.partsCrashed(c, id, false)
 		e.suspects.Crashed(quarantine.Crash{Endpoint: id, At: e.clock.Now()}, []uint64{fingerprint}, trialFingerprint(trial, fingerprint))
 		if !trial {
 			e.reportCrash(ctx, c, id)
@@ -130,8 +132,10 @@
 	crash := quarantine.Crash{Endpoint: endpoint.ID(), At: e.clock.Now()}
 	switch err := e.probeSidecar(ctx, endpoint); {
 	case err == nil:
+		e.partsCrashed(c, endpoint.ID(), true)
 		e.suspects.Doubted(crash, fingerprint)
 	case errors.Is(err, carawayspread.ErrNotListening):
+		e.partsCrashed(c, endpoint.ID(), false)
 		e.suspects.Crashed(crash, []uint64{fingerprint}, trialFingerprint(trial, fingerprint))
 		if !trial {
 			e.reportCrash(ctx, c, endpoint.ID())
@@ -192,6 +196,18 @@
 	}
 }
 
+// endPartTrial records the result of the trial of a part, if the attempt was one.
+func (e *Entry) endPartTrial(ctx context.Context, c *call.Call, part uint64, ended carawayspread.Outcome) {
+	if part == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if err := e.trials.End(ctx, part, ended); err != nil {
+		e.event(c).WithError(err).Warn("cannot record the result of the trial of a part")
+	}
+}
+
 func (e *Entry) reportCrash(ctx context.Context, c *call.Call, id carawayspread.EndpointID) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
 	defer cancel()
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -164,6 +164,7 @@
 	c.job.Model = completion.Model()
 	c.job.Cost = completion.Cost()
 	c.job.Prefix = completion.Prefix()
+	c.job.Parts = completion.Parts()
 	return nil
 }
 
--- a/job.go
+++ b/job.go
@@ -25,6 +25,8 @@
 	Phase Role
 	// Prefix is the hash of the leading part of the prompt, for prefix cache affinity.
 	Prefix uint64
+	// Parts are hashes of the parts of the prompt that other prompts may share.
+	Parts []uint64
 	// Fingerprint is the hash of workspace, path and whole body. It is the same for all copies of
 	// the request that its caller sends.
 	Fingerprint uint64
