RECOVER: a process that cannot keep up closes new connections unread

What callers would see: for some seconds most new connections of a zone go to one process; it reads them all, and requests that it has read time out in it, although the processes beside it are idle.

Nothing bounds or sheds callers' connections.

Change: decision/connlimit. A timer every 100 ms shows how long the processor makes things wait. While it is more than limits.maxLateness late, the share of accepted connections falls by 0.7 for each timer, to a twentieth at least; otherwise it rises by a twentieth. The others are reset before anything is read, so that their callers try another process, and one answer in four asks its caller to reconnect.

Evidence: TestOverloadedProcessServesWhatItReads, a processor with a queue: at two to ten times its load, 0.75 or more of what is read from three seconds on is served within 300 ms, less without the limit. A link that is full is not observed.

--- a/internal/connection/callers/listener.go
+++ b/internal/connection/callers/listener.go
@@ -23,6 +23,7 @@
 	*net.TCPListener
 	clock   carawayspread.Clock
 	stopped atomic.Bool // no connection is accepted any more
+	admit   func() bool // reports whether the next connection is served; nil if all are
 }
 
 // Listen listens at an IPv4 address and port.
@@ -34,6 +35,10 @@
 	return &Listener{TCPListener: l.(*net.TCPListener), clock: clock}, nil
 }
 
+// SetAdmission sets the function that decides whether the next connection is served. Others are reset before
+// anything is read from them. It must be called before Accept.
+func (l *Listener) SetAdmission(admit func() bool) { l.admit = admit }
+
 // Drain closes the listener once no connection is pending, at the latest when ctx ends. Accept must
 // be called in the meantime.
 //
@@ -54,11 +59,19 @@
 
 // Accept returns the next connection, or net.ErrClosed once Drain has closed the listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
-	if err != nil && l.stopped.Load() {
-		return nil, net.ErrClosed
+	for {
+		conn, err := l.AcceptTCP()
+		switch {
+		case err != nil && l.stopped.Load():
+			return nil, net.ErrClosed
+		case err != nil:
+			return nil, err
+		case l.admit == nil || l.admit():
+			return conn, nil
+		}
+		_ = conn.SetLinger(0) // a reset, also if the request has arrived already
+		_ = conn.Close()
 	}
-	return conn, err
 }
 
 // stopIfIdle stops listening unless an established connection has not been accepted yet.
--- a/internal/connection/callers/listener_test.go
+++ b/internal/connection/callers/listener_test.go
@@ -98,3 +98,33 @@
 	_, err = l.Accept()
 	qt.Check(t, err, qt.ErrorIs, net.ErrClosed)
 }
+
+// A process that cannot serve more reads requests all the same, or leaves their callers waiting: what it does
+// not admit must be reset, and what it admits later must be served.
+func TestConnectionThatIsNotAdmittedIsReset(t *testing.T) {
+	l, err := callers.Listen("127.0.0.1:0", carawayspread.SystemClock())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	n := 0
+	l.SetAdmission(func() bool { n++; return n > 2 })
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		qt.Check(t, err, qt.IsNil)
+		accepted <- c
+	}()
+	for range 2 {
+		conn, err := net.Dial("tcp4", l.Addr().String())
+		if err == nil { // else the reset was there before the dial returned
+			_, written := conn.Write([]byte("request"))
+			_, read := conn.Read(make([]byte, 1))
+			err = errors.Join(written, read)
+			_ = conn.Close()
+		}
+		qt.Check(t, errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE), qt.IsTrue, qt.Commentf("%v", err))
+	}
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	qt.Check(t, <-accepted, qt.IsNotNil)
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -26,6 +26,7 @@
 	"carawayspread/internal/controller/rolecontroller"
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
+	"carawayspread/internal/decision/connlimit"
 	"carawayspread/internal/decision/zonereader"
 	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/process/follower"
@@ -95,6 +96,7 @@
 	callers     *http.Server
 	connections *connections
 	listener    *callers.Listener
+	connLimit   *connlimit.Limit
 	acceptEnded chan struct{} // closed when no further connection is accepted
 	health      *server.Server
 	metrics     *server.Server
@@ -136,6 +138,7 @@
 		gateway.WithAnswerReporter(d.peers.BroadcastAnswered),
 		gateway.WithPartReporters(d.peers.BroadcastPartCrashes, d.peers.BroadcastPartsAnswered),
 		gateway.WithTrials(d.claimTrial),
+		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
 		gateway.WithEndpointProber(ports.Prober))
 	d.peers.SetRefusalTracker(d.gateway)
 	d.peers.SetCrashTracker(d.gateway)
@@ -183,30 +186,6 @@
 func (f freshness) Age() (time.Duration, bool)        { return f.d.follower.Age() }
 func (f freshness) Refresh(ctx context.Context) error { return f.d.follower.Refresh(ctx) }
 
-// peerStatus returns the status of this process for its peers.
-func (d *Daemon) peerStatus() carawayspread.PeerStatus {
-	p := d.follower.PeerStatus()
-	p.StoreEpoch, _ = d.syncedClock.Epoch()
-	p.MayHoldUsageLease = d.usage != nil && d.usage.reporter.Holds()
-	return p
-}
-
-// ApplyLoadUpdates passes load updates of a peer to the placer.
-func (d *Daemon) ApplyLoadUpdates(from string, updates []carawayspread.LoadUpdate) {
-	d.placer.ApplyLoadUpdates(from, updates)
-}
-
-// ApplyPeerStatus records the status of a peer.
-func (d *Daemon) ApplyPeerStatus(id uint64, address string, s carawayspread.PeerStatus) {
-	d.follower.ObservePeer(id, address, s)
-	d.syncedClock.ObservePeer(id, s.StoreEpoch)
-}
-
-// ApplyPeerFeedback records the feedback that an endpoint gave in an answer to a peer.
-func (d *Daemon) ApplyPeerFeedback(f peers.EndpointFeedback) {
-	d.gateway.ApplyPeerFeedback(f.Endpoint, f.Feedback)
-}
-
 // setUpRoleController creates the role controller if the policy changes roles and the placer
 // provides the state that the controller needs.
 func (d *Daemon) setUpRoleController(ports Ports) {
@@ -229,6 +208,7 @@
 	if d.listener, err = callers.Listen(d.settings.Listen(), d.clock); err != nil {
 		return err
 	}
+	d.limitConnections()
 	d.callers = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: d.connections.setState,
@@ -301,6 +281,7 @@
 	run(d.decisionLog.Run)
 	run(d.peers.Run)
 	run(d.runOrigins)
+	run(d.runConnLimit)
 	run(d.follower.RunRoutes)
 	run(d.follower.RunEndpoints)
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
--- /dev/null
+++ b/internal/decision/connlimit/limit.go
@@ -0,0 +1,83 @@
+// Package connlimit decides which new connections a process accepts when its processor cannot keep up.
+//
+// A load balancer may send most new connections of a zone to one process. What it reads it must serve, and
+// with a processor that is behind, it serves nothing in time. A connection that is closed before its request
+// was read costs little: its caller tries another process at once.
+//
+// The measure is how late timers fire, as each step of a request waits as long. The share of accepted
+// connections falls fast while they are late, and rises slowly otherwise. Without it, requests queue in the
+// process until their callers give up.
+package connlimit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// Interval is the time between two timers that are observed.
+	Interval = 100 * time.Millisecond
+	// decrease and increase change the share of accepted connections with each timer: from all to a tenth in
+	// 0.7 s, and back in 2 s.
+	decrease = 0.7
+	increase = 0.05
+	minShare = 0.05
+	// reconnectEvery is one of how many answers asks its caller to reconnect, so that connections which are
+	// kept open spread as well.
+	reconnectEvery = 4
+)
+
+// Limit is the decision of one process. It is safe for concurrent use.
+type Limit struct {
+	maxOpen     int
+	maxLateness time.Duration // zero if lateness is not considered
+
+	mu      sync.Mutex
+	share   float64 // of new connections that are accepted; from minShare to 1
+	credit  float64 // of accepted connections; below 1
+	answers int     // while the share is below 1
+}
+
+// New returns a limit that accepts all connections, up to maxOpen at a time, while timers are not later than
+// maxLateness; zero does not consider them. A request waits for the processor about ten times, so that a tenth
+// of the shortest target is a good choice.
+func New(maxOpen int, maxLateness time.Duration) *Limit {
+	return &Limit{maxOpen: maxOpen, maxLateness: maxLateness, share: 1}
+}
+
+// Fired records how late a timer fired, and returns the share of connections that are accepted.
+func (l *Limit) Fired(late time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.maxLateness > 0 && late > l.maxLateness {
+		l.share = max(minShare, l.share*decrease)
+	} else {
+		l.share = min(1, l.share+increase)
+	}
+	return l.share
+}
+
+// Accept reports whether a new connection is accepted while that many are open.
+func (l *Limit) Accept(open int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if open >= l.maxOpen {
+		return false
+	}
+	if l.credit += l.share; l.credit < 1 {
+		return false
+	}
+	l.credit--
+	return true
+}
+
+// Reconnect reports whether an answer asks its caller to use another connection.
+func (l *Limit) Reconnect() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.share == 1 {
+		return false
+	}
+	l.answers++
+	return l.answers%reconnectEvery == 0
+}
--- /dev/null
+++ b/internal/decision/connlimit/limit_test.go
@@ -0,0 +1,87 @@
+package connlimit
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const maxLateness = 30 * time.Millisecond
+
+// process is a processor with a queue, which serves in the order of arrival.
+type process struct {
+	limit    *Limit // nil if all connections are accepted
+	work     time.Duration
+	busyTo   time.Duration
+	nextTick time.Duration
+}
+
+// arrive returns how long a request waits, and whether it is read at all. An idle connection is shed at no cost.
+func (p *process) arrive(now time.Duration) (wait time.Duration, read bool) {
+	for ; p.limit != nil && p.nextTick <= now; p.nextTick += Interval {
+		p.limit.Fired(max(0, p.busyTo-p.nextTick))
+	}
+	if p.limit != nil && !p.limit.Accept(0) {
+		return 0, false
+	}
+	p.busyTo = max(p.busyTo, now) + p.work
+	return p.busyTo - now, true
+}
+
+// Most new connections of a zone go to one process, which reads all their requests and serves none in time.
+func TestOverloadedProcessServesWhatItReads(t *testing.T) {
+	const (
+		work   = 8 * time.Millisecond // a request takes 1.2 ms of a core, of which the process has 0.144
+		target = 300 * time.Millisecond
+		before = 50 // requests a second
+		from   = 4 * time.Second
+		to     = 12 * time.Second
+		judged = 3 * time.Second // after it began
+	)
+	served := func(limit *Limit, rate int) (share float64, shed int) {
+		p, inTime, read := &process{limit: limit, work: work}, 0, 0
+		for now := time.Duration(0); now < to; {
+			if now < from {
+				now += time.Second / before
+			} else {
+				now += time.Second / time.Duration(rate)
+			}
+			wait, isRead := p.arrive(now)
+			switch {
+			case now < from+judged:
+				if now < from && !isRead {
+					shed++
+				}
+			case isRead:
+				read++
+				if wait <= target {
+					inTime++
+				}
+			}
+		}
+		return float64(inTime) / float64(read), shed
+	}
+	for name, rate := range map[string]int{"twice": 100, "three times its capacity": 375, "ten times": 1250} {
+		t.Run(name, func(t *testing.T) {
+			share, shed := served(New(1000, maxLateness), rate)
+			qt.Check(t, share >= 0.75, qt.IsTrue, qt.Commentf("%.2f", share))
+			qt.Check(t, shed, qt.Equals, 0, qt.Commentf("connections shed before"))
+		})
+	}
+	without, _ := served(nil, 375)
+	qt.Check(t, without < 0.75, qt.IsTrue, qt.Commentf("%.2f", without))
+}
+
+// A process holds more connections than it has memory for, or one that was late once sheds connections for long.
+func TestConnectionsAreBounded(t *testing.T) {
+	l := New(2, maxLateness)
+	qt.Check(t, l.Accept(1), qt.IsTrue)
+	qt.Check(t, l.Accept(2), qt.IsFalse)
+	l.Fired(time.Minute)
+	qt.Check(t, l.Accept(1), qt.IsFalse)
+	for range 10 {
+		l.Fired(0)
+	}
+	qt.Check(t, l.Accept(1) && l.Accept(1) && !l.Reconnect(), qt.IsTrue)
+}
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -127,10 +127,10 @@
 	c.g.protocol.WriteError(c.w, err)
 }
 
-// closeIfDraining makes the caller of a draining process open a new connection for its next
-// request, so that it reaches another process.
+// closeIfDraining makes the caller of a draining process, or of one whose processor cannot keep up, open a
+// new connection for its next request, so that it reaches another process.
 func (c *call) closeIfDraining() {
-	if c.g.drain.Load() != nil {
+	if c.g.drain.Load() != nil || c.g.reconnect() {
 		c.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -70,6 +70,7 @@
 	reportParts         func([]carawayspread.PartCrash)
 	reportPartsAnswered func(parts []uint64)
 	claimTrial          func(ctx context.Context, part uint64) bool
+	reconnect           func() bool // reports whether an answer asks its caller to use another connection
 	drain               atomic.Pointer[drainWindow]
 	listAge             func() time.Duration // since the list of endpoints was confirmed
 	freshness           carawayspread.ConfigFreshness
@@ -108,6 +109,9 @@
 // WithListAge sets the function that returns the age of the list of endpoints.
 func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
 
+// WithReconnect sets the function that reports whether an answer asks its caller to use another connection.
+func WithReconnect(f func() bool) Option { return func(g *Gateway) { g.reconnect = f } }
+
 // New returns a gateway without routes.
 func New(transport carawayspread.EndpointTransport, protocol carawayspread.Protocol, placer carawayspread.Placer,
 	clock carawayspread.Clock, log *decisionlog.Log, opts ...Option,
@@ -127,6 +131,7 @@
 		parts:       suspectparts.New(clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		reportParts: func([]carawayspread.PartCrash) {}, reportPartsAnswered: func([]uint64) {},
 		claimTrial:  func(context.Context, uint64) bool { return false },
+		reconnect:   func() bool { return false },
 		freshness:   alwaysCurrent{},
 		rejections:  rejections.New(),
 		recordUsage: func(string, time.Duration) {},
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -36,7 +36,8 @@
 	bounds          zonereader.Bounds
 	revocationBound time.Duration // zero if none is guaranteed
 	cores           float64
-	linkMegabits    float64 // per second
+	linkMegabits    float64       // per second
+	maxLateness     time.Duration // of a timer; zero if the processor is not observed
 	usage           *Usage
 	firstStart      bool
 }
@@ -69,6 +70,7 @@
 	// that any user has asked for.
 	defaultBound = 2 * time.Second
 	minBound     = 200 * time.Millisecond
+	minLateness  = time.Millisecond
 	maxBound     = time.Minute
 	// defaultCores and defaultLinkMegabits are the capacity of an instance whose settings state
 	// none.
@@ -158,12 +160,15 @@
 	if !root.Field("limits").Exists() {
 		return
 	}
-	limits := root.Field("limits").Object("cores", "linkMegabits")
+	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness")
 	s.cores = limits.Need("cores").Number()
 	s.linkMegabits = limits.Need("linkMegabits").Number()
 	if s.cores <= 0 || s.linkMegabits <= 0 {
 		limits.Fail("cores and linkMegabits must be positive")
 	}
+	if lateness := limits.Field("maxLateness"); lateness.Exists() {
+		s.maxLateness = lateness.Duration(minLateness, time.Second)
+	}
 }
 
 func (s *Settings) readUsage(root document.Node) {
@@ -187,6 +192,9 @@
 // if none is guaranteed.
 func (s *Settings) RevocationBound() time.Duration { return s.revocationBound }
 
+// MaxLateness returns how late timers may fire before new connections are shed; zero if none are.
+func (s *Settings) MaxLateness() time.Duration { return s.maxLateness }
+
 // Capacity returns the capacity of the instance for comparison with other instances: thousandths of
 // a core times megabits per second, so that neither alone decides.
 func (s *Settings) Capacity() uint32 {
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -28,7 +28,7 @@
 	qt.Check(t, s.Bounds().Drain, qt.Equals, 2*time.Second)
 
 	s, err = Parse("gateway.jsonc", []byte(strings.Replace(validSettings, `"store"`,
-		`"limits": {"cores": 0.144, "linkMegabits": 20.0}, "promises": {"leaving": "4000ms", "inForce": "3s"}, "store"`, 1)))
+		`"limits": {"cores": 0.144, "linkMegabits": 20.0, "maxLateness": "30ms"}, "promises": {"leaving": "4000ms", "inForce": "3s"}, "store"`, 1)))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.Bounds().Drain, qt.Equals, 4*time.Second)
 	qt.Check(t, s.Bounds().ConfigApply, qt.Equals, 3*time.Second)
@@ -44,6 +44,7 @@
 		"unknown field":        {`"grace"`, `"grase"`, `grase: unknown field`},
 		"negative":             {`"slack": 54`, `"slack": -1`, `retries: ratio and slack must not be negative`},
 		"no duration":          {`"8s"`, `8`, `grace: must be a duration`},
+		"lateness":             {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "maxLateness": "2s"}, "store"`, `limits.maxLateness: `},
 		"no capacity":          {`"store"`, `"limits": {"cores": 0, "linkMegabits": 20}, "store"`, `limits: cores and linkMegabits must be positive`},
 		"incomplete promises":  {`"store"`, `"promises": {"leaving": "2s"}, "store"`, `promises.inForce: missing`},
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
