Answers without end are given up, and held against their endpoint alone

Cause: a body without a length was relayed as it came; comments and blank lines counted as events of a stream; each answer held up to 8 MiB, whatever others held. A head without end counted as a crash of its endpoint with the request.

Change: bodies without a stated length end at 64 MiB, those of errors at 1 MiB, streams at 1 MiB and 4 KiB for each token that the request allows, and what lies between two events at 64 KiB (the entry's streams too). A stream begins with its first event. All answers together hold 48 MiB. The endpoint gets no requests for a while; the request and its parts are no suspects.

Evidence: TestAnswerWithoutEndIsGivenUp, thirteen kinds of bytes on the four kinds of routes, on sockets. With the bounds of bodies, errors and streams lifted it is red: 480 MB, where the endpoints stop. Not bounded: bodies with a stated length; plain bodies through entry and sidecar.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -144,6 +146,9 @@
 		if sentOver.Load() == nil {
 			return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
 		}
+		if isEndless(err) {
+			return nil, fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
+		}
 		return nil, err
 	}
 	reply := &carawayspread.Reply{
@@ -155,6 +160,14 @@
 	return reply, nil
 }
 
+// endlessHeads are parts of the errors of net/http, which have no type, for heads that are too long.
+var endlessHeads = []string{"response headers exceeded", "too many 1xx"}
+
+// isEndless reports whether the endpoint sent a head without end.
+func isEndless(err error) bool {
+	return slices.ContainsFunc(endlessHeads, func(part string) bool { return strings.Contains(err.Error(), part) })
+}
+
 func framing(resp *http.Response) carawayspread.Framing {
 	switch {
 	case !framed.Marked(resp):
--- a/internal/connection/openai/events.go
+++ b/internal/connection/openai/events.go
@@ -12,6 +12,9 @@
 const (
 	readBufferSize = 16 << 10
 	maxEventBytes  = 1 << 20
+	// maxIdleBytes bounds what a stream may hold between two events: comments and blank lines, which keep
+	// the connection open.
+	maxIdleBytes = 64 << 10
 )
 
 var (
@@ -27,6 +30,7 @@
 type Events struct {
 	r     *bufio.Reader
 	event []byte // reused; valid until the next call of Next
+	idle  int    // bytes since the last event that belong to none
 }
 
 // NewEvents returns Events that reads from the stream.
@@ -37,8 +41,8 @@
 func (e *Events) Rest() int { return len(e.event) }
 
 // Next returns the bytes of the next complete event, including its terminating blank line. They are
-// valid until the next call. Complete lines of comments at the end of the stream are returned as an
-// event. If the stream ends within an event, that event is dropped, and Next returns the error of the
+// valid until the next call. Comments and blank lines between events, and at the end of the stream, are
+// returned in the same way; IsEvent tells them apart. If the stream ends within an event, that event is dropped, and Next returns the error of the
 // stream, or ErrInsideEvent if that is io.EOF.
 func (e *Events) Next() ([]byte, error) {
 	e.event = e.event[:0]
@@ -47,7 +51,7 @@
 		line, err := e.r.ReadSlice('\n') // or the beginning of a long line
 		e.event = append(e.event, line...)
 		if len(e.event) > maxEventBytes {
-			return nil, carawayspread.NewError(carawayspread.CodeIncomplete, "an event of the answer is too long")
+			return nil, tooLong("an event of the answer is too long")
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -59,12 +63,36 @@
 			return nil, err
 		}
 		if len(bytes.TrimRight(e.event[lineStart:], "\r\n")) == 0 {
-			return e.event, nil
+			return e.complete()
 		}
 		lineStart = len(e.event)
 	}
 }
 
+// complete returns the bytes up to a blank line, unless too many belong to no event.
+func (e *Events) complete() ([]byte, error) {
+	if IsEvent(e.event) {
+		e.idle = 0
+	} else if e.idle += len(e.event); e.idle > maxIdleBytes {
+		return nil, tooLong("there is too much between two events of the answer")
+	}
+	return e.event, nil
+}
+
+func tooLong(message string) error {
+	return carawayspread.NewError(carawayspread.CodeIncomplete, message, carawayspread.CausedBy(carawayspread.ErrEndless))
+}
+
+// IsEvent reports whether the bytes that Next returned are more than comments and blank lines.
+func IsEvent(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // last returns what is left at the end of the stream.
 func (e *Events) last() ([]byte, error) {
 	switch {
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// maxHeldBytes bounds the part of an answer that is held in memory until the answer is complete.
-	maxHeldBytes = 8 << 20
+	// maxHeldBytes bounds the part of an answer that is held in memory until the answer is complete, and
+	// maxAllHeldBytes that of all answers.
+	maxHeldBytes    = 8 << 20
+	maxAllHeldBytes = 48 << 20
 	// copyBytes is the size of the buffer for the rest of a longer answer.
 	copyBytes = 32 << 10
 )
@@ -23,9 +25,16 @@
 // An answer of more than maxHeldBytes is relayed as it arrives.
 func (c *call) relayBuffered(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker, sentAt time.Time) (carawayspread.Outcome, error) {
 	defer func() { _ = reply.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxHeldBytes+1))
-	held := len(body) <= maxHeldBytes
-	if held || err != nil {
+	if reply.Length < 0 {
+		reply.Body = &boundedBody{Reader: reply.Body, left: maxBodyBytes(reply.Status)}
+	}
+	body, whole, err := c.g.hold(reply.Body)
+	defer c.g.release(body)
+	if isEndless(err) {
+		return c.rejectEndless(at, err)
+	}
+	held := whole || err != nil
+	if held {
 		if err := c.endBody(ctx, reply, at, err); err != nil {
 			return carawayspread.OutcomeFailed, err
 		}
@@ -54,7 +63,12 @@
 	if held {
 		return outcome, nil
 	}
-	return outcome, c.relayRest(ctx, reply, at)
+	if err := c.relayRest(ctx, reply, at); isEndless(err) {
+		return c.rejectEndless(at, err)
+	} else if err != nil {
+		return outcome, err
+	}
+	return outcome, nil
 }
 
 // relayRest relays what has not arrived yet of an answer whose beginning was sent.
@@ -68,6 +82,8 @@
 		switch {
 		case errors.Is(err, io.EOF):
 			return c.endBody(ctx, reply, at, nil)
+		case isEndless(err):
+			return err
 		case err != nil:
 			return c.endBody(ctx, reply, at, err)
 		}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -170,6 +170,13 @@
 		outcome = c.recordUnsent(ctx, at)
 		c.logAttempt(at, phase, err.Error())
 		return ctx.Err() == nil, err
+	case isEndless(err):
+		c.sends++
+		c.ran++
+		c.exclude[at.Endpoint.ID()] = true
+		_, err = c.rejectEndless(at.Endpoint, err)
+		c.logAttempt(at, phase, err.Error())
+		return c.mayRetry(), err
 	case err != nil:
 		c.sends++
 		c.ran++
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -79,6 +79,7 @@
 	recordUsage         func(workspace string, ago time.Duration)
 	endpoints           atomic.Pointer[map[string][]carawayspread.Endpoint] // by service
 	running             atomic.Int64
+	held                atomic.Int64                 // bytes of answers that are held in memory
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
 	origins             *origin.Origins
 	peerOrigins         carawayspread.PeerOrigins
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -32,6 +32,12 @@
 		return ctx.Err() == nil, err
 	}
 	c.sends++
+	if isEndless(err) {
+		c.exclude[at.Endpoint.ID()] = true
+		_, err = c.rejectEndless(at.Endpoint, err)
+		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
+		return ctx.Err() == nil, err
+	}
 	if err != nil {
 		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -28,12 +28,21 @@
 func (c *call) relayStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
 	defer func() { _ = reply.Body.Close() }()
 	flush := http.NewResponseController(c.w)
-	events := openai.NewEvents(reply.Body)
+	body := &boundedBody{Reader: reply.Body, left: c.maxStreamBytes(reply)}
+	events := openai.NewEvents(body)
+	var early []byte // comments before the first event
 	for {
 		event, err := events.Next()
 		if err != nil {
 			return c.endStream(ctx, reply, at, events.Rest(), err)
 		}
+		if !c.started && !openai.IsEvent(event) {
+			early = append(early, event...)
+			continue
+		}
+		if len(early) > 0 {
+			event, early = append(early, event...), nil
+		}
 		if !c.started {
 			c.started, c.status = true, reply.Status
 			c.countUsage(0)
@@ -41,15 +50,8 @@
 			c.timeToFirstEvent = c.g.clock.Now().Sub(c.arrived)
 			c.sendHeader(reply, -1)
 		}
-		now := c.g.clock.Now()
-		if !c.lastEventAt.IsZero() {
-			tracker.Event()
-			c.maxEventGap = max(c.maxEventGap, now.Sub(c.lastEventAt))
-		}
-		c.lastEventAt = now
-		tracker.Answered()
-		if id := eventID(event); id != "" {
-			c.lastEventID = id
+		if openai.IsEvent(event) {
+			c.recordEvent(event, tracker)
 		}
 		if _, err := c.w.Write(event); err != nil {
 			return carawayspread.OutcomeCancelled, err
@@ -60,6 +62,20 @@
 	}
 }
 
+// recordEvent records the arrival of an event.
+func (c *call) recordEvent(event []byte, tracker carawayspread.AttemptTracker) {
+	now := c.g.clock.Now()
+	if !c.lastEventAt.IsZero() {
+		tracker.Event()
+		c.maxEventGap = max(c.maxEventGap, now.Sub(c.lastEventAt))
+	}
+	c.lastEventAt = now
+	tracker.Answered()
+	if id := eventID(event); id != "" {
+		c.lastEventID = id
+	}
+}
+
 // endStream returns how an answer ended whose reader returned err, rest bytes behind its last complete
 // event. Where its framing does not prove that no event is missing, it ends as one that another
 // endpoint may resume, unless the caller's answer is framed in the same way.
@@ -72,6 +88,8 @@
 	}
 	c.recordEnd(reply, rest, err)
 	switch {
+	case isEndless(err):
+		return c.rejectEndless(at, err)
 	case err != nil:
 		return carawayspread.OutcomeFailed, brokenOffError{err}
 	case reply.Framing == carawayspread.FramingClose && c.framing != carawayspread.FramingClose:
--- a/transport.go
+++ b/transport.go
@@ -58,6 +58,9 @@
 // ErrUnsent means that no byte of the request can have reached the endpoint.
 var ErrUnsent = errors.New("nothing was sent")
 
+// ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
+var ErrEndless = errors.New("the answer has no end")
+
 // ErrNotListening means that nothing accepts connections at the endpoint's address.
 var ErrNotListening = errors.New("nothing listens at the address")
 
