TestWholeAnswerReachesItsCaller: traced; its endpoints listen apart, and strangers are named

Cause: gateways of a soak send requests and checks to addresses of workers that have crashed or left, and such a port on 127.0.0.1 is soon given to somebody else.

Change: the stand-in listens on a loopback address of its process; a failure names what the test did not send. The check is the same: exactly one request.

--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -45,6 +46,9 @@
 	end     ending
 	head    string // if not empty, all that is sent
 	arrived atomic.Int32
+	// strangers are requests that the test did not send, with their remote addresses.
+	mu        sync.Mutex
+	strangers []string
 	// passedOn is closed once the caller has the header of the answer; nil if an endReset does not wait
 	// for that. A reset throws away what its receiver has not read.
 	passedOn chan struct{}
@@ -62,6 +66,11 @@
 
 func (e *rawEndpoint) answer(conn *net.TCPConn, req *http.Request) {
 	e.arrived.Add(1)
+	if id := req.Header.Get("Carawayspread-Request-Id"); id != ownRequestID {
+		e.mu.Lock()
+		e.strangers = append(e.strangers, fmt.Sprint(id, " ", req.Method, " ", req.RequestURI, " from ", conn.RemoteAddr()))
+		e.mu.Unlock()
+	}
 	if e.head != "" {
 		_, _ = io.WriteString(conn, e.head)
 		return
@@ -107,6 +116,8 @@
 // complete reports whether the caller has been told that the answer is complete.
 func (r received) complete() bool { return r.end == endMarked }
 
+const ownRequestID = "id-1"
+
 // receive sends a request and reads its answer from the socket. onHeader is called when its header has
 // arrived.
 func receive(t *testing.T, b *harness, proto, path string, onHeader ...func()) received {
@@ -114,7 +125,7 @@
 	conn, err := net.Dial("tcp4", b.server.Listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nCarawayspread-Request-Id: id-1\r\n%s: 100,50\r\nContent-Length: 4\r\n\r\nbody", path, proto, tokens)
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nCarawayspread-Request-Id: %s\r\n%s: 100,50\r\nContent-Length: 4\r\n\r\nbody", path, proto, ownRequestID, tokens)
 	qt.Assert(t, err, qt.IsNil)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
@@ -240,10 +251,14 @@
 							qt.Check(t, got.framing, qt.Equals, carawayspread.FramingClose, qt.Commentf("a proof that the endpoint did not give"))
 						}
 						arrived := int32(0)
+						var strangers []string
 						for _, e := range endpoints {
 							arrived += e.arrived.Load()
+							e.mu.Lock()
+							strangers = append(strangers, e.strangers...)
+							e.mu.Unlock()
 						}
-						qt.Check(t, arrived, qt.Equals, int32(1))
+						qt.Check(t, arrived, qt.Equals, int32(1), qt.Commentf("not sent by this test: %v", strangers))
 					})
 				}
 			}
--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -3,9 +3,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 )
 
 // Server answers each request on a connection of its own, which ends with the answer.
@@ -14,10 +16,11 @@
 	answer   func(conn *net.TCPConn, req *http.Request)
 }
 
-// New starts a server on a loopback address. answer writes an answer to a request whose body has been
+// New starts a server on a loopback address that no other process uses. Others send to addresses of servers
+// that they have lost, and a port that was theirs may be the next one to be given out. answer writes an answer to a request whose body has been
 // read; the connection is closed after it.
 func New(answer func(conn *net.TCPConn, req *http.Request)) (*Server, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", ownAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -26,6 +29,12 @@
 	return s, nil
 }
 
+// ownAddress returns a loopback address for this process, with any port.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid%254)
+}
+
 // Address returns the IP address and port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
