Soak: the answer's seal says which worker's end must be marked

Change: of a plain answer, the worker that its seal names is judged; as strict, since exactly one worker answers. A stream keeps the seal of its first worker and is judged by its last, as before.

--- a/internal/soak/history/unframed.go
+++ b/internal/soak/history/unframed.go
@@ -1,6 +1,10 @@
 package history
 
-import "strings"
+import (
+	"strings"
+
+	"carawayspread/internal/standin/caller"
+)
 
 // ownBody reports whether the body is that of an execution. Only an answer whose end nothing marks may
 // lack the end that the worker did not send either.
@@ -16,7 +20,8 @@
 	}
 	last := executions[0]
 	for _, r := range executions {
-		if r.At.After(last.At) {
+		// The seal says who answered; a stream that goes on elsewhere keeps that of its first worker.
+		if answered := strings.HasPrefix(a.Seal, r.worker+"."); answered && a.Kind != caller.Stream || a.Kind == caller.Stream && r.At.After(last.At) {
 			last = r
 		}
 	}
