Soak: a harmful part of prompts; workers serve from when they are listed until they crash

No more than three reach workers later than contact time after the fifth crash.

A worker serves from contact time after it was listed until it crashes.

TestBreaches has rows for each.

--- a/internal/soak/fleet/platform.go
+++ b/internal/soak/fleet/platform.go
@@ -42,7 +42,7 @@
 		f.crashOnHarmful(p)
 	}
 	if role == "decode" {
-		f.history.RecordStreamer(w.ID(), version)
+		f.history.RecordStreamer(w.ID(), version, f.clock.Now())
 	}
 	f.workers, f.allWorkers = append(f.workers, p), append(f.allWorkers, p)
 	return f.publishWorker(p, "ready")
--- a/internal/soak/history/builds.go
+++ b/internal/soak/history/builds.go
@@ -82,6 +82,12 @@
 // misdirectedTime is how long a worker that claimed to be another one may get no requests.
 const misdirectedTime = 5 * time.Second
 
+// streamer is a worker that streams.
+type streamer struct {
+	version string
+	since   time.Time // when it was listed
+}
+
 // serving returns how many workers of the version streamed without a fault around that time.
 func (h *History) serving(version string, from, to time.Time) int {
 	n := 0
@@ -93,7 +99,8 @@
 		leaving := draining && drainingSince.Before(to) || slices.ContainsFunc(h.answers, func(a answer) bool {
 			return a.ServerLeaving && strings.HasPrefix(a.Seal, id+".") && a.EndedAt.Before(to)
 		})
-		if own == version && !leaving && !misdirected && !h.overlaps(Target(id), from.Add(-contactTime), to) {
+		known := own.since.Before(from.Add(-contactTime))
+		if own.version == version && known && !leaving && !misdirected && !h.overlaps(Target(id), from.Add(-contactTime), to) {
 			n++
 		}
 	}
--- a/internal/soak/history/harmful.go
+++ b/internal/soak/history/harmful.go
@@ -12,10 +12,15 @@
 	// harmfulRetries how often it may still be sent after that.
 	crashesUnnoticed = 3
 	harmfulRetries   = 3
+	// partCrashesUnnoticed is how many workers a part of prompts may crash before it must be stopped.
+	partCrashesUnnoticed = 5
 	// contactTime is how long a process may take to learn what its peers know.
 	contactTime = 3 * time.Second
 )
 
+// harmfulPart is the cause of the crashes of requests with that part.
+const harmfulPart = "with " + worker.HarmfulPart
+
 // checkHarmful: a request that has crashed workers is no longer sent, as long as a process that may
 // know of the last crash runs on.
 func (h *History) checkHarmful() []string {
@@ -23,14 +28,21 @@
 	for _, a := range h.answers {
 		processOf[a.ID] = a.process
 	}
-	byRoute := map[string][]request{}
+	byCause := map[string][]request{}
 	for _, r := range h.requests {
-		if r.Body == worker.HarmfulBody {
-			byRoute[r.Target] = append(byRoute[r.Target], r)
+		switch {
+		case r.Body == worker.HarmfulBody:
+			byCause["to "+r.Target] = append(byCause["to "+r.Target], r)
+		case r.HasPart(worker.HarmfulPart):
+			byCause[harmfulPart] = append(byCause[harmfulPart], r)
 		}
 	}
 	var found []string
-	for route, sent := range byRoute {
+	for cause, sent := range byCause {
+		crashesUnnoticed := crashesUnnoticed
+		if cause == harmfulPart {
+			crashesUnnoticed = partCrashesUnnoticed
+		}
 		slices.SortFunc(sent, func(a, b request) int { return a.At.Compare(b.At) })
 		var crashed []time.Time
 		retries := 0
@@ -44,7 +56,7 @@
 			}
 		}
 		if retries > harmfulRetries {
-			found = append(found, finding("a harmful request to %s was sent %d times more after %d crashes, %d in all", route, retries, crashesUnnoticed, len(crashed))...)
+			found = append(found, finding("a harmful request %s was sent %d times more after %d crashes, %d in all", cause, retries, crashesUnnoticed, len(crashed))...)
 		}
 	}
 	return found
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -73,14 +73,14 @@
 	faults        map[Target][]interval
 	drainingSince map[string]time.Time // by worker
 	rateLimits    []rateLimit
-	streamers     map[string]string // version of each worker that streams
-	finalAnswers  []answer          // to requests sent after all faults had ended
-	peakMemory    map[string]int    // by process, in megabytes
+	streamers     map[string]streamer // by worker
+	finalAnswers  []answer            // to requests sent after all faults had ended
+	peakMemory    map[string]int      // by process, in megabytes
 }
 
 // New returns an empty history that begins at start.
 func New(bounds Bounds, start time.Time) *History {
-	return &History{bounds: bounds, start: start, faults: map[Target][]interval{}, drainingSince: map[string]time.Time{}, streamers: map[string]string{}, peakMemory: map[string]int{}}
+	return &History{bounds: bounds, start: start, faults: map[Target][]interval{}, drainingSince: map[string]time.Time{}, streamers: map[string]streamer{}, peakMemory: map[string]int{}}
 }
 
 // RecordAnswer records what a caller got from a process.
@@ -131,11 +131,11 @@
 	h.drainingSince[id] = at
 }
 
-// RecordStreamer records a worker that streams, and the version of its software.
-func (h *History) RecordStreamer(id, version string) {
+// RecordStreamer records that a worker which streams was listed, and the version of its software.
+func (h *History) RecordStreamer(id, version string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.streamers[id] = version
+	h.streamers[id] = streamer{version, at}
 }
 
 // RecordRateLimit records that a worker reported a rate in its answers, in requests per second.
--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -93,6 +93,15 @@
 			h.RecordRequests("w", []worker.Request{{ID: id, Target: "/order/x", Body: worker.HarmfulBody, Header: http.Header{}, Ran: ran || i < 3, At: sentAt}})
 		}
 	}
+	// harmfulPart adds requests that share a part with which five workers crashed, and n more.
+	harmfulPart := func(h *History, n int) {
+		header := http.Header{"Carawayspread-Prefix-Hash": {"aa:3," + worker.HarmfulPart + ":3,cc:3"}}
+		for i := range 5 + n {
+			id, sentAt := fmt.Sprint("part-", i), at(time.Duration(i)*5*time.Second)
+			h.RecordAnswer("g", caller.Answer{ID: id, Kind: caller.Stream, SentAt: sentAt, EndedAt: sentAt, Status: 502})
+			h.RecordRequests("w", []worker.Request{{ID: id, Target: "/stream/x", Header: header, Ran: true, At: sentAt}})
+		}
+	}
 	for name, c := range map[string]struct {
 		answer   caller.Answer
 		requests []worker.Request
@@ -122,6 +131,10 @@
 			takenUp(h, 12, 0, "v1")
 			h.RecordRequests("w2", []worker.Request{{ID: "other", Target: "/stream/x", Header: http.Header{}, Misdirected: true, At: at(-time.Second)}})
 		}, ""},
+		"one of them is listed later": {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) {
+			takenUp(h, 12, 0, "v1")
+			h.RecordStreamer("w2", "v1", at(0))
+		}, ""},
 		"few were taken up": {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 11, 0, "v1") }, ""},
 		"taken up after a kill": {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) {
 			takenUp(h, 12, 0, "v1")
@@ -129,6 +142,8 @@
 		}, ""},
 		"harmful, three times more":     {refused, nil, func(h *History) { harmful(h, 3, true) }, ""},
 		"harmful, four times more":      {refused, nil, func(h *History) { harmful(h, 4, true) }, "was sent 4 times more after 3 crashes, 7 in all"},
+		"harmful part, three more":      {refused, nil, func(h *History) { harmfulPart(h, 3) }, ""},
+		"harmful part, four more":       {refused, nil, func(h *History) { harmfulPart(h, 4) }, "with dd was sent 4 times more after 5 crashes, 9 in all"},
 		"harmful, prefilled four times": {refused, nil, func(h *History) { harmful(h, 4, false) }, "was sent 4 times more after 3 crashes, 3 in all"},
 		"harmful, by a killed process": {refused, nil, func(h *History) {
 			harmful(h, 4, false)
@@ -141,8 +156,11 @@
 		}, ""},
 		"unframed":                           {servedWith(func(a *caller.Answer) { a.Unframed = true }), unframed(false), nil, ""},
 		"unframed, told that it is complete": {servedWith(func(*caller.Answer) {}), unframed(false), nil, "had not marked the end"},
-		"unframed, cut by its worker":        {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(true), nil, ""},
-		"unframed, cut elsewhere":            {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(false), nil, "as its own"},
+		"unframed by a worker whose answer was not taken": {servedWith(func(a *caller.Answer) { a.Kind = caller.Safe }), ran(0, "id"), func(h *History) {
+			h.RecordRequests("late", []worker.Request{{ID: "id", Target: "/order/x", Header: http.Header{}, Ran: true, Unframed: true, At: at(time.Second)}})
+		}, ""},
+		"unframed, cut by its worker": {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(true), nil, ""},
+		"unframed, cut elsewhere":     {servedWith(func(a *caller.Answer) { a.Unframed, a.Body = true, "w answ" }), unframed(false), nil, "as its own"},
 		"unframed, a stream that is cut": {servedWith(func(a *caller.Answer) {
 			a.Kind, a.Unframed, a.Body = caller.Stream, true, "id: 1\ndata: part 1 of id\n\n"
 		}), unframed(true), nil, "as whole"},
@@ -218,8 +236,8 @@
 				Timeouts:  map[caller.Kind]time.Duration{caller.Unsafe: 2 * time.Second, caller.Safe: 2 * time.Second, caller.Stream: 4 * time.Second},
 				Tolerance: time.Second, Drain: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 2, RetryWindow: 10 * time.Second, MemoryMegabytes: 100,
 			}, start)
-			h.RecordStreamer("w", "v1")
-			h.RecordStreamer("w2", "v1")
+			h.RecordStreamer("w", "v1", at(-time.Minute))
+			h.RecordStreamer("w2", "v1", at(-time.Minute))
 			h.RecordAnswer("g", c.answer)
 			h.RecordRequests("w", c.requests)
 			if c.with != nil {
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -3,8 +3,11 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
+	"hash/crc32"
 	"io"
 	"net"
 	"net/http"
@@ -30,6 +33,10 @@
 	// tokenCount has the number of prompt tokens and the maximum number of output tokens of a stream
 	// request.
 	tokenCount = "900,20"
+	// firstPart and commonPart are parts of the prompts of all streams, but for those that state another
+	// second part. The last part is the request's own.
+	firstPart  = "aa"
+	commonPart = "bb"
 )
 
 // Answer is the result of one request.
@@ -44,6 +51,7 @@
 	HasServerLimit  bool // the worker reports its rate limit
 	Unframed        bool // the response has neither a length nor chunks
 	Body            string
+	Part            string // the second part of the prompt of a stream, if it is not the common one
 	Resumes         string // the attempt that began the stream which this one takes up; empty if none
 	After           int    // the last event that the caller had
 	Err             error  // why there is no response, or why its body is incomplete
@@ -82,6 +90,14 @@
 	return a
 }
 
+// SendPart sends a stream request whose prompt has this second part.
+func (c *Caller) SendPart(ctx context.Context, id, part string) Answer {
+	a := Answer{ID: id, Kind: Stream, Part: part, SentAt: time.Now()}
+	a.Err = c.send(ctx, &a, id)
+	a.EndedAt = time.Now()
+	return a
+}
+
 // Resume takes up a stream that broke, under a new id. tries are the attempts so far, the first one first.
 func (c *Caller) Resume(ctx context.Context, id string, tries []Answer) Answer {
 	a := Answer{ID: id, Kind: Stream, Resumes: tries[0].ID, SentAt: time.Now()}
@@ -121,6 +137,7 @@
 	req.Header.Set("Carawayspread-Request-Id", a.ID)
 	if a.Kind == Stream {
 		req.Header.Set("Carawayspread-Token-Count", tokenCount)
+		req.Header.Set("Carawayspread-Prefix-Hash", fmt.Sprintf("%s:300,%s:300,%x:300", firstPart, cmp.Or(a.Part, commonPart), crc32.ChecksumIEEE([]byte(text))))
 	}
 	if a.Resumes != "" {
 		req.Header.Set("Resumes", a.Resumes)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -44,8 +44,12 @@
 // Events is the number of events in a complete stream.
 const Events = 4
 
-// HarmfulBody is the body of a request that crashes each worker which runs it, if OnCrash is set.
-const HarmfulBody = "harmful"
+// HarmfulBody is the body of a request that crashes each worker which runs it, and HarmfulPart a part of its
+// prompt that does, if CrashOnPart is set.
+const (
+	HarmfulBody = "harmful"
+	HarmfulPart = "dd"
+)
 
 // Request is one request as it arrived at the worker.
 type Request struct {
@@ -144,16 +148,8 @@
 	w.headers[name] = value
 }
 
-// OnCrash makes requests with HarmfulBody crash the worker as it answers, each at another point than
-// the one before. f is called before the connections are closed.
-func (w *Worker) OnCrash(f func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.onCrash = f
-}
-
-// CrashOnPart makes requests with that part of their prompts crash the worker as it begins to answer.
-// f is called before the connections are closed.
+// CrashOnPart makes requests with HarmfulBody, or with that part of their prompts, crash the worker as it
+// answers, each at another point than the one before. f is called before the connections are closed.
 func (w *Worker) CrashOnPart(part string, f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -302,17 +298,16 @@
 func (w *Worker) crashFor(got Request) func() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if got.PrefillOnly || got.Body != HarmfulBody && !w.hasHarmfulPart(got) {
+	if got.PrefillOnly || got.Body != HarmfulBody && !got.HasPart(w.harmfulPart) {
 		return nil
 	}
 	return w.onCrash
 }
 
-// hasHarmfulPart reports whether the prompt has the part that crashes the worker. It must be called with
-// mu held.
-func (w *Worker) hasHarmfulPart(got Request) bool {
-	for part := range strings.SplitSeq(got.Header.Get("Carawayspread-Prefix-Hash"), ",") {
-		if id, _, _ := strings.Cut(part, ":"); w.harmfulPart != "" && id == w.harmfulPart {
+// HasPart reports whether the prompt of the request has that part.
+func (r Request) HasPart(part string) bool {
+	for entry := range strings.SplitSeq(r.Header.Get("Carawayspread-Prefix-Hash"), ",") {
+		if id, _, _ := strings.Cut(entry, ":"); part != "" && id == part {
 			return true
 		}
 	}
