--- a/internal/decision/suspectparts/fleet_test.go
+++ b/internal/decision/suspectparts/fleet_test.go
@@ -253,6 +253,21 @@
 	}
 }
 
+// Requests are refused for a first part that they share with harmful ones, as so few are answered that the next
+// crash comes first.
+func TestPartBesideAHarmfulOneIsServed(t *testing.T) {
+	for name, processes := range map[string]int{"4 processes": 4, "300 processes": 300} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newReplay(processes, 18, 0.1, -1)
+			r.run(2*time.Minute, 1.5, 0.3, func() []uint64 { return []uint64{2, harmfulKey} }, func() []uint64 { return []uint64{2, 3} })
+			qt.Check(t, r.late <= lateRequests, qt.IsTrue, qt.Commentf("%d", r.late))
+			qt.Check(t, r.sent >= 20, qt.IsTrue)
+			qt.Check(t, r.refused, qt.Equals, 0)
+		})
+	}
+}
+
 // Harmless requests are refused because endpoints crash for other reasons while they run there. A part that is rarely asked
 // for, and each time runs at endpoints that are all lost, cannot be told from a harmful one.
 func TestOtherCrashesRefuseNothing(t *testing.T) {
--- a/internal/process/gateway/parts_test.go
+++ b/internal/process/gateway/parts_test.go
@@ -83,6 +83,19 @@
 
 const prefixHash = "Carawayspread-Prefix-Hash"
 
+// A part is found to crash endpoints while the prompt is prefilled, and the request is decoded all the same.
+func TestPartFoundDuringThePrefillIsNotDecoded(t *testing.T) {
+	b := newHarness(t)
+	transport := &crashingTransport{crash: disconnect()}
+	transport.duringPrefill = func() { b.gateway.LearnParts(crashedAt(keysOf("", "dd:5,01:5")[0], 1, 2, 3)) }
+	b.gateway.transport = transport
+	b.restartedEngines(0, []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleDecode})
+	resp, _, err := b.post(t, "/once/x", harmful, tokens, "5000,50", prefixHash, "dd:4000,01:1000")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Check(t, transport.crashed(), qt.Equals, 0)
+}
+
 // A harmless request is refused for two minutes, as it ran at two endpoints that another request's part
 // crashed.
 func TestRequestBesideAHarmfulPartIsServed(t *testing.T) {
