connlimit: the share falls in the ratio of the lateness

Change: each late timer divides the share by how many times later than the limit it was, at most by ten, so that a large backlog ends what adds to it at once.

--- a/internal/decision/connlimit/limit.go
+++ b/internal/decision/connlimit/limit.go
@@ -20,11 +20,12 @@
 	// lateInARow is how many timers in a row must be late before connections are shed: a single one shows a
 	// start or a short pause.
 	lateInARow = 2
-	// decrease and increase change the share of accepted connections with each timer: from all to a tenth in
-	// 0.7 s, and back in 2 s.
-	decrease = 0.7
-	increase = 0.05
-	minShare = 0.05
+	// The share of accepted connections falls with each late timer in the ratio of its lateness to the limit,
+	// within these bounds, and rises by increase with each other one: from nothing to all in 2 s.
+	minDecrease = 0.1
+	maxDecrease = 0.9
+	increase    = 0.05
+	minShare    = 0.05
 	// reconnectEvery is one of how many answers asks its caller to reconnect, so that connections which are
 	// kept open spread as well.
 	reconnectEvery = 4
@@ -58,7 +59,8 @@
 		return l.share
 	}
 	if l.late++; l.late >= lateInARow || l.share < 1 {
-		l.share = max(minShare, l.share*decrease)
+		ratio := float64(l.maxLateness) / float64(late)
+		l.share = max(minShare, l.share*min(maxDecrease, max(minDecrease, ratio)))
 	}
 	return l.share
 }
