Parts: one that is refused later than its crash is saved too

What callers would see: after all processes are replaced, a part that was refused crashes three more engines.

Cause: from reading. The mark of a crash that this process observed was dropped at the next second, refused or not. A part whose last crash a peer observed, or that was one of two that always came together until the other was answered, was saved by nobody.

Change: the mark stays until the part is saved or forgotten.

Evidence: TestPartThatIsRefusedLaterIsSaved, red on the code before.

--- a/internal/decision/suspectparts/parts.go
+++ b/internal/decision/suspectparts/parts.go
@@ -38,7 +38,7 @@
 	answered       *lru.LRU[uint64, time.Time] // when each part that had crashes was answered last
 	// running are endpoints that have proved to run on, and when.
 	running   *lru.LRU[carawayspread.EndpointID, time.Time]
-	unsaved   map[uint64]struct{}                      // with a crash that this process observed, since they were last taken
+	unsaved   map[uint64]struct{}                      // with a crash that this process observed and that is not saved
 	explained *lru.LRU[carawayspread.EndpointID, bool] // whose crashes a refused part explains; whether taken
 	cleared   []uint64                                 // were refused and answered here; not taken yet
 
--- a/internal/decision/suspectparts/parts_test.go
+++ b/internal/decision/suspectparts/parts_test.go
@@ -41,3 +41,22 @@
 		}
 	}
 }
+
+// A part is not saved, and known to no process once all have been replaced, as it was not refused yet when its
+// crash was observed: a peer's crashes arrive later, or another part that came with it is cleared later.
+func TestPartThatIsRefusedLaterIsSaved(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	p := New(clock, rand.New(rand.NewPCG(1, 2)))
+	p.Crashed("a", clock.Now(), false, []Request{{Parts: []uint64{1, 2}, Witness: 1}})
+	qt.Check(t, p.TakeSettled(), qt.HasLen, 0)
+	clock.Advance(time.Second)
+	for i, id := range []carawayspread.EndpointID{"b", "c"} {
+		for part := range uint64(2) {
+			p.Learn([]carawayspread.PartCrash{{Part: part + 1, Endpoint: id, Witness: uint32(i + 2), Age: time.Duration(i) * 400 * time.Millisecond}})
+		}
+	}
+	qt.Check(t, p.TakeSettled(), qt.HasLen, 0, qt.Commentf("two parts that always came together"))
+	p.Answered([]uint64{2})
+	qt.Check(t, p.TakeSettled(), qt.DeepEquals, map[uint64]time.Duration{1: Refusal})
+	qt.Check(t, p.TakeSettled(), qt.HasLen, 0)
+}
--- a/internal/decision/suspectparts/saved.go
+++ b/internal/decision/suspectparts/saved.go
@@ -1,8 +1,6 @@
 package suspectparts
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// Refusal is how long a part is refused after its last crash. It outlasts the retries of callers.
@@ -21,17 +19,21 @@
 }
 
 // TakeSettled returns the parts that are refused for crashes which this process observed, with the time
-// left; each of them once for each crash.
+// left; each of them once for each crash. A part may become refused later than its crash: by crashes that
+// peers observed, or as another part is cleared.
 func (p *Parts) TakeSettled() map[uint64]time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	refused := map[uint64]time.Duration{}
 	for part := range p.unsaved {
-		if r, ok := p.suspects.Peek(part); ok && p.refused([]uint64{part}, r) {
+		switch r := p.find(part); {
+		case r == nil:
+			delete(p.unsaved, part)
+		case p.suspects.Contains(part) && p.refused([]uint64{part}, r):
 			refused[part] = r.refusedUntil().Sub(p.clock.Now())
+			delete(p.unsaved, part)
 		}
 	}
-	clear(p.unsaved)
 	return refused
 }
 
