connlimit: only a processor that stays behind sheds connections

A queue that grows is seen as soon as before.

Evidence: TestOverloadedProcessServesWhatItReads and TestConnectionsAreBounded, which has nine timers in a row that are just late.

--- a/internal/decision/connlimit/limit.go
+++ b/internal/decision/connlimit/limit.go
@@ -17,9 +17,10 @@
 const (
 	// Interval is the time between two timers that are observed.
 	Interval = 100 * time.Millisecond
-	// lateInARow is how many timers in a row must be late before connections are shed: a single one shows a
-	// start or a short pause.
+	// lateInARow is how many timers in a row must be late before connections are shed, and lateSum how late they
+	// must be together, as a multiple of the limit. Less shows a start, a pause, or a long list that is read.
 	lateInARow = 2
+	lateSum    = 10
 	// The share of accepted connections falls with each late timer in the ratio of its lateness to the limit,
 	// within these bounds, and rises by increase with each other one: from nothing to all in 2 s.
 	minDecrease = 0.1
@@ -37,10 +38,11 @@
 	maxLateness time.Duration // zero if lateness is not considered
 
 	mu      sync.Mutex
-	late    int     // timers in a row that were late
-	share   float64 // of new connections that are accepted; from minShare to 1
-	credit  float64 // of accepted connections; below 1
-	answers int     // while the share is below 1
+	late    int           // timers in a row that were late
+	lateBy  time.Duration // how late these were together
+	share   float64       // of new connections that are accepted; from minShare to 1
+	credit  float64       // of accepted connections; below 1
+	answers int           // while the share is below 1
 }
 
 // New returns a limit that accepts all connections, up to maxOpen at a time, while timers are not later than
@@ -55,10 +57,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.maxLateness == 0 || late <= l.maxLateness {
-		l.late, l.share = 0, min(1, l.share+increase)
+		l.late, l.lateBy, l.share = 0, 0, min(1, l.share+increase)
 		return l.share
 	}
-	if l.late++; l.late >= lateInARow || l.share < 1 {
+	l.late++
+	l.lateBy += late
+	if l.late >= lateInARow && l.lateBy >= lateSum*l.maxLateness || l.share < 1 {
 		ratio := float64(l.maxLateness) / float64(late)
 		l.share = max(minShare, l.share*min(maxDecrease, max(minDecrease, ratio)))
 	}
--- a/internal/decision/connlimit/limit_test.go
+++ b/internal/decision/connlimit/limit_test.go
@@ -79,6 +79,10 @@
 	qt.Check(t, l.Accept(1), qt.IsTrue)
 	qt.Check(t, l.Accept(2), qt.IsFalse)
 	l.Fired(time.Minute)
+	l.Fired(0)
+	for range lateSum - 1 {
+		l.Fired(maxLateness + 1)
+	}
 	qt.Check(t, l.Accept(1) && l.Accept(1), qt.IsTrue)
 	l.Fired(time.Minute)
 	qt.Check(t, l.Accept(1), qt.IsFalse)
