gateway: lines say which answer on its connection an attempt got, and how old its list was

The record's lines cannot tell the hypotheses of REFUSED, TWICE and DRAIN apart: why an attempt counts as not run, which answer on its connection that was and whose identifier it carried, and which list it was sent by.

Change: event=attempt has sentMs, listAgeMs, list, echoed, conn and earlier; event=request has list. Metrics: gateway_attempts_not_run_total by phase and reason, gateway_unmatched_answers_total, gateway_connections_opened, gateway_list_version. No decision changes.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -72,8 +72,8 @@
 	}
 	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
 		Transport: transport,
-		Prober:    transport,
-		Protocol:  wire.Protocol{},
+		Prober:    transport, Connections: transport.Connections,
+		Protocol: wire.Protocol{},
 		Source: func(sink *gatewayd.Daemon) follower.Source {
 			return catalog.New(store, sink, log.Log)
 		},
--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -48,8 +48,9 @@
 
 // Client implements carawayspread.EndpointTransport with net/http. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
-	clock     carawayspread.Clock
+	transport   *http.Transport
+	clock       carawayspread.Clock
+	connections atomic.Uint64 // that were established
 }
 
 // Option sets an optional part of a Client.
@@ -76,13 +77,18 @@
 	return c
 }
 
+// Connections returns how many connections were established.
+func (c *Client) Connections() uint64 { return c.connections.Load() }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// datedConn is a connection that knows its age.
-type datedConn struct {
+// conn is a connection to an endpoint.
+type conn struct {
 	net.Conn
+	id          uint64 // within the client
 	connectedAt time.Time
+	answers     atomic.Int64 // that came over it
 }
 
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -93,11 +99,11 @@
 		},
 		Control: setUserTimeout,
 	}
-	conn, err := dialer.DialContext(ctx, network, address)
+	dialed, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	return &datedConn{conn, c.clock.Now()}, nil
+	return &conn{Conn: dialed, id: c.connections.Add(1), connectedAt: c.clock.Now()}, nil
 }
 
 // setUserTimeout bounds how long sent data may stay unacknowledged.
@@ -124,11 +130,11 @@
 
 // Send sends the request once. Its error matches carawayspread.ErrUnsent if no connection was established.
 func (c *Client) Send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
-	var sentOver atomic.Pointer[datedConn]
+	var sentOver atomic.Pointer[conn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*datedConn); ok {
-				sentOver.Store(conn)
+			if over, ok := info.Conn.(*conn); ok {
+				sentOver.Store(over)
 			}
 		},
 	})
@@ -154,8 +160,9 @@
 	reply := &carawayspread.Reply{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framing(resp),
 	}
-	if conn := sentOver.Load(); conn != nil {
-		reply.ConnectedAt = conn.connectedAt
+	if over := sentOver.Load(); over != nil {
+		reply.ConnectedAt, reply.Connection = over.connectedAt, over.id
+		reply.EarlierAnswers = int(over.answers.Add(1)) - 1
 	}
 	return reply, nil
 }
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -54,6 +54,8 @@
 // Ports are the adapters between the gateway and the platform.
 type Ports struct {
 	Transport carawayspread.EndpointTransport
+	// Connections returns how many connections the transport has established; nil if it is not known.
+	Connections func() uint64
 	// Prober checks endpoints that broke off an answer. It is nil if they are not checked.
 	Prober   carawayspread.EndpointProber
 	Protocol carawayspread.Protocol
@@ -130,6 +132,7 @@
 		gateway.WithRetryBudget(s.RetryLimits(), d.peers.FleetSize),
 		gateway.WithFeedback(d.peers.BroadcastFeedback, d.peers.Membership),
 		gateway.WithListAge(d.listAge),
+		gateway.WithListVersion(d.listVersion),
 		gateway.WithOrigins(origins, d.peers),
 		gateway.WithCrashReporter(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
 			d.peers.BroadcastCrash(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
@@ -147,6 +150,10 @@
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
 	d.setUpQuarantineLogs(ports)
+	if ports.Connections != nil {
+		d.gateway.Metrics().NewGauge("gateway_connections_opened", func() float64 { return float64(ports.Connections()) })
+	}
+	d.gateway.Metrics().NewGauge("gateway_list_version", func() float64 { return float64(d.listVersion()) })
 	d.gateway.Metrics().NewGauge(fmt.Sprintf("gateway_settings_info{instance=%q,zone=%q,settings=%q}", s.ID(), s.Zone(), s.Digest()),
 		func() float64 { return 1 })
 	return d, trace.Wrap(d.listen())
--- a/internal/daemon/gatewayd/origins.go
+++ b/internal/daemon/gatewayd/origins.go
@@ -29,6 +29,11 @@
 	return age
 }
 
+// listVersion returns the version of the list of endpoints.
+func (d *Daemon) listVersion() uint64 {
+	return d.follower.Status(carawayspread.ResourceEndpoints).Version
+}
+
 // runOrigins tells peers of streams as soon as they might not know their builds otherwise.
 func (d *Daemon) runOrigins(ctx context.Context) error {
 	for {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -62,6 +62,16 @@
 	maxEventGap      time.Duration           // the longest gap between two events
 	firstPlacement   carawayspread.Placement // also set where the request was refused
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
+	latest           attemptTrace
+}
+
+// attemptTrace is what the log says about how the latest attempt was sent and answered.
+type attemptTrace struct {
+	listAge     time.Duration // as it was sent
+	listVersion uint64        // as it was sent
+	sentAfter   time.Duration // since the request arrived
+	reply       *carawayspread.Reply
+	echoedID    string
 }
 
 // errServerError says that the endpoint answered with a server error, and that the request is
@@ -168,6 +178,7 @@
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome = c.recordUnsent(ctx, at)
+		c.countNotRun(phase, notRunUnsent)
 		c.logAttempt(at, phase, err.Error())
 		return ctx.Err() == nil, err
 	case isEndless(err):
@@ -197,6 +208,7 @@
 	case carawayspread.ReplyNotRun, carawayspread.ReplyWrongEndpoint:
 		closeBody(reply)
 		outcome = carawayspread.OutcomeRefused
+		c.countNotRun(phase, strconv.Itoa(reply.Status))
 		c.logAttempt(at, phase, "not run, status "+strconv.Itoa(reply.Status))
 		if kind == carawayspread.ReplyWrongEndpoint {
 			c.g.placer.MarkStale(at.Endpoint.ID())
@@ -210,6 +222,7 @@
 		// connection the next request would receive the answer to this one.
 		_ = reply.Body.Close()
 		c.ran++
+		c.g.set.GetOrCreateCounter(`gateway_unmatched_answers_total{phase="` + phase.String() + `"}`).Inc()
 		c.logAttempt(at, phase, "no answer to this request, status "+strconv.Itoa(reply.Status))
 		c.exclude[at.Endpoint.ID()] = true
 		return c.mayRetry(), errIncomplete
@@ -284,9 +297,14 @@
 		attempt.Handover = *c.handover
 	}
 	c.g.protocol.SetAttemptHeaders(h, attempt)
-	return c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
+	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
+	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
 	})
+	if err == nil {
+		c.latest.reply, c.latest.echoedID = reply, c.g.protocol.EchoedID(reply)
+	}
+	return reply, err
 }
 
 // countUsage records the request once as usage; it started running that long ago.
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -103,12 +103,29 @@
 
 // logAttempt logs and counts an attempt that returned no complete answer.
 func (c *call) logAttempt(at carawayspread.Placement, phase carawayspread.Phase, why string) {
-	c.g.log.Write(decisionlog.Start("attempt").Text("id", c.metadata.ID).Text("endpoint", string(at.Endpoint.ID())).Text("build", at.Endpoint.Version()).
+	line := decisionlog.Start("attempt").Text("id", c.metadata.ID).Text("endpoint", string(at.Endpoint.ID())).Text("build", at.Endpoint.Version()).
 		Text("request", fingerprintText(c.fingerprint)).Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.sends)).Int("ran", int64(c.ran)).
-		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.TimeToFirstEvent).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())))
+		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.TimeToFirstEvent).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())).
+		Ms("sentMs", c.latest.sentAfter).Ms("listAgeMs", c.latest.listAge).Int("list", int64(c.latest.listVersion))
+	if reply := c.latest.reply; reply != nil {
+		echoed := c.latest.echoedID
+		if echoed == "" {
+			echoed = "none"
+		}
+		line.Text("echoed", echoed).Int("conn", int64(reply.Connection)).Int("earlier", int64(reply.EarlierAnswers))
+	}
+	c.g.log.Write(line)
 	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
 }
 
+// notRunUnsent is the reason of attempts that reached no endpoint, in metrics.
+const notRunUnsent = "unsent"
+
+// countNotRun counts an attempt that provably has not run, by the status of its refusal or notRunUnsent.
+func (c *call) countNotRun(phase carawayspread.Phase, reason string) {
+	c.g.set.GetOrCreateCounter(`gateway_attempts_not_run_total{phase="` + phase.String() + `",reason="` + reason + `"}`).Inc()
+}
+
 // writeError answers the request with an error of the gateway's own.
 func (c *call) writeError(err *carawayspread.Error) {
 	c.line.Text("error", err.Error())
@@ -147,7 +164,7 @@
 		Text("service", c.service.Name).Text("reader", string(c.prefillEndpoint)).Text("endpoint", string(c.endpoint)).Text("build", c.softwareVersion).
 		Int("sends", int64(c.sends)).Ms("expectedMs", c.firstPlacement.TimeToFirstEvent).Ms("waitMs", c.firstPlacement.QueueTime).Ms("workMs", c.firstPlacement.PrefillTime).
 		Ms("readMs", c.prefillDuration).Ms("firstMs", c.timeToFirstEvent).Ms("pauseMs", c.maxEventGap).Ms("tookMs", took).
-		Int("found", int64(c.firstPlacement.CachedTokens)).Ms("listAgeMs", c.g.listAge())
+		Int("found", int64(c.firstPlacement.CachedTokens)).Ms("listAgeMs", c.g.listAge()).Int("list", int64(c.g.listVersion()))
 	if c.route != nil {
 		line.Ms("targetMs", c.route.TargetLatency)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -73,6 +73,7 @@
 	reconnect           func() bool // reports whether an answer asks its caller to use another connection
 	drain               atomic.Pointer[drainWindow]
 	listAge             func() time.Duration // since the list of endpoints was confirmed
+	listVersion         func() uint64
 	freshness           carawayspread.ConfigFreshness
 	keyPolicy           authentication.Policy
 	rejections          *rejections.Rejections
@@ -110,6 +111,11 @@
 // WithListAge sets the function that returns the age of the list of endpoints.
 func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
 
+// WithListVersion sets the function that returns the version of the list of endpoints.
+func WithListVersion(version func() uint64) Option {
+	return func(g *Gateway) { g.listVersion = version }
+}
+
 // WithReconnect sets the function that reports whether an answer asks its caller to use another connection.
 func WithReconnect(f func() bool) Option { return func(g *Gateway) { g.reconnect = f } }
 
@@ -125,6 +131,7 @@
 		retryBudget:     fleetbudget.Limits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		budgetProcesses: func() int { return 1 },
 		listAge:         func() time.Duration { return 0 },
+		listVersion:     func() uint64 { return 0 },
 		reportCrash:     func(uint64, carawayspread.EndpointID, bool) {},
 		reportProof:     func(uint64, carawayspread.EndpointID) {},
 		reportAnswer:    func(uint64) {},
--- a/protocol.go
+++ b/protocol.go
@@ -80,6 +80,8 @@
 	SetAttemptHeaders(h http.Header, a Attempt)
 	// ClassifyReply returns what a reply to an attempt of the request with that identifier proves.
 	ClassifyReply(r *Reply, id string, phase Phase) ReplyKind
+	// EchoedID returns the identifier of the request that a reply says it answers; empty if it names none.
+	EchoedID(r *Reply) string
 	// ParseFeedback reads what the reply states about its endpoint. If a header is malformed, it
 	// returns the zero Feedback and an error that names the header.
 	ParseFeedback(r *Reply) (Feedback, error)
--- a/transport.go
+++ b/transport.go
@@ -48,6 +48,10 @@
 	Framing Framing       // FramingClose proves nothing: an answer that was broken off may end in the same way
 	// ConnectedAt is when the connection was established over which the answer came; zero if unknown.
 	ConnectedAt time.Time
+	// Connection identifies that connection within the process; zero if unknown.
+	Connection uint64
+	// EarlierAnswers is how many answers came over that connection before this one.
+	EarlierAnswers int
 }
 
 // Succeeded reports whether the status of an answer says that its endpoint ran the request without an error.
