--- a/internal/process/follower/follower_test.go
+++ b/internal/process/follower/follower_test.go
@@ -75,6 +75,7 @@
 	regressions  int           // number of times that it took older contents
 	refusesPulls bool          // it refuses to pass on contents
 	linkDelay    time.Duration // added to each call to the store
+	inboundDelay time.Duration // of the messages that it receives
 }
 
 // uptimeSince is the uptime of an instance that started at a time.
@@ -210,11 +211,16 @@
 func (n *node) deliver(p carawayspread.PeerStatus, zone bool) {
 	for _, other := range n.cl.nodes {
 		other.mu.Lock()
-		inboundCut := other.inboundCut
+		inboundCut, delay := other.inboundCut, other.inboundDelay
 		other.mu.Unlock()
-		if other != n && !inboundCut && (!zone || other.zone == n.zone || other.largest) {
-			other.follower.ObservePeer(n.id, n.name(), p)
+		if other == n || inboundCut || zone && other.zone != n.zone && !other.largest {
+			continue
 		}
+		if delay > 0 {
+			time.AfterFunc(delay, func() { other.follower.ObservePeer(n.id, n.name(), p) })
+			continue
+		}
+		other.follower.ObservePeer(n.id, n.name(), p)
 	}
 }
 
--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-func (w *Worker) succeed(conn net.Conn, got Request, behaviour Behaviour, text, id, seal string) bool {
+func (w *Worker) succeed(conn *session, got Request, behaviour Behaviour, text, id, seal string) bool {
 	switch {
 	case got.Unframed:
-		w.writeUnframed(conn, got, behaviour, text, id, seal)
+		w.writeUnframed(conn.Conn, got, behaviour, text, id, seal)
 		return false
 	case got.Header.Get("Carawayspread-Stage") != "":
 		w.write(conn, "200 OK", handleOf(got), id)
@@ -24,8 +24,11 @@
 	default:
 		w.write(conn, "200 OK", text, id, seal)
 	}
-	if behaviour == ExtraAnswer {
+	switch behaviour {
+	case ExtraAnswer:
 		w.write(conn, "200 OK", "late "+text, id, seal)
+	case AnswerAgain:
+		conn.extra = message("200 OK", text, id, seal)
 	}
 	return true
 }
@@ -109,7 +112,11 @@
 }
 
 func (w *Worker) write(conn net.Conn, status, body string, headers ...string) {
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, strings.Join(headers, "\r\n"), len(body), body)
+	_, _ = io.WriteString(conn, message(status, body, headers...))
+}
+
+func message(status, body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, strings.Join(headers, "\r\n"), len(body), body)
 }
 
 // writeUntilCrash writes nothing, a header, or a part of a body, by the identifier of the request.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -36,8 +36,31 @@
 	SlowEvents                   // as Answer, with a delay before each event
 	TruncateLate                 // as Truncate, but pauses before it closes the connection of a stream
 	Crash                        // runs the request and closes all connections and the listener, as a process that ends
+	// The following answer a second time where the answer to the next request on the connection is due.
+	AnswerAgain           // as Answer
+	RefuseAgain           // as Refuse
+	RefuseAgainUnnamed    // as Refuse; the second answer names no request
+	RejectAgainUnnamed    // as RefuseAgainUnnamed, with status 400
+	MisdirectAgain        // as Misdirected, and states that the request was not run
+	MisdirectAgainUnnamed // as MisdirectAgain; the second answer names no request
 )
 
+// refusals are the statuses of behaviours with which a worker does not run a request.
+var refusals = map[Behaviour]string{
+	Refuse: "503 Service Unavailable", LostHandle: "503 Service Unavailable", Misdirected: "421 Misdirected Request",
+	RefuseAgain: "503 Service Unavailable", RefuseAgainUnnamed: "503 Service Unavailable", RejectAgainUnnamed: "400 Bad Request",
+	MisdirectAgain: "421 Misdirected Request", MisdirectAgainUnnamed: "421 Misdirected Request",
+}
+
+// unnamedAgain are the behaviours whose second answer names no request.
+var unnamedAgain = map[Behaviour]bool{RefuseAgainUnnamed: true, RejectAgainUnnamed: true, MisdirectAgainUnnamed: true}
+
+// session is one connection of a caller.
+type session struct {
+	net.Conn
+	extra string // is written where the next answer is due
+}
+
 // TruncateDelay is the pause of TruncateLate.
 const TruncateDelay = 2 * time.Second
 
@@ -201,13 +224,16 @@
 		w.mu.Unlock()
 	}()
 	r := bufio.NewReader(conn)
+	s := &session{Conn: conn}
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		if err != nil || !w.answer(conn, r, req, string(body)) {
+		_, _ = io.WriteString(s, s.extra)
+		s.extra = ""
+		if err != nil || !w.answer(s, r, req, string(body)) {
 			return
 		}
 	}
@@ -221,9 +247,7 @@
 	if len(w.script) > 0 {
 		behaviour, w.script = w.script[0], w.script[1:]
 	}
-	switch behaviour {
-	case Refuse, Misdirected, LostHandle:
-	default:
+	if refusals[behaviour] == "" {
 		got.Ran = got.Header.Get("Carawayspread-Stage") == ""
 	}
 	if strings.HasPrefix(got.Target, "/-/") {
@@ -231,13 +255,13 @@
 	}
 	got.Short = behaviour == UnframedShort || behaviour == UnframedReset
 	got.Unframed = behaviour == Unframed || got.Short
-	got.Misdirected = behaviour == Misdirected
+	got.Misdirected = strings.HasPrefix(refusals[behaviour], "421")
 	w.requests = append(w.requests, *got)
 	return behaviour
 }
 
 // answer responds as the script says and reports whether the connection stays open.
-func (w *Worker) answer(conn net.Conn, r *bufio.Reader, req *http.Request, body string) bool {
+func (w *Worker) answer(conn *session, r *bufio.Reader, req *http.Request, body string) bool {
 	got := Request{
 		ID: req.Header.Get("Carawayspread-Request-Id"), Method: req.Method, Target: req.RequestURI, Host: req.Host,
 		Body: body, Header: req.Header, PrefillOnly: req.Header.Get("Carawayspread-Stage") != "", At: time.Now(),
@@ -263,10 +287,10 @@
 	seal := "Carawayspread-Server-Seal: " + w.id + "." + got.ID
 	text := w.id + " answers " + got.ID
 	switch behaviour {
-	case Refuse, LostHandle:
-		w.write(conn, "503 Service Unavailable", "", id, "Carawayspread-Not-Executed: 1")
 	case Misdirected:
-		w.write(conn, "421 Misdirected Request", "", id)
+		w.write(conn, refusals[behaviour], "", id)
+	case Refuse, LostHandle, RefuseAgain, RefuseAgainUnnamed, RejectAgainUnnamed, MisdirectAgain, MisdirectAgainUnnamed:
+		w.refuse(conn, behaviour, id)
 	case Bare503:
 		w.write(conn, "503 Service Unavailable", text, id, seal)
 	case Error500:
@@ -294,6 +318,19 @@
 	return true
 }
 
+// refuse states that the request was not run.
+func (w *Worker) refuse(conn *session, behaviour Behaviour, id string) {
+	const notRun = "Carawayspread-Not-Executed: 1"
+	first := message(refusals[behaviour], "", id, notRun)
+	_, _ = io.WriteString(conn, first)
+	switch {
+	case unnamedAgain[behaviour]:
+		conn.extra = message(refusals[behaviour], "", notRun)
+	case behaviour == RefuseAgain || behaviour == MisdirectAgain:
+		conn.extra = first
+	}
+}
+
 // crashFor returns the function to call as the request crashes the worker; nil if it does not.
 func (w *Worker) crashFor(got Request) func() {
 	w.mu.Lock()
