REFUSED, TWICE: a refusal that names no request, or another one, proves nothing

What callers saw: 503 as not run, of a request that ran; or two runs of one that must not run twice.

Cause: a 421 was believed before the identifier was looked at, and a refusal without one always. A worker may repeat an answer late, where that to the next request on the connection is due. Class: an answer is taken for one to this request because it came when that was expected.

Change: the identifier is compared first, whatever the status; and behind other answers of its connection an answer counts only if it names this request. The first answer on a connection may go without, as nothing else was asked there. The same holds for prefills, whose answers name a KV cache: without it, that of another request.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -196,7 +196,7 @@
 		return c.mayRetry(), errors.Join(errIncomplete, err)
 	}
 	c.sends++
-	kind := c.g.protocol.ClassifyReply(reply, c.metadata.ID, phase)
+	kind := c.classify(reply, phase)
 	c.recordFeedback(at, reply, kind, sentAt)
 	if kind == carawayspread.ReplyAnswer || kind == carawayspread.ReplyNotRun {
 		c.g.endpointAnsweredOver(at.Endpoint.ID(), sentAt, reply.ConnectedAt)
@@ -259,6 +259,17 @@
 	return false, nil
 }
 
+// classify returns what the reply proves about the attempt.
+//
+// An endpoint may repeat an answer where that to the next request is due. Behind other answers of its
+// connection, only one that names this request is certain to be an answer to it.
+func (c *call) classify(reply *carawayspread.Reply, phase carawayspread.Phase) carawayspread.ReplyKind {
+	if reply.EarlierAnswers > 0 && (c.metadata.ID == "" || c.g.protocol.EchoedID(reply) != c.metadata.ID) {
+		return carawayspread.ReplyInconclusive
+	}
+	return c.g.protocol.ClassifyReply(reply, c.metadata.ID, phase)
+}
+
 // mayRetry reports whether the request can be retried after an attempt that may have run.
 func (c *call) mayRetry() bool {
 	if c.ran >= c.route.MaxAttempts || c.suspected {
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -43,7 +43,7 @@
 		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
 		return ctx.Err() == nil, err
 	}
-	kind := c.g.protocol.ClassifyReply(reply, c.metadata.ID, carawayspread.PhasePrefill)
+	kind := c.classify(reply, carawayspread.PhasePrefill)
 	c.recordFeedback(at, reply, kind, sentAt)
 	if kind == carawayspread.ReplyAnswer {
 		c.g.endpointAnsweredOver(at.Endpoint.ID(), sentAt, reply.ConnectedAt)
