REFUSED, TWICE: an answer that is not relayed ends its connection

Cause: an answer echoes the identifier of the request, not of the attempt. After an engine refuses a hand-over it gets the whole request, over the same connection, and a second copy of the refusal is taken for the answer to that. The same copy costs the next request on the connection its answer (502), and an answer out of step at a prefill engine, whose connection was kept, put each later prefill there behind the answer to the one before.

Change: refusals, 421 and answers to other requests end their connection, prefills included; and a refusal over a connection that has carried the request before proves nothing. net/http may have given the connection to the next request already (an answer without a body frees it at once): a request that has not been written is withheld then and takes another connection. So a request whose connection turns out to be closed before its first byte is not reported as possibly run any more.

Ruled out: closing after every answer, or a new connection for each second attempt alone (the next request would still get the copy).

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -41,6 +42,9 @@
 	idleTimeout = 8 * time.Second
 	// maxIdleConns is the number of idle connections kept for each endpoint.
 	maxIdleConns = 8
+	// maxReconnects bounds the connections that a request is given and that are closed before it is written:
+	// all idle ones and one that was opened for it.
+	maxReconnects = maxIdleConns
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
 	bufferSize     = 4 << 10
@@ -83,14 +87,6 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// conn is a connection to an endpoint.
-type conn struct {
-	net.Conn
-	id          uint64 // within the client
-	connectedAt time.Time
-	answers     atomic.Int64 // that came over it
-}
-
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout: connectTimeout,
@@ -128,13 +124,28 @@
 func (b singleUseBody) Read(p []byte) (int, error) { return b.r.Read(p) }
 func (singleUseBody) Close() error                 { return nil }
 
-// Send sends the request once. Its error matches carawayspread.ErrUnsent if no connection was established.
+// Send sends the request once. Its error matches carawayspread.ErrUnsent if no byte was written. A request
+// that was given a connection which turned out to be closed before that takes another one.
 func (c *Client) Send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
-	var sentOver atomic.Pointer[conn]
+	for reconnects := 0; ; reconnects++ {
+		reply, err := c.send(ctx, to, out)
+		if !errors.Is(err, errConnClosed) || ctx.Err() != nil || reconnects == maxReconnects {
+			return reply, err
+		}
+	}
+}
+
+// errConnClosed says that a connection was closed before a byte of the request was written.
+var errConnClosed = fmt.Errorf("%w: the connection was closed", carawayspread.ErrUnsent)
+
+func (c *Client) send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
+	var over atomic.Pointer[conn]
+	var d delivery
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if over, ok := info.Conn.(*conn); ok {
-				sentOver.Store(over)
+			if got, ok := info.Conn.(*conn); ok {
+				got.latest.Store(&d)
+				over.Store(got)
 			}
 		},
 	})
@@ -148,23 +159,30 @@
 		ContentLength: int64(len(out.Body)),
 	}).WithContext(ctx)
 	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		if sentOver.Load() == nil {
-			return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
-		}
-		if isEndless(err) {
-			return nil, fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
-		}
-		return nil, err
+	switch sentOver := over.Load(); {
+	case err == nil && sentOver != nil:
+		return newReply(resp, sentOver, &d), nil
+	case err == nil:
+		return nil, errors.Join(errNoConn, resp.Body.Close())
+	case sentOver == nil:
+		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
+	case d.withhold():
+		return nil, fmt.Errorf("%w: %w", errConnClosed, err)
+	case isEndless(err):
+		return nil, fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
 	}
-	reply := &carawayspread.Reply{
+	return nil, err
+}
+
+// errNoConn says that an answer came over no connection of the client.
+var errNoConn = errors.New("the answer came over an unknown connection")
+
+func newReply(resp *http.Response, over *conn, d *delivery) *carawayspread.Reply {
+	return &carawayspread.Reply{
 		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framing(resp),
+		ConnectedAt: over.connectedAt, Connection: over.id, EarlierAnswers: int(over.answers.Add(1)) - 1,
+		RetireConnection: func() { over.retire(d) },
 	}
-	if over := sentOver.Load(); over != nil {
-		reply.ConnectedAt, reply.Connection = over.connectedAt, over.id
-		reply.EarlierAnswers = int(over.answers.Add(1)) - 1
-	}
-	return reply, nil
 }
 
 // endlessHeads are parts of the errors of net/http, which have no type, for heads that are too long.
--- /dev/null
+++ b/internal/connection/direct/conn.go
@@ -0,0 +1,64 @@
+package direct
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// errWithheld is the error of a write that was not made.
+var errWithheld = errors.New("the request was withheld")
+
+// conn is a connection to an endpoint. It carries one request at a time.
+type conn struct {
+	net.Conn
+	id          uint64 // within the client
+	connectedAt time.Time
+	answers     atomic.Int64 // that came over it
+	retired     atomic.Bool  // carries no further request
+	latest      atomic.Pointer[delivery]
+}
+
+// States of a delivery.
+const (
+	deliveryPending int32 = iota
+	deliveryBegun
+	deliveryWithheld
+)
+
+// delivery is the use of one connection by one request. Either its first byte is written, or it is withheld
+// and none ever is.
+type delivery struct{ state atomic.Int32 }
+
+// begin reports whether the request may be written.
+func (d *delivery) begin(retired bool) bool {
+	if retired {
+		d.withhold()
+	}
+	d.state.CompareAndSwap(deliveryPending, deliveryBegun)
+	return d.state.Load() == deliveryBegun
+}
+
+// withhold reports whether nothing of the request was written; then nothing will be.
+func (d *delivery) withhold() bool {
+	d.state.CompareAndSwap(deliveryPending, deliveryWithheld)
+	return d.state.Load() == deliveryWithheld
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	if d := c.latest.Load(); d != nil && !d.begin(c.retired.Load()) {
+		return 0, errWithheld
+	}
+	return c.Conn.Write(b)
+}
+
+// retire keeps the connection from carrying further requests after that of the delivery. net/http may have
+// given it to the next one already, which then is withheld unless it has begun.
+func (c *conn) retire(d *delivery) {
+	c.retired.Store(true)
+	if c.latest.Load() == d {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/connection/direct/conn_test.go
@@ -0,0 +1,112 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"carawayspread"
+)
+
+const empty = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+// recorder answers every request without a body and keeps the request lines.
+type recorder struct {
+	mu    sync.Mutex
+	lines map[string]int
+}
+
+func (a *recorder) handle(_ int64, conn net.Conn, r *bufio.Reader) {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		if _, err := readHead(r); err != nil {
+			return
+		}
+		a.mu.Lock()
+		a.lines[line]++
+		a.mu.Unlock()
+		_, _ = io.WriteString(conn, empty)
+	}
+}
+
+// Guards against a request that is lost, or sent twice, since the connection that it was given was retired
+// after the answer before it: others take retired connections from the pool at the same moment.
+func TestRetiredConnectionsLoseNoRequest(t *testing.T) {
+	const senders, each = 8, 60
+	a := &recorder{lines: map[string]int{}}
+	to := listen(t, a.handle)
+	c := New()
+	defer c.Close()
+	var all sync.WaitGroup
+	for sender := range senders {
+		all.Go(func() {
+			for n := range each {
+				reply, err := c.Send(context.Background(), to, get(fmt.Sprintf("/%d/%d", sender, n)))
+				if !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				_ = reply.Body.Close()
+				if n%2 == 0 {
+					reply.Retire()
+				}
+			}
+		})
+	}
+	all.Wait()
+	qt.Check(t, a.lines, qt.HasLen, senders*each)
+	for line, times := range a.lines {
+		qt.Check(t, times, qt.Equals, 1, qt.Commentf("%q", line))
+	}
+}
+
+// Guards against a request that fails as possibly run although its connection was closed before its first
+// byte: it takes another connection.
+func TestClosedConnectionIsReplaced(t *testing.T) {
+	a := &recorder{lines: map[string]int{}}
+	to := listen(t, a.handle)
+	c := New()
+	defer c.Close()
+	first, err := c.Send(context.Background(), to, get("/first"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, first.EarlierAnswers, qt.Equals, 0)
+	second, err := c.Send(context.Background(), to, get("/second"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, second.Connection, qt.Equals, first.Connection)
+	qt.Check(t, second.EarlierAnswers, qt.Equals, 1)
+	second.Retire()
+	third, err := c.Send(context.Background(), to, get("/third"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, third.Connection, qt.Not(qt.Equals), first.Connection)
+	qt.Check(t, third.EarlierAnswers, qt.Equals, 0)
+	qt.Check(t, a.lines, qt.HasLen, 3)
+}
+
+// A delivery is either begun or withheld, whoever comes first.
+func TestDelivery(t *testing.T) {
+	for name, c := range map[string]struct {
+		use            func(d *delivery) bool
+		want, withheld bool
+	}{
+		"written":                       {func(d *delivery) bool { return d.begin(false) }, true, false},
+		"written before the retirement": {func(d *delivery) bool { return d.begin(false) && d.begin(true) }, true, false},
+		"retired before":                {func(d *delivery) bool { return d.begin(true) }, false, true},
+		"withheld before":               {func(d *delivery) bool { d.withhold(); return d.begin(false) }, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &delivery{}
+			qt.Check(t, c.use(d), qt.Equals, c.want)
+			qt.Check(t, d.withhold(), qt.Equals, c.withheld)
+		})
+	}
+}
+
+var _ carawayspread.EndpointTransport = (*Client)(nil)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,6 +63,7 @@
 	maxEventGap      time.Duration           // the longest gap between two events
 	firstPlacement   carawayspread.Placement // also set where the request was refused
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
+	connections      []uint64                // over which the request was answered
 	latest           attemptTrace
 }
 
@@ -206,7 +208,7 @@
 	}
 	switch kind {
 	case carawayspread.ReplyNotRun, carawayspread.ReplyWrongEndpoint:
-		closeBody(reply)
+		discard(reply)
 		outcome = carawayspread.OutcomeRefused
 		c.countNotRun(phase, strconv.Itoa(reply.Status))
 		c.logAttempt(at, phase, "not run, status "+strconv.Itoa(reply.Status))
@@ -218,9 +220,7 @@
 		}
 		return true, overloaded()
 	case carawayspread.ReplyInconclusive:
-		// The body is not read to its end, so that the connection is closed: on a reused
-		// connection the next request would receive the answer to this one.
-		_ = reply.Body.Close()
+		discard(reply) // the next request on its connection would receive the answer to this one
 		c.ran++
 		c.g.set.GetOrCreateCounter(`gateway_unmatched_answers_total{phase="` + phase.String() + `"}`).Inc()
 		c.logAttempt(at, phase, "no answer to this request, status "+strconv.Itoa(reply.Status))
@@ -267,7 +267,24 @@
 	if reply.EarlierAnswers > 0 && (c.metadata.ID == "" || c.g.protocol.EchoedID(reply) != c.metadata.ID) {
 		return carawayspread.ReplyInconclusive
 	}
-	return c.g.protocol.ClassifyReply(reply, c.metadata.ID, phase)
+	kind := c.g.protocol.ClassifyReply(reply, c.metadata.ID, phase)
+	sentBefore := slices.Contains(c.connections, reply.Connection)
+	if reply.Connection != 0 {
+		c.connections = append(c.connections, reply.Connection)
+	}
+	if sentBefore && (kind == carawayspread.ReplyNotRun || kind == carawayspread.ReplyWrongEndpoint) {
+		return carawayspread.ReplyInconclusive // it may answer that earlier attempt, which has the same identifier
+	}
+	return kind
+}
+
+// discard closes the body of a reply that is not relayed, and ends its connection.
+//
+// An endpoint may repeat an answer where that to the next request is due. Those that are discarded are few,
+// so the connections cost less than the requests that would get the repeated answers.
+func discard(reply *carawayspread.Reply) {
+	_ = reply.Body.Close()
+	reply.Retire()
 }
 
 // mayRetry reports whether the request can be retried after an attempt that may have run.
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -52,7 +52,7 @@
 		c.g.placer.MarkStale(at.Endpoint.ID())
 	}
 	if kind != carawayspread.ReplyAnswer || reply.Status != http.StatusOK {
-		closeBody(reply)
+		discard(reply)
 		outcome = carawayspread.OutcomeRefused
 		c.exclude[at.Endpoint.ID()] = true
 		c.logAttempt(at, carawayspread.PhasePrefill, "no prefill, status "+strconv.Itoa(reply.Status))
@@ -102,6 +102,10 @@
 			c.g.log.Write(decisionlog.Start("forget").Text("endpoint", string(handover.From.ID())).Text("error", err.Error()))
 			return
 		}
+		if c.g.protocol.EchoedID(reply) != "" { // the answer to a request; that to this call is still to come
+			discard(reply)
+			return
+		}
 		closeBody(reply)
 	}()
 }
--- a/internal/process/gateway/repeated_test.go
+++ b/internal/process/gateway/repeated_test.go
@@ -143,3 +143,53 @@
 	}
 	qt.Check(t, client.Connections(), qt.Equals, uint64(1))
 }
+
+// Guards against refusals that cost the next request on their connection its answer.
+func TestRefusalCostsNoOtherRequest(t *testing.T) {
+	for name, again := range map[string]worker.Behaviour{
+		"a refusal":                         worker.RefuseAgain,
+		"a refusal that names no request":   worker.RefuseAgainUnnamed,
+		"a rejection that names no request": worker.RejectAgainUnnamed,
+		"a 421":                             worker.MisdirectAgain,
+		"a 421 that names no request":       worker.MisdirectAgainUnnamed,
+	} {
+		t.Run(name, func(t *testing.T) {
+			refuseThird := script(worker.Answer, worker.Answer, again, worker.Answer)
+			either := carawayspread.RoleBoth
+			r := sendRepeated(t, "/never/x", []carawayspread.Role{either, either, either, either},
+				map[int][]worker.Behaviour{0: refuseThird, 1: refuseThird})
+			qt.Check(t, r, qt.Equals, repeats{served: repeatedRequests})
+		})
+	}
+}
+
+// Guards against prefills that all fail after one repeated answer, each with the answer to the one before.
+func TestRepeatedPrefillAnswerCostsOnePrefill(t *testing.T) {
+	client := direct.New()
+	t.Cleanup(client.Close)
+	b := newHarness(t)
+	b.gateway.transport = client
+	prefills, err := worker.New("w0", worker.Answer, worker.AnswerAgain)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(prefills.Close)
+	decodes, err := worker.New("w1")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(decodes.Close)
+	b.gateway.SetEndpoints([]carawayspread.Endpoint{
+		carawayspread.NewEndpoint("w0", "s", "z", prefills.Address(), false, carawayspread.WithRole(carawayspread.RolePrefill), carawayspread.WithSlots(8)),
+		carawayspread.NewEndpoint("w1", "s", "z", decodes.Address(), false, carawayspread.WithRole(carawayspread.RoleDecode), carawayspread.WithSlots(8)),
+	})
+	for n := range repeatedRequests {
+		resp, _, err := b.post(t, "/once/stream/x", "body", "Carawayspread-Request-Id", fmt.Sprint("request-", n), tokens, "5000,50")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+		b.clock.Advance(betweenRequests)
+	}
+	handedOver := 0
+	for _, got := range decodes.Requests() {
+		if got.Header.Get("Carawayspread-Kv-Source") != "" {
+			handedOver++
+		}
+	}
+	qt.Check(t, handedOver, qt.Equals, repeatedRequests-1)
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -64,6 +64,9 @@
 // TruncateDelay is the pause of TruncateLate.
 const TruncateDelay = 2 * time.Second
 
+// extraLead is how long before the answer that is due a repeated one arrives: the time to run a request.
+const extraLead = 20 * time.Millisecond
+
 // Events is the number of events in a complete stream.
 const Events = 4
 
@@ -231,8 +234,11 @@
 			return
 		}
 		body, err := io.ReadAll(req.Body)
-		_, _ = io.WriteString(s, s.extra)
-		s.extra = ""
+		if s.extra != "" {
+			_, _ = io.WriteString(s, s.extra)
+			s.extra = ""
+			time.Sleep(extraLead)
+		}
 		if err != nil || !w.answer(s, r, req, string(body)) {
 			return
 		}
--- a/transport.go
+++ b/transport.go
@@ -52,6 +52,16 @@
 	Connection uint64
 	// EarlierAnswers is how many answers came over that connection before this one.
 	EarlierAnswers int
+	// RetireConnection implements Retire; nil if the connection cannot be retired.
+	RetireConnection func()
+}
+
+// Retire keeps the connection over which the reply came from carrying further requests. The rest of the
+// body may be lost.
+func (r *Reply) Retire() {
+	if r.RetireConnection != nil {
+		r.RetireConnection()
+	}
 }
 
 // Succeeded reports whether the status of an answer says that its endpoint ran the request without an error.
