DRAIN: a list is as old as the store's time that it carries, not as the message that confirms it

Cause: a process counted the age that a peer states of the same list from when it read the message. A message that waited, at a process that is behind, paused or starved, makes the age too short by that time; the process passes the result on, and others that hold the same list take it. One process that receives its peers' messages a second late and one that does not confirm the old list to one another for as long as that lasts: neither reads the store, as neither is due, and a reader's own call is put off by the same confirmations. With one process in each zone all of a fleet held the old list.

Change: the list carries the store's time of its reading, as routes do, and a confirmation of either counts from that. Every process keeps the bound on the store's clock narrow: one query to a peer each 15 s. A reading that the store's clock cannot have had confirms nothing. No message changes its form; peers of older releases state no time for the list, and a process that hears of them alone reads for itself.

TestStoreCallsGrowWithZonesOnly as before.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -294,9 +294,7 @@
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
 	run(d.learner.Run)
 	stopReports, stopCounts := d.runUsage(runCtx)
-	if d.settings.RevocationBound() > 0 || d.usage != nil {
-		run(func(ctx context.Context) error { return d.follower.RunStoreClock(ctx, d.learner) })
-	}
+	run(func(ctx context.Context) error { return d.follower.RunStoreClock(ctx, d.learner) })
 	if d.roleController != nil {
 		run(d.roleController.Run)
 	}
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -51,12 +51,11 @@
 	storeTimePeer string
 }
 
-// peerReport is the status that a peer reports for one resource, and when the report arrived.
+// peerReport is the status that a peer reports for one resource.
 type peerReport struct {
-	resource   carawayspread.Resource
-	peer       string
-	receivedAt time.Time
-	status     carawayspread.ResourceStatus
+	resource carawayspread.Resource
+	peer     string
+	status   carawayspread.ResourceStatus
 }
 
 // Follower keeps one process's routes and endpoints up to date. Each of its Run functions is called
@@ -148,9 +147,8 @@
 // for itself if nothing else is newer, and reverts nothing.
 func (f *Follower) ObservePeer(id uint64, peer string, s carawayspread.PeerStatus) {
 	f.election.ObservePeer(id, s)
-	now := f.clock.Now()
 	for resource := range carawayspread.ResourceCount {
-		r := peerReport{resource: resource, peer: peer, receivedAt: now, status: s.Resources[resource]}
+		r := peerReport{resource: resource, peer: peer, status: s.Resources[resource]}
 		if r.status.Version == 0 || f.applyConfirmation(r) {
 			continue
 		}
@@ -177,25 +175,42 @@
 		}
 		k.version = max(k.version, r.status.Version)
 	}
-	k.observeStoreTime(r, own)
+	if (same || own.Version >= r.status.Version) && f.possible(r.status.StoreTime) {
+		k.observeStoreTime(r)
+	}
 	f.mu.Unlock()
 	if !same || own.Version == 0 {
 		return false
 	}
-	f.election.Confirm(r.resource, r.receivedAt.Add(-r.status.Age))
-	f.wakeUp(r.resource)
+	f.confirm(r)
 	return true
 }
 
-// observeStoreTime records a peer's reading of the store's clock. Versions in the store never
-// decrease, so the contents held include all that was accepted up to the reading if their version
-// is no older than the peer's.
-func (k *knownVersion) observeStoreTime(r peerReport, own carawayspread.ResourceStatus) {
-	if r.resource == carawayspread.ResourceRoutes && own.Version >= r.status.Version && r.status.StoreTime > k.storeTime {
+// observeStoreTime records a peer's reading of the store's clock, up to which the contents held include
+// all that was accepted: they are those of the peer or newer ones, as versions in the store never decrease.
+func (k *knownVersion) observeStoreTime(r peerReport) {
+	if r.status.StoreTime > k.storeTime {
 		k.storeTime, k.storeTimePeer = r.status.StoreTime, r.peer
 	}
 }
 
+// confirm records that the store confirmed the contents held when its clock had the reading that the peer
+// reports.
+//
+// The age that the peer states is not used. It does not include the time that the message waited at a
+// process that is paused or behind, which would pass it on as the age of the same contents: such a process
+// and its peers would confirm an old list to one another for as long as it is behind.
+func (f *Follower) confirm(r peerReport) {
+	age, known := f.store.Age(r.status.StoreTime)
+	if !known || !f.possible(r.status.StoreTime) {
+		return
+	}
+	// The allowance for drift makes the age an upper bound. Here it would only add calls to the store.
+	drift, _ := f.store.DriftAllowance()
+	f.election.Confirm(r.resource, f.clock.Now().Add(-max(0, age-drift)))
+	f.wakeUp(r.resource)
+}
+
 // shouldPull reports whether the contents that the peer reports are to be pulled from it. Routes
 // are pulled from whichever peer has them first, as a change of them is small, while the store
 // returns all of them to readers. Endpoints change all the time: a reader gets changes from the
@@ -251,10 +266,18 @@
 	f.mu.Lock()
 	k := &f.known[r.resource]
 	*k = knownVersion{sourceVersion: own.Version, version: own.Version, peerDigest: r.status.Digest, storeTime: k.storeTime, storeTimePeer: k.storeTimePeer}
-	k.observeStoreTime(r, own)
+	if f.possible(r.status.StoreTime) {
+		k.observeStoreTime(r)
+	}
 	f.mu.Unlock()
-	f.election.Confirm(r.resource, r.receivedAt.Add(-r.status.Age))
-	f.wakeUp(r.resource)
+	f.confirm(r)
+}
+
+// possible reports whether the store's clock can have had the reading. A forged one from the future would
+// confirm the contents held for as long as the clock takes to get there.
+func (f *Follower) possible(storeTime time.Duration) bool {
+	latest, known := f.store.Now()
+	return !known || storeTime <= latest
 }
 
 // RunEndpoints follows the endpoints until ctx ends.
--- a/internal/process/follower/late_test.go
+++ b/internal/process/follower/late_test.go
@@ -48,3 +48,24 @@
 		})
 	}
 }
+
+// Guards against a forged reading of the store's clock that confirms old contents for ever.
+func TestForgedStoreTimeConfirmsNothing(t *testing.T) {
+	runClusterWithStoreClock(t, 2, 4, func(cl *cluster) {
+		for range 2 {
+			for _, n := range cl.nodes {
+				forged := carawayspread.PeerStatus{Zone: n.zone}
+				for resource := range carawayspread.ResourceCount {
+					forged.Resources[resource] = carawayspread.ResourceStatus{Version: 1, Digest: n.Status(resource).Digest, StoreTime: 1 << 50}
+				}
+				n.follower.ObservePeer(77, cl.nodes[1].name(), forged)
+			}
+			cl.store.change(carawayspread.ResourceEndpoints)
+			cl.store.change(carawayspread.ResourceRoutes)
+			time.Sleep(drainBound)
+			for resource := range carawayspread.ResourceCount {
+				qt.Check(t, cl.outdated(resource), qt.HasLen, 0)
+			}
+		}
+	})
+}
