DRAIN: a request is checked against the list once more, before its first byte

What callers could see: a request that reaches an endpoint which said that it leaves while the request waited.

Cause: an endpoint is checked when a request is placed. Until its first byte is written up to 0.9 s may pass for the connection, and any time if the process is suspended; a list that is nearly as old as is allowed leaves no room for that. Class: a decision is not checked again when it takes effect.

Change: the transport asks before the first byte whether the endpoint is still listed and has not said that it leaves, in each phase; if not, nothing is sent, and the request is placed again as unsent.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -140,7 +140,7 @@
 
 func (c *Client) send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
 	var over atomic.Pointer[conn]
-	var d delivery
+	d := delivery{proceed: out.Proceed}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*conn); ok {
@@ -166,6 +166,8 @@
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
+	case d.withhold() && d.stopped.Load():
+		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, carawayspread.ErrWithdrawn)
 	case d.withhold():
 		return nil, fmt.Errorf("%w: %w", errConnClosed, err)
 	case isEndless(err):
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -29,11 +29,18 @@
 
 // delivery is the use of one connection by one request. Either its first byte is written, or it is withheld
 // and none ever is.
-type delivery struct{ state atomic.Int32 }
+type delivery struct {
+	state   atomic.Int32
+	proceed func() bool // nil if nothing keeps the request from being written
+	stopped atomic.Bool // proceed returned false
+}
 
 // begin reports whether the request may be written.
 func (d *delivery) begin(retired bool) bool {
-	if retired {
+	if d.state.Load() == deliveryPending && d.proceed != nil && !d.proceed() {
+		d.stopped.Store(true)
+	}
+	if retired || d.stopped.Load() {
 		d.withhold()
 	}
 	d.state.CompareAndSwap(deliveryPending, deliveryBegun)
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -218,6 +218,17 @@
 	return !s.draining && !s.pausedUntil.After(now) && (s.limit == nil || s.limit.Allows(now, b.share(now, id, s)))
 }
 
+// Draining reports whether the endpoint has said in an answer that it leaves.
+func (b *Backpressure) Draining(id carawayspread.EndpointID) bool {
+	if !b.active.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[id]
+	return s != nil && s.draining
+}
+
 // Take consumes the permission to send one request; false if the endpoint accepts none now.
 // It is to be called before each request.
 func (b *Backpressure) Take(id carawayspread.EndpointID) bool {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -328,6 +328,7 @@
 	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
 	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
+		Proceed: func() bool { return c.g.takesRequests(at.Endpoint) },
 	})
 	if err == nil {
 		c.latest.reply, c.latest.echoedID = reply, c.g.protocol.EchoedID(reply)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -205,6 +206,16 @@
 	}
 }
 
+// takesRequests reports whether the endpoint is still listed, and has not said that it leaves.
+//
+// A request may wait for its connection for nearly a second, and this process may be suspended meanwhile.
+func (g *Gateway) takesRequests(to carawayspread.Endpoint) bool {
+	listed := slices.ContainsFunc((*g.endpoints.Load())[to.Service()], func(e carawayspread.Endpoint) bool {
+		return e.ID() == to.ID() && e.Address() == to.Address() && !e.Leaving()
+	})
+	return listed && !g.backpressure.Draining(to.ID())
+}
+
 // Drain makes the gateway accept, from restrictFrom on, only requests whose answers surely end
 // before end.
 func (g *Gateway) Drain(restrictFrom, end time.Time) { g.drain.Store(&drainWindow{restrictFrom, end}) }
--- a/transport.go
+++ b/transport.go
@@ -15,6 +15,9 @@
 	Host   string
 	Header http.Header // end-to-end headers; not modified by an EndpointTransport
 	Body   []byte      // not modified
+	// Proceed is asked before the first byte is written, once there is a connection. If it returns false,
+	// nothing is sent. It may be nil.
+	Proceed func() bool
 }
 
 // Framing is how the end of an answer is marked.
@@ -72,6 +75,9 @@
 // ErrUnsent means that no byte of the request can have reached the endpoint.
 var ErrUnsent = errors.New("nothing was sent")
 
+// ErrWithdrawn means that Outbound.Proceed returned false.
+var ErrWithdrawn = errors.New("the endpoint takes no more requests")
+
 // ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
 var ErrEndless = errors.New("the answer has no end")
 
