Entry: a sidecar's refusal is believed only of the attempt that it names

What callers could see: a request that is reported as not run and runs, or that runs twice, through entry and sidecar.

Cause: found where the class of REFUSED was looked for. The entry read the refusal of a sidecar before it compared the attempt that the answer names, and sidecars did not name it in refusals. No answer out of step has been seen there: both sides are ours.

Change: refusals name their attempt, and one that does not is believed only as the first answer on its connection, as sidecars of older releases send none. Requests that must not run twice have a connection of their own.

--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -88,9 +88,9 @@
 func (c *Client) Do(ctx context.Context, a Attempt) (*Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stallTimer := newWatchdog(c.stallTimeout, cancel)
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:        func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn:        func(info httptrace.GotConnInfo) { connected.Store(true); reused.Store(info.Reused) },
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { stallTimer.touch(); return nil },
 	})
 	req, err := newRequest(ctx, a)
@@ -108,14 +108,18 @@
 	}
 	stallTimer.touch()
 	body := &verifiedBody{resp: resp, stallTimer: stallTimer, cancel: cancel, checksum: newChecksum()}
-	if code := resp.Header.Get(HeaderRefused); code != "" {
-		defer func() { _ = body.Close() }()
-		return nil, refusalError(code, resp)
-	}
-	if resp.Header.Get(HeaderAttempt) != a.ID {
+	code, answers := resp.Header.Get(HeaderRefused), resp.Header.Get(HeaderAttempt)
+	// Sidecars of older releases do not name the attempt that they refuse. What comes first on a connection
+	// cannot belong to another one.
+	firstRefusal := code != "" && answers == "" && !reused.Load()
+	if answers != a.ID && !firstRefusal {
 		_ = body.Close()
 		return nil, carawayspread.NewError(carawayspread.CodeEndpointFailed, "the answer belongs to another attempt")
 	}
+	if code != "" {
+		defer func() { _ = body.Close() }()
+		return nil, refusalError(code, resp)
+	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announcedLength(resp), Unmarked: unmarked(resp), Load: ParseLoad(resp.Header), Body: body}, nil
 }
 
--- a/internal/connection/sidecarhttp/protocol.go
+++ b/internal/connection/sidecarhttp/protocol.go
@@ -20,7 +20,7 @@
 	HeaderRequest     = "X-Request-Id"
 	HeaderWorkspace   = "X-Workspace"
 	HeaderClass       = "X-Class"
-	HeaderAttempt     = "Carawayspread-Attempt"     // unique for each attempt; echoed by the answer
+	HeaderAttempt     = "Carawayspread-Attempt"     // unique for each attempt; echoed by answers and refusals
 	HeaderRemaining   = "Carawayspread-Remaining"   // milliseconds left for the first byte
 	HeaderFingerprint = "Carawayspread-Fingerprint" // hash of the request, hexadecimal
 	HeaderTrial       = "Carawayspread-Trial"       // set if the attempt is a trial of a request that may crash endpoints
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -225,6 +225,7 @@
 	s.event(r).WithField("code", e.Code()).WithField("notRun", e.NotRun()).Info("request refused")
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
+	header.Set(sidecarhttp.HeaderAttempt, r.Header.Get(sidecarhttp.HeaderAttempt))
 	header.Set(sidecarhttp.HeaderRefused, string(e.Code()))
 	header.Set(sidecarhttp.HeaderNotRun, strconv.FormatBool(e.NotRun()))
 	if e.RetryAfter() > 0 {
