Orders: each has a connection of its own

What operators could see: event=role outcome=refused of an order that an engine carries out.

Cause: found where the class of REFUSED was looked for. Orders and reports went over kept connections of requests, and their answers name nothing; a repeated refusal of a request was taken for the answer to the order.

Change: Outbound.Alone: one request on its connection.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -53,6 +53,7 @@
 // Client implements carawayspread.EndpointTransport with net/http. It is safe for concurrent use.
 type Client struct {
 	transport   *http.Transport
+	unpooled    *http.Transport // closes each connection after one answer
 	clock       carawayspread.Clock
 	connections atomic.Uint64 // that were established
 }
@@ -78,6 +79,8 @@
 		ReadBufferSize:         bufferSize,
 		WriteBufferSize:        bufferSize,
 	}
+	c.unpooled = c.transport.Clone()
+	c.unpooled.DisableKeepAlives = true
 	return c
 }
 
@@ -158,7 +161,11 @@
 		Body:          singleUseBody{bytes.NewReader(out.Body)},
 		ContentLength: int64(len(out.Body)),
 	}).WithContext(ctx)
-	resp, err := c.transport.RoundTrip(req)
+	transport := c.transport
+	if out.Alone {
+		transport = c.unpooled
+	}
+	resp, err := transport.RoundTrip(req)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
 		return newReply(resp, sentOver, &d), nil
--- a/transport.go
+++ b/transport.go
@@ -15,6 +15,8 @@
 	Host   string
 	Header http.Header // end-to-end headers; not modified by an EndpointTransport
 	Body   []byte      // not modified
+	// Alone makes the request the only one on its connection, so that what is answered is answered to it.
+	Alone bool
 	// Proceed is asked before the first byte is written, once there is a connection. If it returns false,
 	// nothing is sent. It may be nil.
 	Proceed func() bool
