Soak: workers repeat refusals, streams that must not run twice, and leave while gateways are behind

Why it missed REFUSED and TWICE: the one extra answer that its workers gave was a 200, right behind the first, so that net/http saw it on an idle connection and closed that; no refusal was ever repeated, and the one kind of request that must not run twice was a plain one, which is never prefilled apart and refused.

Change: workers repeat answers, refusals and 421 where the next answer is due, with and without the identifier. A fourth kind of request is a stream that must not run twice; checkAtMostOnce and checkRefusal judge it as others. A worker leaves while a gateway is paused, while half of them are starved, or while one alone gets no answers of the store, through a relay of its own.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -51,7 +51,7 @@
 
 // timeouts are the timeouts of the routes.
 var timeouts = map[caller.Kind]time.Duration{
-	caller.Safe: 2 * time.Second, caller.Unsafe: 2 * time.Second, caller.Stream: 4 * time.Second,
+	caller.Safe: 2 * time.Second, caller.Unsafe: 2 * time.Second, caller.Stream: 4 * time.Second, caller.Once: 4 * time.Second,
 }
 
 // Fleet holds the gateways, their workers and the store.
@@ -78,7 +78,8 @@
 	name    string
 	listen  string
 	program *program.Program
-	faultMu sync.Mutex // held during a fault of the process: one at a time
+	store   *relay.Relay // its connections to the store
+	faultMu sync.Mutex   // held during a fault of the process: one at a time
 }
 
 // listedWorker is one worker in the store's list, behind a relay.
@@ -149,11 +150,15 @@
 			}
 		}
 		name := fmt.Sprint("g", n)
+		storeRelay, err := relay.New(f.storeRelay.Address(), f.clock)
+		if err != nil {
+			return err
+		}
 		settings := filepath.Join(dir, name+".jsonc")
 		text := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
 "store":%q,"seeds":[%s],"grace":"%v","memoryMegabytes":%d,"promises":{"leaving":"%v","inForce":"%v"},
 "retries":{"ratio":%g,"slack":%d,"window":"%v"}}
-`, name, own[0], own[1], own[2], own[3], f.storeRelay.Address(), strings.Join(seeds, ","), grace, memoryMegabytes, drainBound, drainBound, retryRatio, retrySlack, retryWindow)
+`, name, own[0], own[1], own[2], own[3], storeRelay.Address(), strings.Join(seeds, ","), grace, memoryMegabytes, drainBound, drainBound, retryRatio, retrySlack, retryWindow)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return trace.ConvertSystemError(err)
 		}
@@ -161,7 +166,7 @@
 		if err != nil {
 			return err
 		}
-		f.gateways = append(f.gateways, &gateway{name: name, listen: own[0], program: p})
+		f.gateways = append(f.gateways, &gateway{name: name, listen: own[0], program: p, store: storeRelay})
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -194,6 +199,7 @@
 func (f *Fleet) Close() {
 	for _, g := range f.gateways {
 		g.program.Close()
+		g.store.Close()
 	}
 	for _, p := range f.allWorkers {
 		p.relay.Close()
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -23,6 +24,11 @@
 	// maxMisbehaviours is for how many requests a worker misbehaves at most: enough that
 	// they include requests of each kind.
 	maxMisbehaviours = 60
+	// starvedRun and starvedStop are how long a starved process runs and stands still, in turn: too little
+	// to keep up with the messages of its peers.
+	starvedRun, starvedStop = time.Millisecond, 49 * time.Millisecond
+	// leaveAfter is the part of a fault after which a worker leaves.
+	leaveAfter = 3
 )
 
 // smallInstanceLink is the bandwidth of a small instance, in bits per second.
@@ -42,6 +48,7 @@
 	worker.Refuse, worker.Bare503, worker.CloseWithoutAnswer, worker.Truncate, worker.WrongRequestID, worker.Unsealed,
 	worker.Error500, worker.ExtraAnswer, worker.Hang, worker.Misdirected, worker.LostHandle, worker.SlowEvents,
 	worker.Unframed, worker.UnframedShort, worker.UnframedReset,
+	worker.AnswerAgain, worker.RefuseAgain, worker.RefuseAgainUnnamed, worker.RejectAgainUnnamed, worker.MisdirectAgain, worker.MisdirectAgainUnnamed,
 }
 
 // inject runs a schedule and returns when its last fault has ended.
@@ -88,6 +95,12 @@
 		}
 	case schedule.Drain:
 		return f.replaceWorker(step.Which)
+	case schedule.LeavePaused:
+		return f.leaveDuring(step, func() error { return f.pause(g, step.Duration) })
+	case schedule.LeaveStarved:
+		return f.leaveDuring(step, func() error { return f.starveHalf(step) })
+	case schedule.LeaveCut:
+		return f.leaveDuring(step, func() error { f.cutFromStore(g, step.Duration); return nil })
 	case schedule.Routes:
 		f.publishRoutes()
 	case schedule.Restore:
@@ -157,6 +170,50 @@
 	return nil
 }
 
+// leaveDuring replaces a worker in the middle of a fault.
+func (f *Fleet) leaveDuring(step schedule.Step, fault func() error) error {
+	ended := make(chan error, 1)
+	go func() { ended <- fault() }()
+	<-f.clock.After(step.Duration / leaveAfter)
+	err := f.replaceWorker(step.Which)
+	return errors.Join(err, <-ended)
+}
+
+// starveHalf starves half of the gateways.
+func (f *Fleet) starveHalf(step schedule.Step) error {
+	var all sync.WaitGroup
+	errs := make([]error, len(f.gateways)/2)
+	for n := range errs {
+		g := f.gateways[(step.Which+n)%len(f.gateways)]
+		all.Go(func() { errs[n] = f.starve(g, step.Duration) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// starve gives a process a small share of the processor.
+func (f *Fleet) starve(g *gateway, d time.Duration) error {
+	g.faultMu.Lock()
+	defer g.faultMu.Unlock()
+	from := f.clock.Now()
+	var err error
+	for end := from.Add(d); err == nil && f.clock.Now().Before(end); {
+		err = g.program.Signal(syscall.SIGSTOP)
+		<-f.clock.After(starvedStop)
+		err = errors.Join(err, g.program.Signal(syscall.SIGCONT))
+		<-f.clock.After(starvedRun)
+	}
+	f.history.RecordFault(history.Target(g.name), from, f.clock.Now())
+	return err
+}
+
+// cutFromStore keeps what the store answers from one process.
+func (f *Fleet) cutFromStore(g *gateway, d time.Duration) {
+	g.faultMu.Lock()
+	defer g.faultMu.Unlock()
+	f.runFault(history.Target(g.name), d, func() { g.store.SetFault(relay.Silent) }, func() { g.store.SetFault(relay.None) })
+}
+
 func (f *Fleet) pause(g *gateway, d time.Duration) error {
 	g.faultMu.Lock()
 	defer g.faultMu.Unlock()
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -35,7 +35,7 @@
 	memoryPollInterval = 500 * time.Millisecond
 )
 
-var callerKinds = []caller.Kind{caller.Safe, caller.Unsafe, caller.Stream}
+var callerKinds = []caller.Kind{caller.Safe, caller.Unsafe, caller.Stream, caller.Once}
 
 // Run waits until all gateways serve, runs the schedule under load, and sends each gateway
 // final requests after all faults have ended.
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -195,9 +195,9 @@
 	return append(found, h.checkMemory()...)
 }
 
-// checkAtMostOnce: an unsafe request doesn't run twice.
+// checkAtMostOnce: a request that must not run twice doesn't.
 func (h *History) checkAtMostOnce(a answer, executions []request) []string {
-	if a.Kind != caller.Unsafe || len(executions) < 2 {
+	if a.Kind != caller.Unsafe && a.Kind != caller.Once || len(executions) < 2 {
 		return nil
 	}
 	return finding("%s ran %d times, at %s and %s", a.ID, len(executions), executions[0].worker, executions[1].worker)
@@ -208,7 +208,7 @@
 	if a.Status != 200 || a.Err != nil {
 		return nil
 	}
-	if a.Kind == caller.Stream {
+	if a.Kind.Streams() {
 		if want := streamBody(a.ID, a.After); withoutVersions(a.Body) != want {
 			return finding("%s got as whole %q", a.ID, a.Body)
 		}
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -36,12 +36,19 @@
 	Leaving Kind = "leaving" // a worker reports that it is draining in its answers only
 	Limited Kind = "limited" // a worker reports a rate limit in its answers
 
+	LeavePaused  Kind = "leavePaused"  // a worker leaves while a gateway is paused
+	LeaveStarved Kind = "leaveStarved" // the same while half of the gateways get little of the processor
+	LeaveCut     Kind = "leaveCut"     // the same while a gateway alone has no answers of the store
+
 	Narrow Kind = "narrow" // the bandwidth to the store is that of a small instance
 )
 
 // rareKinds occur once in several seconds. They are generated from a random source of their own.
 var rareKinds = []Kind{Restore, Leaving, Limited}
 
+// leaveKinds make workers leave while a gateway is behind.
+var leaveKinds = []Kind{LeavePaused, LeaveStarved, LeaveStarved, LeaveCut}
+
 // idleRouteCounts are how many unused routes a configuration may hold.
 var idleRouteCounts = []int{0, 0, 3000, 12000}
 
@@ -74,6 +81,9 @@
 	// minUnlistedDuration is the shortest time for which a draining worker is still listed as
 	// ready: longer than the time in which processes have to stop sending to it.
 	minUnlistedDuration = 4 * time.Second
+	// minStarvedDuration is the shortest time for which a gateway is starved as a worker leaves: several
+	// times the time in which processes have to stop sending to it.
+	minStarvedDuration = 7 * time.Second
 )
 
 // Step is one fault.
@@ -117,6 +127,7 @@
 	r := rand.New(rand.NewPCG(seed, 2))
 	s.idleRoutes = idleRouteCounts[r.IntN(len(idleRouteCounts))]
 	s.addSteps(r, length, rareMeanInterval, []Kind{Narrow})
+	s.addSteps(rand.New(rand.NewPCG(seed, 3)), length, rareMeanInterval, leaveKinds)
 	slices.SortStableFunc(s.steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return s
 }
@@ -136,6 +147,8 @@
 			step.Duration += minLimitedDuration
 		case Leaving:
 			step.Duration += minUnlistedDuration
+		case LeaveStarved:
+			step.Duration += minStarvedDuration
 		}
 		s.steps = append(s.steps, step)
 	}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -19,13 +19,17 @@
 // Kind is a kind of route.
 type Kind string
 
-// Kinds. The value is also the first segment of the path of its requests.
+// Kinds. The value is also the beginning of the path of its requests.
 const (
 	Safe   Kind = "lookup"
 	Unsafe Kind = "order"
 	Stream Kind = "stream"
+	Once   Kind = "once/stream" // a stream that must not run twice
 )
 
+// Streams reports whether the answers are streams.
+func (k Kind) Streams() bool { return k == Stream || k == Once }
+
 const (
 	// requestTimeout exceeds the timeouts of all routes, so that the gateway's own timeout comes first.
 	requestTimeout = 10 * time.Second
@@ -135,7 +139,7 @@
 	req.GetBody = nil // net/http retries a request whose body it can rewind
 	req.Host = "a.example"
 	req.Header.Set("Carawayspread-Request-Id", a.ID)
-	if a.Kind == Stream {
+	if a.Kind.Streams() {
 		req.Header.Set("Carawayspread-Token-Count", tokenCount)
 		req.Header.Set("Carawayspread-Prefix-Hash", fmt.Sprintf("%s:300,%s:300,%x:300", firstPart, cmp.Or(a.Part, commonPart), crc32.ChecksumIEEE([]byte(text))))
 	}
--- a/internal/standin/rows/published.go
+++ b/internal/standin/rows/published.go
@@ -6,15 +6,16 @@
 	"strings"
 )
 
-const configTemplate = `{"version":%d,"routes":[
+const configTemplate = `{"version":%[1]d,"routes":[
  {"name":"lookup","host":"a.example","prefix":"/lookup/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":2},
  {"name":"order","host":"a.example","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
- {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300}%s],
+ {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%[2]s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
+ {"name":"once","host":"a.example","prefix":"/once/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%[2]s","max_attempts":1,"sticky":true,"target_gap_ms":300}%[3]s],
  "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":100000,"handle_ttl_s":5}}],
- "limits":{"max_body_bytes":1000}%s}`
+ "limits":{"max_body_bytes":1000}%[4]s}`
 
-// Publish writes a version of the configuration with one route of each kind. The stream route
-// goes to the service named by streams.
+// Publish writes a version of the configuration with one route of each kind. The routes of streams
+// go to the service named by streams.
 func (s *Store) Publish(version int, streams string) {
 	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), ""))
 }
