readers: a process that is not the reader waits for nine tenths of its time, not for three quarters

Cause: since confirmations are dated by the store's time the list is as old as it is: what messages wait at small processes counts. At 300 machines a reader's call takes a third of a second, and others began to read 3,000 entries for themselves although their reader was alive.

Change: takeoverJitter 0.1. All of them still call before half of the guaranteed time is over.

--- a/internal/decision/zonereader/election.go
+++ b/internal/decision/zonereader/election.go
@@ -42,7 +42,7 @@
 	watchMaxAgeFraction = 0.75
 	// takeoverJitter spreads the calls of processes whose reader died: they got its last
 	// confirmation in the same message and would otherwise call at the same moment.
-	takeoverJitter = 0.25
+	takeoverJitter = 0.1
 	// pollJitter and retryJitter are the widths of the jitter of intervals, as fractions of
 	// their mean, so that processes that started together do not keep calling together.
 	pollJitter  = 0.2
--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -24,6 +24,7 @@
 		return caller.Answer{ID: "id", Kind: kind, SentAt: at(0), EndedAt: at(time.Second), Status: 200, Seal: "w.id", Body: body}
 	}
 	refused := caller.Answer{ID: "id", Kind: caller.Unsafe, SentAt: at(0), EndedAt: at(time.Second), Status: 503, HasRetryAfter: true}
+	withKind := func(a caller.Answer, kind caller.Kind) caller.Answer { a.Kind = kind; return a }
 	unanswered := caller.Answer{ID: "id", Kind: caller.Unsafe, SentAt: at(0), EndedAt: at(time.Second), Err: errors.New("EOF")}
 	unconnected := unanswered
 	unconnected.Err = &net.OpError{Op: "dial", Err: errors.New("refused")}
@@ -108,21 +109,24 @@
 		with     func(*History)
 		want     string
 	}{
-		"served":                       {served(caller.Unsafe, "w answers id"), ran(0, "id"), nil, ""},
-		"ran twice":                    {served(caller.Unsafe, "w answers id"), ran(0, "id", "id"), nil, "ran 2 times"},
-		"a safe request ran twice":     {served(caller.Safe, "w answers id"), ran(0, "id", "id"), nil, ""},
-		"answer to another request":    {served(caller.Unsafe, "w answers other"), ran(0, "id"), nil, "as its own"},
-		"answer without an execution":  {served(caller.Unsafe, "w answers id"), nil, nil, "as its own"},
-		"complete stream":              {served(caller.Stream, streamBody("id", 0)), ran(0, "id"), nil, ""},
-		"stream cut without an error":  {served(caller.Stream, "id: 1\ndata: part 1 of id\n\n"), ran(0, "id"), nil, "as whole"},
-		"answer cut with an error":     {truncated, ran(0, "id"), nil, ""},
-		"refused":                      {refused, nil, nil, ""},
-		"stream of two versions":       {ofVersions("id", 0, "v1", "v1", "v2", "v2"), ran(0, "id"), nil, "id holds events of v1 and v2"},
-		"stream of one version":        {ofVersions("id", 0, "v2", "v2", "v2", "v2"), ran(0, "id"), nil, ""},
-		"taken up at another version":  {broken("id", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 1, 1, "v2") }, "id holds events of v1 and v2"},
-		"taken up at its version":      {broken("id", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 1, 1, "v1") }, ""},
-		"half of them go on":           {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 12, 6, "v1") }, ""},
-		"less than half of them go on": {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 12, 5, "v1") }, "5 of 12 streams that were taken up went on"},
+		"served":                           {served(caller.Unsafe, "w answers id"), ran(0, "id"), nil, ""},
+		"ran twice":                        {served(caller.Unsafe, "w answers id"), ran(0, "id", "id"), nil, "ran 2 times"},
+		"a stream ran twice that must not": {served(caller.Once, streamBody("id", 0)), ran(0, "id", "id"), nil, "ran 2 times"},
+		"a stream ran twice that may":      {served(caller.Stream, streamBody("id", 0)), ran(0, "id", "id"), nil, ""},
+		"a refused stream ran":             {withKind(refused, caller.Once), ran(0, "id"), nil, "as not run, and ran"},
+		"a safe request ran twice":         {served(caller.Safe, "w answers id"), ran(0, "id", "id"), nil, ""},
+		"answer to another request":        {served(caller.Unsafe, "w answers other"), ran(0, "id"), nil, "as its own"},
+		"answer without an execution":      {served(caller.Unsafe, "w answers id"), nil, nil, "as its own"},
+		"complete stream":                  {served(caller.Stream, streamBody("id", 0)), ran(0, "id"), nil, ""},
+		"stream cut without an error":      {served(caller.Stream, "id: 1\ndata: part 1 of id\n\n"), ran(0, "id"), nil, "as whole"},
+		"answer cut with an error":         {truncated, ran(0, "id"), nil, ""},
+		"refused":                          {refused, nil, nil, ""},
+		"stream of two versions":           {ofVersions("id", 0, "v1", "v1", "v2", "v2"), ran(0, "id"), nil, "id holds events of v1 and v2"},
+		"stream of one version":            {ofVersions("id", 0, "v2", "v2", "v2", "v2"), ran(0, "id"), nil, ""},
+		"taken up at another version":      {broken("id", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 1, 1, "v2") }, "id holds events of v1 and v2"},
+		"taken up at its version":          {broken("id", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 1, 1, "v1") }, ""},
+		"half of them go on":               {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 12, 6, "v1") }, ""},
+		"less than half of them go on":     {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) { takenUp(h, 12, 5, "v1") }, "5 of 12 streams that were taken up went on"},
 		"few workers of their version serve": {ofVersions("id", 0, "v1", "v1", "v1", "v1"), ran(0, "id"), func(h *History) {
 			takenUp(h, 12, 0, "v1")
 			h.RecordDraining("w2", at(-time.Second))
