gateway: lines and metrics say what the retry budget knew

A request that was retried, or was refused for the budget, says what was spent and allowed, for how many requests, the fleet size and the age of the process. What is allowed is unchanged.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -153,6 +153,7 @@
 	if ports.Connections != nil {
 		d.gateway.Metrics().NewGauge("gateway_connections_opened", func() float64 { return float64(ports.Connections()) })
 	}
+	d.gateway.Metrics().NewGauge("gateway_fleet_size", func() float64 { return float64(d.peers.FleetSize()) })
 	d.gateway.Metrics().NewGauge("gateway_list_version", func() float64 { return float64(d.listVersion()) })
 	d.gateway.Metrics().NewGauge(fmt.Sprintf("gateway_settings_info{instance=%q,zone=%q,settings=%q}", s.ID(), s.Zone(), s.Digest()),
 		func() float64 { return 1 })
--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -28,11 +28,22 @@
 	Window time.Duration // the bounds hold in every time span of this length
 }
 
+// Decision is what was known when a retry was asked for.
+type Decision struct {
+	Allowed   bool
+	Spent     int           // retries of this process in the window, before this one
+	Limit     float64       // retries that this process may send in the window
+	Requests  int           // requests of this process in the window
+	FleetSize int           // processes that share the slack
+	Age       time.Duration // of the process
+}
+
 // Budget counts the requests and retries of one service. It is safe for concurrent use.
 type Budget struct {
 	clock     carawayspread.Clock
 	limits    Limits
 	processes func() int // processes that share the slack; at least 1
+	start     time.Time    // of the process
 
 	mu       sync.Mutex
 	last     int64 // number of the newest bucket
@@ -40,9 +51,9 @@
 	retries  [buckets + 1]int
 }
 
-// New returns an unspent budget.
-func New(clock carawayspread.Clock, limits Limits, processes func() int) *Budget {
-	return &Budget{clock: clock, limits: limits, processes: processes}
+// New returns an unspent budget of a process that started at that time.
+func New(clock carawayspread.Clock, limits Limits, processes func() int, start time.Time) *Budget {
+	return &Budget{clock: clock, limits: limits, processes: processes, start: start}
 }
 
 // CountRequest counts a request.
@@ -52,22 +63,21 @@
 	b.requests[b.advance()]++
 }
 
-// Allow spends one retry; false if none is left.
-func (b *Budget) Allow() bool {
+// Allow spends one retry, if one is left.
+func (b *Budget) Allow() Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	i := b.advance()
-	requests, retries := 0, 0
+	d := Decision{FleetSize: max(1, b.processes()), Age: b.clock.Now().Sub(b.start)}
 	for n := range b.requests {
-		requests += b.requests[n]
-		retries += b.retries[n]
+		d.Requests += b.requests[n]
+		d.Spent += b.retries[n]
 	}
-	allowed := usedFraction * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(1, b.processes())))
-	if float64(retries+1) > allowed {
-		return false
+	d.Limit = usedFraction * (b.limits.Ratio*float64(d.Requests) + b.limits.Slack/float64(d.FleetSize))
+	if d.Allowed = float64(d.Spent+1) <= d.Limit; d.Allowed {
+		b.retries[i]++
 	}
-	b.retries[i]++
-	return true
+	return d
 }
 
 // advance clears the buckets that have left the window and returns the index of the newest.
--- a/internal/decision/fleetbudget/budget_test.go
+++ b/internal/decision/fleetbudget/budget_test.go
@@ -20,7 +20,7 @@
 		processes := rapid.IntRange(1, 8).Draw(t, "processes")
 		budgets := make([]*Budget, processes)
 		for i := range budgets {
-			budgets[i] = New(clock, limits, func() int { return processes })
+			budgets[i] = New(clock, limits, func() int { return processes }, clock.Now())
 		}
 		type event struct {
 			at                time.Time
@@ -35,7 +35,7 @@
 				e.requests++
 			}
 			for range rapid.IntRange(0, 60).Draw(t, "wanted") {
-				if b.Allow() {
+				if b.Allow().Allowed {
 					e.retries++
 				}
 			}
@@ -66,9 +66,9 @@
 // Guards against a budget that stays spent after the window is over.
 func TestBudgetIsRestored(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	b := New(clock, limits, func() int { return 1 })
+	b := New(clock, limits, func() int { return 1 }, clock.Now())
 	spend := func() (n int) {
-		for b.Allow() {
+		for b.Allow().Allowed {
 			n++
 		}
 		return n
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -44,7 +44,7 @@
 	outcome := carawayspread.OutcomeServed
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = carawayspread.OutcomeFailed
-		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.g.budget(c.service.Name).Allow() {
+		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.spendRetry() {
 			c.retryReserved = true
 			return outcome, errServerError
 		}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
+	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/process/decisionlog"
 )
 
@@ -43,6 +44,7 @@
 	sends            int                   // attempts that may have reached an endpoint; they count against the retry budget
 	ran              int                   // attempts that may have run
 	retryReserved    bool                  // the next attempt has been charged to the retry budget already
+	retryDecision    *fleetbudget.Decision // the latest; nil if no retry was wanted
 	singleEndpoint   bool                  // one endpoint must do both prefill and decode
 	suspected        bool                  // a part of the prompt may have crashed the endpoint of the last attempt
 	sharedParts      []uint64              // keys of the parts of the prompt that others may share; nil until needed
@@ -127,7 +129,7 @@
 		if err == nil || !retry {
 			return err
 		}
-		if c.sends > 0 && !c.retryReserved && !c.g.budget(c.service.Name).Allow() {
+		if c.sends > 0 && !c.retryReserved && !c.spendRetry() {
 			return fmt.Errorf("the retry budget is exhausted: %w", err)
 		}
 		c.retryReserved = false
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -165,6 +165,7 @@
 		Int("sends", int64(c.sends)).Ms("expectedMs", c.firstPlacement.TimeToFirstEvent).Ms("waitMs", c.firstPlacement.QueueTime).Ms("workMs", c.firstPlacement.PrefillTime).
 		Ms("readMs", c.prefillDuration).Ms("firstMs", c.timeToFirstEvent).Ms("pauseMs", c.maxEventGap).Ms("tookMs", took).
 		Int("found", int64(c.firstPlacement.CachedTokens)).Ms("listAgeMs", c.g.listAge()).Int("list", int64(c.g.listVersion()))
+	c.logRetryDecision()
 	if c.route != nil {
 		line.Ms("targetMs", c.route.TargetLatency)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -64,6 +64,7 @@
 	forwardFeedback func(carawayspread.EndpointID, carawayspread.Feedback)
 	retryBudget     fleetbudget.Limits
 	budgetProcesses func() int
+	start           time.Time // of the process
 	reportCrash     func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	reportProof     func(fingerprint uint64, id carawayspread.EndpointID)
 	reportAnswer    func(fingerprint uint64)
@@ -131,6 +132,7 @@
 		forwardFeedback: func(carawayspread.EndpointID, carawayspread.Feedback) {},
 		retryBudget:     fleetbudget.Limits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		budgetProcesses: func() int { return 1 },
+		start:           clock.Now(),
 		listAge:         func() time.Duration { return 0 },
 		listVersion:     func() uint64 { return 0 },
 		reportCrash:     func(uint64, carawayspread.EndpointID, bool) {},
@@ -233,17 +235,6 @@
 	return c.arrived.Add(needed + drainMargin).Before(window.end)
 }
 
-func (g *Gateway) budget(service string) *fleetbudget.Budget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[service]
-	if b == nil {
-		b = fleetbudget.New(g.clock, g.retryBudget, g.budgetProcesses)
-		g.budgets[service] = b
-	}
-	return b
-}
-
 // ServeHTTP routes and answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
