--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -43,7 +43,7 @@
 	clock     carawayspread.Clock
 	limits    Limits
 	processes func() int // processes that share the slack; at least 1
-	start     time.Time    // of the process
+	start     time.Time  // of the process
 
 	mu       sync.Mutex
 	last     int64 // number of the newest bucket
