BUDGET: a start does not refill the slack

What callers saw: endpoints that refuse much got more retries than operators allow after processes had started.

Cause: each process kept what it had spent of its share of the slack in itself, for a window. Its successor got the whole share at once, while what was spent before still counted. Processes that started together shared the slack of a smaller fleet until they had heard of one another, and two parts of a fleet that were cut off from each other for over 30 s took all of it each.

Change: the share is a token bucket that starts empty; what can be saved and what comes within a window add up to the share. Of one process after the other, at one address, no window sees more than the share, however often it starts. Nothing is spent until the size of the fleet is known (2 s, and a peer heard of, or 30 s), but the tokens of that time are kept. A process that is silent counts for five minutes.

--- a/internal/connection/peers/heartbeat.go
+++ b/internal/connection/peers/heartbeat.go
@@ -14,31 +14,6 @@
 	sampleSize = 6
 )
 
-// FleetSize returns how many processes there are, this one included: the largest number that this
-// process or any of its peers receives messages from. A process that has just started receives
-// messages from few others for about a second, and would otherwise take more than its share of the
-// limits that apply to the whole fleet.
-func (s *Socket) FleetSize() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := s.fleetSizeLocked()
-	for _, p := range s.peers {
-		n = max(n, p.status.FleetSize)
-	}
-	return n
-}
-
-// fleetSizeLocked returns how many processes this one receives messages from, itself included.
-func (s *Socket) fleetSizeLocked() int {
-	now, n := s.clock.Now(), 1
-	for _, p := range s.peers {
-		if now.Sub(p.lastSeen) < memberTimeout {
-			n++
-		}
-	}
-	return n
-}
-
 // Membership returns the random identifier of this process, and the identifiers of all active
 // processes, itself included.
 func (s *Socket) Membership() (self uint64, all []uint64) {
--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -73,6 +73,7 @@
 		s.peers[m.sender] = p
 	}
 	p.address, p.lastSeen = m.address, now
+	s.recordMemberLocked(m.address)
 	if m.status != nil {
 		p.status = *m.status
 	}
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -24,9 +24,15 @@
 	sendIntervalPerPeer = 2 * time.Millisecond
 	// activeTimeout is how long messages are still sent to a peer that has become silent.
 	activeTimeout = 4 * time.Second
-	// memberTimeout is how long a silent peer still counts as a member of the fleet that shares its
-	// limits. It is longer than any outage after which the peer may be back at once.
+	// memberTimeout is how long a silent peer is remembered.
 	memberTimeout = 30 * time.Second
+	// shareTimeout is how long a silent process still counts as one that shares the limits of the fleet. It
+	// may be cut off from its peers alone and go on with its share.
+	shareTimeout = 5 * time.Minute
+	// discoveryTime is how long a process that starts may not have heard of all others: four heartbeats.
+	discoveryTime = 4 * heartbeatInterval
+	// aloneTime is how long a process that has heard of no other at all does not take itself for the only one.
+	aloneTime = 30 * time.Second
 	// listenAttempts bounds the search for a port that is free for both UDP and TCP.
 	listenAttempts = 16
 	// maxPending bounds the load updates, and likewise the crashes, that wait to be sent.
@@ -67,6 +73,7 @@
 	clock carawayspread.Clock
 	self  netip.AddrPort
 	id    uint64
+	start time.Time
 	seeds []netip.AddrPort
 	wake  chan struct{}
 	// forwardWake signals runForward that messages are queued.
@@ -93,6 +100,7 @@
 	heartbeats   int                                 // heartbeats sent
 	queries      originQueries
 	forwardQueue [][]byte                     // messages from other zones that wait to be forwarded
+	members      map[netip.AddrPort]time.Time // when something last arrived from each address
 	unverified   map[netip.AddrPort]time.Time // when each address was named by a peer from which nothing has arrived yet
 }
 
@@ -111,11 +119,12 @@
 		self = netip.AddrPortFrom(self.Addr(), uint16(bound.Port))
 	}
 	s := &Socket{
-		conn: conn, tcp: tcp, clock: clock, self: self, id: rand.Uint64(), wake: make(chan struct{}, 1), forwardWake: make(chan struct{}, 1),
+		conn: conn, tcp: tcp, clock: clock, self: self, id: rand.Uint64(), start: clock.Now(), wake: make(chan struct{}, 1), forwardWake: make(chan struct{}, 1),
 		status:   func() carawayspread.PeerStatus { return carawayspread.PeerStatus{} },
 		feedback: map[carawayspread.EndpointID]carawayspread.Feedback{},
 		queries:  originQueries{waiting: map[uint64]chan carawayspread.OriginAnswer{}},
 		loads:    map[uint32]carawayspread.LoadUpdate{}, peers: map[uint64]*peer{}, unverified: map[netip.AddrPort]time.Time{},
+		members: map[netip.AddrPort]time.Time{},
 	}
 	for _, seed := range seeds {
 		if parsed, err := netip.ParseAddrPort(seed); err == nil && parsed != self {
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -129,7 +129,7 @@
 	d.gateway = gateway.New(ports.Transport, ports.Protocol, d.placer, clock, d.decisionLog,
 		gateway.WithConfigFreshness(freshness{d}, s.RevocationBound(), s.Bounds().ConfigApply),
 		gateway.WithUsage(d.countRequest),
-		gateway.WithRetryBudget(s.RetryLimits(), d.peers.FleetSize),
+		gateway.WithRetryBudget(s.RetryLimits(), d.peers.Fleet),
 		gateway.WithFeedback(d.peers.BroadcastFeedback, d.peers.Membership),
 		gateway.WithListAge(d.listAge),
 		gateway.WithListVersion(d.listVersion),
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -63,7 +63,7 @@
 	backpressure    *backpressure.Backpressure
 	forwardFeedback func(carawayspread.EndpointID, carawayspread.Feedback)
 	retryBudget     fleetbudget.Limits
-	budgetProcesses func() int
+	fleet           fleetbudget.Fleet
 	start           time.Time // of the process
 	reportCrash     func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	reportProof     func(fingerprint uint64, id carawayspread.EndpointID)
@@ -104,10 +104,10 @@
 // Option sets an optional part of a Gateway.
 type Option func(*Gateway)
 
-// WithRetryBudget sets how many attempts may be sent beyond the first ones, and the number of
-// processes that share the budget.
-func WithRetryBudget(budget fleetbudget.Limits, processes func() int) Option {
-	return func(g *Gateway) { g.retryBudget, g.budgetProcesses = budget, processes }
+// WithRetryBudget sets how many attempts may be sent beyond the first ones, and the fleet that shares the
+// budget.
+func WithRetryBudget(budget fleetbudget.Limits, fleet fleetbudget.Fleet) Option {
+	return func(g *Gateway) { g.retryBudget, g.fleet = budget, fleet }
 }
 
 // WithListAge sets the function that returns the age of the list of endpoints.
@@ -131,7 +131,7 @@
 		backpressure:    backpressure.New(clock, noPeers),
 		forwardFeedback: func(carawayspread.EndpointID, carawayspread.Feedback) {},
 		retryBudget:     fleetbudget.Limits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
-		budgetProcesses: func() int { return 1 },
+		fleet:           func() (int, bool) { return 1, true },
 		start:           clock.Now(),
 		listAge:         func() time.Duration { return 0 },
 		listVersion:     func() uint64 { return 0 },
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -11,7 +11,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = fleetbudget.New(g.clock, g.retryBudget, g.budgetProcesses, g.start)
+		b = fleetbudget.New(g.clock, g.retryBudget, g.fleet, g.start)
 		g.budgets[service] = b
 	}
 	return b
@@ -25,13 +25,19 @@
 	return d.Allowed
 }
 
+func decimal(f float64) string { return strconv.FormatFloat(f, 'f', 1, 64) }
+
 // logRetryDecision adds the latest decision on a retry of the request to its line.
 func (c *call) logRetryDecision() {
 	d := c.retryDecision
 	if d == nil {
 		return
 	}
+	fleet := int64(d.FleetSize)
+	if !d.FleetKnown {
+		fleet = 0
+	}
 	c.line.Text("retry", map[bool]string{true: "allowed", false: "refused"}[d.Allowed]).Int("retriesSpent", int64(d.Spent)).
-		Text("retryLimit", strconv.FormatFloat(d.Limit, 'f', 1, 64)).Int("budgetRequests", int64(d.Requests)).
-		Int("fleet", int64(d.FleetSize)).Ms("processAgeMs", d.Age)
+		Text("retryLimit", decimal(d.Limit)).Int("budgetRequests", int64(d.Requests)).Text("slackLeft", decimal(d.Slack)).
+		Int("fleet", fleet).Ms("processAgeMs", d.Age)
 }
--- a/knowledge.go
+++ b/knowledge.go
@@ -64,7 +64,7 @@
 	Zone         string
 	Capacity     uint32 // of its instance; only for comparison between processes
 	CanReadStore bool   // the store answers this process, and it is not shutting down
-	FleetSize    int    // processes that it receives messages from, itself included
+	FleetSize    int    // processes that share the limits of the fleet, as it counts them, itself included
 	Resources    [ResourceCount]ResourceStatus
 	// StoreEpoch is the time from the start of 1970 to the moment at which the store's monotonic
 	// clock read zero, by this process's wall clock; zero if unknown.
