BUDGET: retries keep to the requests of the window in which they arrive

What callers saw: more retries than the requests of any one window allow, after traffic had fallen or come back, or when retries were held up.

Cause: a retry counted when it was decided, and was checked against the requests of the ten seconds up to then. Operators count arrivals, and the requests of that window or of one of two before it: requests at the end of one window and at the beginning of the next paid together. An attempt waits up to 0.9 s for its connection, and 1.2 s more where a cut holds its bytes up.

Change: the bound holds in each span from the beginning of a window to the retry, with half of the requests of that window and half of those of the one half a window before it, which no process may choose for itself. A retry counts when it has arrived, or can have arrived last. The slack is one term of the same bound, so that a process which lives gets the whole share in each window. Attempts that reached no endpoint keep their retry for the next one.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -28,13 +28,9 @@
 )
 
 const (
-	// connectTimeout bounds connecting. Endpoints accept connections within a few milliseconds. A
-	// lost SYN is retransmitted after one second, and by then another endpoint is the better choice.
-	connectTimeout = 900 * time.Millisecond
-	// unackedTimeout is how long sent data may stay unacknowledged, and keep-alive probes
-	// unanswered, before the connection is closed. It must exceed the loss of a few packets in a
-	// row, and stay below the gap between events after which callers disconnect.
-	unackedTimeout = 1200 * time.Millisecond
+	connectTimeout = carawayspread.MaxConnectTime
+	// unackedTimeout is also how long keep-alive probes may stay unanswered.
+	unackedTimeout = carawayspread.MaxUnacknowledged
 	// probeInterval is the time between keep-alive probes on an idle connection.
 	probeInterval = 400 * time.Millisecond
 	// idleTimeout is less than the ten seconds that endpoints announce, so that an endpoint rarely
--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -14,12 +14,9 @@
 	"carawayspread"
 )
 
-const (
-	// usedFraction is the fraction of the allowance that is spent: requests that are
-	// counted here may not have reached their service yet when they are counted there.
-	usedFraction = 0.8
-	buckets      = 20 // per window
-)
+// UsedFraction is the fraction of the allowance that is spent. The rest covers requests that are read later
+// than they were sent.
+const UsedFraction = 0.9
 
 // Limits bound the retries of all processes together, as set by operators.
 type Limits struct {
@@ -34,10 +31,9 @@
 // Decision is what was known when a retry was asked for.
 type Decision struct {
 	Allowed    bool
-	Spent      int     // retries paid by requests in the window, before this one
-	Limit      float64 // retries that the requests of the window pay for
+	Spent      int     // retries in the tightest span, before this one
+	Limit      float64 // retries that are allowed in that span
 	Requests   int     // requests of this process in the window
-	Slack      float64 // retries left of this process's share of the slack, before this one
 	FleetSize  int     // processes that share the slack
 	FleetKnown bool    // nothing of the slack is spent before
 	Age        time.Duration
@@ -50,55 +46,87 @@
 	fleet  Fleet
 	start  time.Time // of the process
 
-	mu       sync.Mutex
-	slack    slack
-	last     int64 // number of the newest bucket
-	requests [buckets + 1]int
-	retries  [buckets + 1]int // that were paid by requests
+	mu      sync.Mutex
+	history history
 }
 
 // New returns an unspent budget of a process that started at that time.
 func New(clock carawayspread.Clock, limits Limits, fleet Fleet, start time.Time) *Budget {
-	return &Budget{clock: clock, limits: limits, fleet: fleet, start: start, slack: slack{credited: start}}
+	return &Budget{
+		clock: clock, limits: limits, fleet: fleet, start: start,
+		history: history{interval: max(1, limits.Window/buckets)},
+	}
 }
 
 // CountRequest counts a request.
 func (b *Budget) CountRequest() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.requests[b.advance()]++
+	b.history.addRequest(b.clock.Now())
 }
 
-// Allow spends one retry, if one is left: of those that requests pay for, else of the slack.
-func (b *Budget) Allow() Decision {
+// Spend spends one retry. The retry is nil if none is left.
+func (b *Budget) Spend() (*Retry, Decision) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	i, now := b.advance(), b.clock.Now()
-	d := Decision{Age: now.Sub(b.start)}
-	for n := range b.requests {
-		d.Requests += b.requests[n]
-		d.Spent += b.retries[n]
-	}
-	d.Limit = usedFraction * b.limits.Ratio * float64(d.Requests)
-	if d.FleetSize, d.FleetKnown = b.fleet(); d.FleetKnown {
-		d.Slack = b.slack.refill(now, usedFraction*b.limits.Slack/float64(max(1, d.FleetSize)), b.limits.Window)
+	now := b.clock.Now()
+	d := Decision{Age: now.Sub(b.start), Requests: b.history.recentRequests(now)}
+	d.Spent, d.Limit = b.tightest(now, b.slack(&d))
+	if float64(d.Spent+1) > d.Limit {
+		return nil, d
 	}
-	switch {
-	case float64(d.Spent+1) <= d.Limit:
-		b.retries[i]++
-		d.Allowed = true
-	case d.FleetKnown:
-		d.Allowed = b.slack.take()
+	d.Allowed = true
+	return &Retry{budget: b, bucket: b.history.addRetry(now, 0)}, d
+}
+
+// slack is one process's share of the slack.
+//
+// A process that starts does not know what the one before it has spent, which counts for the rest of the
+// window. So the share is a token bucket that is empty at the start: what comes later would have come to its
+// predecessor as well. What can be saved and what comes within a window add up to the share, so that no series
+// of starts spends more than the share in any window.
+type slack struct {
+	saved     float64 // retries that can be saved
+	perWindow float64 // retries that come within a window
+}
+
+func (b *Budget) slack(d *Decision) slack {
+	if d.FleetSize, d.FleetKnown = b.fleet(); !d.FleetKnown {
+		return slack{}
 	}
-	return d
+	share := UsedFraction * b.limits.Slack / float64(max(1, d.FleetSize))
+	saved := min(share, max(1, share/2))
+	return slack{saved, share - saved}
 }
 
-// advance clears the buckets that have left the window and returns the index of the newest.
-func (b *Budget) advance() int {
-	now := b.clock.Now().UnixNano() / int64(max(1, b.limits.Window/buckets))
-	for n := max(b.last+1, now-buckets); n <= now; n++ {
-		b.requests[n%(buckets+1)], b.retries[n%(buckets+1)] = 0, 0
+// tightest returns, for the span up to now in which the fewest retries are left, the retries that may have
+// arrived in it and how many are allowed in it.
+//
+// The bound holds in a window if it holds in each span from the window's beginning to a retry. Operators count
+// the requests of the window, of the one before it, or of the one half a window before it, whichever has most.
+// All processes have to count the same ones, as else some would use the requests of one window and some those
+// of another. Half of the requests of the window and half of those of the window half a window before it are
+// at most the larger of both. The earlier window allows retries as soon as something fails, the window itself
+// as soon as a process has started.
+func (b *Budget) tightest(now time.Time, s slack) (spent int, limit float64) {
+	h := &b.history
+	last, retries := h.number(now), 0
+	requests := h.upTo(last)
+	for n := last + ahead; n > last; n-- {
+		retries += h.retries(n)
+	}
+	for first := last; first >= last-buckets; first-- {
+		retries += h.retries(first)
+		// The window begins anywhere in its first bucket, so only buckets count that are in both windows then.
+		counted := float64(requests.between(first+1, last)+requests.between(first+1-half, min(last, first-1+half))) / 2
+		began, saved := h.end(first), s.saved
+		if !began.Add(-h.interval).After(b.start) {
+			began, saved = b.start, 0
+		}
+		allowed := UsedFraction*b.limits.Ratio*counted + saved + s.perWindow*float64(max(0, now.Sub(began)))/float64(b.limits.Window)
+		if first == last || allowed-float64(retries) < limit-float64(spent) {
+			spent, limit = retries, allowed
+		}
 	}
-	b.last = max(b.last, now)
-	return int(b.last % (buckets + 1))
+	return spent, limit
 }
--- a/internal/decision/fleetbudget/budget_test.go
+++ b/internal/decision/fleetbudget/budget_test.go
@@ -16,7 +16,7 @@
 // all processes are at most the ratio of their requests plus the slack.
 func TestAllProcessesTogetherKeepTheLimits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		clock := clockwork.NewFakeClock()
+		clock := newClock(t)
 		processes := rapid.IntRange(1, 8).Draw(t, "processes")
 		budgets := make([]*Budget, processes)
 		for i := range budgets {
@@ -35,7 +35,8 @@
 				e.requests++
 			}
 			for range rapid.IntRange(0, 60).Draw(t, "wanted") {
-				if b.Allow().Allowed {
+				if arrived, ok := sendRetry(b); ok {
+					arrived()
 					e.retries++
 				}
 			}
@@ -69,38 +70,80 @@
 	clock := clockwork.NewFakeClock()
 	b := New(clock, limits, func() (int, bool) { return 1, true }, clock.Now().Add(-limits.Window))
 	spend := func() (n int) {
-		for b.Allow().Allowed {
+		for arrived, ok := sendRetry(b); ok; arrived, ok = sendRetry(b) {
+			arrived()
 			n++
 		}
 		return n
 	}
 	first := spend()
-	qt.Check(t, first, qt.Equals, int(usedFraction*limits.Slack/2))
+	qt.Check(t, first, qt.Equals, int(UsedFraction*limits.Slack/2))
 	qt.Check(t, spend(), qt.Equals, 0)
 	inAWindow := first
 	for range buckets {
 		clock.Advance(limits.Window / buckets)
 		inAWindow += spend()
 	}
-	qt.Check(t, inAWindow, qt.Equals, int(usedFraction*limits.Slack))
+	qt.Check(t, inAWindow, qt.Equals, int(UsedFraction*limits.Slack))
 	clock.Advance(2 * limits.Window)
 	qt.Check(t, spend(), qt.Equals, first)
+	later := 0
+	for range 3 * buckets {
+		clock.Advance(limits.Window / buckets)
+		later += spend()
+	}
+	qt.Check(t, later >= int(2*UsedFraction*limits.Slack), qt.IsTrue, qt.Commentf("%d in three windows", later))
+}
+
+// Guards against retries that are forgotten while they wait for a connection, or are held up by a cut.
+func TestRetryCountsUntilItHasArrived(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	b := New(clock, Limits{Ratio: 1, Window: limits.Window}, func() (int, bool) { return 1, true }, clock.Now())
+	passTime := func(d time.Duration) {
+		for range int(d / step) {
+			clock.Advance(step)
+			b.CountRequest()
+		}
+	}
+	passTime(2 * limits.Window)
+	var sent []*Retry
+	for r, d := b.Spend(); d.Allowed; r, d = b.Spend() {
+		r.ArrivesWithin(2 * time.Second)
+		sent = append(sent, r)
+	}
+	qt.Check(t, len(sent) > 10, qt.IsTrue, qt.Commentf("%d", len(sent)))
+	passTime(time.Second)
+	_, d := b.Spend()
+	qt.Check(t, d.Allowed, qt.IsFalse)
+	for _, r := range sent {
+		r.ArrivesWithin(0)
+	}
+	passTime(time.Second)
+	_, d = b.Spend()
+	qt.Check(t, d.Allowed, qt.IsTrue)
 }
 
 // Guards against failures that reach callers of a service with little traffic, because a process that has
 // started retries nothing for a whole window.
 func TestRetryIsSentSoonAfterAStart(t *testing.T) {
 	const processes, soon = 5, 3 * time.Second
-	for name, requests := range map[string]int{"no other request": 0, "ten requests": 10} {
+	for name, c := range map[string]struct {
+		requests   int
+		fleetKnown bool
+	}{
+		"no other request":       {0, true},
+		"the fleet is not known": {15, false},
+	} {
 		t.Run(name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			b := newBudget(clock, processes)
-			for range requests {
-				clock.Advance(soon / 10)
+			b := New(clock, limits, func() (int, bool) { return processes, c.fleetKnown }, clock.Now())
+			for range c.requests {
+				clock.Advance(soon / 20)
 				b.CountRequest()
 			}
-			clock.Advance(soon - time.Duration(requests)*soon/10)
-			qt.Check(t, b.Allow().Allowed, qt.IsTrue)
+			clock.Advance(soon - time.Duration(c.requests)*soon/20)
+			_, ok := sendRetry(b)
+			qt.Check(t, ok, qt.IsTrue)
 		})
 	}
 }
--- a/internal/decision/fleetbudget/fleet_test.go
+++ b/internal/decision/fleetbudget/fleet_test.go
@@ -26,11 +26,23 @@
 	}, start)
 }
 
+// newClock returns a clock that does not begin where a bucket does.
+func newClock(t *rapid.T) *clockwork.FakeClock {
+	return clockwork.NewFakeClockAt(time.Unix(1000, 0).Add(time.Duration(rapid.IntRange(0, 499).Draw(t, "ms")) * time.Millisecond))
+}
+
 // countRequest counts a request that was sent at some time after since.
 func countRequest(b *Budget, _ time.Time) { b.CountRequest() }
 
-// sendRetry sends a retry if one is left, and returns the function to call when it arrives.
-func sendRetry(b *Budget) (arrived func(), ok bool) { return func() {}, b.Allow().Allowed }
+// sendRetry sends a retry that arrives within two seconds, if one is left, and returns the function to call when it arrives.
+func sendRetry(b *Budget) (arrived func(), ok bool) {
+	r, decision := b.Spend()
+	if !decision.Allowed {
+		return nil, false
+	}
+	r.ArrivesWithin(2 * time.Second)
+	return func() { r.ArrivesWithin(0) }, true
+}
 
 // judge holds what endpoints of one service received, by step. It applies the bound as operators state it.
 type judge struct{ requests, retries []int }
@@ -60,7 +72,7 @@
 func TestStartsDoNotRefillTheSlack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const steps = 400
-		clock := clockwork.NewFakeClock()
+		clock := newClock(t)
 		processes := rapid.IntRange(1, 20).Draw(t, "processes")
 		perStep := rapid.IntRange(0, 2).Draw(t, "requests of each in a step")
 		startsOf := func(name string) map[int]bool {
@@ -102,7 +114,7 @@
 func TestRetriesKeepToTheRequestsOfTheirWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const steps = 400
-		clock := clockwork.NewFakeClock()
+		clock := newClock(t)
 		processes := rapid.IntRange(1, 4).Draw(t, "processes")
 		budgets := make([]*Budget, processes)
 		for i := range budgets {
@@ -148,7 +160,7 @@
 func TestRequestsCountWhenTheyWereSent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const steps = 400
-		clock := clockwork.NewFakeClock()
+		clock := newClock(t)
 		processes := rapid.IntRange(1, 4).Draw(t, "processes")
 		perStep := rapid.IntRange(1, 8).Draw(t, "requests of each in a step")
 		from := rapid.IntRange(0, steps/2).Draw(t, "they stand still from")
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -45,7 +45,6 @@
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = carawayspread.OutcomeFailed
 		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.spendRetry() {
-			c.retryReserved = true
 			return outcome, errServerError
 		}
 	}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -43,7 +43,7 @@
 	exclude          map[carawayspread.EndpointID]bool
 	sends            int                   // attempts that may have reached an endpoint; they count against the retry budget
 	ran              int                   // attempts that may have run
-	retryReserved    bool                  // the next attempt has been charged to the retry budget already
+	retry            *fleetbudget.Retry    // spent for the next attempt; nil if none was needed yet
 	retryDecision    *fleetbudget.Decision // the latest; nil if no retry was wanted
 	singleEndpoint   bool                  // one endpoint must do both prefill and decode
 	suspected        bool                  // a part of the prompt may have crashed the endpoint of the last attempt
@@ -101,6 +101,7 @@
 	defer cancel()
 	c.exclude = map[carawayspread.EndpointID]bool{}
 	c.lastEventID = c.metadata.LastEventID
+	defer c.withdrawRetry()
 	err := c.run(ctx)
 	c.releaseKV()
 	if err == nil {
@@ -129,10 +130,9 @@
 		if err == nil || !retry {
 			return err
 		}
-		if c.sends > 0 && !c.retryReserved && !c.spendRetry() {
+		if c.sends > 0 && !c.spendRetry() {
 			return fmt.Errorf("the retry budget is exhausted: %w", err)
 		}
-		c.retryReserved = false
 	}
 	return errIncomplete
 }
@@ -328,10 +328,12 @@
 	}
 	c.g.protocol.SetAttemptHeaders(h, attempt)
 	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
+	c.beginRetry()
 	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
 		Proceed: func() bool { return c.g.takesRequests(at.Endpoint) },
 	})
+	c.endRetry(err)
 	if err == nil {
 		c.latest.reply, c.latest.echoedID = reply, c.g.protocol.EchoedID(reply)
 	}
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -152,7 +152,7 @@
 	b.log = decisionlog.New(b.lines)
 	b.gateway = New(b.transport, wire.Protocol{}, b.placer, b.clock, b.log,
 		WithRetryBudget(fleetbudget.Limits{Ratio: 1, Slack: 10, Window: 10 * time.Second}, func() (int, bool) { return 1, true }))
-	b.gateway.start = b.clock.Now().Add(-10 * time.Second) // a process that has just started has none of the slack
+	b.gateway.start = b.clock.Now().Add(-time.Minute) // a process that has just started has none of the slack
 	b.gateway.Adopt(carawayspread.NewRouting(1, []*carawayspread.Route{
 		route("safe", carawayspread.RetryIdempotent, false, 2),
 		route("never", carawayspread.RetryNever, false, 3),
@@ -353,6 +353,17 @@
 	qt.Check(t, extra > 0, qt.IsTrue)
 }
 
+// Guards against a retry that the budget allows and that is not made, because attempts that reached no endpoint
+// were charged: of two endpoints one refuses and one cannot be reached, and one retry is left.
+func TestUnsentAttemptsAreNotCharged(t *testing.T) {
+	b := newHarness(t, notRun(503), unreachable(), answer(200))
+	b.gateway.retryBudget = fleetbudget.Limits{Slack: 1 / fleetbudget.UsedFraction, Window: 10 * time.Second}
+	resp, _, err := b.post(t, "/never/x", "body")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, resp.StatusCode, qt.Equals, 200)
+	qt.Check(t, b.transport.all(), qt.HasLen, 3)
+}
+
 // Guards against callers that set reserved headers: these must not reach an endpoint. The remaining
 // time of the caller must.
 func TestReservedHeadersAreSetByTheGateway(t *testing.T) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"strconv"
 
+	"carawayspread"
 	"carawayspread/internal/decision/fleetbudget"
 )
 
@@ -17,9 +19,14 @@
 	return b
 }
 
-// spendRetry spends one retry of the budget of the request's service; false if none is left.
+// spendRetry spends one retry of the budget of the request's service, for the next attempt that is sent; false
+// if none is left.
 func (c *call) spendRetry() bool {
-	d := c.g.budget(c.service.Name).Allow()
+	if c.retry != nil {
+		return true
+	}
+	var d fleetbudget.Decision
+	c.retry, d = c.g.budget(c.service.Name).Spend()
 	c.retryDecision = &d
 	c.g.set.GetOrCreateCounter(`gateway_retries_total{service="` + c.service.Name + `",allowed="` + strconv.FormatBool(d.Allowed) + `"}`).Inc()
 	return d.Allowed
@@ -27,6 +34,35 @@
 
 func decimal(f float64) string { return strconv.FormatFloat(f, 'f', 1, 64) }
 
+// beginRetry records that an attempt is being sent.
+func (c *call) beginRetry() {
+	if c.retry != nil {
+		c.retry.ArrivesWithin(carawayspread.MaxConnectTime + carawayspread.MaxUnacknowledged)
+	}
+}
+
+// endRetry records what became of an attempt that was sent with that error. One that reached no endpoint
+// leaves its retry to the next attempt; what was written of one that was given up may still arrive.
+func (c *call) endRetry(err error) {
+	switch {
+	case c.retry == nil || errors.Is(err, carawayspread.ErrUnsent):
+		return
+	case err == nil:
+		c.retry.ArrivesWithin(0)
+	default:
+		c.retry.ArrivesWithin(carawayspread.MaxUnacknowledged)
+	}
+	c.retry = nil
+}
+
+// withdrawRetry returns a retry that no attempt was sent for.
+func (c *call) withdrawRetry() {
+	if c.retry != nil {
+		c.retry.Withdraw()
+		c.retry = nil
+	}
+}
+
 // logRetryDecision adds the latest decision on a retry of the request to its line.
 func (c *call) logRetryDecision() {
 	d := c.retryDecision
@@ -38,6 +74,6 @@
 		fleet = 0
 	}
 	c.line.Text("retry", map[bool]string{true: "allowed", false: "refused"}[d.Allowed]).Int("retriesSpent", int64(d.Spent)).
-		Text("retryLimit", decimal(d.Limit)).Int("budgetRequests", int64(d.Requests)).Text("slackLeft", decimal(d.Slack)).
+		Text("retryLimit", decimal(d.Limit)).Int("budgetRequests", int64(d.Requests)).
 		Int("fleet", fleet).Ms("processAgeMs", d.Age)
 }
--- a/transport.go
+++ b/transport.go
@@ -8,6 +8,17 @@
 	"time"
 )
 
+// Bounds on when a request arrives at its endpoint.
+const (
+	// MaxConnectTime bounds connecting. Endpoints accept connections within a few milliseconds. A lost SYN is
+	// retransmitted after one second, and by then another endpoint is the better choice.
+	MaxConnectTime = 900 * time.Millisecond
+	// MaxUnacknowledged is how long sent data may stay unacknowledged before the connection is closed. It must
+	// exceed the loss of a few packets in a row, and stay below the gap between events after which callers
+	// disconnect.
+	MaxUnacknowledged = 1200 * time.Millisecond
+)
+
 // Outbound is a request as it is sent to an endpoint.
 type Outbound struct {
 	Method string
