BUDGET: the slack comes sooner after a start

Change: the size is known as soon as it has not grown for two heartbeats and a peer was heard of. Three quarters of a share come by time, one quarter and at least one retry can be saved; a process that lives gets the whole share in each window either way.

--- a/internal/connection/peers/fleet.go
+++ b/internal/connection/peers/fleet.go
@@ -3,18 +3,27 @@
 import "net/netip"
 
 // Fleet returns how many processes share the limits of the fleet, this one included: the largest number that
-// this process or any of its peers counts. It is not known in the first seconds of a process, which receives
-// messages from few others and would take more than its share.
+// this process or any of its peers counts. It is not known while the number grows after a start: the process
+// receives messages from few others then, and would take more than its share.
 func (s *Socket) Fleet() (size int, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	size = s.fleetSizeLocked()
+	size = s.observeFleetLocked()
+	return size, s.discovered || s.clock.Now().Sub(s.start) >= aloneTime
+}
+
+// observeFleetLocked returns the size of the fleet, and notes whether all of it is known by now.
+func (s *Socket) observeFleetLocked() int {
+	now, size := s.clock.Now(), s.fleetSizeLocked()
 	for _, p := range s.peers {
 		size = max(size, p.status.FleetSize)
 	}
-	age := s.clock.Now().Sub(s.start)
-	heard := size > 1 || len(s.seeds) == 0
-	return size, age >= discoveryTime && heard || age >= aloneTime
+	heard := s.largest > 1 || len(s.seeds) == 0
+	s.discovered = s.discovered || heard && now.Sub(s.grownAt) >= discoveryTime
+	if size > s.largest {
+		s.largest, s.grownAt = size, now
+	}
+	return size
 }
 
 // FleetSize returns the first result of Fleet.
@@ -25,26 +34,19 @@
 
 // fleetSizeLocked returns how many processes this one has heard from within shareTimeout, itself included.
 func (s *Socket) fleetSizeLocked() int {
-	now, n := s.clock.Now(), 1
-	for _, seen := range s.members {
-		if now.Sub(seen) < shareTimeout {
-			n++
+	now := s.clock.Now()
+	for address, seen := range s.members {
+		if now.Sub(seen) >= shareTimeout {
+			delete(s.members, address)
 		}
 	}
-	return n
+	return len(s.members) + 1
 }
 
 // recordMemberLocked notes that a process at that address is alive. One that starts again at the same address
 // counts once.
 func (s *Socket) recordMemberLocked(address netip.AddrPort) {
-	now := s.clock.Now()
-	if _, ok := s.members[address]; !ok && len(s.members) >= maxFleetSize {
-		return
-	}
-	s.members[address] = now
-	for other, seen := range s.members {
-		if now.Sub(seen) >= shareTimeout {
-			delete(s.members, other)
-		}
+	if _, ok := s.members[address]; ok || len(s.members) < maxFleetSize {
+		s.members[address] = s.clock.Now()
 	}
 }
--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -82,6 +82,9 @@
 			delete(s.peers, id) // an earlier process at this address
 		}
 	}
+	if !s.discovered {
+		s.observeFleetLocked()
+	}
 	delete(s.unverified, m.address)
 	for _, address := range m.knownPeers {
 		if address != s.self && !s.knowsAddress(address) {
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -29,8 +29,9 @@
 	// shareTimeout is how long a silent process still counts as one that shares the limits of the fleet. It
 	// may be cut off from its peers alone and go on with its share.
 	shareTimeout = 5 * time.Minute
-	// discoveryTime is how long a process that starts may not have heard of all others: four heartbeats.
-	discoveryTime = 4 * heartbeatInterval
+	// discoveryTime is how long the known number of processes may stay the same before all are known: each
+	// heartbeat of a peer names others.
+	discoveryTime = 2 * heartbeatInterval
 	// aloneTime is how long a process that has heard of no other at all does not take itself for the only one.
 	aloneTime = 30 * time.Second
 	// listenAttempts bounds the search for a port that is free for both UDP and TCP.
@@ -100,6 +101,9 @@
 	heartbeats   int                                 // heartbeats sent
 	queries      originQueries
 	forwardQueue [][]byte                     // messages from other zones that wait to be forwarded
+	largest      int                          // the largest fleet that was seen
+	grownAt      time.Time                    // when largest changed
+	discovered   bool                         // largest did not change for discoveryTime
 	members      map[netip.AddrPort]time.Time // when something last arrived from each address
 	unverified   map[netip.AddrPort]time.Time // when each address was named by a peer from which nothing has arrived yet
 }
@@ -119,7 +123,7 @@
 		self = netip.AddrPortFrom(self.Addr(), uint16(bound.Port))
 	}
 	s := &Socket{
-		conn: conn, tcp: tcp, clock: clock, self: self, id: rand.Uint64(), start: clock.Now(), wake: make(chan struct{}, 1), forwardWake: make(chan struct{}, 1),
+		conn: conn, tcp: tcp, clock: clock, self: self, id: rand.Uint64(), start: clock.Now(), largest: 1, grownAt: clock.Now(), wake: make(chan struct{}, 1), forwardWake: make(chan struct{}, 1),
 		status:   func() carawayspread.PeerStatus { return carawayspread.PeerStatus{} },
 		feedback: map[carawayspread.EndpointID]carawayspread.Feedback{},
 		queries:  originQueries{waiting: map[uint64]chan carawayspread.OriginAnswer{}},
--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -18,6 +18,10 @@
 // than they were sent.
 const UsedFraction = 0.9
 
+// savedFraction is the fraction of a share of the slack that can be saved, for failures that come together, and
+// at least one retry. The rest comes by time, also to a process that has just started.
+const savedFraction = 0.25
+
 // Limits bound the retries of all processes together, as set by operators.
 type Limits struct {
 	Ratio  float64       // retries per request
@@ -95,7 +99,7 @@
 		return slack{}
 	}
 	share := UsedFraction * b.limits.Slack / float64(max(1, d.FleetSize))
-	saved := min(share, max(1, share/2))
+	saved := min(share, max(1, savedFraction*share))
 	return slack{saved, share - saved}
 }
 
