BUDGET: requests that waited while a process stood still count as they were sent

What callers saw: more retries than operators allow after all processes had stood still, with nothing killed.

Cause: requests counted when they were read. What arrived in eight seconds of standstill counted as ten seconds' worth more in the window after it. The window was measured by the wall clock, which jumps; one that only counted while the machine runs would have kept requests in it through a suspension.

Change: the time between timers shows when a process stood still; what is read until it has caught up may have been sent since then, and counts in windows alone that hold all of that time. The clock is the system's uptime. The timer is that of the connection limit, no other wakes the process.

--- a/internal/daemon/gatewayd/connlimit.go
+++ b/internal/daemon/gatewayd/connlimit.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/standstill"
 	"carawayspread/internal/process/decisionlog"
 )
 
@@ -28,18 +29,20 @@
 	})
 }
 
-// runConnLimit observes how late timers fire, which shows whether the processor keeps up.
-func (d *Daemon) runConnLimit(ctx context.Context) error {
-	if d.settings.MaxLateness() == 0 {
-		return nil
-	}
+// runTimers observes how late timers fire, which shows whether the processor keeps up and when the process stood
+// still.
+func (d *Daemon) runTimers(ctx context.Context) error {
 	accepting := true
 	for {
-		expected := d.clock.Now().Add(connlimit.Interval)
+		expected := d.clock.Now().Add(standstill.Interval)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-d.clock.After(connlimit.Interval):
+		case <-d.clock.After(standstill.Interval):
+		}
+		d.standstill.Fired()
+		if d.settings.MaxLateness() == 0 {
+			continue
 		}
 		late := d.clock.Now().Sub(expected)
 		share := d.connLimit.Fired(late)
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -27,6 +27,7 @@
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/standstill"
 	"carawayspread/internal/decision/zonereader"
 	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/process/follower"
@@ -99,6 +100,7 @@
 	connections *connections
 	listener    *callers.Listener
 	connLimit   *connlimit.Limit
+	standstill  *standstill.Detector
 	acceptEnded chan struct{} // closed when no further connection is accepted
 	health      *server.Server
 	metrics     *server.Server
@@ -126,10 +128,13 @@
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
 	origins := d.newOrigins()
+	uptimeClock := carawayspread.UptimeClock(ports.Uptime, clock)
+	d.standstill = standstill.New(uptimeClock)
 	d.gateway = gateway.New(ports.Transport, ports.Protocol, d.placer, clock, d.decisionLog,
 		gateway.WithConfigFreshness(freshness{d}, s.RevocationBound(), s.Bounds().ConfigApply),
 		gateway.WithUsage(d.countRequest),
 		gateway.WithRetryBudget(s.RetryLimits(), d.peers.Fleet),
+		gateway.WithRetryClock(uptimeClock, d.standstill.WaitingSince),
 		gateway.WithFeedback(d.peers.BroadcastFeedback, d.peers.Membership),
 		gateway.WithListAge(d.listAge),
 		gateway.WithListVersion(d.listVersion),
@@ -289,7 +294,7 @@
 	run(d.decisionLog.Run)
 	run(d.peers.Run)
 	run(d.runOrigins)
-	run(d.runConnLimit)
+	run(d.runTimers)
 	run(d.follower.RunRoutes)
 	run(d.follower.RunEndpoints)
 	run(func(ctx context.Context) error { return d.follower.RunPulls(ctx, d.learner) })
--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -62,11 +62,12 @@
 	}
 }
 
-// CountRequest counts a request.
-func (b *Budget) CountRequest() {
+// CountRequest counts a request that was sent at some time after since, by the clock of the budget. It counts
+// only in windows that hold all of that time: operators count it as it was sent.
+func (b *Budget) CountRequest(since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.history.addRequest(b.clock.Now())
+	b.history.addRequest(b.clock.Now(), since)
 }
 
 // Spend spends one retry. The retry is nil if none is left.
--- a/internal/decision/fleetbudget/budget_test.go
+++ b/internal/decision/fleetbudget/budget_test.go
@@ -31,7 +31,7 @@
 			e := event{at: clock.Now()}
 			b := budgets[rapid.IntRange(0, processes-1).Draw(t, "who")]
 			for range rapid.IntRange(0, 30).Draw(t, "requests") {
-				b.CountRequest()
+				b.CountRequest(clock.Now())
 				e.requests++
 			}
 			for range rapid.IntRange(0, 60).Draw(t, "wanted") {
@@ -102,7 +102,7 @@
 	passTime := func(d time.Duration) {
 		for range int(d / step) {
 			clock.Advance(step)
-			b.CountRequest()
+			b.CountRequest(clock.Now())
 		}
 	}
 	passTime(2 * limits.Window)
@@ -139,7 +139,7 @@
 			b := New(clock, limits, func() (int, bool) { return processes, c.fleetKnown }, clock.Now())
 			for range c.requests {
 				clock.Advance(soon / 20)
-				b.CountRequest()
+				b.CountRequest(clock.Now())
 			}
 			clock.Advance(soon - time.Duration(c.requests)*soon/20)
 			_, ok := sendRetry(b)
--- a/internal/decision/fleetbudget/fleet_test.go
+++ b/internal/decision/fleetbudget/fleet_test.go
@@ -32,7 +32,7 @@
 }
 
 // countRequest counts a request that was sent at some time after since.
-func countRequest(b *Budget, _ time.Time) { b.CountRequest() }
+func countRequest(b *Budget, since time.Time) { b.CountRequest(since) }
 
 // sendRetry sends a retry that arrives within two seconds, if one is left, and returns the function to call when it arrives.
 func sendRetry(b *Budget) (arrived func(), ok bool) {
@@ -200,3 +200,84 @@
 		j.check(t)
 	})
 }
+
+// Guards against a bound that holds under each disturbance and not under several: processes are killed one by one
+// or all at once, stand still and read later what was sent meanwhile, traffic comes and goes, and retries are held
+// up.
+func TestBoundHoldsUnderSeveralDisturbances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const steps, phase = 400, 20
+		clock := newClock(t)
+		processes := rapid.IntRange(1, 6).Draw(t, "processes")
+		phases := func(name string, of ...int) []int {
+			return rapid.SliceOfN(rapid.SampledFrom(of), steps/phase, steps/phase).Draw(t, name)
+		}
+		requests := phases("requests of each in a step", 0, 0, 1, 6)
+		wanted := phases("retries wanted", 0, 3, 100)
+		delay := phases("steps until retries arrive", 0, 0, 5, 15)
+		times := func(name string, most int) map[int]bool {
+			at := map[int]bool{}
+			for _, n := range rapid.SliceOfN(rapid.IntRange(0, steps-1), 0, most).Draw(t, name) {
+				at[n] = true
+			}
+			return at
+		}
+		allStart, allStop := times("all start", 3), times("all stand still", 1)
+		type process struct {
+			budget        *Budget
+			starts, stops map[int]bool
+			stopped       int // steps for which it still stands still
+			since         time.Time
+			unread        int
+		}
+		fleet := make([]*process, processes)
+		for i := range fleet {
+			fleet[i] = &process{budget: newBudget(clock, processes), starts: times("starts", 3), stops: times("stands still", 1)}
+		}
+		standstill := rapid.IntRange(3, 120).Draw(t, "steps of a standstill")
+		clock.Advance(3 * limits.Window)
+		j := newJudge(steps)
+		arrivals := make([][]func(), steps+20)
+		for n := range steps {
+			for _, arrived := range arrivals[n] {
+				arrived()
+				j.retries[n]++
+			}
+			for _, p := range fleet {
+				if allStart[n] || p.starts[n] {
+					p.budget, p.stopped, p.unread = newBudget(clock, processes), 0, 0
+				}
+				if (allStop[n] || p.stops[n]) && p.stopped == 0 {
+					p.stopped, p.since = standstill, clock.Now()
+				}
+				j.requests[n] += requests[n/phase]
+				if p.stopped > 0 {
+					p.stopped--
+					p.unread += requests[n/phase]
+					continue
+				}
+				for range p.unread {
+					countRequest(p.budget, p.since)
+				}
+				p.unread = 0
+				for range requests[n/phase] {
+					countRequest(p.budget, clock.Now())
+				}
+				for range wanted[n/phase] {
+					arrived, ok := sendRetry(p.budget)
+					if !ok {
+						break
+					}
+					if late := delay[n/phase]; late > 0 {
+						arrivals[n+late] = append(arrivals[n+late], arrived)
+						continue
+					}
+					arrived()
+					j.retries[n]++
+				}
+			}
+			clock.Advance(step)
+		}
+		j.check(t)
+	})
+}
--- a/internal/decision/fleetbudget/history.go
+++ b/internal/decision/fleetbudget/history.go
@@ -16,7 +16,11 @@
 type bucket struct {
 	number   int64
 	requests int
-	retries  int // that arrived, or that can have arrived last
+	// delayed are requests that were read in the interval and may have been sent since the one numbered
+	// delayedSince.
+	delayed      int
+	delayedSince int64
+	retries      int // that arrived, or that can have arrived last
 }
 
 // history holds the requests and retries of a window and a half.
@@ -42,7 +46,17 @@
 	return b
 }
 
-func (h *history) addRequest(now time.Time) { h.at(h.number(now)).requests++ }
+func (h *history) addRequest(now, since time.Time) {
+	b, earliest := h.at(h.number(now)), h.number(since)
+	if earliest >= b.number {
+		b.requests++
+		return
+	}
+	if b.delayed == 0 || earliest < b.delayedSince {
+		b.delayedSince = earliest
+	}
+	b.delayed++
+}
 
 // addRetry counts a retry that arrives within that time, and returns the number of its bucket.
 func (h *history) addRetry(now time.Time, within time.Duration) int64 {
@@ -65,28 +79,39 @@
 
 // totals holds the requests up to each bucket of a window and a half.
 type totals struct {
-	last   int64 // number of the last bucket
-	before [buckets + half + 1]int
+	last    int64 // number of the last bucket
+	before  [buckets + half + 1]int
+	delayed []bucket // with delayed requests, which are not in before
 }
 
 // upTo returns the totals up to the bucket with that number.
 func (h *history) upTo(last int64) *totals {
 	t, sum := &totals{last: last}, 0
 	for i := range t.before {
-		if number := last - int64(len(t.before)-1-i); h.buckets[number%kept].number == number {
-			sum += h.buckets[number%kept].requests
+		number := last - int64(len(t.before)-1-i)
+		if b := h.buckets[number%kept]; b.number == number {
+			sum += b.requests
+			if b.delayed > 0 {
+				t.delayed = append(t.delayed, b)
+			}
 		}
 		t.before[i] = sum
 	}
 	return t
 }
 
-// between returns the requests in the buckets from first to last.
+// between returns the requests that were sent in the buckets from first to last in any case.
 func (t *totals) between(first, last int64) int {
 	if first > last {
 		return 0
 	}
-	return t.total(last) - t.total(first-1)
+	n := t.total(last) - t.total(first-1)
+	for _, b := range t.delayed {
+		if b.delayedSince >= first && b.number <= last {
+			n += b.delayed
+		}
+	}
+	return n
 }
 
 func (t *totals) total(number int64) int {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -96,7 +96,7 @@
 func (e brokenOffError) Unwrap() []error { return []error{errIncomplete, e.cause} }
 
 func (c *call) serve() {
-	c.g.budget(c.service.Name).CountRequest()
+	c.g.budget(c.service.Name).CountRequest(c.g.waitingSince())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.exclude = map[carawayspread.EndpointID]bool{}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -64,7 +64,9 @@
 	forwardFeedback func(carawayspread.EndpointID, carawayspread.Feedback)
 	retryBudget     fleetbudget.Limits
 	fleet           fleetbudget.Fleet
-	start           time.Time // of the process
+	retryClock      carawayspread.Clock // of retryBudget
+	waitingSince    func() time.Time    // the earliest time, by retryClock, at which a request that is read now may have been sent
+	start           time.Time           // of the process, by retryClock
 	reportCrash     func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	reportProof     func(fingerprint uint64, id carawayspread.EndpointID)
 	reportAnswer    func(fingerprint uint64)
@@ -110,6 +112,12 @@
 	return func(g *Gateway) { g.retryBudget, g.fleet = budget, fleet }
 }
 
+// WithRetryClock sets the clock of the retry budget, which has to count time in which the machine is suspended,
+// and the function that returns the earliest time at which a request that is read now may have been sent.
+func WithRetryClock(clock carawayspread.Clock, waitingSince func() time.Time) Option {
+	return func(g *Gateway) { g.retryClock, g.waitingSince, g.start = clock, waitingSince, clock.Now() }
+}
+
 // WithListAge sets the function that returns the age of the list of endpoints.
 func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
 
@@ -132,6 +140,8 @@
 		forwardFeedback: func(carawayspread.EndpointID, carawayspread.Feedback) {},
 		retryBudget:     fleetbudget.Limits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		fleet:           func() (int, bool) { return 1, true },
+		retryClock:      clock,
+		waitingSince:    clock.Now,
 		start:           clock.Now(),
 		listAge:         func() time.Duration { return 0 },
 		listVersion:     func() uint64 { return 0 },
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -364,6 +364,30 @@
 	qt.Check(t, b.transport.all(), qt.HasLen, 3)
 }
 
+// Guards against requests that waited while the process stood still, and that pay for retries as if they had just
+// been sent.
+func TestRequestsThatWaitedPayForNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		waited time.Duration
+		want   bool
+	}{"read as they are sent": {0, true}, "waited for a window": {10 * time.Second, false}} {
+		t.Run(name, func(t *testing.T) {
+			var steps []step
+			for range 30 {
+				steps = append(steps, notRun(503))
+			}
+			b := newHarness(t, steps...)
+			b.gateway.retryBudget = fleetbudget.Limits{Ratio: 1, Window: 10 * time.Second}
+			b.gateway.waitingSince = func() time.Time { return b.clock.Now().Add(-c.waited) }
+			for range 10 {
+				_, _, err := b.post(t, "/never/x", "body")
+				qt.Assert(t, err, qt.IsNil)
+			}
+			qt.Check(t, len(b.transport.all()) > 10, qt.Equals, c.want)
+		})
+	}
+}
+
 // Guards against callers that set reserved headers: these must not reach an endpoint. The remaining
 // time of the caller must.
 func TestReservedHeadersAreSetByTheGateway(t *testing.T) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -13,7 +13,7 @@
 	defer g.mu.Unlock()
 	b := g.budgets[service]
 	if b == nil {
-		b = fleetbudget.New(g.clock, g.retryBudget, g.fleet, g.start)
+		b = fleetbudget.New(g.retryClock, g.retryBudget, g.fleet, g.start)
 		g.budgets[service] = b
 	}
 	return b
