BUDGET: half of the slack is claimed by those that need it

Cause: with a share that starts empty, a service with little traffic has few retries soon after a start, and a process in a large fleet has one.

Change: half of the slack has no shares. A process whose share is spent claims from one item of the table for each service, which holds what all claimed within the window; starts change nothing about it. While the table does not answer within 0.2 s there are the shares alone. A table that was restored from a copy grants nothing for a window.

A claim of a fortieth of what there is, at most eight, is one here and fewer conflicts in a large fleet.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -130,10 +130,12 @@
 	origins := d.newOrigins()
 	uptimeClock := carawayspread.UptimeClock(ports.Uptime, clock)
 	d.standstill = standstill.New(uptimeClock)
+	retryLimits, claimRetry := d.setUpRetries(ports, uptimeClock)
 	d.gateway = gateway.New(ports.Transport, ports.Protocol, d.placer, clock, d.decisionLog,
 		gateway.WithConfigFreshness(freshness{d}, s.RevocationBound(), s.Bounds().ConfigApply),
 		gateway.WithUsage(d.countRequest),
-		gateway.WithRetryBudget(s.RetryLimits(), d.peers.Fleet),
+		gateway.WithRetryBudget(retryLimits, d.peers.Fleet),
+		gateway.WithRetryClaims(claimRetry),
 		gateway.WithRetryClock(uptimeClock, d.standstill.WaitingSince),
 		gateway.WithFeedback(d.peers.BroadcastFeedback, d.peers.Membership),
 		gateway.WithListAge(d.listAge),
--- a/internal/decision/fleetbudget/budget.go
+++ b/internal/decision/fleetbudget/budget.go
@@ -24,9 +24,12 @@
 
 // Limits bound the retries of all processes together, as set by operators.
 type Limits struct {
-	Ratio  float64       // retries per request
-	Slack  float64       // retries per window of all processes, regardless of requests
-	Window time.Duration // the bounds hold in every time span of this length
+	Ratio float64 // retries per request
+	Slack float64 // retries per window of all processes, regardless of requests
+	// Claimed is the part of Slack that no process has a share of: it is claimed in the table by those that need
+	// it.
+	Claimed float64
+	Window  time.Duration // the bounds hold in every time span of this length
 }
 
 // Fleet returns the number of processes that share the slack, this one included. It is not known at first.
@@ -99,7 +102,7 @@
 	if d.FleetSize, d.FleetKnown = b.fleet(); !d.FleetKnown {
 		return slack{}
 	}
-	share := UsedFraction * b.limits.Slack / float64(max(1, d.FleetSize))
+	share := UsedFraction * (b.limits.Slack - b.limits.Claimed) / float64(max(1, d.FleetSize))
 	saved := min(share, max(1, savedFraction*share))
 	return slack{saved, share - saved}
 }
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -44,7 +44,7 @@
 	outcome := carawayspread.OutcomeServed
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = carawayspread.OutcomeFailed
-		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.spendRetry() {
+		if c.route.Retry == carawayspread.RetryIdempotent && c.mayRetry() && c.spendRetry(ctx) {
 			return outcome, errServerError
 		}
 	}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -45,6 +45,7 @@
 	ran              int                   // attempts that may have run
 	retry            *fleetbudget.Retry    // spent for the next attempt; nil if none was needed yet
 	retryDecision    *fleetbudget.Decision // the latest; nil if no retry was wanted
+	retryClaimed     bool                  // the latest retry was claimed
 	singleEndpoint   bool                  // one endpoint must do both prefill and decode
 	suspected        bool                  // a part of the prompt may have crashed the endpoint of the last attempt
 	sharedParts      []uint64              // keys of the parts of the prompt that others may share; nil until needed
@@ -130,7 +131,7 @@
 		if err == nil || !retry {
 			return err
 		}
-		if c.sends > 0 && !c.spendRetry() {
+		if c.sends > 0 && !c.spendRetry(ctx) {
 			return fmt.Errorf("the retry budget is exhausted: %w", err)
 		}
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -65,8 +65,9 @@
 	retryBudget     fleetbudget.Limits
 	fleet           fleetbudget.Fleet
 	retryClock      carawayspread.Clock // of retryBudget
-	waitingSince    func() time.Time    // the earliest time, by retryClock, at which a request that is read now may have been sent
-	start           time.Time           // of the process, by retryClock
+	claimRetry      func(ctx context.Context, service string) bool
+	waitingSince    func() time.Time // the earliest time, by retryClock, at which a request that is read now may have been sent
+	start           time.Time        // of the process, by retryClock
 	reportCrash     func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool)
 	reportProof     func(fingerprint uint64, id carawayspread.EndpointID)
 	reportAnswer    func(fingerprint uint64)
@@ -112,6 +113,11 @@
 	return func(g *Gateway) { g.retryBudget, g.fleet = budget, fleet }
 }
 
+// WithRetryClaims sets the function that claims a retry which the share of this process does not allow.
+func WithRetryClaims(claim func(ctx context.Context, service string) bool) Option {
+	return func(g *Gateway) { g.claimRetry = claim }
+}
+
 // WithRetryClock sets the clock of the retry budget, which has to count time in which the machine is suspended,
 // and the function that returns the earliest time at which a request that is read now may have been sent.
 func WithRetryClock(clock carawayspread.Clock, waitingSince func() time.Time) Option {
@@ -141,6 +147,7 @@
 		retryBudget:     fleetbudget.Limits{Ratio: 0.1, Slack: 10, Window: 10 * time.Second},
 		fleet:           func() (int, bool) { return 1, true },
 		retryClock:      clock,
+		claimRetry:      func(context.Context, string) bool { return false },
 		waitingSince:    clock.Now,
 		start:           clock.Now(),
 		listAge:         func() time.Duration { return 0 },
--- a/internal/process/gateway/gateway_test.go
+++ b/internal/process/gateway/gateway_test.go
@@ -364,6 +364,23 @@
 	qt.Check(t, b.transport.all(), qt.HasLen, 3)
 }
 
+// Guards against a retry that the fleet has left and that is not sent, because the share of this process is spent.
+func TestRetryIsClaimedWhereTheShareIsSpent(t *testing.T) {
+	for name, c := range map[string]struct {
+		claimed bool
+		want    int
+	}{"the fleet has one left": {true, 200}, "it has none": {false, 503}} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, notRun(503), answer(200))
+			b.gateway.retryBudget = fleetbudget.Limits{Slack: 10, Claimed: 10, Window: 10 * time.Second}
+			b.gateway.claimRetry = func(_ context.Context, service string) bool { return c.claimed && service == "s" }
+			resp, _, err := b.post(t, "/never/x", "body")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, c.want)
+		})
+	}
+}
+
 // Guards against requests that waited while the process stood still, and that pay for retries as if they had just
 // been sent.
 func TestRequestsThatWaitedPayForNothing(t *testing.T) {
--- a/internal/process/gateway/retry.go
+++ b/internal/process/gateway/retry.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"strconv"
 
@@ -21,15 +22,29 @@
 
 // spendRetry spends one retry of the budget of the request's service, for the next attempt that is sent; false
 // if none is left.
-func (c *call) spendRetry() bool {
+func (c *call) spendRetry(ctx context.Context) bool {
 	if c.retry != nil {
 		return true
 	}
 	var d fleetbudget.Decision
 	c.retry, d = c.g.budget(c.service.Name).Spend()
-	c.retryDecision = &d
-	c.g.set.GetOrCreateCounter(`gateway_retries_total{service="` + c.service.Name + `",allowed="` + strconv.FormatBool(d.Allowed) + `"}`).Inc()
-	return d.Allowed
+	c.retryDecision, c.retryClaimed = &d, false
+	if !d.Allowed && c.g.claimRetry(ctx, c.service.Name) {
+		c.retry, c.retryClaimed = &fleetbudget.Retry{}, true
+	}
+	c.g.set.GetOrCreateCounter(`gateway_retries_total{service="` + c.service.Name + `",by="` + c.retryPaidBy() + `"}`).Inc()
+	return c.retry != nil
+}
+
+// retryPaidBy returns what paid for the latest retry that was asked for, in logs and metrics.
+func (c *call) retryPaidBy() string {
+	switch {
+	case c.retryClaimed:
+		return "claim"
+	case c.retryDecision.Allowed:
+		return "share"
+	}
+	return "refused"
 }
 
 func decimal(f float64) string { return strconv.FormatFloat(f, 'f', 1, 64) }
@@ -73,7 +88,7 @@
 	if !d.FleetKnown {
 		fleet = 0
 	}
-	c.line.Text("retry", map[bool]string{true: "allowed", false: "refused"}[d.Allowed]).Int("retriesSpent", int64(d.Spent)).
+	c.line.Text("retry", c.retryPaidBy()).Int("retriesSpent", int64(d.Spent)).
 		Text("retryLimit", decimal(d.Limit)).Int("budgetRequests", int64(d.Requests)).
 		Int("fleet", fleet).Ms("processAgeMs", d.Age)
 }
