gateway: call.go and gateway.go split by what they do

accept.go reads a request and finds its route, send.go sends an attempt, reply.go says what an answer proves, endpoints.go has the list, options.go the options.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -4,14 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"carawayspread"
-	"carawayspread/internal/connection/bearer"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/process/decisionlog"
 )
@@ -79,23 +76,6 @@
 	echoedID    string
 }
 
-// errServerError says that the endpoint answered with a server error, and that the request is
-// retried at another endpoint instead of relaying that answer.
-var errServerError = errors.New("the endpoint answered with a server error")
-
-// errIncomplete says that an attempt may have run and returned no complete answer.
-var errIncomplete = errors.New("the endpoint returned no complete answer")
-
-// errUnmarkedEnd says that the endpoint closed the connection at the end of an event, and that nothing
-// proves that it was the last one.
-var errUnmarkedEnd = errors.New("nothing marks the end of the endpoint's answer")
-
-// brokenOffError says that the endpoint broke off its answer after the header.
-type brokenOffError struct{ cause error }
-
-func (e brokenOffError) Error() string   { return errors.Join(e.Unwrap()...).Error() }
-func (e brokenOffError) Unwrap() []error { return []error{errIncomplete, e.cause} }
-
 func (c *call) serve() {
 	c.g.budget(c.service.Name).CountRequest(c.g.waitingSince())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
@@ -262,34 +242,6 @@
 	return false, nil
 }
 
-// classify returns what the reply proves about the attempt.
-//
-// An endpoint may repeat an answer where that to the next request is due. Behind other answers of its
-// connection, only one that names this request is certain to be an answer to it.
-func (c *call) classify(reply *carawayspread.Reply, phase carawayspread.Phase) carawayspread.ReplyKind {
-	if reply.EarlierAnswers > 0 && (c.metadata.ID == "" || c.g.protocol.EchoedID(reply) != c.metadata.ID) {
-		return carawayspread.ReplyInconclusive
-	}
-	kind := c.g.protocol.ClassifyReply(reply, c.metadata.ID, phase)
-	sentBefore := slices.Contains(c.connections, reply.Connection)
-	if reply.Connection != 0 {
-		c.connections = append(c.connections, reply.Connection)
-	}
-	if sentBefore && (kind == carawayspread.ReplyNotRun || kind == carawayspread.ReplyWrongEndpoint) {
-		return carawayspread.ReplyInconclusive // it may answer that earlier attempt, which has the same identifier
-	}
-	return kind
-}
-
-// discard closes the body of a reply that is not relayed, and ends its connection.
-//
-// An endpoint may repeat an answer where that to the next request is due. Those that are discarded are few,
-// so the connections cost less than the requests that would get the repeated answers.
-func discard(reply *carawayspread.Reply) {
-	_ = reply.Body.Close()
-	reply.Retire()
-}
-
 // mayRetry reports whether the request can be retried after an attempt that may have run.
 func (c *call) mayRetry() bool {
 	if c.ran >= c.route.MaxAttempts || c.suspected {
@@ -303,76 +255,3 @@
 	}
 	return false
 }
-
-// recordUnsent excludes an endpoint that could not be reached, and returns the attempt's outcome.
-func (c *call) recordUnsent(ctx context.Context, at carawayspread.Placement) carawayspread.Outcome {
-	c.exclude[at.Endpoint.ID()] = true
-	if ctx.Err() != nil {
-		return carawayspread.OutcomeCancelled
-	}
-	return carawayspread.OutcomeUnreachable
-}
-
-// send sends one attempt to its endpoint.
-func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
-	h := endToEnd(c.r.Header)
-	if c.routing.Keyring() != nil {
-		bearer.Strip(h)
-	}
-	attempt := carawayspread.Attempt{
-		To: at.Endpoint, TimeLeft: c.deadline.Sub(c.g.clock.Now()), Phase: phase, LastEventID: c.lastEventID,
-		Priority: c.route.Priority, FetchFrom: at.FetchFrom,
-		Workspace: c.workspace.Name(),
-	}
-	if phase == carawayspread.PhaseDecode {
-		attempt.Handover = *c.handover
-	}
-	c.g.protocol.SetAttemptHeaders(h, attempt)
-	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
-	c.beginRetry()
-	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
-		Proceed: func() bool { return c.g.takesRequests(at.Endpoint) },
-	})
-	c.endRetry(err)
-	if err == nil {
-		c.latest.reply, c.latest.echoedID = reply, c.g.protocol.EchoedID(reply)
-	}
-	return reply, err
-}
-
-// countUsage records the request once as usage; it started running that long ago.
-func (c *call) countUsage(ago time.Duration) {
-	if c.usageCounted || c.workspace.Name() == "" {
-		return
-	}
-	c.usageCounted = true
-	c.g.recordUsage(c.workspace.Name(), ago)
-}
-
-// copyHeader copies the endpoint's end-to-end headers to the caller's answer.
-func (c *call) copyHeader(reply *carawayspread.Reply) {
-	h := c.w.Header()
-	for name, values := range endToEnd(reply.Header) {
-		h[name] = values
-	}
-	for _, name := range []string{"Date", "Content-Type"} {
-		if _, ok := h[name]; !ok {
-			h[name] = nil // keeps net/http from adding its own
-		}
-	}
-	h.Del("Content-Length")
-	c.closeIfDraining()
-}
-
-// closeBody reads a short rest of the body, so that the connection can be reused, and closes it.
-func closeBody(reply *carawayspread.Reply) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(reply.Body, 4<<10))
-	_ = reply.Body.Close()
-}
-
-// overloaded returns the refusal of a request that no endpoint has room for.
-func overloaded() *carawayspread.Error {
-	return carawayspread.NewError(carawayspread.CodeOverloaded, "the endpoints have no room now",
-		carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
-}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -4,14 +4,8 @@
 
 import (
 	"context"
-	"errors"
-	"hash/fnv"
-	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,37 +98,6 @@
 	end          time.Time
 }
 
-// Option sets an optional part of a Gateway.
-type Option func(*Gateway)
-
-// WithRetryBudget sets how many attempts may be sent beyond the first ones, and the fleet that shares the
-// budget.
-func WithRetryBudget(budget fleetbudget.Limits, fleet fleetbudget.Fleet) Option {
-	return func(g *Gateway) { g.retryBudget, g.fleet = budget, fleet }
-}
-
-// WithRetryClaims sets the function that claims a retry which the share of this process does not allow.
-func WithRetryClaims(claim func(ctx context.Context, service string) bool) Option {
-	return func(g *Gateway) { g.claimRetry = claim }
-}
-
-// WithRetryClock sets the clock of the retry budget, which has to count time in which the machine is suspended,
-// and the function that returns the earliest time at which a request that is read now may have been sent.
-func WithRetryClock(clock carawayspread.Clock, waitingSince func() time.Time) Option {
-	return func(g *Gateway) { g.retryClock, g.waitingSince, g.start = clock, waitingSince, clock.Now() }
-}
-
-// WithListAge sets the function that returns the age of the list of endpoints.
-func WithListAge(age func() time.Duration) Option { return func(g *Gateway) { g.listAge = age } }
-
-// WithListVersion sets the function that returns the version of the list of endpoints.
-func WithListVersion(version func() uint64) Option {
-	return func(g *Gateway) { g.listVersion = version }
-}
-
-// WithReconnect sets the function that reports whether an answer asks its caller to use another connection.
-func WithReconnect(f func() bool) Option { return func(g *Gateway) { g.reconnect = f } }
-
 // New returns a gateway without routes.
 func New(transport carawayspread.EndpointTransport, protocol carawayspread.Protocol, placer carawayspread.Placer,
 	clock carawayspread.Clock, log *decisionlog.Log, opts ...Option,
@@ -204,54 +167,10 @@
 // Routing returns the routes in force; nil if none are known.
 func (g *Gateway) Routing() *carawayspread.Routing { return g.routing.Load() }
 
-// SetEndpoints replaces the endpoints of all services.
-func (g *Gateway) SetEndpoints(endpoints []carawayspread.Endpoint) {
-	endpoints = g.backpressure.ApplyList(endpoints)
-	byService := map[string][]carawayspread.Endpoint{}
-	if routing := g.routing.Load(); routing != nil {
-		for name := range routing.Services() {
-			byService[name] = nil
-		}
-	}
-	for _, endpoint := range endpoints {
-		byService[endpoint.Service()] = append(byService[endpoint.Service()], endpoint)
-	}
-	g.endpoints.Store(&byService)
-	// Before the first request goes to an endpoint of another build.
-	g.origins.SetEndpoints(endpoints)
-	g.TellUntold()
-	for service, list := range byService {
-		g.placer.SetEndpoints(service, list)
-	}
-}
-
-// takesRequests reports whether the endpoint is still listed, and has not said that it leaves.
-//
-// A request may wait for its connection for nearly a second, and this process may be suspended meanwhile.
-func (g *Gateway) takesRequests(to carawayspread.Endpoint) bool {
-	listed := slices.ContainsFunc((*g.endpoints.Load())[to.Service()], func(e carawayspread.Endpoint) bool {
-		return e.ID() == to.ID() && e.Address() == to.Address() && !e.Leaving()
-	})
-	return listed && !g.backpressure.Draining(to.ID())
-}
-
 // Drain makes the gateway accept, from restrictFrom on, only requests whose answers surely end
 // before end.
 func (g *Gateway) Drain(restrictFrom, end time.Time) { g.drain.Store(&drainWindow{restrictFrom, end}) }
 
-// finishesInTime reports whether the request can be accepted in spite of a drain.
-func (c *call) finishesInTime() bool {
-	window := c.g.drain.Load()
-	if window == nil || c.arrived.Before(window.restrictFrom) {
-		return true
-	}
-	needed := c.deadline.Sub(c.arrived)
-	if p := c.metadata.Prompt; p != nil {
-		needed = min(needed, maxFirstEventTargets*c.route.TargetLatency+time.Duration(p.MaxOutputTokens)*maxTokenTime)
-	}
-	return c.arrived.Add(needed + drainMargin).Before(window.end)
-}
-
 // ServeHTTP routes and answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
@@ -263,107 +182,3 @@
 	}
 	c.serve()
 }
-
-// path returns the escaped path as the caller sent it.
-func path(r *http.Request) string {
-	target, _, _ := strings.Cut(r.RequestURI, "?")
-	return target
-}
-
-func host(r *http.Request) string {
-	if name, _, err := net.SplitHostPort(r.Host); err == nil {
-		return name
-	}
-	return r.Host
-}
-
-// findRoute finds the route of the request in the routes in force.
-func (c *call) findRoute() *carawayspread.Error {
-	c.routing = c.g.routing.Load()
-	if c.routing == nil {
-		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no routes are known yet",
-			carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
-	}
-	route, ok := c.routing.Find(host(c.r), path(c.r))
-	if !ok {
-		return carawayspread.NewError(carawayspread.CodeNotFound, "no route takes this host and path", carawayspread.NotRun())
-	}
-	c.route = route
-	return nil
-}
-
-// applyPriority gives the request the priority of its workspace, where that has one.
-func (c *call) applyPriority() {
-	if priority := c.workspace.Priority(c.route.Priority); priority != c.route.Priority {
-		route := *c.route
-		route.Priority = priority
-		c.route = &route
-	}
-}
-
-// accept reads the request, and finds its route, workspace, service and deadline.
-func (c *call) accept() *carawayspread.Error {
-	g := c.g
-	c.metadata = g.protocol.ParseRequest(c.r.Header)
-	c.line.Text("id", c.metadata.ID)
-	if err := c.routeAndAuthenticate(); err != nil {
-		return err
-	}
-	c.applyPriority()
-	routing, route := c.routing, c.route
-	c.line.Int("version", int64(routing.Version())).Text("route", route.Name).Text("workspace", c.workspace.Name())
-	if err := c.readBody(routing.Limits().BodyBytes); err != nil {
-		return err
-	}
-	c.service, _ = routing.Service(pickService(route.Shares))
-	if c.service.Name == "" {
-		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "the service of the route is not known",
-			carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
-	}
-	timeLeft := route.Timeout
-	if c.metadata.TimeLeft > 0 {
-		timeLeft = min(timeLeft, c.metadata.TimeLeft)
-	}
-	c.deadline = c.arrived.Add(timeLeft)
-	if !c.finishesInTime() {
-		return c.drainingError()
-	}
-	c.fingerprint = fingerprint(path(c.r), c.body)
-	if refusal := c.checkQuarantine(); refusal != nil {
-		return refusal
-	}
-	if refusal := c.checkParts(); refusal != nil {
-		return refusal
-	}
-	return c.findBuild()
-}
-
-func (c *call) readBody(limit int64) *carawayspread.Error {
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	// The end of a request's context does not interrupt a read of its body; a read deadline does.
-	defer context.AfterFunc(c.r.Context(), func() {
-		_ = http.NewResponseController(c.w).SetReadDeadline(c.g.clock.Now())
-	})()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err != nil && c.shuttingDown():
-		return c.drainingError()
-	case errors.As(err, &tooLarge):
-		return carawayspread.NewError(carawayspread.CodeTooLarge, "the body is larger than the limit", carawayspread.NotRun())
-	case err != nil:
-		c.connBroken = true
-		return carawayspread.NewError(carawayspread.CodeMalformed, "the body cannot be read", carawayspread.NotRun(), carawayspread.CausedBy(err))
-	}
-	c.body = body
-	return nil
-}
-
-func fingerprint(path string, body []byte) uint64 {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, path)
-	_, _ = h.Write(body)
-	return h.Sum64()
-}
