Rate limits: a process that starts takes no share before it knows the fleet

Its share is zero until the size of the fleet is known, about a second.

Evidence: TestRateHoldsWhileTheFleetIsNotKnown and TestMembersAreNotKnownAtTheStart, red without (mutants).

--- a/internal/connection/peers/fleet.go
+++ b/internal/connection/peers/fleet.go
@@ -8,8 +8,14 @@
 func (s *Socket) Fleet() (size int, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	size = s.observeFleetLocked()
-	return size, s.discovered || s.clock.Now().Sub(s.start) >= aloneTime
+	known = s.fleetKnownLocked()
+	return s.observeFleetLocked(), known
+}
+
+// fleetKnownLocked reports whether this process has heard of all others by now.
+func (s *Socket) fleetKnownLocked() bool {
+	s.observeFleetLocked()
+	return s.discovered || s.clock.Now().Sub(s.start) >= aloneTime
 }
 
 // observeFleetLocked returns the size of the fleet, and notes whether all of it is known by now.
--- a/internal/connection/peers/fleet_test.go
+++ b/internal/connection/peers/fleet_test.go
@@ -69,6 +69,17 @@
 	only.check(t, 1, true)
 }
 
+// Guards against processes that start at once and each take the whole rate that an endpoint names.
+func TestMembersAreNotKnownAtTheStart(t *testing.T) {
+	h := newFleetHarness(t, "10.0.0.1:80")
+	h.hear(1, 1, 2)
+	_, all := h.Membership()
+	qt.Check(t, all, qt.HasLen, 0)
+	h.clock.Advance(discoveryTime)
+	_, all = h.Membership()
+	qt.Check(t, all, qt.HasLen, 2)
+}
+
 // Guards against two parts of a fleet that are cut off from each other for a minute and both take the whole
 // of what all may do.
 func TestSilentProcessKeepsItsShare(t *testing.T) {
--- a/internal/connection/peers/heartbeat.go
+++ b/internal/connection/peers/heartbeat.go
@@ -15,10 +15,13 @@
 )
 
 // Membership returns the random identifier of this process, and the identifiers of all active
-// processes, itself included.
+// processes, itself included; none while the fleet is not known.
 func (s *Socket) Membership() (self uint64, all []uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.fleetKnownLocked() {
+		return s.id, nil
+	}
 	now := s.clock.Now()
 	all = []uint64{s.id}
 	for id, p := range s.peers {
--- a/internal/decision/backpressure/backpressure.go
+++ b/internal/decision/backpressure/backpressure.go
@@ -27,7 +27,7 @@
 )
 
 // Membership returns the identifier of this process and those of all live processes, itself
-// included.
+// included; none while they are not known.
 type Membership func() (self uint64, members []uint64)
 
 // state is the feedback of one endpoint.
--- a/internal/decision/ratelimit/limit_test.go
+++ b/internal/decision/ratelimit/limit_test.go
@@ -59,6 +59,20 @@
 	})
 }
 
+// Guards against processes that start at once, do not know of one another yet, and each send at the whole rate.
+func TestRateHoldsWhileTheFleetIsNotKnown(t *testing.T) {
+	f := newFleet(20, 4)
+	sent := 0
+	for now := start; now.Before(start.Add(time.Second)); now = now.Add(50 * time.Millisecond) {
+		for n, limit := range f.limits {
+			if limit.Take(now, Share("endpoint", f.rate, f.names[n], nil)) {
+				sent++
+			}
+		}
+	}
+	qt.Check(t, sent, qt.Equals, 0)
+}
+
 // The shares are equal and add up to the whole rate.
 func TestSharesAddUpToTheRate(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/decision/ratelimit/share.go
+++ b/internal/decision/ratelimit/share.go
@@ -7,10 +7,13 @@
 )
 
 // Share returns a process's share of an endpoint's rate, from 0 to 1. The fleet holds the
-// identifiers of all live processes, itself included. The processes that use the endpoint
-// are those with the highest scores for it (rendezvous hashing), so that a process that
-// joins or leaves changes the shares of few.
+// identifiers of all live processes, itself included; it is empty while they are not known, and
+// the share is zero then. The processes that use the endpoint are those with the highest scores
+// for it (rendezvous hashing), so that a process that joins or leaves changes the shares of few.
 func Share(endpoint string, rate float64, self uint64, fleet []uint64) float64 {
+	if len(fleet) == 0 {
+		return 0
+	}
 	users := min(max(1, int(rate)), len(fleet))
 	if users == len(fleet) {
 		return 1 / float64(max(1, users))
