retrybudget: a start does not refill the budget of an entry

A new budget held twenty retries, so an entry that crashes again and again retried without a bound. Time was credited by the wall clock: a jump forward credited retries.

Change: a budget starts empty and is credited by the monotonic clock, in tenths of a retry.

Gateways are not touched.

--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -18,9 +18,11 @@
 	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/report"
 	"carawayspread/internal/controller/partexchange"
+	"carawayspread/internal/controller/startreserve"
 	"carawayspread/internal/controller/trial"
 	"carawayspread/internal/daemon/base"
 	"carawayspread/internal/daemon/server"
+	"carawayspread/internal/decision/retrybudget"
 	"carawayspread/internal/process/admin"
 	"carawayspread/internal/process/entry"
 	"carawayspread/internal/process/fleet"
@@ -39,6 +41,8 @@
 	reports       *report.Socket
 	ledger        *ledger.Ledger
 	exchange      *partexchange.Exchange
+	reserve       retrybudget.Reserve
+	startReserve  *startreserve.Claimer
 	configChanged chan struct{} // signals planRoles; capacity 1
 	directory     atomic.Pointer[directory]
 	loads         *loads.Completer // used by handleReport only
@@ -58,6 +62,7 @@
 	d.directory.Store(&directory{})
 	s := b.Settings()
 	d.exchange = partexchange.New(b.Table(), b.Clock(), b.Log())
+	d.startReserve = startreserve.New(b.Table(), b.Clock(), b.Log(), s.ID(), retrybudget.RestoreTime)
 	d.ledger = ledger.New(b.Table(), b.Objects(), b.Clock(), ledger.WithInstances(s.ID(), d.isListed))
 	opts = append([]entry.Option{
 		entry.WithClock(b.Clock()), entry.WithLog(b.Log()), entry.WithLedger(d.ledger),
@@ -65,7 +70,7 @@
 		entry.WithTrials(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 		entry.WithPartExchange(d.exchange),
 	}, opts...)
-	d.entry = entry.New(b.Config(), moduleFactory(s.Zone(), b.Clock()), opts...)
+	d.entry = entry.New(b.Config(), moduleFactory(s.Zone(), b.Clock(), &d.reserve), opts...)
 	b.OnAdopted(func(*carawayspread.Config) { d.configAdopted() })
 	return d, trace.Wrap(d.listen())
 }
@@ -120,6 +125,7 @@
 	group := d.base.Group(ctx, d.instancesChanged, d.data, d.admin, d.control)
 	group.Go(d.entry.Run)
 	group.Go(d.ledger.Run)
+	group.Go(func(runCtx context.Context) error { return d.startReserve.Run(runCtx, d.reserve.Grant) })
 	group.Go(func(runCtx context.Context) error { return d.exchange.Run(runCtx, d.entry.Parts()) })
 	group.Go(func(runCtx context.Context) error { return d.reports.Receive(runCtx, d.handleReport) })
 	group.Go(d.planRoles)
--- a/internal/daemon/entryd/decisions.go
+++ b/internal/daemon/entryd/decisions.go
@@ -17,7 +17,7 @@
 
 // moduleFactory returns a function that creates the decision modules of a service: the defaults of
 // the registries.
-func moduleFactory(zone string, clock carawayspread.Clock) func(carawayspread.Service) dispatcher.Modules {
+func moduleFactory(zone string, clock carawayspread.Clock, reserve *retrybudget.Reserve) func(carawayspread.Service) dispatcher.Modules {
 	return func(carawayspread.Service) dispatcher.Modules {
 		env := func() carawayspread.Environment {
 			return carawayspread.Environment{Clock: clock, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Zone: zone}
@@ -30,7 +30,7 @@
 			Scheduler: scheduler(env()),
 			Router:    router(env()),
 			Ejector:   ejector(env()),
-			Budget:    retrybudget.New(clock),
+			Budget:    reserve.Budget(clock),
 			Limiter:   func() carawayspread.Limiter { return limiter(env()) },
 		}
 	}
--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -7,7 +7,9 @@
 // Each success credits a tenth of a retry, so that retries add at most a tenth to the load.
 // One retry per second is credited by time, also without requests, so that a process with
 // little traffic can retry at all. The balance is at most twenty retries, which covers the
-// requests that were running at one crashed endpoint.
+// requests that were running at one crashed endpoint. A process starts without any: the one before
+// it may have spent all, and a process that starts again and again would retry without a bound.
+// It gets them once it is known that no other has started with them lately; see Reserve.
 //
 // Hedging, a second attempt before the first has failed, is not implemented: it adds load
 // while decode already uses the whole fleet, and no measurement shows that it serves more
@@ -27,22 +29,24 @@
 	perSuccess = unit / 10
 	perSecond  = unit
 	maxBalance = 20 * unit
+	// creditInterval is how often time is credited.
+	creditInterval = 100 * time.Millisecond
 )
 
+// RestoreTime is how long time alone takes to restore a budget. A process that starts full once in so long
+// retries no more than one that runs.
+const RestoreTime = maxBalance / perSecond * time.Second
+
 // Budget is a carawayspread.RetryBudget. It is safe for concurrent use.
 type Budget struct {
 	clock    carawayspread.Clock
+	start    time.Time
 	balance  atomic.Int64 // in [0, maxBalance], except briefly during concurrent updates
-	credited atomic.Int64 // Unix nanoseconds up to which time has been credited
+	credited atomic.Int64 // nanoseconds since start that have been credited
 }
 
-// New returns a full budget.
-func New(clock carawayspread.Clock) *Budget {
-	b := &Budget{clock: clock}
-	b.balance.Store(maxBalance)
-	b.credited.Store(clock.Now().UnixNano())
-	return b
-}
+// New returns an empty budget.
+func New(clock carawayspread.Clock) *Budget { return &Budget{clock: clock, start: clock.Now()} }
 
 // Succeeded credits a fraction of a retry.
 func (b *Budget) Succeeded() { b.credit(perSuccess) }
@@ -64,9 +68,9 @@
 }
 
 func (b *Budget) creditTime() {
-	now, credited := b.clock.Now().UnixNano(), b.credited.Load()
-	if now-credited < int64(time.Second) || !b.credited.CompareAndSwap(credited, now) {
+	elapsed, credited := int64(b.clock.Now().Sub(b.start)), b.credited.Load()
+	if elapsed-credited < int64(creditInterval) || !b.credited.CompareAndSwap(credited, elapsed) {
 		return
 	}
-	b.credit(int64(time.Duration(now-credited).Seconds() * perSecond))
+	b.credit(int64(time.Duration(elapsed-credited).Seconds() * perSecond))
 }
