Gateway: check of a configuration of routes before it is sent

Cause: a route hidden by its twin, a service that is not configured or a target over the time limit showed only once callers were refused; what a new version changes was not shown at all.

Entries are read as gateways read them.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	stdlog "log"
 	"os"
@@ -40,24 +41,36 @@
 		Name:  "gateway",
 		Usage: "take callers' requests by route and have them run",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Required: true, EnvVars: []string{wire.SettingsVariable}, Usage: "settings `FILE`, JSON with comments"},
+			&cli.StringFlag{Name: "config", EnvVars: []string{wire.SettingsVariable}, Usage: "settings `FILE`, JSON with comments"},
 		},
-		Commands: []*cli.Command{{Name: "check", Usage: "check the settings file and say all that is wrong", Action: check}},
-		Action:   run,
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check the settings file and say all that is wrong", Action: check},
+			checkRoutesCommand(),
+		},
+		Action: run,
 	}
 	if err := app.RunContext(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitFailure)
 	}
 }
 
 func check(c *cli.Context) error {
-	_, err := gatewaysettings.Read(c.String("config"))
+	_, err := readSettings(c)
 	return err
 }
 
+// readSettings reads the settings file that the flag names.
+func readSettings(c *cli.Context) (*gatewaysettings.Settings, error) {
+	name := c.String("config")
+	if name == "" {
+		return nil, errors.New("--config: no settings file is named")
+	}
+	return gatewaysettings.Read(name)
+}
+
 func run(c *cli.Context) error {
-	s, err := gatewaysettings.Read(c.String("config"))
+	s, err := readSettings(c)
 	if err != nil {
 		return err
 	}
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -70,6 +71,19 @@
 // Path returns the path of the value in the document.
 func (n Node) Path() string { return n.path }
 
+// JSON returns the value as JSON without comments; null where it is absent. It must not be modified.
+func (n Node) JSON() []byte {
+	if !n.Exists() {
+		return []byte("null")
+	}
+	if text := n.source.body[n.value.StartOffset:n.value.EndOffset]; json.Valid(text) {
+		return text
+	}
+	value := n.value.Clone()
+	value.Standardize()
+	return value.Pack()
+}
+
 // Place returns the position of the value.
 func (n Node) Place() finding.Place {
 	line, column := n.source.position(n.offset)
