Gateway: a caller that reads slowly does not hold up its endpoint, and small instances take less

Cause: an answer was read as fast as its caller took it. An endpoint cuts off what stays unread for seconds, so a caller that stood still lost an answer that was made. What a process held was bounded by 48 MiB whatever its memory, connections not by its descriptors, and a process near its memory went on accepting.

New connections are shed in a growing share from 0.7 to 0.85 of the memory.

Not measured on real processes of 144 MB.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -134,6 +134,7 @@
 	d.gateway = gateway.New(ports.Transport, ports.Protocol, d.placer, clock, d.decisionLog,
 		gateway.WithConfigFreshness(freshness{d}, s.RevocationBound(), s.Bounds().ConfigApply),
 		gateway.WithUsage(d.countRequest),
+		gateway.WithMemory(s.Memory()),
 		gateway.WithRetryBudget(retryLimits, d.peers.Fleet),
 		gateway.WithRetryClaims(claimRetry),
 		gateway.WithRetryClock(uptimeClock, d.standstill.WaitingSince),
--- a/internal/decision/connlimit/limit.go
+++ b/internal/decision/connlimit/limit.go
@@ -4,9 +4,12 @@
 // with a processor that is behind, it serves nothing in time. A connection that is closed before its request
 // was read costs little: its caller tries another process at once.
 //
-// The measure is how late timers fire, as each step of a request waits as long. The share of accepted
+// One measure is how late timers fire, as each step of a request waits as long. The share of accepted
 // connections falls fast while they are late, and rises slowly otherwise. Without it, requests queue in the
 // process until their callers give up.
+//
+// The other is the memory that the process uses, what it holds for callers that read slowly included. A process
+// over the memory that it is granted is killed with all its requests, so it takes less before that.
 package connlimit
 
 import (
@@ -30,6 +33,10 @@
 	// reconnectEvery is one of how many answers asks its caller to reconnect, so that connections which are
 	// kept open spread as well.
 	reconnectEvery = 4
+	// Of the memory granted, new connections are accepted in full up to usualMemory, which the garbage collector
+	// keeps to while less is in use, and not at all from fullMemory on. The rest is for what runs.
+	usualMemory = 0.7
+	fullMemory  = 0.85
 )
 
 // Limit is the decision of one process. It is safe for concurrent use.
@@ -41,6 +48,7 @@
 	late    int           // timers in a row that were late
 	lateBy  time.Duration // how late these were together
 	share   float64       // of new connections that are accepted; from minShare to 1
+	memory  float64       // share of new connections that the memory allows; from 0 to 1
 	credit  float64       // of accepted connections; below 1
 	answers int           // while the share is below 1
 }
@@ -49,7 +57,7 @@
 // maxLateness; zero does not consider them. A request waits for the processor about ten times, so that a tenth
 // of the shortest target is a good choice.
 func New(maxOpen int, maxLateness time.Duration) *Limit {
-	return &Limit{maxOpen: maxOpen, maxLateness: maxLateness, share: 1}
+	return &Limit{maxOpen: maxOpen, maxLateness: maxLateness, share: 1, memory: 1}
 }
 
 // Fired records how late a timer fired, and returns the share of connections that are accepted.
@@ -69,6 +77,15 @@
 	return l.share
 }
 
+// UseMemory records the part of the granted memory that is in use, and returns the share of connections that this
+// allows.
+func (l *Limit) UseMemory(part float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.memory = min(1, max(0, (fullMemory-part)/(fullMemory-usualMemory)))
+	return l.memory
+}
+
 // Accept reports whether a new connection is accepted while that many are open.
 func (l *Limit) Accept(open int) bool {
 	l.mu.Lock()
@@ -76,7 +93,7 @@
 	if open >= l.maxOpen {
 		return false
 	}
-	if l.credit += l.share; l.credit < 1 {
+	if l.credit += min(l.share, l.memory); l.credit < 1 {
 		return false
 	}
 	l.credit--
@@ -87,7 +104,7 @@
 func (l *Limit) Reconnect() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.share == 1 {
+	if min(l.share, l.memory) == 1 {
 		return false
 	}
 	l.answers++
--- a/internal/decision/connlimit/limit_test.go
+++ b/internal/decision/connlimit/limit_test.go
@@ -91,3 +91,40 @@
 	}
 	qt.Check(t, l.Accept(1) && l.Accept(1) && !l.Reconnect(), qt.IsTrue)
 }
+
+// Callers that read slowly come at a hundred a second and hold 256 KiB each for twenty seconds, on a process that is
+// granted 144 MB and starts at a fifth of it. Without the limit it would hold four times what it is granted, and be
+// killed with all its requests.
+func TestMemoryStaysBelowWhatIsGranted(t *testing.T) {
+	const (
+		granted = 144 << 20
+		base    = granted / 5
+		held    = 256 << 10
+		holds   = 20 * time.Second
+		gap     = time.Second / 100
+	)
+	l, used, most, refused := New(10_000, 0), base, 0, 0
+	var ends []time.Duration // of accepted connections, in order
+	nextReading := time.Duration(0)
+	for now := time.Duration(0); now < time.Minute; now += gap {
+		for len(ends) > 0 && ends[0] <= now {
+			ends, used = ends[1:], used-held
+		}
+		if now >= nextReading {
+			nextReading += time.Second
+			l.UseMemory(float64(used) / granted)
+		}
+		if !l.Accept(len(ends)) {
+			refused++
+			continue
+		}
+		ends, used = append(ends, now+holds), used+held
+		most = max(most, used)
+	}
+	qt.Check(t, float64(most) < 0.95*granted, qt.IsTrue, qt.Commentf("%.2f of the memory", float64(most)/granted))
+	qt.Check(t, float64(most) > 0.6*granted, qt.IsTrue, qt.Commentf("%.2f of the memory", float64(most)/granted))
+	qt.Check(t, refused > 0, qt.IsTrue)
+	l.UseMemory(0.5)
+	qt.Check(t, l.Accept(0), qt.IsTrue)
+	qt.Check(t, l.Reconnect(), qt.IsFalse)
+}
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -14,9 +14,15 @@
 
 const (
 	// maxHeldBytes bounds the part of an answer that is held in memory until the answer is complete, and
-	// maxAllHeldBytes that of all answers.
-	maxHeldBytes    = 8 << 20
-	maxAllHeldBytes = 48 << 20
+	// defaultHeldBytes that of all answers where the memory of the process is not known.
+	maxHeldBytes     = 8 << 20
+	defaultHeldBytes = 48 << 20
+	// defaultReadAheadBytes bounds what is read ahead of streams where the memory of the process is not known.
+	defaultReadAheadBytes = 8 << 20
+	// heldShare and readAheadShare are the parts of the memory of the process that these may take. Connections
+	// may take half of it.
+	heldShare      = 0.2
+	readAheadShare = 0.05
 	// copyBytes is the size of the buffer for the rest of a longer answer.
 	copyBytes = 32 << 10
 )
--- a/internal/process/gateway/endless.go
+++ b/internal/process/gateway/endless.go
@@ -77,7 +77,7 @@
 // hold reads a body into memory, and reports whether that is all of it. It stops at maxHeldBytes, and where
 // all answers together take too much. The bytes must be released.
 func (g *Gateway) hold(r io.Reader) (body []byte, whole bool, err error) {
-	for len(body) <= maxHeldBytes && (len(body) == 0 || g.held.Load() <= maxAllHeldBytes) {
+	for len(body) <= maxHeldBytes && (len(body) == 0 || g.held.Load() <= g.maxAllHeld) {
 		if len(body) == cap(body) {
 			body = append(body, make([]byte, copyBytes)...)[:len(body)]
 		}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"carawayspread/internal/decision/rejections"
 	"carawayspread/internal/decision/suspectparts"
 	"carawayspread/internal/process/decisionlog"
+	"carawayspread/internal/request/readahead"
 )
 
 const (
@@ -80,6 +81,8 @@
 	endpoints           atomic.Pointer[map[string][]carawayspread.Endpoint] // by service
 	running             atomic.Int64
 	held                atomic.Int64                 // bytes of answers that are held in memory
+	maxAllHeld          int64                        // bound of held
+	readAhead           *readahead.Budget            // of streams whose callers read slowly
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
 	origins             *origin.Origins
 	peerOrigins         carawayspread.PeerOrigins
@@ -130,6 +133,8 @@
 		checks:      map[carawayspread.EndpointID]*endpointCheck{},
 		observed:    map[uint64]struct{}{},
 		peerOrigins: aloneOrigins{},
+		maxAllHeld:  defaultHeldBytes,
+		readAhead:   readahead.NewBudget(defaultReadAheadBytes),
 	}
 	g.origins = origin.New(clock, func() time.Duration { return g.listAge() })
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
@@ -143,6 +148,8 @@
 		}
 		return 0
 	})
+	g.set.NewGauge(`gateway_held_bytes{of="answers"}`, func() float64 { return float64(g.held.Load()) })
+	g.set.NewGauge(`gateway_held_bytes{of="slowReaders"}`, func() float64 { return float64(g.readAhead.Used()) })
 	g.set.NewGauge("gateway_refused_parts", func() float64 { return float64(g.parts.Len()) })
 	g.set.NewGauge("gateway_log_lines_dropped", func() float64 { return float64(log.Dropped()) })
 	return g
--- a/internal/process/gateway/options.go
+++ b/internal/process/gateway/options.go
@@ -6,6 +6,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/decision/fleetbudget"
+	"carawayspread/internal/request/readahead"
 )
 
 // Option sets an optional part of a Gateway.
@@ -38,3 +39,11 @@
 
 // WithReconnect sets the function that reports whether an answer asks its caller to use another connection.
 func WithReconnect(f func() bool) Option { return func(g *Gateway) { g.reconnect = f } }
+
+// WithMemory sets the memory of the process, in bytes, which bounds what it holds of answers.
+func WithMemory(bytes int64) Option {
+	return func(g *Gateway) {
+		g.maxAllHeld = min(defaultHeldBytes, int64(heldShare*float64(bytes)))
+		g.readAhead = readahead.NewBudget(int64(readAheadShare * float64(bytes)))
+	}
+}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/openai"
+	"carawayspread/internal/request/readahead"
 )
 
 var idField = []byte("id:")
@@ -26,9 +27,10 @@
 // relayStream relays an answer event by event. An incomplete event at the end of a broken answer
 // never reaches the caller.
 func (c *call) relayStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
+	ahead := readahead.New(reply.Body, c.g.readAhead)
+	defer func() { _ = ahead.Close() }()
 	defer func() { _ = reply.Body.Close() }()
-	flush := http.NewResponseController(c.w)
-	body := &boundedBody{Reader: reply.Body, left: c.maxStreamBytes(reply)}
+	body := &boundedBody{Reader: ahead, left: c.maxStreamBytes(reply)}
 	events := openai.NewEvents(body)
 	var early []byte // comments before the first event
 	for {
@@ -53,15 +55,22 @@
 		if openai.IsEvent(event) {
 			c.recordEvent(event, tracker)
 		}
-		if _, err := c.w.Write(event); err != nil {
-			return carawayspread.OutcomeCancelled, err
-		}
-		if err := flush.Flush(); err != nil {
+		if err := c.writeEvent(event, ahead); err != nil {
 			return carawayspread.OutcomeCancelled, err
 		}
 	}
 }
 
+// writeEvent sends an event to the caller. The answer is read ahead while its caller does not take it.
+func (c *call) writeEvent(event []byte, ahead *readahead.Reader) error {
+	ahead.BeginWrite()
+	defer ahead.EndWrite()
+	if _, err := c.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(c.w).Flush()
+}
+
 // recordEvent records the arrival of an event.
 func (c *call) recordEvent(event []byte, tracker carawayspread.AttemptTracker) {
 	now := c.g.clock.Now()
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -38,6 +38,7 @@
 	cores           float64
 	linkMegabits    float64       // per second
 	maxLateness     time.Duration // of a timer; zero if the processor is not observed
+	descriptors     int64         // that the process may have open; zero if not stated
 	usage           *Usage
 	firstStart      bool
 }
@@ -71,7 +72,10 @@
 	defaultBound = 2 * time.Second
 	minBound     = 200 * time.Millisecond
 	minLateness  = time.Millisecond
-	maxBound     = time.Minute
+	// minDescriptors suffice for the addresses of the process and some connections.
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
+	maxBound       = time.Minute
 	// defaultCores and defaultLinkMegabits are the capacity of an instance whose settings state
 	// none.
 	defaultCores        = 0.3
@@ -160,7 +164,7 @@
 	if !root.Field("limits").Exists() {
 		return
 	}
-	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness")
+	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness", "descriptors")
 	s.cores = limits.Need("cores").Number()
 	s.linkMegabits = limits.Need("linkMegabits").Number()
 	if s.cores <= 0 || s.linkMegabits <= 0 {
@@ -169,6 +173,9 @@
 	if lateness := limits.Field("maxLateness"); lateness.Exists() {
 		s.maxLateness = lateness.Duration(minLateness, time.Second)
 	}
+	if descriptors := limits.Field("descriptors"); descriptors.Exists() {
+		s.descriptors = descriptors.Int(minDescriptors, maxDescriptors)
+	}
 }
 
 func (s *Settings) readUsage(root document.Node) {
@@ -195,6 +202,9 @@
 // MaxLateness returns how late timers may fire before new connections are shed; zero if none are.
 func (s *Settings) MaxLateness() time.Duration { return s.maxLateness }
 
+// Descriptors returns how many descriptors the process may have open; zero if that is not stated.
+func (s *Settings) Descriptors() int64 { return s.descriptors }
+
 // Capacity returns the capacity of the instance for comparison with other instances: thousandths of
 // a core times megabits per second, so that neither alone decides.
 func (s *Settings) Capacity() uint32 {
