Runs move off engines that leave

Cause: an engine that leaves works on for some seconds and then ends. Answers that last longer broke off, and routes that allow one attempt lost the request.

Change: where the configuration says that engines hand over runs, each process moves its own off an engine whose entry is draining or gone, or that says in an answer that it leaves: the run is copied while it goes on, stopped once a copy shows that the link's queue is shorter than its caller tolerates, and goes on at an engine of the same build by the handle of that stop and the last event relayed. The decisions are in runmoves (no network); RunMover is the engines' call. A stop that is answered without room has the run return to its engine while that may get requests. Copies that nobody uses are freed.

The stand-in of a worker copies runs, holds memories and says what would mix requests or run one twice; its worker.go was split (crash.go).

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -105,7 +105,7 @@
 	storeTime := storetime.New(uptime.Clock{})
 	store := rowsclient.New(transport, f.settings.Store(), rowsclient.WithClockObserver(uptime.Clock{}, storeTime.Observe))
 	f.daemon, err = gatewayd.New(f.settings, clock, quiet, f.out, gatewayd.Ports{
-		Transport: transport, Prober: transport, Protocol: wire.Protocol{},
+		Transport: transport, Prober: transport, Protocol: wire.Protocol{}, Mover: orders.NewMover(transport),
 		Source: func(sink *gatewayd.Daemon) follower.Source {
 			return catalog.New(store, sink, quiet)
 		},
--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -73,6 +73,7 @@
 	d, err := gatewayd.New(s, clock, log.Log, os.Stdout, gatewayd.Ports{
 		Transport: transport,
 		Prober:    transport, Connections: transport.Connections,
+		Mover:    orders.NewMover(transport),
 		Protocol: wire.Protocol{},
 		Source: func(sink *gatewayd.Daemon) follower.Source {
 			return catalog.New(store, sink, log.Log)
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -27,6 +27,7 @@
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/decision/standstill"
 	"carawayspread/internal/decision/zonereader"
 	"carawayspread/internal/process/decisionlog"
@@ -65,6 +66,8 @@
 	// Table stores the lease for orders to engines, and Engine returns the client that sends them.
 	Table  carawayspread.Table
 	Engine func(carawayspread.Endpoint) carawayspread.Engine
+	// Mover copies requests that run between engines. It is nil if none move.
+	Mover carawayspread.RunMover
 	// Uptime and StoreTime are the clocks with which the source observes the time of the store.
 	Uptime    carawayspread.Uptime
 	StoreTime *storetime.Clock
@@ -149,6 +152,7 @@
 		gateway.WithPartReporters(d.peers.BroadcastPartCrashes, d.peers.BroadcastPartsAnswered),
 		gateway.WithTrials(d.claimTrial),
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
+		gateway.WithRunMoves(runmoves.New(clock, s.Bounds().Drain), ports.Mover),
 		gateway.WithEndpointProber(ports.Prober))
 	d.peers.SetRefusalTracker(d.gateway)
 	d.peers.SetCrashTracker(d.gateway)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -64,6 +64,10 @@
 	firstPlacement   carawayspread.Placement // also set where the request was refused
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
 	connections      []uint64                // over which the request was answered
+	events           int                     // of the answer
+	move             *runMove                // of the stream that is relayed; nil if it does not move
+	moves            int                     // runs of the request that could move
+	returning        bool                    // the attempt goes to the engine where its run has stopped
 	latest           attemptTrace
 }
 
@@ -74,6 +78,7 @@
 	sentAfter   time.Duration // since the request arrived
 	reply       *carawayspread.Reply
 	echoedID    string
+	notRun      bool // it reached no endpoint, or was refused
 }
 
 func (c *call) serve() {
@@ -152,8 +157,12 @@
 	case c.handover != nil:
 		phase = carawayspread.PhaseDecode
 	}
+	return c.carryOut(ctx, at, c.g.placer.Sent(p, at), phase)
+}
+
+// carryOut sends an attempt that was placed, and relays its answer. It reports whether the request may be retried.
+func (c *call) carryOut(ctx context.Context, at carawayspread.Placement, tracker carawayspread.AttemptTracker, phase carawayspread.Phase) (retry bool, err error) {
 	c.endpoint, c.softwareVersion = at.Endpoint.ID(), at.Endpoint.Version()
-	tracker := c.g.placer.Sent(p, at)
 	outcome := carawayspread.OutcomeFailed
 	defer func() { tracker.End(outcome) }()
 	attemptCtx, stop := c.watchStall(ctx, at, tracker, c.route.Retry == carawayspread.RetryIdempotent && c.ran+1 < c.route.MaxAttempts)
@@ -162,7 +171,7 @@
 	reply, err := c.send(attemptCtx, at, phase)
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
-		outcome = c.recordUnsent(ctx, at)
+		outcome, c.latest.notRun = c.recordUnsent(ctx, at), true
 		c.countNotRun(phase, notRunUnsent)
 		c.logAttempt(at, phase, err.Error())
 		return ctx.Err() == nil, err
@@ -192,7 +201,7 @@
 	switch kind {
 	case carawayspread.ReplyNotRun, carawayspread.ReplyWrongEndpoint:
 		discard(reply)
-		outcome = carawayspread.OutcomeRefused
+		outcome, c.latest.notRun = carawayspread.OutcomeRefused, true
 		c.countNotRun(phase, strconv.Itoa(reply.Status))
 		c.logAttempt(at, phase, "not run, status "+strconv.Itoa(reply.Status))
 		if kind == carawayspread.ReplyWrongEndpoint {
@@ -213,6 +222,10 @@
 	c.ran++
 	if c.route.Stream && reply.Status == http.StatusOK {
 		outcome, err = c.relayStream(ctx, reply, at.Endpoint, tracker)
+		if next := c.takeMove(ctx, err); next != nil {
+			tracker.End(carawayspread.OutcomeServed)
+			return c.continueRun(ctx, next)
+		}
 	} else {
 		outcome, err = c.relayBuffered(ctx, reply, at.Endpoint, tracker, sentAt)
 	}
--- a/internal/process/gateway/endpoints.go
+++ b/internal/process/gateway/endpoints.go
@@ -25,6 +25,7 @@
 	for service, list := range byService {
 		g.placer.SetEndpoints(service, list)
 	}
+	g.updateMoves(endpoints)
 }
 
 // takesRequests reports whether the endpoint is still listed, and has not said that it leaves.
--- a/internal/process/gateway/feedback.go
+++ b/internal/process/gateway/feedback.go
@@ -29,6 +29,7 @@
 func (g *Gateway) ApplyPeerFeedback(id carawayspread.EndpointID, f carawayspread.Feedback) {
 	if g.backpressure.ObservePeerFeedback(id, f) {
 		g.logFeedback(id, f, "peer")
+		g.observeLeaving(id, f)
 	}
 }
 
@@ -53,6 +54,7 @@
 	}
 	if changed {
 		c.g.logFeedback(id, f, "answer")
+		c.g.observeLeaving(id, f)
 	}
 	if forward {
 		c.g.forwardFeedback(id, f)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/decision/rejections"
+	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/decision/suspectparts"
 	"carawayspread/internal/process/decisionlog"
 )
@@ -83,6 +84,8 @@
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
 	origins             *origin.Origins
 	peerOrigins         carawayspread.PeerOrigins
+	moves               *runmoves.Moves // nil if no runs move
+	mover               carawayspread.RunMover
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
@@ -90,6 +93,7 @@
 	// observed are the requests whose crashes this process observed, until they can no longer be
 	// withdrawn.
 	observed map[uint64]struct{}
+	movable  map[*runmoves.Run]*runMove // runs whose streams are relayed
 }
 
 // drainWindow is the remaining time of a process that has been told to shut down.
@@ -129,6 +133,7 @@
 		budgets:     map[string]*fleetbudget.Budget{},
 		checks:      map[carawayspread.EndpointID]*endpointCheck{},
 		observed:    map[uint64]struct{}{},
+		movable:     map[*runmoves.Run]*runMove{},
 		peerOrigins: aloneOrigins{},
 	}
 	g.origins = origin.New(clock, func() time.Duration { return g.listAge() })
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -91,18 +91,23 @@
 	}
 	handover := *c.handover
 	c.handover = nil
-	if !c.g.backpressure.Take(handover.From.ID()) {
+	c.g.releaseHandover(handover)
+}
+
+// releaseHandover frees a KV cache.
+func (g *Gateway) releaseHandover(handover carawayspread.Handover) {
+	if !g.backpressure.Take(handover.From.ID()) {
 		return // the engine drops the cache by itself after a while
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		reply, err := c.g.transport.Send(ctx, handover.From, c.g.protocol.ReleaseKV(handover))
+		reply, err := g.transport.Send(ctx, handover.From, g.protocol.ReleaseKV(handover))
 		if err != nil {
-			c.g.log.Write(decisionlog.Start("forget").Text("endpoint", string(handover.From.ID())).Text("error", err.Error()))
+			g.log.Write(decisionlog.Start("forget").Text("endpoint", string(handover.From.ID())).Text("error", err.Error()))
 			return
 		}
-		if c.g.protocol.EchoedID(reply) != "" { // the answer to a request; that to this call is still to come
+		if g.protocol.EchoedID(reply) != "" { // the answer to a request; that to this call is still to come
 			discard(reply)
 			return
 		}
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -37,7 +37,7 @@
 	c.beginRetry()
 	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
-		Proceed: func() bool { return c.g.takesRequests(at.Endpoint) },
+		Proceed: func() bool { return c.mayReceive(at.Endpoint) },
 	})
 	c.endRetry(err)
 	if err == nil {
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -52,6 +52,7 @@
 		}
 		if openai.IsEvent(event) {
 			c.recordEvent(event, tracker)
+			c.offerMove(ctx, reply, at)
 		}
 		if _, err := c.w.Write(event); err != nil {
 			return carawayspread.OutcomeCancelled, err
@@ -74,6 +75,7 @@
 	if id := eventID(event); id != "" {
 		c.lastEventID = id
 	}
+	c.events++
 }
 
 // endStream returns how an answer ended whose reader returned err, rest bytes behind its last complete
--- a/internal/standin/rows/published.go
+++ b/internal/standin/rows/published.go
@@ -11,13 +11,13 @@
  {"name":"order","host":"a.example","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1},
  {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%[2]s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
  {"name":"once","host":"a.example","prefix":"/once/","kind":"stream","timeout_ms":4000,"target_latency_ms":600,"service":"%[2]s","max_attempts":1,"sticky":true,"target_gap_ms":300}%[3]s],
- "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":100000,"handle_ttl_s":5}}],
+ "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":100000,"handle_ttl_s":5%[5]s}}],
  "limits":{"max_body_bytes":1000}%[4]s}`
 
 // Publish writes a version of the configuration with one route of each kind. The routes of streams
 // go to the service named by streams.
 func (s *Store) Publish(version int, streams string) {
-	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), ""))
+	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), "", s.engineJSON()))
 }
 
 // SetUnusedRoutes sets how many additional routes, to which no request is sent, the next versions
@@ -28,6 +28,20 @@
 	s.unusedRoutes = routes
 }
 
+// SetEngineFields sets additional fields of the engines of services, for the next versions: JSON that begins
+// with a comma.
+func (s *Store) SetEngineFields(fields string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engineFields = fields
+}
+
+func (s *Store) engineJSON() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engineFields
+}
+
 func (s *Store) unusedRoutesJSON() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), `,"tenants":`+string(body)))
+	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), `,"tenants":`+string(body), s.engineJSON()))
 	return nil
 }
 
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -47,8 +47,9 @@
 	calls         int
 	loseResponses int  // number of next transactions whose responses are lost
 	suppressed    bool // waiting feed calls see no changes
-	unusedRoutes  int  // additional routes in each published version
-	era           int  // number of restores plus one, unless SetEra changed it
+	engineFields  string
+	unusedRoutes  int // additional routes in each published version
+	era           int // number of restores plus one, unless SetEra changed it
 }
 
 // New returns an empty store.
--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -81,6 +81,8 @@
 func (w *Worker) stream(conn net.Conn, got Request, behaviour Behaviour, id, seal string) bool {
 	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+id+"\r\n"+seal+"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	first := firstMissing(got)
+	r := w.beginRun(got.ID, first)
+	defer w.endRun(got.ID, r)
 	for n := first; n <= Events; n++ {
 		event := w.event(n, got.ID)
 		truncated := (behaviour == Truncate || behaviour == TruncateLate) && n == first+1
@@ -90,8 +92,8 @@
 		if truncated && behaviour == TruncateLate {
 			time.Sleep(TruncateDelay)
 		}
-		if n > first {
-			time.Sleep(w.pace())
+		if n > first && !w.advance(r) {
+			return false
 		}
 		if behaviour == SlowEvents {
 			time.Sleep(50 * time.Millisecond)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -45,6 +45,7 @@
 	Short                          bool // the answer has no length or chunks and lacks its end
 	Misdirected                    bool // the worker claimed to be another one
 	Refused                        bool // not run, which the worker stated
+	Lost                           bool // the memory that it names is not there
 	At                             time.Time
 }
 
@@ -68,6 +69,10 @@
 	eventDelay  time.Duration     // before each event of a stream after the first
 	refusals    float64           // share of the requests that are refused
 	version     string            // of its software, which each event names; empty if they name none
+	runs        map[string]*run   // by request
+	memories    map[string]memory // by handle
+	moveScript  []MoveBehaviour
+	violations  []string
 }
 
 // New starts a worker with that id. Each request takes the next behaviour from the script; after its
@@ -77,7 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{id: id, listener: listener, script: script, conns: map[net.Conn]bool{}, headers: map[string]string{}}
+	w := &Worker{id: id, listener: listener, script: script, conns: map[net.Conn]bool{}, headers: map[string]string{}, runs: map[string]*run{}, memories: map[string]memory{}}
+	byAddress.Store(w.Address(), w)
 	go w.serve()
 	return w, nil
 }
@@ -165,9 +171,11 @@
 
 // Close stops the worker and closes its connections.
 func (w *Worker) Close() {
+	byAddress.Delete(w.Address())
 	_ = w.listener.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	clear(w.memories)
 	for conn := range w.conns {
 		_ = conn.Close()
 	}
@@ -222,6 +230,9 @@
 	} else if w.refusals > 0 && rand.Float64() < w.refusals {
 		behaviour = Refuse
 	}
+	if got.Lost {
+		behaviour = LostHandle
+	}
 	got.Refused = refusals[behaviour] != ""
 	if !got.Refused {
 		got.Ran = got.Header.Get("Carawayspread-Stage") == ""
@@ -253,6 +264,15 @@
 	if strings.HasPrefix(got.Target, "/-/report") || strings.HasPrefix(got.Target, "/-/order") {
 		return w.control(conn, got)
 	}
+	if got.Target == movePath {
+		return w.moveRun(conn, got)
+	}
+	if handle, ok := strings.CutPrefix(got.Target, handlePath); ok && strings.HasPrefix(handle, "m-") {
+		w.freeHandle(handle)
+		w.write(conn, "200 OK", "", jsonType)
+		return true
+	}
+	got.Lost = !w.mayGoOn(got)
 	behaviour := w.next(&got)
 	if crash := w.crashFor(got); crash != nil {
 		writeUntilCrash(conn, got)
@@ -308,26 +328,6 @@
 	}
 }
 
-// crashFor returns the function to call as the request crashes the worker; nil if it does not.
-func (w *Worker) crashFor(got Request) func() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if got.PrefillOnly || got.Body != HarmfulBody && !got.HasPart(w.harmfulPart) {
-		return nil
-	}
-	return w.onCrash
-}
-
-// HasPart reports whether the prompt of the request has that part.
-func (r Request) HasPart(part string) bool {
-	for entry := range strings.SplitSeq(r.Header.Get("Carawayspread-Prefix-Hash"), ",") {
-		if id, _, _ := strings.Cut(entry, ":"); part != "" && id == part {
-			return true
-		}
-	}
-	return false
-}
-
 // extraHeaders returns the additional headers of responses, each preceded by a line break.
 func (w *Worker) extraHeaders() string {
 	w.mu.Lock()
