--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -54,6 +54,7 @@
 		}
 		if openai.IsEvent(event) {
 			c.recordEvent(event, tracker)
+			c.offerMove(ctx, reply, at)
 		}
 		if err := c.writeEvent(event, ahead); err != nil {
 			return carawayspread.OutcomeCancelled, err
@@ -83,6 +84,7 @@
 	if id := eventID(event); id != "" {
 		c.lastEventID = id
 	}
+	c.events++
 }
 
 // endStream returns how an answer ended whose reader returned err, rest bytes behind its last complete
