TestRoleChangeInterruptsNoStream waits until the entry is served

Cause: the set-up of the test. An engine shows its new role before its sidecar admits requests again, and before the entry learns of that from a report. A caller in between is refused, in truth: 503, notRun, as there is no other engine. The ten seconds that looked like an outage are the time of the whole test, in which two plans are read.

Change: in the fleet of these tests, eventually also waits until the entry is served, and until the engine is idle again. It does not while a request runs at the engine, so that a role change that comes too early is seen at the same moment as before: the test itself is unchanged.

--- a/cmd/carawayspread/orders_test.go
+++ b/cmd/carawayspread/orders_test.go
@@ -22,6 +22,8 @@
 // orderFleet is a fleet with one engine, its sidecars, and the planner of its service.
 type orderFleet struct {
 	*fleet
+	standIn          *engine.Engine
+	caller           *process // an entry; nil if none was started
 	engine           *engineclient.Client
 	endpointSettings string // JSON of the endpoint, as in the settings
 	plans            *planstore.Store
@@ -40,7 +42,7 @@
 	qt.Assert(t, guardListener.Close(), qt.IsNil)
 	address := serve(t, e)
 	return &orderFleet{
-		fleet: f, leaseCheck: leaseCheck, plans: planstore.New(client, "assistant"), engine: engineclient.New(address, http.DefaultClient),
+		fleet: f, standIn: e, leaseCheck: leaseCheck, plans: planstore.New(client, "assistant"), engine: engineclient.New(address, http.DefaultClient),
 		endpointSettings: fmt.Sprintf(`{"id": "engine-1", "service": "assistant", "kind": "model", "address": %q, "checksFence": %v, "orderGuard": %q, "slots": 32}`,
 			address, checksFence, guardListener.Addr()),
 	}
@@ -51,6 +53,25 @@
 		carawayspread.InstanceEndpoint{ID: "engine-1", Service: "assistant"})
 }
 
+// entry starts an entry and waits until it is ready.
+func (o *orderFleet) entry(id string) *process {
+	o.caller = o.fleet.entry(id)
+	return o.caller
+}
+
+// eventually waits until the condition holds, and then until the engine takes requests: it shows its new role
+// before its sidecar admits any and before the entry learns of that, and callers are refused in between. While a
+// request runs it does not wait, so that a test sees a change that came too early.
+func (o *orderFleet) eventually(condition func() bool) {
+	o.t.Helper()
+	o.fleet.eventually(condition)
+	if o.caller == nil || o.standIn.Running() > 0 {
+		return
+	}
+	o.fleet.eventually(func() bool { return stream(o.caller, "is it open", 1, nil).complete() })
+	o.fleet.eventually(func() bool { return o.standIn.Running() == 0 })
+}
+
 // planRole writes the next plan, with one change of the role.
 func (o *orderFleet) planRole(role carawayspread.Role) {
 	o.t.Helper()
