Streams do not go on at another build after all processes were lost

Cause: a process that has just started took the builds that are listed for all there were. A caller that named no attempt got the only build listed, however short the process had run; with settings of the first start also one that named it; and a route that got a shorter timeout shortened the time for which one build must have been listed, while callers still held streams of the longer one.

Change: the platform's table keeps for each service which builds are listed, since when, and how long its streams last (origin.Review decides, buildrecords reads and writes). A process that starts takes it over. Callers that name no attempt get what nobody remembers gets. firstStart counts only while there is no record.

TestStreamOfACallerThatNamesNoAttempt asked that "one build" go on however short the process has run, which is the fault: it asks for a lifetime now, and for a refusal just before. The tests of origin call Review where they gave FirstStart.

--- a/cmd/gateway/gateway_test.go
+++ b/cmd/gateway/gateway_test.go
@@ -82,19 +82,31 @@
 }
 
 func newFleet(t testing.TB) *fleet {
+	t.Helper()
+	return newFleetWith(t, "")
+}
+
+// newFleetWith returns a fleet whose gateway has further fields in its settings.
+func newFleetWith(t testing.TB, fields string) *fleet {
 	t.Helper()
 	f := &fleet{store: rows.New(), out: &logBuffer{}, ended: make(chan error, 1)}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.publishRoutes(1, "model")
+	f.settings = parseSettings(t, strings.TrimPrefix(server.URL, "http://"), fields)
+	return f
+}
+
+// parseSettings returns the settings of a gateway without seeds, with further fields.
+func parseSettings(t testing.TB, store, fields string) *gatewaysettings.Settings {
+	t.Helper()
 	const anyPort = "127.0.0.1:0"
 	text := fmt.Sprintf(`{"instance":{"id":"g","zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
-		"store":%q,"seeds":[],"grace":"8s","memoryMegabytes":100,"retries":{"ratio":0.2,"slack":50,"window":"10s"}}`,
-		anyPort, anyPort, anyPort, anyPort, strings.TrimPrefix(server.URL, "http://"))
-	var err error
-	f.settings, err = gatewaysettings.Parse("test", []byte(text))
+		"store":%q,"seeds":[],"grace":"8s","memoryMegabytes":100,"retries":{"ratio":0.2,"slack":50,"window":"10s"}%s}`,
+		anyPort, anyPort, anyPort, anyPort, store, fields)
+	settings, err := gatewaysettings.Parse("test", []byte(text))
 	qt.Assert(t, err, qt.IsNil)
-	return f
+	return settings
 }
 
 func (f *fleet) start(t testing.TB) {
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -22,6 +22,7 @@
 	"carawayspread/internal/connection/knowledge"
 	"carawayspread/internal/connection/peers"
 	"carawayspread/internal/connection/storetime"
+	"carawayspread/internal/controller/buildrecords"
 	"carawayspread/internal/controller/quarantinelog"
 	"carawayspread/internal/controller/rolecontroller"
 	"carawayspread/internal/daemon/server"
@@ -87,6 +88,7 @@
 	roleController *rolecontroller.Controller // nil if roles do not change
 	quarantineLog  *quarantinelog.Log         // nil without a table
 	partLog        *quarantinelog.Log         // nil without a table
+	buildRecords   *buildrecords.Records      // nil without a table
 	syncedClock    *clocksync.Clock
 	usage          *usageAccounting // nil if no usage is reported
 	endpointsKnown atomic.Bool
@@ -127,7 +129,7 @@
 		Clock: clock, Zone: s.Zone(), Broadcast: d.peers.Broadcast,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	origins := d.newOrigins()
+	origins := d.newOrigins(ports)
 	uptimeClock := carawayspread.UptimeClock(ports.Uptime, clock)
 	d.standstill = standstill.New(uptimeClock)
 	retryLimits, claimRetry := d.setUpRetries(ports, uptimeClock)
@@ -157,6 +159,7 @@
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
 	d.setUpQuarantineLogs(ports)
+	d.setUpBuildRecords(ports, origins)
 	if ports.Connections != nil {
 		d.gateway.Metrics().NewGauge("gateway_connections_opened", func() float64 { return float64(ports.Connections()) })
 	}
@@ -310,6 +313,9 @@
 		run(d.quarantineLog.Run)
 		run(d.partLog.Run)
 	}
+	if d.buildRecords != nil {
+		run(d.buildRecords.Run)
+	}
 	run(func(context.Context) error { return d.control.Run() })
 	run(func(context.Context) error { return d.peers.Receive(d) })
 	run(func(context.Context) error { return d.health.Run() })
--- a/internal/daemon/gatewayd/origins.go
+++ b/internal/daemon/gatewayd/origins.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/controller/buildrecords"
 	"carawayspread/internal/decision/origin"
 )
 
@@ -12,17 +13,33 @@
 // rely on.
 const originsInterval = 500 * time.Millisecond
 
-// newOrigins returns what the process knows of where streams began, which it exchanges with its peers.
-func (d *Daemon) newOrigins() *origin.Origins {
+// newOrigins returns what the process knows of where streams began, which it exchanges with its peers. Where
+// there is a table, it keeps the builds of each service for the time after all processes were lost.
+func (d *Daemon) newOrigins(ports Ports) *origin.Origins {
 	var opts []origin.Option
-	if d.settings.FirstStart() {
-		opts = append(opts, origin.FirstStart())
+	if ports.Table != nil {
+		opts = append(opts, origin.WithRecords())
 	}
 	origins := origin.New(d.clock, d.listAge, opts...)
 	d.peers.SetOriginTracker(origins)
 	return origins
 }
 
+// setUpBuildRecords creates the records of the builds, unless there is no table.
+func (d *Daemon) setUpBuildRecords(ports Ports, origins *origin.Origins) {
+	if ports.Table == nil {
+		return
+	}
+	d.buildRecords = buildrecords.New(ports.Table, origins, ports.StoreTime, readers{d}, d.clock, d.decisionLog,
+		d.gateway.Metrics(), d.settings.FirstStart())
+}
+
+// readers implements buildrecords.Fleet.
+type readers struct{ d *Daemon }
+
+func (r readers) IsReader() bool { return r.d.election.IsReader() }
+func (r readers) Size() int      { return r.d.peers.FleetSize() }
+
 // listAge returns the time since the list of endpoints was confirmed.
 func (d *Daemon) listAge() time.Duration {
 	age, _ := d.election.Age(carawayspread.ResourceEndpoints)
--- a/internal/decision/origin/builds.go
+++ b/internal/decision/origin/builds.go
@@ -10,6 +10,8 @@
 type builds struct {
 	listed map[carawayspread.BuildID]bool // zero stands for endpoints of unknown build
 	since  time.Time                      // when they were listed first, all of them and no other
+	// changed says that this process has seen others before, so that since is when they became these.
+	changed bool
 }
 
 // SetEndpoints replaces the endpoints of all services.
@@ -18,9 +20,6 @@
 	defer o.mu.Unlock()
 	if o.knownSince.IsZero() {
 		o.knownSince = o.clock.Now()
-		if o.firstStart {
-			o.knownSince = o.knownSince.Add(-retention)
-		}
 	}
 	listed := map[string]map[carawayspread.BuildID]bool{}
 	for _, e := range endpoints {
@@ -34,8 +33,10 @@
 		switch {
 		case before == nil:
 			o.services[service] = &builds{listed: now, since: o.knownSince}
+			o.changes++
 		case !equal(before.listed, now):
-			o.services[service] = &builds{listed: now, since: o.clock.Now()}
+			o.services[service] = &builds{listed: now, since: o.clock.Now(), changed: true}
+			o.changes++
 		}
 	}
 }
@@ -62,6 +63,10 @@
 
 func (o *Origins) sole(now time.Time, service string, lifetime time.Duration) (carawayspread.BuildID, bool) {
 	b := o.services[service]
+	lifetime = max(lifetime, o.longest[service])
+	if o.recorded && !o.restored {
+		lifetime = max(lifetime, retention)
+	}
 	if b == nil || len(b.listed) != 1 || b.listed[0] || now.Sub(b.since) < lifetime || o.listAge() > maxListAge {
 		return 0, false
 	}
@@ -71,21 +76,6 @@
 	return 0, false
 }
 
-// Only returns the build of the service's endpoints if they are all of one build that is known; zero
-// otherwise. Unlike Sole, it says nothing of the time before.
-func (o *Origins) Only(service string) carawayspread.BuildID {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	b := o.services[service]
-	if b == nil || len(b.listed) != 1 {
-		return 0
-	}
-	for build := range b.listed {
-		return build
-	}
-	return 0
-}
-
 // Several reports whether more than one build of the service is listed.
 func (o *Origins) Several(service string) bool {
 	o.mu.Lock()
--- a/internal/decision/origin/origins.go
+++ b/internal/decision/origin/origins.go
@@ -44,17 +44,23 @@
 	streams  *lru.LRU[carawayspread.StreamID, began]
 	untold   []untold // at most maxStreams, the oldest first
 	services map[string]*builds
-	// knownSince is when endpoints were listed first. What was listed before is not known, unless
-	// firstStart says that no stream began before.
+	// knownSince is when endpoints were listed first. What was listed before is known from records only.
 	knownSince time.Time
-	firstStart bool
+	// longest is the longest lifetime of a stream that began, by service. A route may be given a shorter
+	// timeout meanwhile, while callers still hold streams of the longer one.
+	longest  map[string]time.Duration
+	changes  uint64 // of what records hold
+	recorded bool   // there are records
+	restored bool   // they were read
+	first    bool   // no stream began before this process
 }
 
 // Option sets an optional part of Origins.
 type Option func(*Origins)
 
-// FirstStart says that the system starts for the first time, so that no stream began earlier.
-func FirstStart() Option { return func(o *Origins) { o.firstStart = true } }
+// WithRecords says that records are kept. Until they are read, no build counts as the only one for as long as
+// callers may hold streams of other timeouts.
+func WithRecords() Option { return func(o *Origins) { o.recorded = true } }
 
 // New returns Origins without streams. listAge returns the age of the list of endpoints.
 func New(clock carawayspread.Clock, listAge func() time.Duration, opts ...Option) *Origins {
@@ -62,7 +68,7 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	o := &Origins{clock: clock, listAge: listAge, streams: streams, services: map[string]*builds{}}
+	o := &Origins{clock: clock, listAge: listAge, streams: streams, services: map[string]*builds{}, longest: map[string]time.Duration{}}
 	for _, opt := range opts {
 		opt(o)
 	}
@@ -77,6 +83,10 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	o.add(stream, began{build: stream.Build, own: true, at: now})
+	if lifetime > o.longest[service] {
+		o.longest[service] = lifetime
+		o.changes++
+	}
 	if _, sole := o.sole(now, service, lifetime); !sole {
 		return true
 	}
--- a/internal/decision/origin/origins_test.go
+++ b/internal/decision/origin/origins_test.go
@@ -20,6 +20,9 @@
 	return list
 }
 
+// first says that the system starts for the first time, after the first list.
+func first(o *Origins) { o.Review(nil, Reading{First: true}) }
+
 func build(version string) carawayspread.BuildID { return carawayspread.NewBuildID("s", version) }
 
 // A stream goes on at another build, since a process takes the only build that it sees for the only one
@@ -47,16 +50,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			var opts []Option
-			if test.first {
-				opts = append(opts, FirstStart())
-			}
-			o := New(clock, func() time.Duration { return test.listAge }, opts...)
+			o := New(clock, func() time.Duration { return test.listAge })
 			for i, versions := range test.lists {
 				if i > 0 {
 					clock.Advance(time.Second)
 				}
 				o.SetEndpoints(listOf(versions...))
+				if i == 0 && test.first {
+					first(o)
+				}
 			}
 			clock.Advance(test.then)
 			sole, ok := o.Sole("s", lifetime)
@@ -83,8 +85,9 @@
 		t.Run(name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
 			age := time.Duration(0)
-			o := New(clock, func() time.Duration { return age }, FirstStart())
+			o := New(clock, func() time.Duration { return age })
 			o.SetEndpoints(listOf("v1"))
+			first(o)
 			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 1, Build: build("v1")}, "s", lifetime), qt.IsFalse)
 			clock.Advance(lifetime - time.Second)
 			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 2, Build: build("v1")}, "s", lifetime), qt.IsFalse)
@@ -127,12 +130,11 @@
 		"we see several":                         {list: []string{"v1", "v2"}, peers: carawayspread.OriginAnswer{Sole: build("v1")}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var opts []Option
+			o := New(clockwork.NewFakeClock(), func() time.Duration { return 0 })
+			o.SetEndpoints(listOf(test.list...))
 			if test.first {
-				opts = append(opts, FirstStart())
+				first(o)
 			}
-			o := New(clockwork.NewFakeClock(), func() time.Duration { return 0 }, opts...)
-			o.SetEndpoints(listOf(test.list...))
 			qt.Check(t, o.Resolve("s", lifetime, test.peers), qt.Equals, build(test.want))
 		})
 	}
--- a/internal/decision/origin/replay_test.go
+++ b/internal/decision/origin/replay_test.go
@@ -19,15 +19,10 @@
 	rng   *rand.Rand
 	clock *clockwork.FakeClock
 	fleet []*Origins
-	first bool
 }
 
 func (r *replay) start(n int) {
-	var opts []Option
-	if r.first {
-		opts = append(opts, FirstStart())
-	}
-	r.fleet[n] = New(r.clock, func() time.Duration { return 300 * time.Millisecond }, opts...)
+	r.fleet[n] = New(r.clock, func() time.Duration { return 300 * time.Millisecond })
 }
 
 // holders returns the holders of the stream that a datagram of n reaches; one in twenty is lost.
@@ -75,13 +70,13 @@
 func TestStreamsGoOnThroughReleases(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			r := &replay{rng: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewFakeClock(), first: true}
+			r := &replay{rng: rand.New(rand.NewPCG(seed, 0)), clock: clockwork.NewFakeClock()}
 			r.fleet = make([]*Origins, 4+24*int(seed%2))
 			for n := range r.fleet {
 				r.start(n)
 				r.fleet[n].SetEndpoints(listOf("v1"))
+				first(r.fleet[n])
 			}
-			r.first = false
 			lists := [][]string{{"v1"}, {"v1", "v2"}, {"v1", "v2"}, {"v2"}, {"v2"}, {"v2", "v3"}, {"v3"}}
 			seen := make([]int, len(r.fleet)) // the list that each process has
 			began := map[carawayspread.StreamID]carawayspread.BuildID{}
--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -65,10 +65,11 @@
 }
 
 func (c *call) lookUpBuild() (build carawayspread.BuildID, how string) {
-	if c.metadata.Resumes == "" { // a caller of a time when there was one build
-		return c.g.origins.Only(c.service.Name), originSole
+	first := c.metadata.Resumes
+	if first == "" { // a caller that names none: only a build that was the only one is certain
+		first = c.metadata.ID
 	}
-	id, lifetime := carawayspread.NewStreamID(c.metadata.Resumes), streamLifetime(c.route)
+	id, lifetime := carawayspread.NewStreamID(first), streamLifetime(c.route)
 	if build, ok := c.g.origins.Build(id); ok {
 		return build, originOwn
 	}
--- a/internal/process/gateway/resume_test.go
+++ b/internal/process/gateway/resume_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -21,20 +22,28 @@
 }
 
 // A caller that names no attempt, since there was one build only when it was written, is refused its
-// stream; or its stream goes on at any of several builds.
+// stream; or its stream goes on at any of several builds, or at the only one that is left of them.
 func TestStreamOfACallerThatNamesNoAttempt(t *testing.T) {
 	for name, test := range map[string]struct {
 		versions []string
+		short    bool // they have been listed for less than a stream may last
 		status   int
 	}{
-		"one build":               {[]string{"v1", "v1"}, http.StatusOK},
-		"two builds":              {[]string{"v1", "v2"}, http.StatusServiceUnavailable},
-		"a version is not stated": {[]string{"v1", ""}, http.StatusServiceUnavailable},
-		"none is stated":          {[]string{""}, http.StatusServiceUnavailable},
+		"one build":               {versions: []string{"v1", "v1"}, status: http.StatusOK},
+		"one build just now":      {versions: []string{"v1", "v1"}, short: true, status: http.StatusServiceUnavailable},
+		"two builds":              {versions: []string{"v1", "v2"}, status: http.StatusServiceUnavailable},
+		"a version is not stated": {versions: []string{"v1", ""}, status: http.StatusServiceUnavailable},
+		"none is stated":          {versions: []string{""}, status: http.StatusServiceUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(t, events(3, 4, io.EOF))
 			b.listVersions("s", test.versions...)
+			route, _ := b.gateway.Routing().Find("a.example", "/resume/x")
+			left := time.Duration(0)
+			if test.short {
+				left = 1
+			}
+			b.clock.Advance(streamLifetime(route) - left)
 			resp, body, _ := b.post(t, "/resume/x", "body", tokens, "100,50", "Last-Event-Id", "2")
 			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
 			if test.status != http.StatusOK {
