placement: a prompt waits for what is unanswered at its engine

Cause: the queue of an engine was known by the expected end of its prefills, which passes whether or not the engine has kept up. Corrections were lost, as they moved an end that had passed already.

Change: the expected wait is no less than the prefills that were sent there and have no answer take, of all processes (their load updates say how much they have there). Where a prompt is placed, the expected end moves likewise, so that the wait is not taken for a slow engine.

Not looked at yet: engines that also decode, of which only the own prefills are known.

--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -241,6 +241,7 @@
 			e.addPrefill(now, u.PrefillTime)
 			if pool := p.pools[e.endpoint.Service()]; pool != nil {
 				pool.arrivedTokens += u.PrefillTokens
+				pool.observeUncached(u.PrefillTokens, u.Tokens-before.tokens)
 			}
 		}
 		e.shiftBacklog(max(-maxPeerCorrection, min(maxPeerCorrection, u.PrefillDelay)))
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -48,6 +48,8 @@
 	lastDecayed, lastSeeded time.Time
 	// candidateBuffer is the last result of candidates, reused by the next call.
 	candidateBuffer []*engine
+	// cachedShare is the share of the tokens of prompts that engines have cached.
+	cachedShare float64
 	// minGapTarget is the shortest of gapTargets; zero for none.
 	minGapTarget time.Duration
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -40,14 +40,18 @@
 	}
 	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, PrefillOnly: best.prefillOnly, TimeToFirstEvent: best.timeToFirstEvent, CachedTokens: best.cachedTokens,
-		PrefillTime: best.prefillTime, QueueTime: best.engine.wait(now),
+		PrefillTime: best.prefillTime, QueueTime: p.queueTime(now, pool, best.engine),
 		FetchTime: best.fetchTime, FetchedTokens: best.cachedTokens - best.engine.cachedPrefix,
 		ColdPrefillTime: best.coldPrefillTime, WarmPrefillTime: best.warmPrefillTime,
 	}
 	if best.fetchSource != nil {
 		at.FetchFrom = &best.fetchSource.endpoint
 	}
-	return at, p.admit(now, req, best)
+	if err := p.admit(now, req, best); err != nil {
+		return at, err
+	}
+	p.correctBacklog(now, pool, best.engine)
+	return at, nil
 }
 
 // best returns the choice with the lowest cost among the engines.
@@ -99,9 +103,10 @@
 	if source != nil {
 		prefillTime, cached = fetchedPrefillTime, sources.cachedTokens
 	}
+	wait := p.queueTime(now, pool, e)
 	c := choice{
 		engine: e, prefillOnly: e.prefillOnly(), prefillTime: prefillTime, cachedTokens: cached, fetchSource: source, fetchTime: fetchTime,
-		timeToFirstEvent: e.wait(now) + fetchTime + prefillTime + e.delay,
+		timeToFirstEvent: wait + fetchTime + prefillTime + e.delay,
 	}
 	if c.prefillOnly {
 		c.timeToFirstEvent += handoffDelay + decode.timeToFirstEvent
@@ -116,7 +121,7 @@
 		c.cost += pool.gapPenalty(now, e, l.running, prefillTime, req)
 	}
 	c.cost += p.crossZoneCost(e, req) + time.Duration(max(0, sources.cachedTokens-cached))*recomputePrice + time.Duration(cached-e.cachedPrefix)*fetchPrice
-	c.unqueued = c.timeToFirstEvent - e.wait(now)
+	c.unqueued = c.timeToFirstEvent - wait
 	return c
 }
 
