Room at engines: learned lengths, memory to the end, reservations where it is contested

Cause: a request was counted with its caller's estimate of the answer, whatever came of it, and against what peers had reported; what several processes place in the 12 ms and more that a report takes was not counted, nor the memory of engines that only prefill.

Change: the length of answers is learned for each class, relative to the caller's estimate; a request is counted with what nine in ten take, in blocks, and with more as its answer grows, which peers are told. Where everything that may arrive at all processes within a report's time could overfill the chosen engine, its room is reserved first (engines that take reservations); one that refuses is left out, three refusals are a refusal. A reservation with which nothing was sent is given up. Engines that take none keep a margin from what peers place there.

--- a/internal/decision/placement/attempt.go
+++ b/internal/decision/placement/attempt.go
@@ -31,6 +31,11 @@
 	queueFactor                      float64 // of a plain service: expected latency relative to that without a queue
 	streams                          bool    // the answer continues after its first event
 	ended                            bool
+
+	route     string
+	prompt    *carawayspread.Prompt // of an attempt that decodes; nil for others
+	output    int                   // tokens of the answer so far; zero if their number is unknown
+	fromStart bool                  // the answer begins at its first token
 }
 
 const (
@@ -63,7 +68,11 @@
 	e := a.engine
 	update := carawayspread.LoadUpdate{EndpointHash: e.hash}
 	if req.Prompt != nil {
-		a.tokens = sequenceTokens(req.Prompt)
+		a.route, a.fromStart = req.Route.Name, req.Route.Stream && !req.Admitted
+		a.tokens = p.heldTokens(req, at)
+		if !at.PrefillOnly {
+			a.prompt = req.Prompt
+		}
 		if req.Service.Engine != nil {
 			a.tokensPerEvent = req.Service.Engine.TokensPerEvent
 		}
@@ -114,6 +123,7 @@
 		return
 	}
 	a.answered = true
+	a.grow()
 	now := a.placer.env.Clock.Now()
 	a.engine.lastProgress = now
 	a.removeUnanswered(true)
@@ -141,6 +151,7 @@
 	now := a.placer.env.Clock.Now()
 	last := a.lastEvent
 	a.lastEvent, a.engine.lastProgress = now, now
+	a.grow()
 	if a.tokensPerEvent == 0 || last.IsZero() {
 		return
 	}
@@ -180,6 +191,7 @@
 		return
 	}
 	a.ended = true
+	a.learnLength(outcome)
 	now := p.env.Clock.Now()
 	e := a.engine
 	a.removeUnanswered(false)
--- /dev/null
+++ b/internal/decision/placement/fits.go
@@ -0,0 +1,153 @@
+package placement
+
+import (
+	"time"
+
+	"carawayspread"
+	"carawayspread/internal/decision/room"
+)
+
+// fits reports whether the engine has a free slot, and KV memory for the request until its end.
+func (p *Placer) fits(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
+	if slots := slotsOf(e, req); l.running >= slots {
+		return false
+	}
+	return p.fitsMemory(now, l, e, req, p.lengths.Tokens(req.Route.Name, req.Prompt))
+}
+
+// fitsPrefill reports whether an engine that only prefills has KV memory for the prompt. Prompts queue there
+// for slots, and those that wait for a decode engine keep their memory.
+func (p *Placer) fitsPrefill(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
+	return p.fitsMemory(now, l, e, req, room.Blocks(req.Prompt.Tokens))
+}
+
+// fitsMemory reports whether the engine holds that many more tokens, and what peers may be placing there at
+// this moment. An idle engine takes whatever it holds.
+func (p *Placer) fitsMemory(now time.Time, l load, e *engine, req carawayspread.PlacementRequest, tokens int) bool {
+	memory := req.Service.Engine.KVTokens
+	if memory == 0 {
+		return true
+	}
+	if l.running == 0 {
+		return tokens <= memory
+	}
+	if req.Service.Engine.MaxHold == 0 {
+		tokens += p.unreportedTokens(now, e)
+	}
+	return float64(l.tokens+tokens) < kvCacheLimit*float64(memory)
+}
+
+// contested returns the KV memory to reserve at the engine before the request is sent there; zero if it has room
+// for whatever all processes may place there before they know of each other.
+//
+// When most engines are full, the one that gets room gets the next requests of all processes. A margin that
+// prevents that leaves a quarter of the memory unused; the engine itself can tell who comes first, at the price
+// of one message, which is paid only there.
+func (p *Placer) contested(now time.Time, pool *pool, e *engine, req carawayspread.PlacementRequest) int {
+	traits := req.Service.Engine
+	l := p.load(now, e)
+	if traits.MaxHold == 0 || traits.KVTokens == 0 || e.prefillOnly() {
+		return 0
+	}
+	tokens := p.lengths.Tokens(req.Route.Name, req.Prompt)
+	arriving := pool.arriving.Fleet(now, len(p.loads.peers))
+	if float64(l.tokens+tokens+arriving) < kvCacheLimit*float64(traits.KVTokens) {
+		return 0
+	}
+	return tokens
+}
+
+// slotsOf returns how many requests the engine runs at once.
+func slotsOf(e *engine, req carawayspread.PlacementRequest) int {
+	if slots := e.endpoint.Slots(); slots > 0 {
+		return slots
+	}
+	return max(1, req.Service.Engine.Slots)
+}
+
+// unreportedTokens returns what peers may have placed at the engine without this process knowing yet.
+func (p *Placer) unreportedTokens(now time.Time, e *engine) int {
+	u := p.unreported[e.hash]
+	if u == nil {
+		return 0
+	}
+	return u.Margin(now, len(p.loads.peers))
+}
+
+// reportPlaced records that a peer has placed so many tokens at the engine.
+func (p *Placer) reportPlaced(now time.Time, e *engine, tokens int) {
+	if tokens <= 0 {
+		return
+	}
+	u := p.unreported[e.hash]
+	if u == nil {
+		u = &room.Unreported{}
+		p.unreported[e.hash] = u
+	}
+	u.Report(now, tokens)
+}
+
+// forgetRemoved drops what is known of engines that are not listed any more.
+func (p *Placer) forgetRemoved() {
+	for hash := range p.unreported {
+		if p.byHash[hash] == nil {
+			delete(p.unreported, hash)
+		}
+	}
+}
+
+// heldTokens returns the KV memory that an attempt is counted with.
+func (p *Placer) heldTokens(req carawayspread.PlacementRequest, at carawayspread.Placement) int {
+	if at.PrefillOnly {
+		return room.Blocks(req.Prompt.Tokens)
+	}
+	return p.lengths.Tokens(req.Route.Name, req.Prompt)
+}
+
+// grow counts another event of the answer, and tells peers where the request needs more memory than it is
+// counted with. Otherwise an answer that turns out long would take memory that is given to another request.
+func (a *attempt) grow() {
+	if a.prompt == nil {
+		return
+	}
+	a.output += a.tokensPerEvent
+	if a.prompt.Tokens+a.output <= a.tokens {
+		return
+	}
+	grown := room.Grown(a.prompt, a.output)
+	e := a.engine
+	e.ownTokens += grown - a.tokens
+	a.tokens = grown
+	a.placer.env.Broadcast(carawayspread.LoadUpdate{EndpointHash: e.hash, Running: e.ownAttempts, Tokens: e.ownTokens})
+}
+
+// learnLength learns from an answer that was begun here and is complete.
+func (a *attempt) learnLength(outcome carawayspread.Outcome) {
+	if a.prompt != nil && a.fromStart && outcome == carawayspread.OutcomeServed && a.output > 0 {
+		a.placer.lengths.Learn(a.route, a.prompt, a.output)
+	}
+}
+
+// noChoice returns the refusal of a request for which there is no engine: because none may take it, or because
+// none of those that may has room.
+func (p *Placer) noChoice(now time.Time, pool *pool, req carawayspread.PlacementRequest) *carawayspread.Error {
+	for _, e := range pool.ordered {
+		if !e.prefillOnly() && pool.eligible(now, e, req) {
+			return p.noRoom(pool)
+		}
+	}
+	return noEndpoint()
+}
+
+// noRoom returns the refusal of a request for which no engine has room. It tells when some is expected: an
+// engine whose answers take so long, and of which so many run, ends one of them after their quotient.
+func (p *Placer) noRoom(pool *pool) *carawayspread.Error {
+	expected := maxRetryAfter
+	for _, e := range pool.ordered {
+		if running := p.load(p.env.Clock.Now(), e).running; running > 0 && !e.prefillOnly() {
+			expected = min(expected, pool.answerTime(e, running)/time.Duration(running))
+		}
+	}
+	return carawayspread.NewError(carawayspread.CodeNoEndpoint, "no endpoint can take the request now",
+		carawayspread.NotRun(), carawayspread.RetryAfter(max(minRetryAfter, expected)), carawayspread.CausedBy(carawayspread.ErrNoRoom))
+}
--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/decision/room"
 )
 
 const (
@@ -113,6 +114,9 @@
 	byHash   map[uint32]*engine
 	loads    *loads
 	fairness map[string]*fairness // by route
+	lengths  *room.Lengths
+	// unreported is what peers place at engines, by the engine's hash.
+	unreported map[uint32]*room.Unreported
 }
 
 var _ = carawayspread.Placers.Register("estimate", func(env carawayspread.Environment) carawayspread.Placer {
@@ -124,7 +128,10 @@
 	if env.Broadcast == nil {
 		env.Broadcast = func(carawayspread.LoadUpdate) {}
 	}
-	return &Placer{env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, loads: newLoads(), fairness: map[string]*fairness{}}
+	return &Placer{
+		env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, loads: newLoads(), fairness: map[string]*fairness{},
+		lengths: room.NewLengths(), unreported: map[uint32]*room.Unreported{},
+	}
 }
 
 func hashOf(id carawayspread.EndpointID) uint32 {
@@ -171,6 +178,7 @@
 			p.byHash[e.hash] = e
 		}
 	}
+	p.forgetRemoved()
 }
 
 // Place chooses an endpoint, or returns the refusal of the request.
@@ -234,6 +242,7 @@
 		if e == nil {
 			continue
 		}
+		p.reportPlaced(now, e, u.Tokens-before.tokens)
 		if u.Running < before.running {
 			e.lastProgress = now
 		}
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/decision/room"
 )
 
 // seedInterval is the least time between two passes over all engines that seed those without own
@@ -50,6 +51,8 @@
 	candidateBuffer []*engine
 	// cachedShare is the share of the tokens of prompts that engines have cached.
 	cachedShare float64
+	// arriving is what arrives at this process.
+	arriving room.Unreported
 	// minGapTarget is the shortest of gapTargets; zero for none.
 	minGapTarget time.Duration
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -26,6 +26,7 @@
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	prefixHashes := req.Prompt.PrefixHashes()
 	pool.observePrompt(req)
+	pool.arriving.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
 	engines := pool.candidates(req, prefixHashes)
 	best, ok := p.best(now, pool, engines, req, prefixHashes)
 	if !ok && len(engines) < len(pool.ordered) {
@@ -33,16 +34,19 @@
 		best, ok = p.best(now, pool, pool.ordered, req, prefixHashes)
 	}
 	if !ok {
-		return carawayspread.Placement{}, noEndpoint()
+		return carawayspread.Placement{}, p.noChoice(now, pool, req)
 	}
 	if req.PrefilledBy != "" {
-		return carawayspread.Placement{Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent}, nil
+		return carawayspread.Placement{
+			Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent, ReserveTokens: p.contested(now, pool, best.engine, req),
+		}, nil
 	}
 	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, PrefillOnly: best.prefillOnly, TimeToFirstEvent: best.timeToFirstEvent, CachedTokens: best.cachedTokens,
 		PrefillTime: best.prefillTime, QueueTime: p.queueTime(now, pool, best.engine),
 		FetchTime: best.fetchTime, FetchedTokens: best.cachedTokens - best.engine.cachedPrefix,
 		ColdPrefillTime: best.coldPrefillTime, WarmPrefillTime: best.warmPrefillTime,
+		ReserveTokens: p.contested(now, pool, best.engine, req),
 	}
 	if best.fetchSource != nil {
 		at.FetchFrom = &best.fetchSource.endpoint
@@ -73,7 +77,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !e.prefillOnly() && !fits(l, e, req) {
+		if e.prefillOnly() && !p.fitsPrefill(now, l, e, req) || !e.prefillOnly() && !p.fits(now, l, e, req) {
 			continue
 		}
 		if e == affinity {
@@ -195,7 +199,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !fits(l, e, req) {
+		if !p.fits(now, l, e, req) {
 			continue
 		}
 		first := transferTime + e.stepTime(l.running)
@@ -239,21 +243,7 @@
 	return price
 }
 
-// fits reports whether the engine has a free slot and enough KV memory for the request.
-func fits(l load, e *engine, req carawayspread.PlacementRequest) bool {
-	traits := req.Service.Engine
-	slots := max(1, e.endpoint.Slots())
-	if e.endpoint.Slots() == 0 {
-		slots = max(1, traits.Slots)
-	}
-	if l.running >= slots {
-		return false
-	}
-	return traits.KVTokens == 0 || float64(l.tokens+sequenceTokens(req.Prompt)) < kvCacheLimit*float64(traits.KVTokens)
-}
-
-// sequenceTokens returns the tokens of a request in an engine's KV memory: its prompt and its
-// expected output.
+// sequenceTokens returns the tokens of a request at its expected end: its prompt and its output.
 func sequenceTokens(prompt *carawayspread.Prompt) int {
 	output := prompt.MaxOutputTokens
 	if prompt.LengthHint > 0 {
--- a/internal/decision/placement/replay_test.go
+++ b/internal/decision/placement/replay_test.go
@@ -28,6 +28,8 @@
 	engines map[carawayspread.EndpointID]*modelEngine
 	placers []carawayspread.Placer
 	gossip  bool // processes receive each other's load updates
+	// reportDelay is how long a load update takes to the other processes.
+	reportDelay time.Duration
 
 	total, inTime, refused, recomputed, shared int
 	large, largeServed                         int
@@ -99,7 +101,7 @@
 
 func newReplay(name string, gossip bool, processes, prefillEngines, decodeEngines int) *replay {
 	r := &replay{
-		clock: clockwork.NewFakeClock(), rand: rand.New(rand.NewPCG(1, 2)), gossip: gossip,
+		clock: clockwork.NewFakeClock(), rand: rand.New(rand.NewPCG(1, 2)), gossip: gossip, reportDelay: 2 * time.Millisecond,
 		engines: map[carawayspread.EndpointID]*modelEngine{},
 	}
 	newPlacer, _ := carawayspread.Placers.Get(name)
@@ -109,7 +111,7 @@
 			if !r.gossip {
 				return
 			}
-			r.after(2*time.Millisecond, func() {
+			r.after(r.reportDelay, func() {
 				for other, placer := range r.placers {
 					if other != n {
 						placer.ApplyLoadUpdates(fmt.Sprint(n), []carawayspread.LoadUpdate{update})
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -38,19 +38,21 @@
 	connBroken  bool // the connection to the caller cannot be used any more
 
 	exclude          map[carawayspread.EndpointID]bool
-	sends            int                   // attempts that may have reached an endpoint; they count against the retry budget
-	ran              int                   // attempts that may have run
-	retry            *fleetbudget.Retry    // spent for the next attempt; nil if none was needed yet
-	retryDecision    *fleetbudget.Decision // the latest; nil if no retry was wanted
-	retryClaimed     bool                  // the latest retry was claimed
-	singleEndpoint   bool                  // one endpoint must do both prefill and decode
-	suspected        bool                  // a part of the prompt may have crashed the endpoint of the last attempt
-	sharedParts      []uint64              // keys of the parts of the prompt that others may share; nil until needed
-	trial            bool                  // this process has claimed the trial of a part of the prompt
-	started          bool                  // the header of the answer has been sent to the caller
-	status           int                   // of the answer that was relayed
-	framing          carawayspread.Framing // of the answer to the caller, once started
-	complete         func()                // lets the connection to the caller end in order; nil if it may do so anyway
+	full             map[carawayspread.EndpointID]bool // refused a reservation for the attempt that is being placed
+	reservation      string                            // of room for the attempt; empty if there is none
+	sends            int                               // attempts that may have reached an endpoint; they count against the retry budget
+	ran              int                               // attempts that may have run
+	retry            *fleetbudget.Retry                // spent for the next attempt; nil if none was needed yet
+	retryDecision    *fleetbudget.Decision             // the latest; nil if no retry was wanted
+	retryClaimed     bool                              // the latest retry was claimed
+	singleEndpoint   bool                              // one endpoint must do both prefill and decode
+	suspected        bool                              // a part of the prompt may have crashed the endpoint of the last attempt
+	sharedParts      []uint64                          // keys of the parts of the prompt that others may share; nil until needed
+	trial            bool                              // this process has claimed the trial of a part of the prompt
+	started          bool                              // the header of the answer has been sent to the caller
+	status           int                               // of the answer that was relayed
+	framing          carawayspread.Framing             // of the answer to the caller, once started
+	complete         func()                            // lets the connection to the caller end in order; nil if it may do so anyway
 	lastEventID      string
 	build            carawayspread.BuildID   // at which the stream began; zero if it has not, or if that is unknown
 	usageCounted     bool                    // the request was recorded as usage of its workspace
@@ -80,7 +82,7 @@
 	c.g.budget(c.service.Name).CountRequest(c.g.waitingSince())
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
-	c.exclude = map[carawayspread.EndpointID]bool{}
+	c.exclude, c.full = map[carawayspread.EndpointID]bool{}, map[carawayspread.EndpointID]bool{}
 	c.lastEventID = c.metadata.LastEventID
 	defer c.withdrawRetry()
 	err := c.run(ctx)
@@ -121,7 +123,7 @@
 func (c *call) placementRequest() carawayspread.PlacementRequest {
 	p := carawayspread.PlacementRequest{
 		Route: c.route, Service: c.service, Arrived: c.arrived, Deadline: c.deadline,
-		Exclude: c.g.backpressure.AddUnavailable(c.exclude), Bytes: len(c.body), Fingerprint: c.fingerprint, SingleEndpoint: c.singleEndpoint, Build: c.build,
+		Exclude: c.excluded(), Bytes: len(c.body), Fingerprint: c.fingerprint, SingleEndpoint: c.singleEndpoint, Build: c.build,
 		Admitted:     c.singleEndpoint || c.ran > 0 || c.metadata.LastEventID != "", // a stream that its caller takes up was admitted before
 		TargetMissed: c.metadata.TimeLeft > 0 && c.metadata.TimeLeft < time.Duration(targetMissedShare*float64(c.route.Timeout)),
 	}
@@ -136,7 +138,8 @@
 
 // attempt sends the request once. It reports whether the request may be retried.
 func (c *call) attempt(ctx context.Context) (retry bool, err error) {
-	p, at, err := c.place()
+	clear(c.full)
+	p, at, err := c.placeWithRoom(ctx)
 	if err != nil {
 		if c.handover != nil {
 			c.singleEndpoint = true
@@ -160,9 +163,13 @@
 	defer stop()
 	sentAt := c.g.clock.Now()
 	reply, err := c.send(attemptCtx, at, phase)
+	if !errors.Is(err, carawayspread.ErrUnsent) {
+		c.reservation = "" // it is used, or ends by itself
+	}
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome = c.recordUnsent(ctx, at)
+		c.releaseReservation(at)
 		c.countNotRun(phase, notRunUnsent)
 		c.logAttempt(at, phase, err.Error())
 		return ctx.Err() == nil, err
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -26,7 +26,7 @@
 	}
 	attempt := carawayspread.Attempt{
 		To: at.Endpoint, TimeLeft: c.deadline.Sub(c.g.clock.Now()), Phase: phase, LastEventID: c.lastEventID,
-		Priority: c.route.Priority, FetchFrom: at.FetchFrom,
+		Priority: c.route.Priority, FetchFrom: at.FetchFrom, Reservation: c.reservation,
 		Workspace: c.workspace.Name(),
 	}
 	if phase == carawayspread.PhaseDecode {
--- a/placement.go
+++ b/placement.go
@@ -1,6 +1,9 @@
 package carawayspread
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // Placers is the registry of placers.
 var Placers = NewRegistry[func(Environment) Placer]("estimate")
@@ -55,8 +58,14 @@
 	// ColdPrefillTime and WarmPrefillTime are PrefillTime with none and with all of a shared prefix
 	// in the cache, if no endpoint is known to hold that prefix; otherwise both are zero.
 	ColdPrefillTime, WarmPrefillTime time.Duration
+	// ReserveTokens is the KV memory to reserve at the endpoint before the request is sent there, since
+	// other processes may place requests in the same room; zero if there is enough for all.
+	ReserveTokens int
 }
 
+// ErrNoRoom is the cause of a refusal where endpoints may take the request, and none has room for it now.
+var ErrNoRoom = errors.New("no engine has room")
+
 // Placer decides where requests run, and which are refused because their target cannot be met. It
 // is safe for concurrent use.
 type Placer interface {
--- a/protocol.go
+++ b/protocol.go
@@ -48,6 +48,7 @@
 	TimeLeft    time.Duration
 	Phase       Phase
 	Handover    Handover  // for PhaseDecode
+	Reservation string    // of a slot and KV memory at the endpoint; empty if there is none
 	FetchFrom   *Endpoint // holds more of the prompt in its cache; nil if none does, and for PhaseDecode
 	LastEventID string    // the last event that the caller has; empty from the start
 	Priority    int       // 0 is the most urgent
@@ -89,6 +90,12 @@
 	ParseHandover(body []byte, from Endpoint) (Handover, error)
 	// ReleaseKV returns the request that frees a KV cache that no engine has taken over.
 	ReleaseKV(h Handover) Outbound
+	// Reserve returns the request that reserves a slot and KV memory at an engine for that long.
+	Reserve(at Endpoint, tokens int, d time.Duration) Outbound
+	// ParseReservation reads the reservation in the answer to it; an error if there is none.
+	ParseReservation(r *Reply) (string, error)
+	// ReleaseReservation returns the request that gives up a reservation.
+	ReleaseReservation(at Endpoint, reservation string) Outbound
 	// WriteError writes the error to the caller as the final answer.
 	WriteError(w http.ResponseWriter, err *Error)
 }
