--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -26,6 +26,7 @@
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	prefixHashes := req.Prompt.PrefixHashes()
 	pool.observePrompt(req)
+	pool.arriving.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
 	engines := pool.candidates(req, prefixHashes)
 	best, ok := p.best(now, pool, engines, req, prefixHashes)
 	if !ok && len(engines) < len(pool.ordered) {
@@ -33,21 +34,28 @@
 		best, ok = p.best(now, pool, pool.ordered, req, prefixHashes)
 	}
 	if !ok {
-		return carawayspread.Placement{}, noEndpoint()
+		return carawayspread.Placement{}, p.noChoice(now, pool, req)
 	}
 	if req.PrefilledBy != "" {
-		return carawayspread.Placement{Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent}, nil
+		return carawayspread.Placement{
+			Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent, ReserveTokens: p.contested(now, pool, best.engine, req),
+		}, nil
 	}
 	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, PrefillOnly: best.prefillOnly, TimeToFirstEvent: best.timeToFirstEvent, CachedTokens: best.cachedTokens,
-		PrefillTime: best.prefillTime, QueueTime: best.engine.wait(now),
+		PrefillTime: best.prefillTime, QueueTime: p.queueTime(now, pool, best.engine),
 		FetchTime: best.fetchTime, FetchedTokens: best.cachedTokens - best.engine.cachedPrefix,
 		ColdPrefillTime: best.coldPrefillTime, WarmPrefillTime: best.warmPrefillTime,
+		ReserveTokens: p.contested(now, pool, best.engine, req),
 	}
 	if best.fetchSource != nil {
 		at.FetchFrom = &best.fetchSource.endpoint
 	}
-	return at, p.admit(now, req, best)
+	if err := p.admit(now, req, best); err != nil {
+		return at, err
+	}
+	p.correctBacklog(now, pool, best.engine)
+	return at, nil
 }
 
 // best returns the choice with the lowest cost among the engines.
@@ -69,7 +77,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !e.prefillOnly() && !fits(l, e, req) {
+		if e.prefillOnly() && !p.fitsPrefill(now, l, e, req) || !e.prefillOnly() && !p.fits(now, l, e, req) {
 			continue
 		}
 		if e == affinity {
@@ -99,9 +107,10 @@
 	if source != nil {
 		prefillTime, cached = fetchedPrefillTime, sources.cachedTokens
 	}
+	wait := p.queueTime(now, pool, e)
 	c := choice{
 		engine: e, prefillOnly: e.prefillOnly(), prefillTime: prefillTime, cachedTokens: cached, fetchSource: source, fetchTime: fetchTime,
-		timeToFirstEvent: e.wait(now) + fetchTime + prefillTime + e.delay,
+		timeToFirstEvent: wait + fetchTime + prefillTime + e.delay,
 	}
 	if c.prefillOnly {
 		c.timeToFirstEvent += handoffDelay + decode.timeToFirstEvent
@@ -116,7 +125,7 @@
 		c.cost += pool.gapPenalty(now, e, l.running, prefillTime, req)
 	}
 	c.cost += p.crossZoneCost(e, req) + time.Duration(max(0, sources.cachedTokens-cached))*recomputePrice + time.Duration(cached-e.cachedPrefix)*fetchPrice
-	c.unqueued = c.timeToFirstEvent - e.wait(now)
+	c.unqueued = c.timeToFirstEvent - wait
 	return c
 }
 
@@ -190,7 +199,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !fits(l, e, req) {
+		if !p.fits(now, l, e, req) {
 			continue
 		}
 		first := transferTime + e.stepTime(l.running)
@@ -234,21 +243,7 @@
 	return price
 }
 
-// fits reports whether the engine has a free slot and enough KV memory for the request.
-func fits(l load, e *engine, req carawayspread.PlacementRequest) bool {
-	traits := req.Service.Engine
-	slots := max(1, e.endpoint.Slots())
-	if e.endpoint.Slots() == 0 {
-		slots = max(1, traits.Slots)
-	}
-	if l.running >= slots {
-		return false
-	}
-	return traits.KVTokens == 0 || float64(l.tokens+sequenceTokens(req.Prompt)) < kvCacheLimit*float64(traits.KVTokens)
-}
-
-// sequenceTokens returns the tokens of a request in an engine's KV memory: its prompt and its
-// expected output.
+// sequenceTokens returns the tokens of a request at its expected end: its prompt and its output.
 func sequenceTokens(prompt *carawayspread.Prompt) int {
 	output := prompt.MaxOutputTokens
 	if prompt.LengthHint > 0 {
