An entry is ready once it has asked for its start reserve

Cause: an entry said that it was ready before the table had said whether its retry budgets may be full. Until then they are empty, and a call that broke off in that moment failed without a second attempt, also in tests that wait for readiness alone.

Change: readiness waits for the end of the first claim, whatever comes of it. The claim ends after 2 s at the latest, so that a silent table delays a start by that much and one that refuses not at all; during an outage of any length the entry then stays ready.

No test covered readiness with the table silent. Gateways are not touched.

--- a/internal/controller/startreserve/claimer.go
+++ b/internal/controller/startreserve/claimer.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -35,6 +36,7 @@
 	log      log.Interface
 	instance string
 	interval time.Duration // at least this long between two grants
+	asked    atomic.Bool   // the first attempt has ended
 }
 
 // New returns a claimer for the instance with that identifier.
@@ -50,6 +52,7 @@
 		if granted {
 			grant()
 		}
+		c.asked.Store(true)
 		if err == nil {
 			break
 		}
@@ -64,6 +67,10 @@
 	return ctx.Err()
 }
 
+// Asked reports whether the table was asked, with whatever result. Before that, a process that may start with full
+// budgets has empty ones.
+func (c *Claimer) Asked() bool { return c.asked.Load() }
+
 // claim reports whether this start has the reserve. One whose write may or may not have taken effect has not.
 func (c *Claimer) claim(ctx context.Context) (granted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/controller/startreserve/claimer_test.go
+++ b/internal/controller/startreserve/claimer_test.go
@@ -82,11 +82,12 @@
 	clock := clockwork.NewFakeClock()
 	ctx, cancel := context.WithCancel(t.Context())
 	granted, ended := make(chan struct{}), make(chan error, 1)
-	go func() {
-		ended <- start(&faulty{newTable(t), 2}, clock, "e1").Run(ctx, func() { close(granted) })
-	}()
+	c := start(&faulty{newTable(t), 2}, clock, "e1")
+	qt.Check(t, c.Asked(), qt.IsFalse)
+	go func() { ended <- c.Run(ctx, func() { close(granted) }) }()
 	for range 2 {
 		qt.Assert(t, clock.BlockUntilContext(ctx, 1), qt.IsNil)
+		qt.Check(t, c.Asked(), qt.IsTrue)
 		clock.Advance(retryInterval)
 	}
 	<-granted
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -84,7 +84,7 @@
 
 func (d *Daemon) listen() error {
 	s := d.base.Settings()
-	ready := func() bool { return !d.entry.Draining() && d.RoutedEndpoints() > 0 }
+	ready := func() bool { return !d.entry.Draining() && d.RoutedEndpoints() > 0 && d.startReserve.Asked() }
 	callers := http.NewServeMux()
 	callers.Handle("/", d.entry)
 	server.HandleHealth(callers, ready)
