Processes that start at once find one another at once

Cause: after a start of all, heartbeats half a second apart, first to three seeds, left nobody with any peer for half a second and most with some for a whole one. That is when all callers come back: each process placed that second as if it were alone, on the engines that look best to all.

Change: a process that has just started greets whom a peer names, and one that is heard for the first time is answered at once, with up to 16 names; until it has heard anybody it asks the seeds each 50 ms. internal/decision/ joining decides and bounds it (32 greetings a start, 32 answers a second); a greeting is a heartbeat, also to older processes.

--- a/internal/connection/peers/heartbeat.go
+++ b/internal/connection/peers/heartbeat.go
@@ -61,7 +61,7 @@
 		}
 	}
 	active := s.activeLocked()
-	m.knownPeers = sample(active)
+	m.knownPeers = sample(active, sampleSize)
 	to, forward := s.heartbeatRecipientsLocked(status.Zone)
 	now := s.clock.Now()
 	listed := map[netip.AddrPort]bool{}
@@ -87,11 +87,12 @@
 	s.send(m, forward)
 }
 
-// sample returns random addresses for a heartbeat to name. A new process learns all peers from a
-// few heartbeats, and the heartbeat stays short in a large fleet.
-func sample(all []netip.AddrPort) []netip.AddrPort {
-	sampled := make([]netip.AddrPort, 0, min(sampleSize, len(all)))
-	for _, i := range rand.Perm(len(all))[:min(sampleSize, len(all))] {
+// sample returns n random addresses for a message to name. A new process learns all peers from a few messages, and
+// they stay short in a large fleet.
+func sample(all []netip.AddrPort, n int) []netip.AddrPort {
+	n = min(n, len(all))
+	sampled := make([]netip.AddrPort, 0, n)
+	for _, i := range rand.Perm(len(all))[:n] {
 		sampled = append(sampled, all[i])
 	}
 	return sampled
--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -48,7 +48,7 @@
 	if m.forward {
 		s.queueForward(m)
 	}
-	s.recordPeer(m)
+	s.greet(s.recordPeer(m))
 	if m.status != nil {
 		r.ApplyPeerStatus(m.sender, m.address.String(), *m.status)
 	}
@@ -62,13 +62,15 @@
 	s.receiveUsage(m, r)
 }
 
-// recordPeer updates what is known of the sender and notes the addresses that it names.
-func (s *Socket) recordPeer(m message) {
+// recordPeer updates what is known of the sender and notes the addresses that it names. It returns the processes
+// to greet.
+func (s *Socket) recordPeer(m message) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	p := s.peers[m.sender]
-	if p == nil {
+	isNew := p == nil
+	if isNew {
 		p = &peer{}
 		s.peers[m.sender] = p
 	}
@@ -86,13 +88,16 @@
 		s.observeFleetLocked()
 	}
 	delete(s.unverified, m.address)
+	var named []netip.AddrPort
 	for _, address := range m.knownPeers {
 		if address != s.self && !s.knowsAddress(address) {
 			if _, ok := s.unverified[address]; !ok {
 				s.unverified[address] = now
+				named = append(named, address)
 			}
 		}
 	}
+	return s.toGreetLocked(m.address, isNew, named)
 }
 
 func (s *Socket) knowsAddress(address netip.AddrPort) bool {
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -86,6 +86,8 @@
 	crashTracker CrashTracker
 	origins      OriginTracker // nil if the origins of streams are not exchanged
 	parts        PartTracker   // nil if crashes under parts of prompts are not exchanged
+	joining      Joining
+	greetings    int // sent
 
 	mu      sync.Mutex
 	pending []carawayspread.LoadUpdate
@@ -128,7 +130,7 @@
 		feedback: map[carawayspread.EndpointID]carawayspread.Feedback{},
 		queries:  originQueries{waiting: map[uint64]chan carawayspread.OriginAnswer{}},
 		loads:    map[uint32]carawayspread.LoadUpdate{}, peers: map[uint64]*peer{}, unverified: map[netip.AddrPort]time.Time{},
-		members: map[netip.AddrPort]time.Time{},
+		members: map[netip.AddrPort]time.Time{}, joining: heartbeatsOnly{},
 	}
 	for _, seed := range seeds {
 		if parsed, err := netip.ParseAddrPort(seed); err == nil && parsed != self {
@@ -224,7 +226,7 @@
 			s.sendRefusals(targets)
 			s.gossipCrashes(targets)
 			s.gossipParts(targets)
-			heartbeat = s.clock.After(heartbeatInterval)
+			heartbeat = s.clock.After(s.nextHeartbeat())
 		case <-s.wake:
 			n := s.flush()
 			select {
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -152,9 +152,7 @@
 		gateway.WithTrials(d.claimTrial),
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
 		gateway.WithEndpointProber(ports.Prober))
-	d.peers.SetRefusalTracker(d.gateway)
-	d.peers.SetCrashTracker(d.gateway)
-	d.peers.SetPartTracker(d.gateway)
+	d.setUpPeers()
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
--- a/internal/daemon/gatewayd/status.go
+++ b/internal/daemon/gatewayd/status.go
@@ -3,8 +3,18 @@
 import (
 	"carawayspread"
 	"carawayspread/internal/connection/peers"
+	"carawayspread/internal/decision/joining"
 )
 
+// setUpPeers connects the gateway to what peers say, and lets a process that starts find them at once.
+func (d *Daemon) setUpPeers() {
+	d.peers.SetJoining(joining.New(d.clock))
+	d.peers.SetRefusalTracker(d.gateway)
+	d.peers.SetCrashTracker(d.gateway)
+	d.peers.SetPartTracker(d.gateway)
+	d.gateway.Metrics().NewGauge("gateway_greetings_sent", func() float64 { return float64(d.peers.Greetings()) })
+}
+
 // peerStatus returns the status of this process for its peers.
 func (d *Daemon) peerStatus() carawayspread.PeerStatus {
 	p := d.follower.PeerStatus()
