--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -157,9 +157,7 @@
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
 		gateway.WithRunMoves(runmoves.New(clock, s.Bounds().Drain), ports.Mover),
 		gateway.WithEndpointProber(ports.Prober))
-	d.peers.SetRefusalTracker(d.gateway)
-	d.peers.SetCrashTracker(d.gateway)
-	d.peers.SetPartTracker(d.gateway)
+	d.setUpPeers()
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
