--- a/internal/connection/peers/receive.go
+++ b/internal/connection/peers/receive.go
@@ -33,6 +33,8 @@
 			s.receiveParts(body)
 		case originMagic, originQueryMagic, originReplyMagic:
 			s.receiveOrigins(body)
+		case witnessMagic:
+			s.receiveWitness(body)
 		default:
 			s.receive(body, r)
 		}
--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -84,8 +84,9 @@
 	refusals RefusalTracker // nil if nothing is refused
 	// crashTracker is nil if crashes are not reported.
 	crashTracker CrashTracker
-	origins      OriginTracker // nil if the origins of streams are not exchanged
-	parts        PartTracker   // nil if crashes under parts of prompts are not exchanged
+	origins      OriginTracker   // nil if the origins of streams are not exchanged
+	parts        PartTracker     // nil if crashes under parts of prompts are not exchanged
+	witnesses    WitnessReceiver // nil if this process is no witness of a lease
 
 	mu      sync.Mutex
 	pending []carawayspread.LoadUpdate
