Leases that go on while the table is silent, by promises of witnesses

After the base term it acts while a majority promises not to close for a candidate; a candidate acquires after the base term when a majority has closed, or after a long term that older releases wait for as well. Leases without the option are as before.

--- a/internal/controller/leadership/leadership.go
+++ b/internal/controller/leadership/leadership.go
@@ -59,11 +59,12 @@
 // New returns the participation of the instance in the election whose lease is stored under the
 // partition. Its log lines have the event as their name.
 func New(event, instance, partition string, table carawayspread.Table, candidate func() bool,
-	uptime carawayspread.Uptime, clock carawayspread.Clock, l *decisionlog.Log, set *metrics.Set,
+	uptime carawayspread.Uptime, clock carawayspread.Clock, l *decisionlog.Log, set *metrics.Set, opts ...lease.Option,
 ) *Leadership {
+	opts = append([]lease.Option{lease.WithTerm(term)}, opts...)
 	return &Leadership{
 		event: event, instance: instance, candidate: candidate, clock: clock, log: l, set: set,
-		lease: lease.New(table, carawayspread.UptimeClock(uptime, clock), partition, lease.WithTerm(term)),
+		lease: lease.New(table, carawayspread.UptimeClock(uptime, clock), partition, opts...),
 	}
 }
 
@@ -73,6 +74,9 @@
 // Valid reports whether the lease is held now and will be for the margin.
 func (l *Leadership) Valid(margin time.Duration) bool { return l.lease.Valid(margin) }
 
+// Renewed reports whether the lease was renewed in the table within that duration.
+func (l *Leadership) Renewed(within time.Duration) bool { return l.lease.Renewed(within) }
+
 // Fence returns the fencing token; zero while the lease is not held.
 func (l *Leadership) Fence() uint64 { return l.lease.Epoch() }
 
--- a/internal/controller/lease/lease.go
+++ b/internal/controller/lease/lease.go
@@ -40,6 +40,9 @@
 	term      time.Duration
 	jitter    func() float64 // in [0, 1)
 
+	witnesses Witnesses     // nil if the lease ends with its term
+	longTerm  time.Duration // how long a record that names witnesses keeps those away that do not ask them
+
 	held     atomic.Pointer[tenure] // nil while not held
 	lastSeen observation            // of another holder; used by Try only
 
@@ -60,6 +63,9 @@
 	generation uint64
 	rev        uint64    // newest known revision of the holder item
 	since      time.Time // before the last successful write was sent
+	witnesses  []string  // that the record names
+	// unsettled means that a write which names other witnesses may take effect yet.
+	unsettled bool
 }
 
 // observation is a revision of the holder item and the time when it was first read.
@@ -80,12 +86,8 @@
 // New returns a handle on the lease that is stored under the partition. It is not held yet.
 func New(table carawayspread.Table, clock carawayspread.Clock, partition string, opts ...Option) *Lease {
 	l := &Lease{
-		table:     table,
-		clock:     clock,
-		partition: partition,
-		holder:    uuid.NewString(),
-		term:      defaultTerm,
-		jitter:    defaultJitter,
+		table: table, clock: clock, partition: partition,
+		holder: uuid.NewString(), term: defaultTerm, jitter: defaultJitter,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -96,7 +98,7 @@
 // Valid reports whether the lease is held now and will be for the margin.
 func (l *Lease) Valid(margin time.Duration) bool {
 	t := l.held.Load()
-	return t != nil && t.generation == l.tableGeneration() && elapsed(t.since, l.clock.Now())+margin < l.term
+	return t != nil && t.generation == l.tableGeneration() && (elapsed(t.since, l.clock.Now())+margin < l.term || l.isExtended(t, margin))
 }
 
 // Epoch returns the fencing token of the current tenure; zero while the lease is not held.
--- a/internal/controller/lease/try.go
+++ b/internal/controller/lease/try.go
@@ -15,7 +15,12 @@
 type leaseRecord struct {
 	Holder string `json:"holder"` // empty after a release
 	Epoch  uint64 `json:"epoch"`
-	TermMs int64  `json:"termMs"` // how long the holder considers it valid
+	TermMs int64  `json:"termMs"` // how long the holder may consider it valid
+	// Witnesses are the addresses of those whose promises extend the base term up to TermMs.
+	Witnesses []string `json:"witnesses,omitempty"`
+	BaseMs    int64    `json:"baseMs,omitempty"`
+	// Generation is that of the table in which a record with witnesses was written.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
 // Try renews the lease if it is held and otherwise tries to acquire it. It returns ErrHeld while
@@ -44,13 +49,15 @@
 	l.tableSeen, l.generation = true, generation
 	if changed {
 		l.restoredAt, l.lastSeen = l.clock.Now(), observation{} // its revision may be assigned again
+		l.noteFormerHolder(l.held.Swap(nil))
 		l.restoreWait = l.term + l.term/driftDivisor
-		if l.held.Swap(nil) != nil {
-			l.wasHolder = true
-		}
 		if !l.wasHolder {
 			l.restoreWait += l.term / restoreGraceDivisor
 		}
+		if !l.wasHolder && l.witnesses != nil {
+			// A holder that the table does not answer knows nothing of the restore.
+			l.restoreWait = l.longTerm + l.longTerm/driftDivisor
+		}
 	}
 	return changed
 }
@@ -64,8 +71,8 @@
 
 // Release releases the lease, so that a successor need not wait for the term to end.
 func (l *Lease) Release(ctx context.Context) error {
-	t := l.held.Swap(nil)
-	if t == nil {
+	t := l.drop()
+	if t == nil || l.hasPending() {
 		return nil
 	}
 	write, err := l.write(sortHolder, t.rev, leaseRecord{Epoch: t.epoch})
@@ -76,17 +83,19 @@
 }
 
 func (l *Lease) renew(ctx context.Context, t *tenure) error {
-	write, err := l.write(sortHolder, t.rev, leaseRecord{Holder: l.holder, Epoch: t.epoch, TermMs: l.term.Milliseconds()})
+	next := l.record(t.epoch, l.chooseWitnesses(t.witnesses))
+	write, err := l.write(sortHolder, t.rev, next)
 	if err != nil {
 		return err
 	}
+	l.unsettle(t, next.Witnesses)
 	sentAt := l.clock.Now()
 	err = l.table.Apply(ctx, write)
 	if l.observeGeneration() {
 		return ErrHeld
 	}
 	if err == nil {
-		l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: t.rev + 1, since: sentAt})
+		l.hold(&tenure{epoch: t.epoch, generation: t.generation, rev: t.rev + 1, since: sentAt, witnesses: next.Witnesses})
 		return nil
 	}
 	item, record, readErr := l.read(ctx)
@@ -96,15 +105,17 @@
 	case readErr != nil:
 		return trace.Wrap(err)
 	case record.Holder != l.holder || record.Epoch != t.epoch:
-		l.held.Store(nil)
+		l.drop()
 		return ErrHeld
 	case item.Token == write.Item.Token:
-		l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: sentAt})
+		l.hold(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: sentAt, witnesses: record.Witnesses})
 		return nil
+	case item.Rev == t.rev:
+		return trace.Wrap(err) // the write may take effect yet
 	}
 	// An earlier write of this process took effect late. Its send time is no longer known, so
 	// the term still counts from the last known one.
-	l.held.Store(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: t.since})
+	l.hold(&tenure{epoch: t.epoch, generation: t.generation, rev: item.Rev, since: t.since, witnesses: record.Witnesses})
 	return trace.Wrap(err)
 }
 
@@ -114,11 +125,11 @@
 		return err
 	}
 	l.observeGeneration()
-	if l.inRestoreWait() || !l.vacant(item, record) {
+	if l.inRestoreWait() && !l.writtenSinceRestore(record) || !l.vacant(item, record) && !l.vacated(ctx, item, record) {
 		return ErrHeld
 	}
 	generation := l.generation
-	next := leaseRecord{Holder: l.holder, Epoch: record.Epoch + 1, TermMs: l.term.Milliseconds()}
+	next := l.record(record.Epoch+1, l.chooseWitnesses(record.Witnesses))
 	holder, err := l.write(sortHolder, item.Rev, next)
 	if err != nil {
 		return err
@@ -138,7 +149,7 @@
 	if l.observeGeneration() || l.generation != generation {
 		return trace.Wrap(errRestored)
 	}
-	l.held.Store(&tenure{epoch: next.Epoch, generation: generation, rev: item.Rev + 1, since: sentAt})
+	l.hold(&tenure{epoch: next.Epoch, generation: generation, rev: item.Rev + 1, since: sentAt, witnesses: next.Witnesses})
 	l.wasHolder = false // until the next restore
 	return nil
 }
@@ -165,7 +176,7 @@
 // process acquired it in a write whose response was lost, or its record has been unchanged for
 // longer than its holder considers it valid.
 func (l *Lease) vacant(item carawayspread.Item, record leaseRecord) bool {
-	if record.Holder == "" || record.Holder == l.holder {
+	if record.Holder == l.holder {
 		return true
 	}
 	now := l.clock.Now()
@@ -173,7 +184,11 @@
 		l.lastSeen = observation{rev: item.Rev, at: now}
 	}
 	term := record.term()
-	return now.Sub(l.lastSeen.at) >= term+term/driftDivisor
+	vacant := record.Holder == "" || now.Sub(l.lastSeen.at) >= term+term/driftDivisor
+	if vacant && l.witnesses != nil {
+		l.witnesses.Reset()
+	}
+	return vacant
 }
 
 // read returns the holder item and its record; both are zero if there is none.
