Usage is reported while the table is silent

Cause: a report waits for its record in the table and for the lease. Change: the holder has a majority of its witnesses keep a decided report in place of the table, sends it, and writes it to the table later. A successor gets what they keep. What was proposed once stays, also after a write that seemed to fail. A holder that is told to end in a silence goes on until the grace is nearly over. The cases of TestUsageIsReportedOnce run with and without witnesses; its checks moved to a function unchanged.

--- a/internal/controller/usagereporter/fleet_test.go
+++ b/internal/controller/usagereporter/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/backoff"
+	"carawayspread/internal/controller/leasewitnesses"
 	"carawayspread/internal/controller/usagepublisher"
 	"carawayspread/internal/decision/usage"
 	"carawayspread/internal/process/decisionlog"
@@ -25,82 +26,6 @@
 	windows = carawayspread.NewUsageWindows(5*time.Second, 10*time.Second)
 )
 
-// memoryTable is an in-memory table that several processes share.
-type memoryTable struct {
-	mu          sync.Mutex
-	items       map[carawayspread.Key]carawayspread.Item
-	down        bool
-	loseReplies int // writes to apply and then fail
-	// generation counts how often the table was restored from an older copy.
-	generation uint64
-}
-
-// Generation implements carawayspread.Restorable.
-func (m *memoryTable) Generation() uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.generation
-}
-
-// snapshot returns a function that restores the current contents.
-func (m *memoryTable) snapshot() (restore func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	items := maps.Clone(m.items)
-	return func() {
-		m.set(func() { m.items, m.generation = maps.Clone(items), m.generation+1 })
-	}
-}
-
-func (m *memoryTable) Get(_ context.Context, key carawayspread.Key) (carawayspread.Item, error) {
-	time.Sleep(4 * time.Millisecond)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return carawayspread.Item{}, errDown
-	}
-	item, ok := m.items[key]
-	if !ok {
-		return item, carawayspread.ErrNoItem
-	}
-	return item, nil
-}
-
-func (m *memoryTable) Query(context.Context, string, string, int) ([]carawayspread.Item, error) {
-	return nil, errDown
-}
-
-func (m *memoryTable) Apply(_ context.Context, writes ...carawayspread.Write) error {
-	time.Sleep(4 * time.Millisecond)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return errDown
-	}
-	for _, w := range writes {
-		if m.items[w.Item.Key].Rev != w.IfRev {
-			return &carawayspread.ConditionError{Failed: []int{0}}
-		}
-	}
-	for _, w := range writes {
-		if !w.CheckOnly {
-			w.Item.Rev = w.IfRev + 1
-			m.items[w.Item.Key] = w.Item
-		}
-	}
-	if m.loseReplies > 0 {
-		m.loseReplies--
-		return errDown
-	}
-	return nil
-}
-
-func (m *memoryTable) set(f func()) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	f()
-}
-
 // call is a report that the platform received.
 type call struct {
 	at     time.Time
@@ -158,6 +83,7 @@
 	ledger    *usage.Ledger
 	publisher *usagepublisher.Publisher
 	reporter  *Reporter
+	witnesses *leasewitnesses.Witnesses
 	cancel    context.CancelFunc
 
 	mu             sync.Mutex
@@ -241,6 +167,27 @@
 	}
 }
 
+// Address and PeerAddresses return the names of processes. One that is killed is active for four seconds.
+func (p *process) Address() string { return p.name }
+
+func (p *process) PeerAddresses() (others []string) {
+	for _, other := range p.fleet.filter(func(q *process) bool { return !q.stopped || time.Since(q.stoppedAt) < 4*time.Second }) {
+		if other != p {
+			others = append(others, other.name)
+		}
+	}
+	return others
+}
+
+// SendWitness delivers a message. One in five is lost.
+func (p *process) SendWitness(to string, m carawayspread.WitnessMessage) {
+	for _, other := range p.fleet.running() {
+		if other.name == to && !p.fleet.dropsMessage() {
+			go other.witnesses.Receive(p.name, m)
+		}
+	}
+}
+
 type testFleet struct {
 	table *memoryTable
 	sink  *sink
@@ -250,6 +197,7 @@
 	messages  int
 	expected  map[int64]map[string]uint64
 	backoff   Backoff       // used by all processes
+	witnessed bool          // processes are witnesses of the lease, and known as such before the fault
 	end       time.Duration // synchronized time of the end of the test
 }
 
@@ -289,17 +237,23 @@
 	ctx, p.cancel = context.WithCancel(ctx)
 	p.ledger = usage.New(id)
 	p.publisher = usagepublisher.New(p.ledger, p, windows, now, p)
-	p.reporter = New(p.name, windows, Deps{
-		Ledger: p.ledger, Fleet: p, Sink: processSink{f.sink, p}, Table: f.table, Uptime: p, SyncedTime: now,
+	p.witnesses = leasewitnesses.New(p, carawayspread.UptimeClock(p, p), ActingLimit)
+	deps := Deps{
+		Ledger: p.ledger, Fleet: p, Sink: processSink{f.sink, p}, Table: processTable{f.table, p}, Uptime: p, SyncedTime: now,
 		Workspaces:   func() map[string]bool { return map[string]bool{"a": true, "b": true} },
 		MaxIsolation: 5 * time.Second, Backoff: f.backoff, Clock: p, Log: decisionlog.New(io.Discard), Metrics: metrics.NewSet(),
-	})
+	}
+	if f.witnessed {
+		deps.Witnesses = p.witnesses
+	}
+	p.reporter = New(p.name, windows, deps)
 	p.ledger.AddNames(map[string]bool{"a": true, "b": true})
 	f.mu.Lock()
 	f.processes = append(f.processes, p)
 	f.mu.Unlock()
 	go func() { _ = p.publisher.Run(ctx) }()
 	go func() { _ = p.reporter.Run(ctx) }()
+	go func() { _ = p.witnesses.Run(ctx) }()
 	return p
 }
 
@@ -359,6 +313,9 @@
 		time.Sleep(3 * time.Second)
 		go f.traffic(ctx)
 		time.Sleep(9 * time.Second)
+		if f.witnessed {
+			time.Sleep(15 * time.Second)
+		}
 		fault(f)
 		time.Sleep(50 * time.Second)
 		f.end, _ = now()
--- a/internal/controller/usagereporter/reporter.go
+++ b/internal/controller/usagereporter/reporter.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -69,6 +70,7 @@
 	SyncedTime   func() (time.Duration, bool) // since the start of 1970
 	Workspaces   func() map[string]bool       // names of the configured workspaces
 	MaxIsolation time.Duration                // how long a process may serve requests unseen by its peers
+	Witnesses    Witnesses                    // nil if reporting ends with the term of the lease
 	Backoff      Backoff                      // between attempts to send one report
 	Clock        carawayspread.Clock
 	Log          *decisionlog.Log
@@ -90,6 +92,8 @@
 	// decided holds the records that this process has stored, for windows that may still be
 	// reported. A table restored from an older copy may have lost a record that was already sent.
 	decided map[int64]*usagerecords.Record
+	silence silence
+	leave   chan struct{} // closed when the lease is to be given up
 }
 
 // New returns a reporter for the instance.
@@ -100,24 +104,33 @@
 	}
 	return &Reporter{
 		deps: d, instance: instance, windows: windows, records: usagerecords.New(d.Table, partition),
-		leadership: leadership.New("usageLease", instance, partition, d.Table, collects, d.Uptime, d.Clock, d.Log, d.Metrics),
+		leadership: leadership.New("usageLease", instance, partition, d.Table, collects, d.Uptime, d.Clock, d.Log, d.Metrics, leaseOptions(d, windows)...),
 		pending:    map[int64]*pendingReport{}, done: map[int64]bool{}, decided: map[int64]*usagerecords.Record{},
+		silence: newSilence(), leave: make(chan struct{}),
 	}
 }
 
 // Holds reports whether this process may hold the lease.
 func (r *Reporter) Holds() bool { return r.leadership.Holds() }
 
-// Run reports usage until ctx ends, then gives up the lease and returns ctx.Err().
+// Run reports usage until ctx ends, then gives up the lease and returns ctx.Err(). After Leave it returns
+// nil as soon as the lease is given up.
 func (r *Reporter) Run(ctx context.Context) error {
+	leave := r.leave
 	for {
 		select {
 		case <-ctx.Done():
 			r.leadership.ResignOnShutdown()
 			return ctx.Err()
+		case <-leave:
+			leave = nil
 		case <-r.deps.Clock.After(tickEvery*9/10 + rand.N(tickEvery/5)):
+			r.tick(ctx)
+		}
+		if leave == nil && r.mayLeave() {
+			r.leadership.ResignOnShutdown()
+			return nil
 		}
-		r.tick(ctx)
 	}
 }
 
@@ -130,8 +143,10 @@
 		// Other holders may have decided since, so the table is read again.
 		clear(r.done)
 		clear(r.pending)
+		r.silence.acquired(now)
 	}
 	r.expire(now)
+	r.storeKept(ctx)
 	current := r.windows.Window(now)
 	for window := current - r.windows.RetainedWindows(); window < current; window++ {
 		if !r.done[window] && now >= r.windows.End(window) && now <= r.windows.Due(window) && r.leadership.Valid(leaseMargin) {
@@ -173,6 +188,12 @@
 	if p.tableRead && !decidable {
 		return nil, nil
 	}
+	if r.tableSilent() {
+		if !decidable {
+			return nil, nil
+		}
+		return r.decideInSilence(ctx, window, p, complete)
+	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	record, rev, err := r.records.Get(ctx, window)
@@ -180,21 +201,40 @@
 		return nil, err
 	}
 	p.tableRead = true
-	switch {
-	case record != nil || !decidable:
+	if record != nil || !decidable {
+		return record, nil
+	}
+	record, err = r.proposal(window, complete)
+	if record == nil || err != nil {
+		return nil, err
+	}
+	return r.store(ctx, record, rev)
+}
+
+// proposal returns the record that this process decides on unless there is one in the table; nil if there
+// is none to report. It stays the same: a call that seemed to fail may have stored it.
+func (r *Reporter) proposal(window int64, complete bool) (*usagerecords.Record, error) {
+	if record := r.decided[window]; record != nil {
+		return record, nil
+	}
+	if record := r.silence.proposed[window]; record != nil {
 		return record, nil
-	case r.decided[window] != nil:
-		return r.store(ctx, r.decided[window], rev)
-	case !r.deps.Ledger.Known(window):
+	}
+	record, err := r.inherited(window)
+	if record != nil || err != nil || r.done[window] {
+		return record, err
+	}
+	if !r.deps.Ledger.Known(window) {
 		r.done[window] = true
 		return nil, nil
 	}
 	counts, unnamed := r.deps.Ledger.Sum(window)
-	record, err = r.store(ctx, &usagerecords.Record{Window: window, Counts: counts, Holder: r.instance, Complete: complete}, rev)
-	if err == nil && unnamed > 0 {
+	if unnamed > 0 {
 		r.deps.Log.Write(r.line(window).Int("unnamed", int64(unnamed)))
 	}
-	return record, err
+	record = &usagerecords.Record{Window: window, Counts: counts, Holder: r.instance, Complete: complete}
+	r.silence.proposed[window] = record
+	return record, nil
 }
 
 // store writes a record to the table in place of the item with that revision.
@@ -210,6 +250,7 @@
 		r.deps.Log.Write(r.line(record.Window).Text("outcome", "storedAgain"))
 	}
 	r.decided[record.Window] = record
+	r.keptInTable(record.Window)
 	return record, nil
 }
 
@@ -225,6 +266,7 @@
 		Ms("sinceEndMs", now-r.windows.End(window)).Text("complete", fmt.Sprint(p.record.Complete))
 	switch {
 	case err == nil:
+		r.silence.unanswered = 0
 		r.done[window] = true
 		delete(r.pending, window)
 		r.count("reported")
@@ -235,6 +277,7 @@
 		r.leadership.Resign(ctx, "fenced")
 	default:
 		r.scheduleRetry(window, p, now)
+		r.yieldIfUnanswered()
 		r.count("unanswered")
 		r.deps.Log.Write(line.Text("outcome", "unanswered").Text("error", err.Error()))
 	}
@@ -264,16 +307,9 @@
 			Text("decided", fmt.Sprint(p.record != nil)).Int("tries", int64(p.attempts)))
 	}
 	oldest := r.windows.Window(now) - r.windows.RetainedWindows()
-	for window := range r.done {
-		if window < oldest {
-			delete(r.done, window)
-		}
-	}
-	for window := range r.decided {
-		if window < oldest {
-			delete(r.decided, window)
-		}
-	}
+	maps.DeleteFunc(r.done, func(window int64, _ bool) bool { return window < oldest })
+	maps.DeleteFunc(r.decided, func(window int64, _ *usagerecords.Record) bool { return window < oldest })
+	r.forgetSilence(oldest)
 	r.deps.Ledger.Forget(oldest, r.deps.Workspaces())
 }
 
--- a/internal/controller/usagereporter/reporter_test.go
+++ b/internal/controller/usagereporter/reporter_test.go
@@ -121,33 +121,41 @@
 			f.sink.set(func() { f.sink.highestFence = 5 })
 		}},
 	} {
-		t.Run(name, func(t *testing.T) {
-			runFleet(t, test.fault, func(t *testing.T, f *testFleet) {
-				checkInvariants(t, f)
-				reported := reportedInTime(f)
-				missed := 0
-				for window, expected := range f.expected {
-					if windows.Due(window) > f.end {
-						continue
-					}
-					counts, ok := reported[window]
-					if !ok {
-						missed++
-						continue
-					}
-					for workspace, n := range expected {
-						off := float64(n) - float64(counts[workspace])
-						if test.allowedLoss > 0 {
-							qt.Check(t, off >= 0 && off <= 1+test.allowedLoss*float64(n), qt.IsTrue, qt.Commentf("window %d, %s: %d for %d", window, workspace, counts[workspace], n))
-							continue
-						}
-						qt.Check(t, off, qt.Equals, 0.0, qt.Commentf("window %d, %s: %d for %d", window, workspace, counts[workspace], n))
-					}
-				}
-				qt.Check(t, missed <= test.missed, qt.IsTrue, qt.Commentf("missed windows: %d", missed))
+		for kind, witnessed := range map[string]bool{"": false, ", with witnesses": true} {
+			t.Run(name+kind, func(t *testing.T) {
+				runFleet(t, test.fault, func(t *testing.T, f *testFleet) {
+					checkInvariants(t, f)
+					checkReports(t, f, test.allowedLoss, test.missed)
+				}, func(f *testFleet) { f.witnessed = witnessed })
 			})
-		})
+		}
+	}
+}
+
+// checkReports checks that the windows were reported in time but for some missed ones, with the counts
+// of all requests but for those that killed processes had not published.
+func checkReports(t *testing.T, f *testFleet, allowedLoss float64, allowedMissed int) {
+	reported := reportedInTime(f)
+	missed := 0
+	for window, expected := range f.expected {
+		if windows.Due(window) > f.end {
+			continue
+		}
+		counts, ok := reported[window]
+		if !ok {
+			missed++
+			continue
+		}
+		for workspace, n := range expected {
+			off := float64(n) - float64(counts[workspace])
+			if allowedLoss > 0 {
+				qt.Check(t, off >= 0 && off <= 1+allowedLoss*float64(n), qt.IsTrue, qt.Commentf("window %d, %s: %d for %d", window, workspace, counts[workspace], n))
+				continue
+			}
+			qt.Check(t, off, qt.Equals, 0.0, qt.Commentf("window %d, %s: %d for %d", window, workspace, counts[workspace], n))
+		}
 	}
+	qt.Check(t, missed <= allowedMissed, qt.IsTrue, qt.Commentf("missed windows: %d", missed))
 }
 
 // Guards against two reports of one window with different counts. The holder is killed before it
--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -8,6 +8,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/backoff"
+	"carawayspread/internal/controller/leasewitnesses"
 	"carawayspread/internal/controller/usagepublisher"
 	"carawayspread/internal/controller/usagereporter"
 	"carawayspread/internal/decision/usage"
@@ -27,6 +28,7 @@
 	ledger    *usage.Ledger
 	publisher *usagepublisher.Publisher
 	reporter  *usagereporter.Reporter
+	witnesses *leasewitnesses.Witnesses
 	keyring   atomic.Pointer[carawayspread.Keyring] // whose workspace names the ledger has
 }
 
@@ -41,32 +43,51 @@
 		maxIsolation = time.Minute // without a revocation bound, an isolated process keeps serving
 	}
 	ledger := usage.New(d.peers.ID())
+	witnesses := leasewitnesses.New(d.peers, carawayspread.UptimeClock(ports.Uptime, d.clock), usagereporter.ActingLimit)
+	d.peers.SetWitnessReceiver(witnesses)
+	d.gateway.Metrics().NewGauge("gateway_usage_witnesses", func() float64 { return float64(witnesses.Named()) })
 	d.usage = &usageAccounting{
-		windows: s.Windows(), ledger: ledger,
+		windows: s.Windows(), ledger: ledger, witnesses: witnesses,
 		publisher: usagepublisher.New(ledger, d.peers, s.Windows(), d.syncedClock.Now, d.clock),
 		reporter: usagereporter.New(d.settings.ID(), s.Windows(), usagereporter.Deps{
 			Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
-			SyncedTime: d.syncedClock.Now, Workspaces: d.workspaces, MaxIsolation: maxIsolation,
+			SyncedTime: d.syncedClock.Now, Workspaces: d.workspaces, MaxIsolation: maxIsolation, Witnesses: witnesses,
 			Backoff: backoff.New(d.clock, reportRetryBase, reportRetryLimit),
 			Clock:   d.clock, Log: d.decisionLog, Metrics: d.gateway.Metrics(),
 		}),
 	}
 }
 
-// runUsage publishes and reports usage until the returned functions are called. stopReports ends the
-// reports of this process, so that another one takes over, and does not wait. stopCounts also ends the
-// publishing and returns after the final counts were sent to the collectors.
+// runUsage publishes and reports usage until the returned functions are called. stopReports has this
+// process hand the reports over to another one, and does not wait. stopCounts ends the reports, which go on
+// until the grace period is nearly over while nobody can take them over, then the publishing, and returns
+// after the final counts were sent to the collectors.
 func (d *Daemon) runUsage(ctx context.Context) (stopReports, stopCounts func()) {
 	if d.usage == nil {
 		return func() {}, func() {}
 	}
-	reports, stopReports := context.WithCancel(ctx)
+	reports, cancelReports := context.WithCancel(ctx)
 	counts, cancelCounts := context.WithCancel(ctx)
 	var running sync.WaitGroup
-	running.Go(func() { _ = d.usage.reporter.Run(reports) }) // both return only when their contexts end
+	left := make(chan struct{})
+	running.Go(func() {
+		defer close(left)
+		_ = d.usage.reporter.Run(reports) // ends only when it has left or its context has ended
+	})
+	running.Go(func() { _ = d.usage.witnesses.Run(counts) }) // these end only when their context does
 	running.Go(func() { _ = d.usage.publisher.Run(counts) })
+	end := d.clock.Now()
+	stopReports = sync.OnceFunc(func() {
+		end = d.clock.Now().Add(time.Duration(graceForRequests * float64(d.settings.Grace())))
+		d.usage.reporter.Leave()
+	})
 	return stopReports, func() {
-		stopReports()
+		select {
+		case <-left:
+		case <-ctx.Done():
+		case <-d.clock.After(end.Sub(d.clock.Now())):
+		}
+		cancelReports()
 		cancelCounts()
 		running.Wait()
 	}
--- a/internal/decision/usage/ledger.go
+++ b/internal/decision/usage/ledger.go
@@ -192,6 +192,21 @@
 	return counts, unnamed
 }
 
+// Named returns the counts by names of workspaces; ok is false if a name is not known.
+func (l *Ledger) Named(counts []carawayspread.UsageCount) (named map[string]uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	named = map[string]uint64{}
+	for _, c := range counts {
+		name, known := l.names[c.Workspace]
+		if !known {
+			return nil, false
+		}
+		named[name] = c.Requests
+	}
+	return named, true
+}
+
 // Forget drops the windows before that one, and the names that no remaining window needs and
 // that are not in force.
 func (l *Ledger) Forget(before int64, inForce map[string]bool) {
