Copies of running requests kept for a crash, where settings allow it

Cause: an engine that crashes takes with it the answers of routes that allow one attempt.

Change: with the setting runBackups.linkShare (off where it is not stated) and engines that offer it, an attempt of a request that nobody may run again names a second engine of the same build, which gets the run's memory as it grows. When its engine breaks off and is gone, or cannot be reached in three probes, the request goes on there after the last event relayed. All processes together take no more than the set share of the links (runbackups, no network).

Tests: TestRunGoesOnFromItsCopy (sockets), TestCopiesKeepToTheirShareOfTheLinks (replay), settings. The first found that the budget of a process with more links than processes began negative; a case of TestCopiesOnlyWhatCannotBeMadeAgain has it.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -27,6 +27,7 @@
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/decision/standstill"
 	"carawayspread/internal/decision/zonereader"
@@ -153,6 +154,7 @@
 		gateway.WithTrials(d.claimTrial),
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
 		gateway.WithRunMoves(runmoves.New(clock, s.Bounds().Drain), ports.Mover),
+		gateway.WithRunBackups(d.newRunBackups()),
 		gateway.WithEndpointProber(ports.Prober))
 	d.peers.SetRefusalTracker(d.gateway)
 	d.peers.SetCrashTracker(d.gateway)
@@ -171,6 +173,15 @@
 	return d, trace.Wrap(d.listen())
 }
 
+// newRunBackups returns the bound on copies of running requests; nil if the settings allow none.
+func (d *Daemon) newRunBackups() *runbackups.Backups {
+	share := d.settings.BackupLinkShare()
+	if share == 0 {
+		return nil
+	}
+	return runbackups.New(d.clock, share, d.peers.Fleet)
+}
+
 // setUpFollower creates the reader election, the follower of routes and endpoints, the learner that
 // pulls them from peers, and their metrics.
 func (d *Daemon) setUpFollower(ports Ports) {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -67,6 +67,7 @@
 	events           int                     // of the answer
 	move             *runMove                // of the stream that is relayed; nil if it does not move
 	moves            int                     // runs of the request that could move
+	backup           *runBackup              // of the attempt that is carried out; nil if there is none
 	returning        bool                    // the attempt goes to the engine where its run has stopped
 	latest           attemptTrace
 }
@@ -165,6 +166,8 @@
 	c.endpoint, c.softwareVersion = at.Endpoint.ID(), at.Endpoint.Version()
 	outcome := carawayspread.OutcomeFailed
 	defer func() { tracker.End(outcome) }()
+	c.backup = c.placeBackup(at.Endpoint, phase)
+	defer c.dropBackup()
 	attemptCtx, stop := c.watchStall(ctx, at, tracker, c.route.Retry == carawayspread.RetryIdempotent && c.ran+1 < c.route.MaxAttempts)
 	defer stop()
 	sentAt := c.g.clock.Now()
@@ -187,6 +190,10 @@
 		c.ran++
 		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, phase, err.Error())
+		if next := c.takeBackup(ctx, at.Endpoint); next != nil {
+			tracker.End(outcome)
+			return c.continueRun(ctx, next)
+		}
 		return c.mayRetry(), errors.Join(errIncomplete, err)
 	}
 	c.sends++
@@ -240,6 +247,10 @@
 			outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		}
 		c.logAttempt(at, phase, err.Error())
+		if next := c.takeBackupOf(ctx, reply, at.Endpoint, err); next != nil {
+			tracker.End(outcome)
+			return c.continueRun(ctx, next)
+		}
 		return c.mayRetry(), err
 	}
 	// While a request that many callers send is running, connections may break, minutes apart, for
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/decision/rejections"
+	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/decision/suspectparts"
 	"carawayspread/internal/process/decisionlog"
@@ -86,6 +87,7 @@
 	peerOrigins         carawayspread.PeerOrigins
 	moves               *runmoves.Moves // nil if no runs move
 	mover               carawayspread.RunMover
+	backups             *runbackups.Backups // nil if no copies of runs are kept
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
--- a/internal/process/gateway/move.go
+++ b/internal/process/gateway/move.go
@@ -8,8 +8,8 @@
 	"carawayspread/internal/decision/runmoves"
 )
 
-// errNotMoved says that a run was stopped to move, and that no engine continues it.
-var errNotMoved = errors.New("the run was stopped and no engine continues it")
+// errNotMoved says that no engine continues a run that has stopped, or whose engine is lost.
+var errNotMoved = errors.New("no engine continues the run")
 
 // stopRun stops the run, unless its stream has ended, and returns where it goes on.
 func (m *runMove) stopRun() runmoves.Step {
@@ -50,6 +50,7 @@
 	returns  bool // to the engine where it has stopped
 	request  carawayspread.PlacementRequest
 	from     carawayspread.Endpoint
+	backup   bool // from the copy of a run whose engine is lost
 }
 
 // takeMove returns where the run goes on whose stream has ended with err; nil if no move has stopped it.
@@ -113,6 +114,7 @@
 // continueRun has a run go on that has stopped. The request runs once: an engine that continues it has the
 // memory of the run that has stopped, and its stream begins after the last event that the caller has.
 func (c *call) continueRun(ctx context.Context, next *continuation) (retry bool, err error) {
+	c.dropBackup()
 	for {
 		ran := c.ran
 		c.ran-- // it is the same run
@@ -122,9 +124,11 @@
 		if err == nil || !c.latest.notRun {
 			return retry, err
 		}
-		if next.returns || ctx.Err() != nil || !c.g.moves.MayReturn(next.from.ID()) {
-			c.handover = &next.handover
-			c.releaseKV()
+		if next.returns || next.backup || ctx.Err() != nil || !c.g.moves.MayReturn(next.from.ID()) {
+			c.handover = nil
+			if !next.backup {
+				c.g.releaseHandover(next.handover)
+			}
 			return c.mayRetry(), errors.Join(errNotMoved, err)
 		}
 		next.goBack(c.g)
--- a/internal/process/gateway/moves_test.go
+++ b/internal/process/gateway/moves_test.go
@@ -17,6 +17,7 @@
 	"carawayspread/internal/connection/direct"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/decision/placement"
+	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/standin/worker"
@@ -53,9 +54,10 @@
 	f.gateway = New(client, wire.Protocol{}, placer, clock, decisionlog.New(io.Discard),
 		WithListAge(func() time.Duration { return f.listAge }), WithEndpointProber(client),
 		WithRetryBudget(fleetbudget.Limits{Ratio: 1, Slack: 10, Window: 10 * time.Second}, func() (int, bool) { return 1, true }),
-		WithRunMoves(runmoves.New(clock, moveNotice), orders.NewMover(client)))
+		WithRunMoves(runmoves.New(clock, moveNotice), orders.NewMover(client)),
+		WithRunBackups(runbackups.New(clock, 1, func() (int, bool) { return 1, true })))
 	f.gateway.start = clock.Now().Add(-time.Minute) // a process that has just started has none of the slack
-	traits := &carawayspread.EngineTraits{Slots: 8, KVTokens: 1e6, KVBytesPerToken: 1, LinkBitsPerSecond: 1e9, MovesRuns: true}
+	traits := &carawayspread.EngineTraits{Slots: 8, KVTokens: 1e6, KVBytesPerToken: 1, LinkBitsPerSecond: 1e9, MovesRuns: true, TokensPerEvent: 1, BacksUpRuns: true}
 	f.gateway.Adopt(carawayspread.NewRouting(1, []*carawayspread.Route{
 		route("resume/stream", carawayspread.RetryResume, true, 2),
 		route("once/stream", carawayspread.RetryNever, true, 1),
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -27,7 +27,7 @@
 	attempt := carawayspread.Attempt{
 		To: at.Endpoint, TimeLeft: c.deadline.Sub(c.g.clock.Now()), Phase: phase, LastEventID: c.lastEventID,
 		Priority: c.route.Priority, FetchFrom: at.FetchFrom,
-		Workspace: c.workspace.Name(),
+		Workspace: c.workspace.Name(), Backup: c.backup.endpoint(),
 	}
 	if phase == carawayspread.PhaseDecode {
 		attempt.Handover = *c.handover
--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -95,6 +95,7 @@
 		if n > first && !w.advance(r) {
 			return false
 		}
+		w.backUp(got)
 		if behaviour == SlowEvents {
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -102,7 +103,12 @@
 		if truncated {
 			return false
 		}
+		if behaviour == CrashMidway && n == first {
+			w.Close()
+			return false
+		}
 	}
+	endBackup(got)
 	_, _ = io.WriteString(conn, "0\r\n\r\n")
 	return true
 }
--- a/internal/standin/worker/behaviour.go
+++ b/internal/standin/worker/behaviour.go
@@ -24,6 +24,7 @@
 	SlowEvents                   // as Answer, with a delay before each event
 	TruncateLate                 // as Truncate, but pauses before it closes the connection of a stream
 	Crash                        // runs the request and closes all connections and the listener, as a process that ends
+	CrashMidway                  // as Crash, after the first event of a stream
 	// The following answer a second time where the answer to the next request on the connection is due.
 	AnswerAgain           // as Answer
 	RefuseAgain           // as Refuse
--- a/internal/standin/worker/moves.go
+++ b/internal/standin/worker/moves.go
@@ -39,6 +39,7 @@
 type memory struct {
 	request string
 	at      map[string]bool // addresses at which the request may go on
+	copyOf  *Worker         // that runs it, of a copy that is kept as it grows
 }
 
 // ScriptMoves sets the behaviours of the next calls that copy a run; after them the worker copies.
@@ -90,6 +91,12 @@
 	return r
 }
 
+func (w *Worker) isRunning(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id] != nil
+}
+
 func (w *Worker) endRun(id string, r *run) {
 	close(r.ended)
 	w.mu.Lock()
@@ -214,10 +221,27 @@
 	return held, ok
 }
 
+// backUp copies a run to the worker that its request names, up to the event that is due.
+func (w *Worker) backUp(got Request) {
+	to := got.Header.Get("Carawayspread-Kv-Backup")
+	other, ok := byAddress.Load(to)
+	if to == "" || !ok {
+		return
+	}
+	other.(*Worker).hold(got.ID, memory{request: got.ID, at: map[string]bool{to: true}, copyOf: w})
+}
+
+// endBackup drops the copy of a run that has ended as it should.
+func endBackup(got Request) {
+	if other, ok := byAddress.Load(got.Header.Get("Carawayspread-Kv-Backup")); ok {
+		other.(*Worker).take(got.ID)
+	}
+}
+
 // mayGoOn reports whether the worker can go on with a request from the memory that it names.
 func (w *Worker) mayGoOn(got Request) bool {
 	address, handle, _ := strings.Cut(got.Header.Get("Carawayspread-Kv-Source"), "/")
-	if !strings.HasPrefix(handle, "m-") {
+	if !strings.HasPrefix(handle, "m-") && handle != got.ID {
 		return true // prefilled elsewhere
 	}
 	source, ok := byAddress.Load(address)
@@ -228,13 +252,21 @@
 	if !ok || !held.at[w.Address()] {
 		return false
 	}
+	runsOn := held.copyOf != nil && held.copyOf.isRunning(got.ID)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if held.request != got.ID {
 		w.violations = append(w.violations, got.ID+" goes on from the memory of "+held.request)
 	}
-	if !held.at[address] {
+	if !held.at[address] || runsOn {
 		w.violations = append(w.violations, got.ID+" goes on though its run has not stopped")
 	}
 	return true
 }
+
+// ForgetMemories drops all that the worker holds of requests that run elsewhere, or have stopped.
+func (w *Worker) ForgetMemories() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.memories)
+}
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -40,6 +40,7 @@
 	maxLateness     time.Duration // of a timer; zero if the processor is not observed
 	usage           *Usage
 	firstStart      bool
+	backupLinkShare float64 // zero if no copies of running requests are kept
 }
 
 // Usage states where and when the usage of workspaces is reported.
@@ -93,7 +94,7 @@
 		digest: digest(body), placement: "estimate", rolePolicy: RolesBalanced, cores: defaultCores, linkMegabits: defaultLinkMegabits,
 		bounds: zonereader.Bounds{Drain: defaultBound, ConfigApply: defaultBound},
 	}
-	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits", "usage", "firstStart")
+	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits", "usage", "firstStart", "runBackups")
 	instance := root.Need("instance").Object("id", "zone")
 	s.id = instance.Need("id").Text()
 	s.zone = instance.Need("zone").Text()
@@ -128,6 +129,7 @@
 	s.readBounds(root)
 	s.readLimits(root)
 	s.readUsage(root)
+	s.readRunBackups(root)
 	if err := root.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -33,6 +33,11 @@
 	qt.Check(t, s.Bounds().Drain, qt.Equals, 4*time.Second)
 	qt.Check(t, s.Bounds().ConfigApply, qt.Equals, 3*time.Second)
 	qt.Check(t, s.Capacity(), qt.Equals, uint32(2880))
+	qt.Check(t, s.BackupLinkShare(), qt.Equals, 0.0)
+
+	s, err = Parse("gateway.jsonc", []byte(strings.Replace(validSettings, `"store"`, `"runBackups": {"linkShare": 0.05}, "store"`, 1)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.BackupLinkShare(), qt.Equals, 0.05)
 }
 
 // An invalid file must be refused with every fault and its position in one error.
@@ -48,6 +53,8 @@
 		"no capacity":          {`"store"`, `"limits": {"cores": 0, "linkMegabits": 20}, "store"`, `limits: cores and linkMegabits must be positive`},
 		"incomplete promises":  {`"store"`, `"promises": {"leaving": "2s"}, "store"`, `promises.inForce: missing`},
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
+		"share of the links":   {`"store"`, `"runBackups": {"linkShare": 1.5}, "store"`, `runBackups: linkShare must be above 0 and at most 1`},
+		"no share":             {`"store"`, `"runBackups": {}, "store"`, `runBackups.linkShare: missing`},
 		"invalid seed address": {`["10.0.0.2:3"]`, `["x"]`, `seeds[0]: must be an IP number and port`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/protocol.go
+++ b/protocol.go
@@ -51,6 +51,8 @@
 	FetchFrom   *Endpoint // holds more of the prompt in its cache; nil if none does, and for PhaseDecode
 	LastEventID string    // the last event that the caller has; empty from the start
 	Priority    int       // 0 is the most urgent
+	// Backup is the engine to which the KV memory of the run is copied as it grows; nil if there is none.
+	Backup *Endpoint
 	// Workspace is the one that the caller's API key belongs to; empty if unknown.
 	Workspace string
 }
@@ -89,6 +91,8 @@
 	ParseHandover(body []byte, from Endpoint) (Handover, error)
 	// ReleaseKV returns the request that frees a KV cache that no engine has taken over.
 	ReleaseKV(h Handover) Outbound
+	// BackupHandover returns what an engine that was the Backup of an attempt of the request holds of it.
+	BackupHandover(at Endpoint, request string) Handover
 	// WriteError writes the error to the caller as the final answer.
 	WriteError(w http.ResponseWriter, err *Error)
 }
