--- a/internal/decision/runmoves/moves.go
+++ b/internal/decision/runmoves/moves.go
@@ -144,17 +144,22 @@
 	return run
 }
 
-// Release ends the move of a run, so that others may begin. If again is not zero, the run may move after that
-// time; otherwise it stays.
-func (m *Moves) Release(run *Run, again time.Duration) {
+// Release ends the move of a run with its last step, so that others may begin. After StepWait it returns the time
+// until the run may move again; otherwise the run stays.
+func (m *Moves) Release(run *Run, step Step) (again time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if d := m.leaving[run.start.Engine]; d != nil && d.moving == run {
 		d.moving = nil
 	}
 	m.moving--
-	run.over = again == 0
+	if run.over = step != StepWait; run.over {
+		return 0
+	}
+	again = roomPause << min(run.waits, maxDoublings)
+	run.waits++
 	run.notBefore = m.clock.Now().Add(again)
+	return again
 }
 
 // Len returns the number of runs.
--- a/internal/decision/runmoves/run.go
+++ b/internal/decision/runmoves/run.go
@@ -9,9 +9,10 @@
 const (
 	// maxDestinations bounds the engines that are asked for room in a row for one run.
 	maxDestinations = 3
-	// RoomPause is the time until engines are asked for room again. At a full fleet an answer ends every few
-	// milliseconds.
-	RoomPause = 200 * time.Millisecond
+	// roomPause is the first time until engines are asked for room again, and maxDoublings how often it doubles.
+	// At a full fleet an answer ends every few milliseconds.
+	roomPause    = 200 * time.Millisecond
+	maxDoublings = 2
 	// maxStops bounds the calls that stop one run: the first, and repetitions of one whose answer was lost or
 	// that met an earlier one.
 	maxStops = 3
@@ -34,8 +35,8 @@
 // Steps of a move.
 const (
 	StepStay     Step = iota // nothing: the run goes on where it is, or has ended
-	StepWait                 // the run goes on where it is, and may move after RoomPause
-	StepCopy                 // copy to the same engine again, after Pause
+	StepWait                 // the run goes on where it is, and may move again later
+	StepCopy                 // copy to the same engine again
 	StepOther                // copy to an engine that was not tried
 	StepStop                 // stop the run, and copy the rest
 	StepContinue             // go on at the other engine
@@ -72,6 +73,7 @@
 	destinations int       // that were asked in a row
 	copies       int
 	stops        int
+	waits        int // for room, or for an engine that did not answer
 }
 
 // Event records that an event of the answer has arrived.
--- a/internal/process/gateway/backups_test.go
+++ b/internal/process/gateway/backups_test.go
@@ -5,6 +5,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"carawayspread"
+	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/standin/worker"
 )
 
@@ -31,6 +33,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newMoveFleet(t, "a", "b")
+			f.gateway.backups = runbackups.New(carawayspread.SystemClock(), 1, func() (int, bool) { return 1, true })
 			first := f.engines["a"]
 			first.AppendScript(test.first)
 			f.list(test.engines...)
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -136,7 +136,7 @@
 		m := g.movable[run]
 		g.mu.Unlock()
 		if m == nil || !m.activate() { // its stream has just ended
-			g.moves.Release(run, 0)
+			g.moves.Release(run, runmoves.StepStay)
 			continue
 		}
 		go m.carryOut()
@@ -159,12 +159,8 @@
 	if step == runmoves.StepStop {
 		step = m.stopRun()
 	}
-	again := time.Duration(0)
-	if step == runmoves.StepWait {
-		again = runmoves.RoomPause
-	}
 	m.log(step, g.clock.Now().Sub(began))
-	g.moves.Release(m.run, again)
+	again := g.moves.Release(m.run, step)
 	m.mu.Lock()
 	m.active = false
 	abandoned := m.abandoned
