Soak: runs move between workers

Cause: the soak's workers offered no moves of runs, so that none of its faults met one.

Change: workers copy runs, also behind their relays; one that is asked to mix memories, or to go on with a run that has not stopped, is a violated guarantee. A run that moves counts as one.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -101,8 +101,8 @@
 	}
 	asked, served := f.History().RequestCounts()
 	taken, went := f.History().ResumptionCounts()
-	fmt.Fprintf(out, "seed %d: %d faults, %d asked, %d served, %d of %d streams taken up went on, %d broken\n",
-		s.Seed(), len(s.Steps()), asked, served, went, taken, len(found))
+	fmt.Fprintf(out, "seed %d: %d faults, %d asked, %d served, %d of %d streams taken up went on, %d runs moved, %d broken\n",
+		s.Seed(), len(s.Steps()), asked, served, went, taken, f.History().MoveCount(), len(found))
 	if len(found) == 0 {
 		return nil, trace.ConvertSystemError(os.RemoveAll(dir))
 	}
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -107,10 +107,14 @@
 	return f, nil
 }
 
+// engineFields says that workers of models hand over running requests.
+const engineFields = `,"moves":true`
+
 func (f *Fleet) start(binary, dir string, size int) error {
 	if err := f.serveStore(); err != nil {
 		return err
 	}
+	f.store.SetEngineFields(engineFields)
 	f.publishRoutes()
 	for n := range plainWorkers + prefillWorkers + decodeWorkers {
 		service, role, version := "plain", "", versions[n%len(versions)]
@@ -224,6 +228,7 @@
 	defer f.mu.Unlock()
 	for _, p := range f.allWorkers {
 		f.history.RecordRequests(p.worker.ID(), p.worker.Requests())
+		f.history.RecordMoves(p.worker.ID(), p.worker.Violations())
 	}
 }
 
--- a/internal/soak/fleet/platform.go
+++ b/internal/soak/fleet/platform.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	w.ListenedAt(workerRelay.Address())
 	w.SetVersion(version)
 	w.SetEventDelay(eventDelay)
 	w.SetRefusals(f.refusals)
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -76,6 +76,7 @@
 	streamers     map[string]streamer // by worker
 	finalAnswers  []answer            // to requests sent after all faults had ended
 	peakMemory    map[string]int      // by process, in megabytes
+	moveBreaches  []string            // as workers that hand over runs saw them
 }
 
 // New returns an empty history that begins at start.
@@ -109,6 +110,29 @@
 	}
 }
 
+// RecordMoves records what a worker was asked for that no worker may be asked for: to mix the memories of requests,
+// or to go on with a run that has not stopped.
+func (h *History) RecordMoves(id string, violations []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, v := range violations {
+		h.moveBreaches = append(h.moveBreaches, id+": "+v)
+	}
+}
+
+// MoveCount returns how many runs went on at another worker.
+func (h *History) MoveCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, r := range h.requests {
+		if r.Continues && r.Ran {
+			n++
+		}
+	}
+	return n
+}
+
 // RecordFault records that a target was faulty for a while.
 func (h *History) RecordFault(target Target, from, to time.Time) {
 	h.mu.Lock()
@@ -170,7 +194,7 @@
 	defer h.mu.Unlock()
 	executions := map[string][]request{}
 	for _, r := range h.requests {
-		if r.Ran {
+		if r.Ran && !r.Continues { // a run that moves runs once
 			executions[r.ID] = append(executions[r.ID], r)
 		}
 	}
@@ -192,6 +216,7 @@
 	found = append(found, h.checkBuilds()...)
 	found = append(found, h.checkResumptions()...)
 	found = append(found, h.checkRecovery()...)
+	found = append(found, h.moveBreaches...)
 	return append(found, h.checkMemory()...)
 }
 
--- a/internal/soak/history/retries.go
+++ b/internal/soak/history/retries.go
@@ -52,6 +52,7 @@
 		s := serviceOf[r.ID]
 		switch {
 		case s == nil: // sent before the load
+		case r.Continues: // the same run
 		case r.PrefillOnly && !r.Refused && !prefilled[r.ID]:
 			prefilled[r.ID] = true
 		case arrived[r.ID]:
--- a/internal/standin/worker/moves.go
+++ b/internal/standin/worker/moves.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,18 @@
 // byAddress are all workers that run. A copy needs the other worker, which real ones reach over their links.
 var byAddress sync.Map
 
+// lookUp returns the worker at an address; nil if there is none.
+func lookUp(address string) *Worker {
+	w, ok := byAddress.Load(address)
+	if !ok {
+		return nil
+	}
+	return w.(*Worker)
+}
+
+// ListenedAt says that callers and other workers know the worker by another address, that of a relay.
+func (w *Worker) ListenedAt(address string) { byAddress.Store(address, w) }
+
 // run is a request that a worker runs.
 type run struct {
 	events int
@@ -38,8 +51,8 @@
 // memory is what a worker holds of a request that runs elsewhere, or has stopped.
 type memory struct {
 	request string
-	at      map[string]bool // addresses at which the request may go on
-	copyOf  *Worker         // that runs it, of a copy that is kept as it grows
+	at      map[*Worker]bool // where the request may go on
+	copyOf  *Worker          // that runs it, of a copy that is kept as it grows
 }
 
 // ScriptMoves sets the behaviours of the next calls that copy a run; after them the worker copies.
@@ -159,24 +172,24 @@
 		<-r.ended
 	}
 	handle := "m-" + id
-	held := memory{request: id, at: map[string]bool{}}
+	held := memory{request: id, at: map[*Worker]bool{}}
 	if before, ok := w.take(handle); ok {
-		held = before
+		held.at = maps.Clone(before.at)
 	}
 	if last {
-		held.at[w.Address()] = true
+		held.at[w] = true
 	}
-	other, reached := byAddress.Load(to)
-	room := reached && behaviour != MoveNoRoom
+	other := lookUp(to)
+	room := other != nil && behaviour != MoveNoRoom
 	if room {
-		held.at[to] = true
-		other.(*Worker).hold(handle, held)
+		held.at[other] = true
+		other.hold(handle, held)
 	}
 	if len(held.at) > 0 {
 		w.hold(handle, held)
 	}
-	if behaviour == MoveThenGone && reached {
-		other.(*Worker).Close()
+	if behaviour == MoveThenGone && other != nil {
+		other.Close()
 	}
 	if behaviour == MoveLostAnswer {
 		return false
@@ -213,43 +226,44 @@
 // freeHandle frees a memory at all workers that hold it, and returns it.
 func (w *Worker) freeHandle(handle string) (memory, bool) {
 	held, ok := w.take(handle)
-	for address := range held.at {
-		if other, ok := byAddress.Load(address); ok {
-			other.(*Worker).take(handle)
-		}
+	for other := range held.at {
+		other.take(handle)
 	}
 	return held, ok
 }
 
 // backUp copies a run to the worker that its request names, up to the event that is due.
 func (w *Worker) backUp(got Request) {
-	to := got.Header.Get("Carawayspread-Kv-Backup")
-	other, ok := byAddress.Load(to)
-	if to == "" || !ok {
-		return
+	if other := lookUp(got.Header.Get("Carawayspread-Kv-Backup")); other != nil {
+		other.hold(got.ID, memory{request: got.ID, at: map[*Worker]bool{other: true}, copyOf: w})
 	}
-	other.(*Worker).hold(got.ID, memory{request: got.ID, at: map[string]bool{to: true}, copyOf: w})
 }
 
 // endBackup drops the copy of a run that has ended as it should.
 func endBackup(got Request) {
-	if other, ok := byAddress.Load(got.Header.Get("Carawayspread-Kv-Backup")); ok {
-		other.(*Worker).take(got.ID)
+	if other := lookUp(got.Header.Get("Carawayspread-Kv-Backup")); other != nil {
+		other.take(got.ID)
 	}
 }
 
+// continuesRun reports whether a request names the memory of a run, and not only of its prompt.
+func continuesRun(got Request) bool {
+	_, handle, _ := strings.Cut(got.Header.Get("Carawayspread-Kv-Source"), "/")
+	return strings.HasPrefix(handle, "m-") || handle != "" && handle == got.ID
+}
+
 // mayGoOn reports whether the worker can go on with a request from the memory that it names.
 func (w *Worker) mayGoOn(got Request) bool {
 	address, handle, _ := strings.Cut(got.Header.Get("Carawayspread-Kv-Source"), "/")
-	if !strings.HasPrefix(handle, "m-") && handle != got.ID {
+	if !continuesRun(got) {
 		return true // prefilled elsewhere
 	}
-	source, ok := byAddress.Load(address)
-	if !ok {
+	source := lookUp(address)
+	if source == nil {
 		return false
 	}
-	held, ok := source.(*Worker).freeHandle(handle)
-	if !ok || !held.at[w.Address()] {
+	held, ok := source.freeHandle(handle)
+	if !ok || !held.at[w] {
 		return false
 	}
 	runsOn := held.copyOf != nil && held.copyOf.isRunning(got.ID)
@@ -258,7 +272,7 @@
 	if held.request != got.ID {
 		w.violations = append(w.violations, got.ID+" goes on from the memory of "+held.request)
 	}
-	if !held.at[address] || runsOn {
+	if !held.at[source] || runsOn {
 		w.violations = append(w.violations, got.ID+" goes on though its run has not stopped")
 	}
 	return true
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -46,6 +46,7 @@
 	Misdirected                    bool // the worker claimed to be another one
 	Refused                        bool // not run, which the worker stated
 	Lost                           bool // the memory that it names is not there
+	Continues                      bool // it goes on with the run of another worker, from that run's memory
 	At                             time.Time
 }
 
@@ -273,6 +274,7 @@
 		return true
 	}
 	got.Lost = !w.mayGoOn(got)
+	got.Continues = !got.Lost && continuesRun(got)
 	behaviour := w.next(&got)
 	if crash := w.crashFor(got); crash != nil {
 		writeUntilCrash(conn, got)
