--- a/protocol.go
+++ b/protocol.go
@@ -52,6 +52,8 @@
 	FetchFrom   *Endpoint // holds more of the prompt in its cache; nil if none does, and for PhaseDecode
 	LastEventID string    // the last event that the caller has; empty from the start
 	Priority    int       // 0 is the most urgent
+	// Backup is the engine to which the KV memory of the run is copied as it grows; nil if there is none.
+	Backup *Endpoint
 	// Workspace is the one that the caller's API key belongs to; empty if unknown.
 	Workspace string
 }
@@ -96,6 +98,8 @@
 	ParseReservation(r *Reply) (string, error)
 	// ReleaseReservation returns the request that gives up a reservation.
 	ReleaseReservation(at Endpoint, reservation string) Outbound
+	// BackupHandover returns what an engine that was the Backup of an attempt of the request holds of it.
+	BackupHandover(at Endpoint, request string) Handover
 	// WriteError writes the error to the caller as the final answer.
 	WriteError(w http.ResponseWriter, err *Error)
 }
