--- a/internal/decision/runbackups/backups.go
+++ b/internal/decision/runbackups/backups.go
@@ -25,6 +25,10 @@
 	minEvents = 8
 	// zoneFactor is how much longer a copy takes between availability zones.
 	zoneFactor = 2
+	// defaultGap is the tolerated gap between two events of a route that states none.
+	defaultGap = 400 * time.Millisecond
+	// silentGaps is for how many tolerated gaps an engine may be silent before it is checked.
+	silentGaps = 2
 	// burst is the time whose share of the links may be used at once.
 	burst = time.Second
 )
@@ -78,6 +82,38 @@
 	return true
 }
 
+// Silence is the silence of one engine in the middle of an answer of which another one has a copy.
+//
+// The connection to an engine that has lost its power or its link does not break while nothing is sent to it, and
+// its caller leaves after seconds.
+type Silence struct {
+	gap    time.Duration
+	events int64
+	silent int // intervals
+}
+
+// NewSilence returns the silence of an engine whose caller tolerates that gap between two events; zero if unknown.
+func NewSilence(targetGap time.Duration) *Silence {
+	if targetGap <= 0 {
+		targetGap = defaultGap
+	}
+	return &Silence{gap: targetGap}
+}
+
+// Interval returns the time between two calls of Check.
+func (s *Silence) Interval() time.Duration { return s.gap }
+
+// Check takes the number of events so far and reports whether the engine is to be checked: after two tolerated gaps
+// without an event, and then, if it was found running, after twice as many each time.
+func (s *Silence) Check(events int64) bool {
+	if events == 0 || events != s.events {
+		s.events, s.silent = events, 0
+		return false
+	}
+	s.silent++
+	return s.silent >= silentGaps && s.silent&(s.silent-1) == 0
+}
+
 // refill adds what has become free at that share of one link.
 func (b *Backups) refill(share float64) {
 	now := b.clock.Now()
--- a/internal/decision/runbackups/backups_test.go
+++ b/internal/decision/runbackups/backups_test.go
@@ -40,6 +40,19 @@
 	}
 }
 
+// An engine is never checked while an answer pauses, and its caller leaves; or at every pause, for a connection each.
+func TestSilentEngineIsChecked(t *testing.T) {
+	s := NewSilence(0)
+	qt.Check(t, s.Interval(), qt.Equals, 400*time.Millisecond)
+	var checked []int
+	for n, events := range []int64{0, 0, 0, 1, 2, 2, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3, 4, 4, 4} {
+		if s.Check(events) {
+			checked = append(checked, n)
+		}
+	}
+	qt.Check(t, checked, qt.DeepEquals, []int{8, 10, 14, 18})
+}
+
 // A burst of reviews, four times the usual, and all of its copies: prompts that are handed over wait behind them.
 // Copies of 23 processes take no more than their share of the links of 43 engines, and the usual load is copied.
 func TestCopiesKeepToTheirShareOfTheLinks(t *testing.T) {
--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -68,14 +68,40 @@
 	}
 }
 
+// errLost says that the engine of a run is lost of which another engine has a copy.
+var errLost = errors.New("the engine is silent and cannot be reached")
+
+// watchSilence returns a context for an attempt. It ends with errLost when the engine falls silent in the middle of
+// its answer and cannot be reached, if a copy of the run is kept.
+func (c *call) watchSilence(ctx context.Context, at carawayspread.Endpoint) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if c.backup != nil {
+		go func() {
+			for silence := runbackups.NewSilence(c.route.TargetGap); ; {
+				select {
+				case <-ctx.Done():
+					return
+				case <-c.g.clock.After(silence.Interval()):
+				}
+				events := c.heard.Load()
+				if silence.Check(events) && c.isLost(ctx, at) && c.heard.Load() == events {
+					cancel(errLost)
+					return
+				}
+			}
+		}()
+	}
+	return ctx, func() { cancel(nil) }
+}
+
 // takeBackup returns where a run goes on whose engine is lost; nil if no copy is kept, or the engine may still be
 // at work on it.
-func (c *call) takeBackup(ctx context.Context, lost carawayspread.Endpoint) *continuation {
+func (c *call) takeBackup(ctx, attemptCtx context.Context, lost carawayspread.Endpoint) *continuation {
 	b := c.backup
 	if b == nil || ctx.Err() != nil || c.mayRetry() || c.suspected || c.g.prober == nil {
 		return nil
 	}
-	gone := c.isLost(ctx, lost)
+	gone := errors.Is(context.Cause(attemptCtx), errLost) || c.isLost(ctx, lost)
 	c.g.log.Write(decisionlog.Start("backup").Text("id", c.metadata.ID).Text("from", string(lost.ID())).
 		Text("to", string(b.at.Endpoint.ID())).Text("lost", map[bool]string{true: "true", false: "false"}[gone]))
 	if !gone || c.checkQuarantine() != nil {
@@ -88,11 +114,11 @@
 
 // takeBackupOf is takeBackup for a run of which a part was relayed. One whose end its engine does not mark may
 // have been complete.
-func (c *call) takeBackupOf(ctx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
+func (c *call) takeBackupOf(ctx, attemptCtx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
 	if reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
 		return nil
 	}
-	return c.takeBackup(ctx, lost)
+	return c.takeBackup(ctx, attemptCtx, lost)
 }
 
 // isLost reports whether the endpoint has ended, or cannot be reached for as long as a check takes. One that
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"carawayspread"
@@ -65,6 +66,7 @@
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
 	connections      []uint64                // over which the request was answered
 	events           int                     // of the answer
+	heard            atomic.Int64            // as events, for other goroutines
 	move             *runMove                // of the stream that is relayed; nil if it does not move
 	moves            int                     // runs of the request that could move
 	backup           *runBackup              // of the attempt that is carried out; nil if there is none
@@ -170,6 +172,8 @@
 	defer c.dropBackup()
 	attemptCtx, stop := c.watchStall(ctx, at, tracker, c.route.Retry == carawayspread.RetryIdempotent && c.ran+1 < c.route.MaxAttempts)
 	defer stop()
+	attemptCtx, stopWatch := c.watchSilence(attemptCtx, at.Endpoint)
+	defer stopWatch()
 	sentAt := c.g.clock.Now()
 	reply, err := c.send(attemptCtx, at, phase)
 	switch {
@@ -190,7 +194,7 @@
 		c.ran++
 		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, phase, err.Error())
-		if next := c.takeBackup(ctx, at.Endpoint); next != nil {
+		if next := c.takeBackup(ctx, attemptCtx, at.Endpoint); next != nil {
 			tracker.End(outcome)
 			return c.continueRun(ctx, next)
 		}
@@ -247,7 +251,7 @@
 			outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		}
 		c.logAttempt(at, phase, err.Error())
-		if next := c.takeBackupOf(ctx, reply, at.Endpoint, err); next != nil {
+		if next := c.takeBackupOf(ctx, attemptCtx, reply, at.Endpoint, err); next != nil {
 			tracker.End(outcome)
 			return c.continueRun(ctx, next)
 		}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -76,6 +76,7 @@
 		c.lastEventID = id
 	}
 	c.events++
+	c.heard.Store(int64(c.events))
 }
 
 // endStream returns how an answer ended whose reader returned err, rest bytes behind its last complete
--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -103,6 +103,10 @@
 		if truncated {
 			return false
 		}
+		if behaviour == DarkMidway && n == first {
+			w.goDark(got.ID, r)
+			return false
+		}
 		if behaviour == CrashMidway && n == first {
 			w.Close()
 			return false
--- a/internal/standin/worker/behaviour.go
+++ b/internal/standin/worker/behaviour.go
@@ -25,6 +25,7 @@
 	TruncateLate                 // as Truncate, but pauses before it closes the connection of a stream
 	Crash                        // runs the request and closes all connections and the listener, as a process that ends
 	CrashMidway                  // as Crash, after the first event of a stream
+	DarkMidway                   // as CrashMidway, but says nothing: its connections stay open and nothing listens
 	// The following answer a second time where the answer to the next request on the connection is due.
 	AnswerAgain           // as Answer
 	RefuseAgain           // as Refuse
--- a/internal/standin/worker/crash.go
+++ b/internal/standin/worker/crash.go
@@ -1,6 +1,25 @@
 package worker
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
+
+// darkTime is how long a worker that has gone dark keeps its connections: longer than callers wait.
+const darkTime = 10 * time.Second
+
+// goDark ends the worker as one that loses its power: nothing listens any more, and its connections stay open.
+func (w *Worker) goDark(id string, r *run) {
+	w.mu.Lock()
+	delete(w.runs, id)
+	w.mu.Unlock()
+	byAddress.Delete(w.Address())
+	_ = w.listener.Close()
+	select {
+	case <-r.stop:
+	case <-time.After(darkTime):
+	}
+}
 
 // crashFor returns the function to call as the request crashes the worker; nil if it does not.
 func (w *Worker) crashFor(got Request) func() {
