Only answers that have begun go on from a copy; a refused one costs a retry

Change: a run goes on from its copy only after its first event. A continuation that arrives and is refused is taken off the retry budget. The silence of an engine is no longer watched once its run goes on elsewhere.

--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -94,13 +94,17 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// takeBackup returns where a run goes on whose engine is lost; nil if no copy is kept, or the engine may still be
-// at work on it.
-func (c *call) takeBackup(ctx, attemptCtx context.Context, lost carawayspread.Endpoint) *continuation {
+// takeBackup returns where a run goes on whose answer ended with err; nil if no copy is kept, or the engine may still
+// be at work on it. Before the first event there is no copy, and an answer whose end its engine does not mark may
+// have been complete.
+func (c *call) takeBackup(ctx, attemptCtx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
 	b := c.backup
 	if b == nil || ctx.Err() != nil || c.mayRetry() || c.suspected || c.g.prober == nil {
 		return nil
 	}
+	if c.lastEventAt.IsZero() || reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
+		return nil
+	}
 	gone := errors.Is(context.Cause(attemptCtx), errLost) || c.isLost(ctx, lost)
 	c.g.log.Write(decisionlog.Start("backup").Text("id", c.metadata.ID).Text("from", string(lost.ID())).
 		Text("to", string(b.at.Endpoint.ID())).Text("lost", map[bool]string{true: "true", false: "false"}[gone]))
@@ -112,15 +116,6 @@
 	return &continuation{handover: c.g.protocol.BackupHandover(b.at.Endpoint, c.metadata.ID), at: b.at, tracker: b.tracker, from: lost, backup: true}
 }
 
-// takeBackupOf is takeBackup for a run of which a part was relayed. One whose end its engine does not mark may
-// have been complete.
-func (c *call) takeBackupOf(ctx, attemptCtx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
-	if reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
-		return nil
-	}
-	return c.takeBackup(ctx, attemptCtx, lost)
-}
-
 // isLost reports whether the endpoint has ended, or cannot be reached for as long as a check takes. One that
 // accepts connections may still be at work on the request.
 func (c *call) isLost(ctx context.Context, endpoint carawayspread.Endpoint) bool {
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -194,10 +194,6 @@
 		c.ran++
 		outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		c.logAttempt(at, phase, err.Error())
-		if next := c.takeBackup(ctx, attemptCtx, at.Endpoint); next != nil {
-			tracker.End(outcome)
-			return c.continueRun(ctx, next)
-		}
 		return c.mayRetry(), errors.Join(errIncomplete, err)
 	}
 	c.sends++
@@ -234,6 +230,7 @@
 	if c.route.Stream && reply.Status == http.StatusOK {
 		outcome, err = c.relayStream(ctx, reply, at.Endpoint, tracker)
 		if next := c.takeMove(ctx, err); next != nil {
+			stopWatch()
 			tracker.End(carawayspread.OutcomeServed)
 			return c.continueRun(ctx, next)
 		}
@@ -251,7 +248,8 @@
 			outcome = c.recordFailure(ctx, attemptCtx, at, sentAt)
 		}
 		c.logAttempt(at, phase, err.Error())
-		if next := c.takeBackupOf(ctx, attemptCtx, reply, at.Endpoint, err); next != nil {
+		if next := c.takeBackup(ctx, attemptCtx, reply, at.Endpoint, err); next != nil {
+			stopWatch()
 			tracker.End(outcome)
 			return c.continueRun(ctx, next)
 		}
--- a/internal/process/gateway/move.go
+++ b/internal/process/gateway/move.go
@@ -124,6 +124,9 @@
 		if err == nil || !c.latest.notRun {
 			return retry, err
 		}
+		if !errors.Is(err, carawayspread.ErrUnsent) {
+			c.countRefusal()
+		}
 		if next.returns || next.backup || ctx.Err() != nil || !c.g.moves.MayReturn(next.from.ID()) {
 			c.handover = nil
 			if !next.backup {
@@ -135,6 +138,14 @@
 	}
 }
 
+// countRefusal takes a continuation that arrived and was refused off the retry budget, so that less is left for
+// others. One that runs is no retry.
+func (c *call) countRefusal() {
+	if retry, _ := c.g.budget(c.service.Name).Spend(); retry != nil {
+		retry.ArrivesWithin(0)
+	}
+}
+
 // mayReceive reports whether an attempt may still be sent to the endpoint.
 func (c *call) mayReceive(to carawayspread.Endpoint) bool {
 	return c.returning && c.g.moves.MayReturn(to.ID()) || c.g.takesRequests(to)
