A stream that may be taken up leaves a silent engine that is lost

Cause: the connection to an engine that lost its power or link breaks only once something is sent to it.

Change: the probe of a silent engine, so far for runs with a copy, also covers streams that another attempt may continue. A silent engine is not counted as crashed with the request unless nothing listens at its address, since this process may be the one that is cut off.

--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -68,14 +68,14 @@
 	}
 }
 
-// errLost says that the engine of a run is lost of which another engine has a copy.
+// errLost says that the engine of a run is lost that may go on elsewhere.
 var errLost = errors.New("the engine is silent and cannot be reached")
 
 // watchSilence returns a context for an attempt. It ends with errLost when the engine falls silent in the middle of
-// its answer and cannot be reached, if a copy of the run is kept.
+// its answer and cannot be reached, if the answer may go on elsewhere: from a copy, or by another attempt.
 func (c *call) watchSilence(ctx context.Context, at carawayspread.Endpoint) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	if c.backup != nil {
+	if c.g.prober != nil && (c.backup != nil || c.route.Retry == carawayspread.RetryResume && c.mayRunAgain()) {
 		go func() {
 			for silence := runbackups.NewSilence(c.route.TargetGap); ; {
 				select {
--- a/internal/process/gateway/backups_test.go
+++ b/internal/process/gateway/backups_test.go
@@ -25,6 +25,7 @@
 	}{
 		"its engine ends":            {path: "/once/stream/x", engines: []string{"a", "b"}, first: worker.CrashMidway, events: worker.Events, runs: 2, copies: true},
 		"its engine goes dark":       {path: "/once/stream/x", engines: []string{"a", "b"}, first: worker.DarkMidway, events: worker.Events, runs: 2, copies: true},
+		"dark, another attempt":      {path: "/resume/stream/x", engines: []string{"a", "b"}, first: worker.DarkMidway, events: worker.Events, runs: 2},
 		"its engine breaks off":      {path: "/once/stream/x", engines: []string{"a", "b"}, first: worker.Truncate, events: 1, runs: 1, copies: true},
 		"the copy is lost":           {path: "/once/stream/x", engines: []string{"a", "b"}, first: worker.CrashMidway, refuse: true, events: 1, runs: 1, copies: true},
 		"nothing fails":              {path: "/once/stream/x", engines: []string{"a", "b"}, events: worker.Events, runs: 1, copies: true},
--- a/internal/process/gateway/quarantine.go
+++ b/internal/process/gateway/quarantine.go
@@ -160,13 +160,13 @@
 
 // recordFailure excludes the endpoint of an attempt that was sent and whose answer broke off, before
 // or after its header, and returns the attempt's outcome. It counts as a crash of the endpoint with
-// this request, unless the attempt was ended here: for a stall, the deadline, shutdown, or because
+// this request, unless the attempt was ended here: for a stall or a silence, the deadline, shutdown, or because
 // the caller left. Then it counts if the endpoint turns out to be gone.
 func (c *call) recordFailure(ctx, attemptCtx context.Context, at carawayspread.Placement, sentAt time.Time) carawayspread.Outcome {
 	id := at.Endpoint.ID()
 	c.exclude[id] = true
 	switch {
-	case errors.Is(context.Cause(attemptCtx), errStalled):
+	case errors.Is(context.Cause(attemptCtx), errStalled), errors.Is(context.Cause(attemptCtx), errLost):
 		c.g.checkAbandoned(at.Endpoint, c.broken())
 		return carawayspread.OutcomeFailed
 	case ctx.Err() != nil:
