--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -214,7 +214,7 @@
 	request := m.request
 	request.Exclude = g.backpressure.AddUnavailable(m.full)
 	at, err := g.placer.Place(request)
-	if err != nil || at.Endpoint.Build() != request.Build || !g.backpressure.Take(at.Endpoint.ID()) {
+	if err != nil || at.Endpoint.Build() != m.from.Build() || !g.backpressure.Take(at.Endpoint.ID()) {
 		return false
 	}
 	m.at, m.tracker = at, g.placer.Sent(request, at)
