--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -68,14 +68,44 @@
 	}
 }
 
-// takeBackup returns where a run goes on whose engine is lost; nil if no copy is kept, or the engine may still be
-// at work on it.
-func (c *call) takeBackup(ctx context.Context, lost carawayspread.Endpoint) *continuation {
+// errLost says that the engine of a run is lost that may go on elsewhere.
+var errLost = errors.New("the engine is silent and cannot be reached")
+
+// watchSilence returns a context for an attempt. It ends with errLost when the engine falls silent in the middle of
+// its answer and cannot be reached, if the answer may go on elsewhere: from a copy, or by another attempt.
+func (c *call) watchSilence(ctx context.Context, at carawayspread.Endpoint) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if c.g.prober != nil && (c.backup != nil || c.route.Retry == carawayspread.RetryResume && c.mayRunAgain()) {
+		go func() {
+			for silence := runbackups.NewSilence(c.route.TargetGap); ; {
+				select {
+				case <-ctx.Done():
+					return
+				case <-c.g.clock.After(silence.Interval()):
+				}
+				events := c.heard.Load()
+				if silence.Check(events) && c.isLost(ctx, at) && c.heard.Load() == events {
+					cancel(errLost)
+					return
+				}
+			}
+		}()
+	}
+	return ctx, func() { cancel(nil) }
+}
+
+// takeBackup returns where a run goes on whose answer ended with err; nil if no copy is kept, or the engine may still
+// be at work on it. Before the first event there is no copy, and an answer whose end its engine does not mark may
+// have been complete.
+func (c *call) takeBackup(ctx, attemptCtx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
 	b := c.backup
 	if b == nil || ctx.Err() != nil || c.mayRetry() || c.suspected || c.g.prober == nil {
 		return nil
 	}
-	gone := c.isLost(ctx, lost)
+	if c.lastEventAt.IsZero() || reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
+		return nil
+	}
+	gone := errors.Is(context.Cause(attemptCtx), errLost) || c.isLost(ctx, lost)
 	c.g.log.Write(decisionlog.Start("backup").Text("id", c.metadata.ID).Text("from", string(lost.ID())).
 		Text("to", string(b.at.Endpoint.ID())).Text("lost", map[bool]string{true: "true", false: "false"}[gone]))
 	if !gone || c.checkQuarantine() != nil {
@@ -86,15 +116,6 @@
 	return &continuation{handover: c.g.protocol.BackupHandover(b.at.Endpoint, c.metadata.ID), at: b.at, tracker: b.tracker, from: lost, backup: true}
 }
 
-// takeBackupOf is takeBackup for a run of which a part was relayed. One whose end its engine does not mark may
-// have been complete.
-func (c *call) takeBackupOf(ctx context.Context, reply *carawayspread.Reply, lost carawayspread.Endpoint, err error) *continuation {
-	if reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
-		return nil
-	}
-	return c.takeBackup(ctx, lost)
-}
-
 // isLost reports whether the endpoint has ended, or cannot be reached for as long as a check takes. One that
 // accepts connections may still be at work on the request.
 func (c *call) isLost(ctx context.Context, endpoint carawayspread.Endpoint) bool {
