Runs that are late at a slow engine move to a faster one

Change: after six events a run's pace is known; one that will not end by its limit moves to an engine where the placer expects at most 0.6 of the time between two events (Placement.EventGap), with the bounds of moves off leaving engines. Without such an engine it stays.

--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -36,7 +36,7 @@
 		return carawayspread.Placement{}, noEndpoint()
 	}
 	if req.PrefilledBy != "" {
-		return carawayspread.Placement{Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent}, nil
+		return carawayspread.Placement{Endpoint: best.engine.endpoint, TimeToFirstEvent: best.timeToFirstEvent, EventGap: p.answerGap(now, best.engine, req)}, nil
 	}
 	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, PrefillOnly: best.prefillOnly, TimeToFirstEvent: best.timeToFirstEvent, CachedTokens: best.cachedTokens,
@@ -216,6 +216,13 @@
 	return best, best.engine != nil
 }
 
+// answerGap returns the expected time between two events of an answer that the engine decodes besides its others.
+func (p *Placer) answerGap(now time.Time, e *engine, req carawayspread.PlacementRequest) time.Duration {
+	running := p.load(now, e).running + 1
+	token := max(e.stepTime(running), e.interTokenLatency(now, running))
+	return time.Duration(req.Service.Engine.TokensPerEvent) * token
+}
+
 // crossZoneCost prices the bytes of a request that go to another availability zone.
 func (p *Placer) crossZoneCost(e *engine, req carawayspread.PlacementRequest) time.Duration {
 	if e.endpoint.Zone() == p.env.Zone {
--- a/internal/decision/runmoves/moves.go
+++ b/internal/decision/runmoves/moves.go
@@ -20,7 +20,6 @@
 type departure struct {
 	ends      time.Time // it runs until then, at least
 	lastReady time.Time // when it was last known not to leave
-	moving    *Run      // from it; nil if none is
 }
 
 // Moves holds the runs of one process and the engines that leave. It is safe for concurrent use.
@@ -31,7 +30,8 @@
 	mu      sync.Mutex
 	leaving map[carawayspread.EndpointID]*departure
 	runs    map[carawayspread.EndpointID]map[*Run]struct{}
-	moving  int
+	late    map[*Run]struct{}                 // runs that do not end in time where they are
+	moving  map[carawayspread.EndpointID]*Run // off each engine
 }
 
 // New returns Moves without runs. notice is how long engines run on after they have said that they leave.
@@ -39,6 +39,7 @@
 	return &Moves{
 		clock: clock, notice: notice,
 		leaving: map[carawayspread.EndpointID]*departure{}, runs: map[carawayspread.EndpointID]map[*Run]struct{}{},
+		late: map[*Run]struct{}{}, moving: map[carawayspread.EndpointID]*Run{},
 	}
 }
 
@@ -73,7 +74,7 @@
 	for id, d := range m.leaving {
 		isReady, listed := ready[id]
 		gone := !listed && len(m.runs[id]) == 0 && m.clock.Now().After(d.ends)
-		if d.moving == nil && (isReady || gone) {
+		if m.moving[id] == nil && (isReady || gone) {
 			delete(m.leaving, id)
 		}
 	}
@@ -93,15 +94,22 @@
 	defer m.mu.Unlock()
 	var taken []*Run
 	now := m.clock.Now()
+	take := func(run *Run, ends time.Time) {
+		m.moving[run.start.Engine] = run
+		run.begin(ends)
+		taken = append(taken, run)
+	}
 	for id, d := range m.leaving {
-		if d.moving != nil || m.moving >= maxCopies {
+		if m.moving[id] != nil || len(m.moving) >= maxCopies {
 			continue
 		}
 		if run := m.next(now, id, d); run != nil {
-			d.moving = run
-			m.moving++
-			run.begin(d.ends)
-			taken = append(taken, run)
+			take(run, d.ends)
+		}
+	}
+	for run := range m.late {
+		if m.moving[run.start.Engine] == nil && len(m.moving) < maxCopies && run.dueLate(now) {
+			take(run, run.start.Deadline)
 		}
 	}
 	return taken
@@ -149,10 +157,9 @@
 func (m *Moves) Release(run *Run, step Step) (again time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d := m.leaving[run.start.Engine]; d != nil && d.moving == run {
-		d.moving = nil
+	if m.moving[run.start.Engine] == run {
+		delete(m.moving, run.start.Engine)
 	}
-	m.moving--
 	if run.over = step != StepWait; run.over {
 		return 0
 	}
--- a/internal/decision/runmoves/run.go
+++ b/internal/decision/runmoves/run.go
@@ -25,6 +25,15 @@
 	// pauseShare is the part of the tolerated gap between two events that the last copy may wait at the link.
 	// The rest is for the switch itself and for the step that makes the next event.
 	pauseShare = 0.25
+	// minPaceEvents is how many events show the pace of an engine.
+	minPaceEvents = 6
+	// overrunShare is the part of an answer that is still expected when it has become as long as expected.
+	overrunShare = 0.25
+	// fasterShare is the most time between two events elsewhere, relative to the time here, for which a late run
+	// moves. Estimates of an engine's step are off by a third.
+	fasterShare = 0.6
+	// maxLateWaits bounds how often a faster engine is looked for.
+	maxLateWaits = 3
 	// defaultGap is the tolerated gap of a route that states none.
 	defaultGap = 400 * time.Millisecond
 )
@@ -57,6 +66,8 @@
 	TargetGap      time.Duration // zero if the route states none
 	OnlyAttempt    bool          // nobody may run the request again
 	EventsBefore   int           // of the answer, from engines before
+	ExpectedTokens int           // of the answer; zero if unknown
+	Deadline       time.Time     // of the answer; zero if it has none
 	TokensPerEvent int
 }
 
@@ -76,17 +87,27 @@
 	waits        int // for room, or for an engine that did not answer
 }
 
-// Event records that an event of the answer has arrived.
-func (r *Run) Event() {
-	r.moves.mu.Lock()
-	defer r.moves.mu.Unlock()
+// Event records that an event of the answer has arrived. It reports whether the run is due to move, as it does not
+// end in time where it is.
+func (r *Run) Event() (due bool) {
+	m := r.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	r.events++
+	now := m.clock.Now()
+	if r.over || !r.isLate(now) {
+		delete(m.late, r)
+		return false
+	}
+	m.late[r] = struct{}{}
+	return r.dueLate(now)
 }
 
 // End records that the run has ended at its engine.
 func (r *Run) End() {
 	r.moves.mu.Lock()
 	defer r.moves.mu.Unlock()
+	delete(r.moves.late, r)
 	runs := r.moves.runs[r.start.Engine]
 	delete(runs, r)
 	if len(runs) == 0 {
@@ -118,6 +139,44 @@
 	return now.Add(time.Duration(max(0, left)) * gap).Before(end)
 }
 
+// gap returns the mean time between two events here.
+func (r *Run) gap(now time.Time) time.Duration {
+	return now.Sub(r.firstEvent) / time.Duration(max(1, r.events-1))
+}
+
+// isLate reports whether the answer is expected to end after its deadline at the pace that the engine has shown.
+func (r *Run) isLate(now time.Time) bool {
+	if r.events < minPaceEvents || r.start.Deadline.IsZero() || r.start.ExpectedTokens == 0 || r.start.TokensPerEvent == 0 {
+		return false
+	}
+	done := r.start.EventsBefore + r.events
+	left := max(r.start.ExpectedTokens/r.start.TokensPerEvent-done, int(overrunShare*float64(done)))
+	if r.start.MaxTokens > 0 {
+		left = min(left, r.start.MaxTokens/r.start.TokensPerEvent+1-done)
+	}
+	return now.Add(time.Duration(max(0, left)) * r.gap(now)).After(r.start.Deadline)
+}
+
+// dueLate reports whether the move of a late run may begin: there is time to gain.
+func (r *Run) dueLate(now time.Time) bool {
+	if r.over || now.Before(r.notBefore) || r.waits > maxLateWaits {
+		return false
+	}
+	return now.Add(zoneFactor*r.transferTime() + switchTime + r.gap(now)).Before(r.start.Deadline)
+}
+
+// Accepts reports whether the run may move to an engine where that time is expected between two events. Off an
+// engine that leaves, any will do; a late run needs one that is clearly faster.
+func (r *Run) Accepts(gap time.Duration) bool {
+	m := r.moves
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leaving[r.start.Engine] != nil {
+		return true
+	}
+	return gap > 0 && float64(gap) <= fasterShare*float64(r.gap(m.clock.Now()))
+}
+
 // tokens returns how many tokens the run has in memory.
 func (r *Run) tokens() int {
 	return r.start.PromptTokens + (r.start.EventsBefore+r.events)*r.start.TokensPerEvent
--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -34,12 +34,8 @@
 	if c.g.backups == nil || prompt == nil || phase == carawayspread.PhasePrefill || !c.route.Stream || c.metadata.ID == "" || at.Build() == 0 {
 		return nil
 	}
-	output := prompt.MaxOutputTokens
-	if prompt.LengthHint > 0 {
-		output = min(output, prompt.LengthHint)
-	}
 	if !c.g.backups.Take(runbackups.Request{
-		OnlyAttempt: !c.mayRunAgain(), Traits: c.service.Engine, PromptTokens: prompt.Tokens, OutputTokens: output,
+		OnlyAttempt: !c.mayRunAgain(), Traits: c.service.Engine, PromptTokens: prompt.Tokens, OutputTokens: prompt.ExpectedOutput(),
 		Engines: len((*c.g.endpoints.Load())[c.service.Name]),
 	}) {
 		return nil
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -59,7 +59,9 @@
 		return
 	}
 	if c.move != nil {
-		c.move.run.Event()
+		if c.move.run.Event() {
+			c.g.beginMoves()
+		}
 		return
 	}
 	if !c.movable(reply, at) {
@@ -74,7 +76,7 @@
 	c.move.run = c.g.moves.Began(runmoves.Start{
 		Engine: at.ID(), Traits: c.service.Engine, TokensPerEvent: c.service.Engine.TokensPerEvent,
 		PromptTokens: prompt.Tokens, MaxTokens: prompt.MaxOutputTokens, EventsBefore: c.events - 1,
-		TargetGap: c.route.TargetGap, OnlyAttempt: !c.mayRetry(),
+		TargetGap: c.route.TargetGap, OnlyAttempt: !c.mayRetry(), ExpectedTokens: prompt.ExpectedOutput(), Deadline: c.deadline,
 	})
 	c.g.registerMove(c.move)
 	if !c.g.takesRequests(at) {
@@ -214,7 +216,7 @@
 	request := m.request
 	request.Exclude = g.backpressure.AddUnavailable(m.full)
 	at, err := g.placer.Place(request)
-	if err != nil || at.Endpoint.Build() != m.from.Build() || !g.backpressure.Take(at.Endpoint.ID()) {
+	if err != nil || at.Endpoint.Build() != m.from.Build() || !m.run.Accepts(at.EventGap) || !g.backpressure.Take(at.Endpoint.ID()) {
 		return false
 	}
 	m.at, m.tracker = at, g.placer.Sent(request, at)
--- a/placement.go
+++ b/placement.go
@@ -52,6 +52,9 @@
 	FetchFrom     *Endpoint
 	FetchTime     time.Duration
 	FetchedTokens int // part of CachedTokens that comes from FetchFrom
+	// EventGap is the expected time between two events of an answer that is decoded at the endpoint; zero if
+	// unknown.
+	EventGap time.Duration
 	// ColdPrefillTime and WarmPrefillTime are PrefillTime with none and with all of a shared prefix
 	// in the cache, if no endpoint is known to hold that prefix; otherwise both are zero.
 	ColdPrefillTime, WarmPrefillTime time.Duration
--- a/prompt.go
+++ b/prompt.go
@@ -68,3 +68,11 @@
 	}
 	return hashes
 }
+
+// ExpectedOutput returns how many tokens the answer is expected to have: at most as many as are allowed.
+func (p *Prompt) ExpectedOutput() int {
+	if p.LengthHint > 0 {
+		return min(p.MaxOutputTokens, p.LengthHint)
+	}
+	return p.MaxOutputTokens
+}
