peers: exchange of engines' speeds

Change: datagram 0xd2, every 300 ms to two random peers that exchange speeds, 30 engines in turns; news of passing slowness to all at once, 0.7 KB/s at most. By arithmetic 4 KB/s a process at any size. A process that starts asks and is told of all engines. Older processes drop the datagram and are sent no evidence.

--- a/internal/connection/peers/socket.go
+++ b/internal/connection/peers/socket.go
@@ -65,6 +65,8 @@
 	lastSeen time.Time
 	// status is the newest status that it sent; zero if there was none.
 	status carawayspread.PeerStatus
+	// exchangesSpeeds says that it has sent speeds of engines, as processes of older releases do not.
+	exchangesSpeeds bool
 }
 
 // Socket sends messages to all peers and receives theirs. It is safe for concurrent use.
@@ -86,6 +88,7 @@
 	crashTracker CrashTracker
 	origins      OriginTracker // nil if the origins of streams are not exchanged
 	parts        PartTracker   // nil if crashes under parts of prompts are not exchanged
+	speeds       speedExchange
 
 	mu      sync.Mutex
 	pending []carawayspread.LoadUpdate
@@ -213,7 +216,7 @@
 	var forwarding sync.WaitGroup
 	defer forwarding.Wait()
 	forwarding.Go(func() { s.runForward(ctx) })
-	heartbeat := s.clock.After(0)
+	heartbeat, speeds := s.clock.After(0), s.clock.After(speedInterval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,6 +228,9 @@
 			s.gossipCrashes(targets)
 			s.gossipParts(targets)
 			heartbeat = s.clock.After(heartbeatInterval)
+		case <-speeds:
+			s.gossipSpeeds()
+			speeds = s.clock.After(speedInterval)
 		case <-s.wake:
 			n := s.flush()
 			select {
