placement: queues by what has no answer yet, waits by urgency, speeds of the fleet

Queues were counted down by expected times, so that slow engines looked idle; urgent prompts, which engines prefill first, came back early and made queues seem shorter; what was learned of an engine was forgotten before its next answer. Change: the end of a prefill engine's queue is corrected by the prefills of all processes that have no answer; a prompt waits for what is as urgent; speeds are measured against all that an engine had to do, and exchanged. An engine that starts again or changes its role begins anew, at the median of those measured.

--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -46,6 +46,8 @@
 	// lastDecayed is when learned values last decayed, and lastSeeded when engines without
 	// measurements last received values of others.
 	lastDecayed, lastSeeded time.Time
+	priors                  priors
+	urgency                 urgency
 	// candidateBuffer is the last result of candidates, reused by the next call.
 	candidateBuffer []*engine
 	// minGapTarget is the shortest of gapTargets; zero for none.
@@ -87,11 +89,12 @@
 	}
 	pool.lastDecayed = now
 	pool.seedUnlearned()
+	pool.updatePriors(now)
 	for _, prefillOnly := range []bool{true, false} {
 		median, _ := pool.medianSlowdown(prefillOnly)
 		for _, e := range pool.ordered {
 			if e.prefillOnly() == prefillOnly {
-				e.decay(now, median)
+				e.decay(now, median, pool.priors)
 			}
 		}
 	}
@@ -157,6 +160,9 @@
 // engines. With the initial values they would look faster than they are and get all requests.
 func (pool *pool) seedUnlearned() {
 	median, known := pool.medianSlowdown(true)
+	if scale, measured := pool.prefillScale(); measured {
+		median, known = scale, true
+	}
 	disaggregated := pool.disaggregated()
 	sources := map[bool]*engine{} // one engine with measurements for each role
 	for _, e := range pool.ordered {
