--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -160,6 +160,7 @@
 		gateway.WithRunBackups(d.newRunBackups()),
 		gateway.WithEndpointProber(ports.Prober))
 	d.setUpPeers()
+	d.setUpSpeeds()
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
