Waiting for room: a bounded queue in the gateway, by urgency and shares of workspaces

Change: where the settings let requests wait (limits.waiting; the template states 64), a request waits for room until it would be late, one that was refused before for most of its target. Workspaces within their share go before the others, then the most urgent, then the earliest latest start; one start in twenty goes to the least urgent, and after half of its wait nothing overtakes the first. Those that wait try one after the other, so that they are not placed in the order of their timers. Requests, bytes and workspaces are bounded; a full queue gives up its last. What cannot be served is told so, not run, with when room is expected. Log: waited, waitedMs; metrics: gateway_waiting, gateway_waits_total, gateway_waited_seconds.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -139,6 +139,7 @@
 		gateway.WithRetryClock(uptimeClock, d.standstill.WaitingSince),
 		gateway.WithFeedback(d.peers.BroadcastFeedback, d.peers.Membership),
 		gateway.WithListAge(d.listAge),
+		gateway.WithWaiting(s.MaxWaiting()),
 		gateway.WithListVersion(d.listVersion),
 		gateway.WithOrigins(origins, d.peers),
 		gateway.WithCrashReporter(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
--- a/internal/decision/placement/fits.go
+++ b/internal/decision/placement/fits.go
@@ -129,14 +129,20 @@
 }
 
 // noChoice returns the refusal of a request for which there is no engine: because none may take it, or because
-// none of those that may has room.
-func (p *Placer) noChoice(now time.Time, pool *pool, req carawayspread.PlacementRequest) *carawayspread.Error {
+// none of those that may has room. Of the latter it says how long the first event takes once there is room.
+func (p *Placer) noChoice(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	for _, e := range pool.ordered {
-		if !e.prefillOnly() && pool.eligible(now, e, req) {
-			return p.noRoom(pool)
+		if e.prefillOnly() || !pool.eligible(now, e, req) {
+			continue
 		}
+		var at carawayspread.Placement
+		if req.PrefilledBy == "" {
+			cached := int(float64(req.Prompt.Tokens) * pool.cachedShare)
+			at.TimeToFirstEvent = e.prefillTime(req.Prompt.Tokens, cached, 0) + e.delay
+		}
+		return at, p.noRoom(pool)
 	}
-	return noEndpoint()
+	return carawayspread.Placement{}, noEndpoint()
 }
 
 // noRoom returns the refusal of a request for which no engine has room. It tells when some is expected: an
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -34,7 +34,7 @@
 		best, ok = p.best(now, pool, pool.ordered, req, prefixHashes)
 	}
 	if !ok {
-		return carawayspread.Placement{}, p.noChoice(now, pool, req)
+		return p.noChoice(now, pool, req)
 	}
 	if req.PrefilledBy != "" {
 		return carawayspread.Placement{
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -67,6 +67,8 @@
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
 	connections      []uint64                // over which the request was answered
 	latest           attemptTrace
+	waited           time.Duration // for room at endpoints
+	waitEnd          string        // how the latest wait ended; empty for none
 }
 
 // attemptTrace is what the log says about how the latest attempt was sent and answered.
@@ -139,7 +141,7 @@
 // attempt sends the request once. It reports whether the request may be retried.
 func (c *call) attempt(ctx context.Context) (retry bool, err error) {
 	clear(c.full)
-	p, at, err := c.placeWithRoom(ctx)
+	p, at, err := c.placeInTurn(ctx)
 	if err != nil {
 		if c.handover != nil {
 			c.singleEndpoint = true
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -172,6 +172,9 @@
 	if c.metadata.LastEventID != "" {
 		line.Text("resumes", c.metadata.Resumes).Text("after", c.metadata.LastEventID)
 	}
+	if c.waitEnd != "" {
+		line.Text("waited", c.waitEnd).Ms("waitedMs", c.waited)
+	}
 	if outcome == "refused" {
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -78,6 +78,7 @@
 	rejections          *rejections.Rejections
 	recordUsage         func(workspace string, ago time.Duration)
 	endpoints           atomic.Pointer[map[string][]carawayspread.Endpoint] // by service
+	maxWaiting          int                                                 // requests of each service that may wait for room
 	running             atomic.Int64
 	held                atomic.Int64                 // bytes of answers that are held in memory
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
@@ -86,7 +87,9 @@
 
 	mu      sync.Mutex
 	budgets map[string]*fleetbudget.Budget
-	checks  map[carawayspread.EndpointID]*endpointCheck
+	// waitingRooms hold the requests that wait for room, by service.
+	waitingRooms map[string]*waitingRoom
+	checks       map[carawayspread.EndpointID]*endpointCheck
 	// observed are the requests whose crashes this process observed, until they can no longer be
 	// withdrawn.
 	observed map[uint64]struct{}
@@ -121,15 +124,16 @@
 
 		parts:       suspectparts.New(clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		reportParts: func([]carawayspread.PartCrash) {}, reportPartsAnswered: func([]uint64) {},
-		claimTrial:  func(context.Context, uint64) bool { return false },
-		reconnect:   func() bool { return false },
-		freshness:   alwaysCurrent{},
-		rejections:  rejections.New(),
-		recordUsage: func(string, time.Duration) {},
-		budgets:     map[string]*fleetbudget.Budget{},
-		checks:      map[carawayspread.EndpointID]*endpointCheck{},
-		observed:    map[uint64]struct{}{},
-		peerOrigins: aloneOrigins{},
+		claimTrial:   func(context.Context, uint64) bool { return false },
+		reconnect:    func() bool { return false },
+		freshness:    alwaysCurrent{},
+		rejections:   rejections.New(),
+		recordUsage:  func(string, time.Duration) {},
+		budgets:      map[string]*fleetbudget.Budget{},
+		waitingRooms: map[string]*waitingRoom{},
+		checks:       map[carawayspread.EndpointID]*endpointCheck{},
+		observed:     map[uint64]struct{}{},
+		peerOrigins:  aloneOrigins{},
 	}
 	g.origins = origin.New(clock, func() time.Duration { return g.listAge() })
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
@@ -137,6 +141,7 @@
 		opt(g)
 	}
 	g.set.NewGauge("gateway_running", func() float64 { return float64(g.running.Load()) })
+	g.set.NewGauge("gateway_waiting", g.waitingRequests)
 	g.set.NewGauge("gateway_routes_version", func() float64 {
 		if routing := g.routing.Load(); routing != nil {
 			return float64(routing.Version())
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -38,6 +38,7 @@
 	cores           float64
 	linkMegabits    float64       // per second
 	maxLateness     time.Duration // of a timer; zero if the processor is not observed
+	maxWaiting      int           // requests
 	usage           *Usage
 	firstStart      bool
 }
@@ -66,6 +67,7 @@
 	megabyte     = 1 << 20
 	maxGrace     = time.Hour
 	maxWindow    = time.Hour
+	maxWaiting   = 4096
 	// defaultBound is what operators are guaranteed if the settings state no bounds: the shortest
 	// that any user has asked for.
 	defaultBound = 2 * time.Second
@@ -160,7 +162,7 @@
 	if !root.Field("limits").Exists() {
 		return
 	}
-	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness")
+	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness", "waiting")
 	s.cores = limits.Need("cores").Number()
 	s.linkMegabits = limits.Need("linkMegabits").Number()
 	if s.cores <= 0 || s.linkMegabits <= 0 {
@@ -169,6 +171,9 @@
 	if lateness := limits.Field("maxLateness"); lateness.Exists() {
 		s.maxLateness = lateness.Duration(minLateness, time.Second)
 	}
+	if waiting := limits.Field("waiting"); waiting.Exists() {
+		s.maxWaiting = int(waiting.Int(0, maxWaiting))
+	}
 }
 
 func (s *Settings) readUsage(root document.Node) {
@@ -195,6 +200,9 @@
 // MaxLateness returns how late timers may fire before new connections are shed; zero if none are.
 func (s *Settings) MaxLateness() time.Duration { return s.maxLateness }
 
+// MaxWaiting returns how many requests of each service may wait for room at engines; zero if none may.
+func (s *Settings) MaxWaiting() int { return s.maxWaiting }
+
 // Capacity returns the capacity of the instance for comparison with other instances: thousandths of
 // a core times megabits per second, so that neither alone decides.
 func (s *Settings) Capacity() uint32 {
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -28,11 +28,12 @@
 	qt.Check(t, s.Bounds().Drain, qt.Equals, 2*time.Second)
 
 	s, err = Parse("gateway.jsonc", []byte(strings.Replace(validSettings, `"store"`,
-		`"limits": {"cores": 0.144, "linkMegabits": 20.0, "maxLateness": "30ms"}, "promises": {"leaving": "4000ms", "inForce": "3s"}, "store"`, 1)))
+		`"limits": {"cores": 0.144, "linkMegabits": 20.0, "maxLateness": "30ms", "waiting": 64}, "promises": {"leaving": "4000ms", "inForce": "3s"}, "store"`, 1)))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.Bounds().Drain, qt.Equals, 4*time.Second)
 	qt.Check(t, s.Bounds().ConfigApply, qt.Equals, 3*time.Second)
 	qt.Check(t, s.Capacity(), qt.Equals, uint32(2880))
+	qt.Check(t, s.MaxWaiting(), qt.Equals, 64)
 }
 
 // An invalid file must be refused with every fault and its position in one error.
@@ -45,6 +46,7 @@
 		"negative":             {`"slack": 54`, `"slack": -1`, `retries: ratio and slack must not be negative`},
 		"no duration":          {`"8s"`, `8`, `grace: must be a duration`},
 		"lateness":             {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "maxLateness": "2s"}, "store"`, `limits.maxLateness: `},
+		"waiting":              {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "waiting": -1}, "store"`, `limits.waiting: `},
 		"no capacity":          {`"store"`, `"limits": {"cores": 0, "linkMegabits": 20}, "store"`, `limits: cores and linkMegabits must be positive`},
 		"incomplete promises":  {`"store"`, `"promises": {"leaving": "2s"}, "store"`, `promises.inForce: missing`},
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
