placement: waits are expected by urgency, as engines prefill

Waits were expected in the order of arrival. Short urgent prompts were refused or prefilled beside running answers because of patient ones that they would have overtaken; their answers, earlier than expected, shortened the expected queues.

Change: at engines that only prefill, a prompt waits for what remains of the one in progress, for the part of the queue that is at least as urgent, by the shares of the priorities in what arrives, and for more urgent ones that come meanwhile. An attempt's expected start is the one that it was placed with. Memory needs are worked out once a placement.

--- a/internal/decision/placement/attempt.go
+++ b/internal/decision/placement/attempt.go
@@ -93,8 +93,9 @@
 	if at.PrefillTime > 0 {
 		a.prefillTime, a.coldPrefillTime, a.warmPrefillTime = at.PrefillTime, at.ColdPrefillTime, at.WarmPrefillTime
 		a.backlogShift, a.slowdown, a.streams = e.backlogShift, e.slowdown, !at.PrefillOnly
-		a.expectedStart, a.expectedEnd = e.addPrefill(now, at.PrefillTime)
-		a.expectedEnd = a.expectedEnd.Add(at.FetchTime)
+		e.addPrefill(now, at.PrefillTime)
+		a.expectedStart = now.Add(at.QueueTime)
+		a.expectedEnd = a.expectedStart.Add(at.PrefillTime + at.FetchTime)
 		e.ownPrefills++
 	}
 	if a.pool != nil {
--- a/internal/decision/placement/fits.go
+++ b/internal/decision/placement/fits.go
@@ -7,18 +7,20 @@
 	"carawayspread/internal/decision/room"
 )
 
-// fits reports whether the engine has a free slot, and KV memory for the request until its end.
-func (p *Placer) fits(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
-	if slots := slotsOf(e, req); l.running >= slots {
-		return false
-	}
-	return p.fitsMemory(now, l, e, req, p.lengths.Tokens(req.Route.Name, req.Prompt))
+// needs is the KV memory that a request takes, in tokens.
+type needs struct{ prefill, whole int }
+
+func (p *Placer) needsOf(req carawayspread.PlacementRequest) needs {
+	return needs{prefill: room.Blocks(req.Prompt.Tokens), whole: p.lengths.Tokens(req.Route.Name, req.Prompt)}
 }
 
-// fitsPrefill reports whether an engine that only prefills has KV memory for the prompt. Prompts queue there
-// for slots, and those that wait for a decode engine keep their memory.
-func (p *Placer) fitsPrefill(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
-	return p.fitsMemory(now, l, e, req, room.Blocks(req.Prompt.Tokens))
+// fits reports whether the engine has a free slot, and KV memory for the request until its end. Prompts queue
+// for slots at engines that only prefill, and keep their memory until a decode engine takes it.
+func (p *Placer) fits(now time.Time, l load, e *engine, req carawayspread.PlacementRequest, n needs) bool {
+	if e.prefillOnly() {
+		return p.fitsMemory(now, l, e, req, n.prefill)
+	}
+	return l.running < slotsOf(e, req) && p.fitsMemory(now, l, e, req, n.whole)
 }
 
 // fitsMemory reports whether the engine holds that many more tokens, and what peers may be placing there at
@@ -31,10 +33,11 @@
 	if l.running == 0 {
 		return tokens <= memory
 	}
-	if req.Service.Engine.MaxHold == 0 {
+	full := kvCacheLimit * float64(memory)
+	if req.Service.Engine.MaxHold == 0 && float64(l.tokens+tokens) > full/2 {
 		tokens += p.unreportedTokens(now, e)
 	}
-	return float64(l.tokens+tokens) < kvCacheLimit*float64(memory)
+	return float64(l.tokens+tokens) < full
 }
 
 // contested returns the KV memory to reserve at the engine before the request is sent there; zero if it has room
--- a/internal/decision/placement/outstanding.go
+++ b/internal/decision/placement/outstanding.go
@@ -9,14 +9,14 @@
 	headRemains = 0.5
 )
 
-// queueTime returns how long a new prefill waits at the engine: for the prefills that are expected to be
-// queued, but no less than what has been sent there without an answer takes.
+// backlog returns how long the engine takes for the prefills that are expected to be queued there, but no less
+// than for those that have been sent there without an answer.
 //
 // The expected end of a prefill passes whether or not the engine has kept up. An engine that is slower than
 // its estimate then looks idle while prompts wait there: with a fleet of uneven engines, fourteen prompts
 // queued for 1.7 s at engines whose queue was expected to take 25 ms, beside idle ones. What is unanswered
 // falls with answers alone.
-func (p *Placer) queueTime(now time.Time, pool *pool, e *engine) time.Duration {
+func (p *Placer) backlog(now time.Time, pool *pool, e *engine) time.Duration {
 	return max(e.wait(now), p.outstanding(now, pool, e))
 }
 
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -51,6 +51,7 @@
 	candidateBuffer []*engine
 	// cachedShare is the share of the tokens of prompts that engines have cached.
 	cachedShare float64
+	urgencies   urgencyShares
 	// arriving is what arrives at this process.
 	arriving room.Unreported
 	// minGapTarget is the shortest of gapTargets; zero for none.
@@ -118,6 +119,9 @@
 		pool.meanPromptTokens = float64(req.Prompt.Tokens)
 	}
 	pool.meanPromptTokens += meanLearningRate * (float64(req.Prompt.Tokens) - pool.meanPromptTokens)
+	if req.PrefilledBy == "" {
+		pool.urgencies.observe(urgencyOf(req), float64(req.Prompt.Tokens))
+	}
 	if tokens := float64(sequenceTokens(req.Prompt) - req.Prompt.Tokens); pool.meanOutputTokens == 0 {
 		pool.meanOutputTokens = tokens
 	} else {
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -43,7 +43,7 @@
 	}
 	at := carawayspread.Placement{
 		Endpoint: best.engine.endpoint, PrefillOnly: best.prefillOnly, TimeToFirstEvent: best.timeToFirstEvent, CachedTokens: best.cachedTokens,
-		PrefillTime: best.prefillTime, QueueTime: p.queueTime(now, pool, best.engine),
+		PrefillTime: best.prefillTime, QueueTime: p.queueTime(now, pool, best.engine, urgencyOf(req)),
 		FetchTime: best.fetchTime, FetchedTokens: best.cachedTokens - best.engine.cachedPrefix,
 		ColdPrefillTime: best.coldPrefillTime, WarmPrefillTime: best.warmPrefillTime,
 		ReserveTokens: p.contested(now, pool, best.engine, req),
@@ -72,12 +72,13 @@
 		missPrice = time.Duration(affinityMissPrice * float64(sharedTokens(req.Prompt)) * float64(recomputePrice))
 	}
 	var best choice
+	need := p.needsOf(req)
 	for e := range rotated(engines, req.Fingerprint) {
 		if !pool.eligible(now, e, req) || e.prefillOnly() && (req.SingleEndpoint || !canDecode) {
 			continue
 		}
 		l := p.load(now, e)
-		if e.prefillOnly() && !p.fitsPrefill(now, l, e, req) || !e.prefillOnly() && !p.fits(now, l, e, req) {
+		if !p.fits(now, l, e, req, need) {
 			continue
 		}
 		if e == affinity {
@@ -107,7 +108,7 @@
 	if source != nil {
 		prefillTime, cached = fetchedPrefillTime, sources.cachedTokens
 	}
-	wait := p.queueTime(now, pool, e)
+	wait := p.queueTime(now, pool, e, urgencyOf(req))
 	c := choice{
 		engine: e, prefillOnly: e.prefillOnly(), prefillTime: prefillTime, cachedTokens: cached, fetchSource: source, fetchTime: fetchTime,
 		timeToFirstEvent: wait + fetchTime + prefillTime + e.delay,
@@ -189,7 +190,7 @@
 	if source := pool.engines[req.PrefilledBy]; source != nil {
 		zone = source.endpoint.Zone()
 	}
-	traits := req.Service.Engine
+	traits, need := req.Service.Engine, p.needsOf(req)
 	var transferTime time.Duration
 	if traits.LinkBitsPerSecond > 0 {
 		transferTime = time.Duration(float64(req.Prompt.Tokens) * float64(traits.KVBytesPerToken) * 8 / float64(traits.LinkBitsPerSecond) * float64(time.Second))
@@ -199,7 +200,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !p.fits(now, l, e, req) {
+		if !p.fits(now, l, e, req, need) {
 			continue
 		}
 		first := transferTime + e.stepTime(l.running)
--- a/internal/decision/placement/replay_test.go
+++ b/internal/decision/placement/replay_test.go
@@ -30,10 +30,12 @@
 	gossip  bool // processes receive each other's load updates
 	// reportDelay is how long a load update takes to the other processes.
 	reportDelay time.Duration
+	byPriority  bool // engines prefill the most urgent prompts first
 
 	total, inTime, refused, recomputed, shared int
 	large, largeServed                         int
-	requests                                   []pattern // all requests that arrived
+	requests                                   []pattern               // all requests that arrived
+	outcomes                                   map[int][]time.Duration // of answers, by priority
 	late                                       int
 	crossZone                                  int
 	worstWait                                  time.Duration // longest time of a request admitted at first submission
@@ -42,6 +44,8 @@
 type modelEngine struct {
 	endpoint carawayspread.Endpoint
 	freeAt   time.Time
+	queue    []modelPrefill // of a replay by priority
+	busy     bool
 	cachedAt map[uint64]time.Time
 	slowdown float64
 }
@@ -88,6 +92,7 @@
 	large     bool
 	bytes     int
 	sigma     float64 // of the sizes: standard deviation of their logarithm
+	priority  int
 }
 
 // withRandomSize returns the pattern with the size of one request.
@@ -102,7 +107,7 @@
 func newReplay(name string, gossip bool, processes, prefillEngines, decodeEngines int) *replay {
 	r := &replay{
 		clock: clockwork.NewFakeClock(), rand: rand.New(rand.NewPCG(1, 2)), gossip: gossip, reportDelay: 2 * time.Millisecond,
-		engines: map[carawayspread.EndpointID]*modelEngine{},
+		engines: map[carawayspread.EndpointID]*modelEngine{}, outcomes: map[int][]time.Duration{},
 	}
 	newPlacer, _ := carawayspread.Placers.Get(name)
 	for n := range processes {
@@ -179,7 +184,7 @@
 		{ID: uint64(r.rand.IntN(max(1, p.prefixes))) + uint64(p.tokens)<<20, Tokens: p.shared}, {ID: r.rand.Uint64(), Tokens: p.tokens - p.shared},
 	}}
 	return carawayspread.PlacementRequest{
-		Route:   &carawayspread.Route{TargetLatency: p.target},
+		Route:   &carawayspread.Route{Name: fmt.Sprint(p.priority), TargetLatency: p.target, Priority: p.priority},
 		Service: carawayspread.RoutedService{Name: "s", Engine: &carawayspread.EngineTraits{Slots: 64, KVTokens: 1e6, KVBytesPerToken: 1}},
 		Prompt:  prompt, Arrived: r.clock.Now(), Deadline: r.clock.Now().Add(8 * time.Second), Bytes: p.bytes, Fingerprint: r.rand.Uint64(),
 	}
@@ -221,30 +226,38 @@
 		if !at.PrefillOnly {
 			work *= 2
 		}
+		if r.byPriority {
+			r.prefill(e, modelPrefill{p.priority, work, func() { r.ended(placer, p, req, at, tracker) }})
+			return
+		}
 		e.freeAt = later(now, e.freeAt).Add(work)
 		took = e.freeAt.Sub(now) + modelDelay
 	}
-	r.after(took, func() {
-		tracker.Answered()
-		tracker.End(carawayspread.OutcomeServed)
-		if at.PrefillOnly {
-			req.PrefilledBy = at.Endpoint.ID()
-			r.place(placer, p, req)
-			return
-		}
-		waited := r.clock.Now().Sub(req.Arrived)
-		if !req.TargetMissed {
-			r.worstWait = max(r.worstWait, waited)
-		}
-		if waited <= p.target {
-			r.inTime++
-		} else {
-			r.late++
-		}
-		if p.large {
-			r.largeServed++
-		}
-	})
+	r.after(took, func() { r.ended(placer, p, req, at, tracker) })
+}
+
+// ended continues a request whose prefill or answer has ended.
+func (r *replay) ended(placer carawayspread.Placer, p pattern, req carawayspread.PlacementRequest, at carawayspread.Placement, tracker carawayspread.AttemptTracker) {
+	tracker.Answered()
+	tracker.End(carawayspread.OutcomeServed)
+	if at.PrefillOnly {
+		req.PrefilledBy = at.Endpoint.ID()
+		r.place(placer, p, req)
+		return
+	}
+	waited := r.clock.Now().Sub(req.Arrived)
+	if !req.TargetMissed {
+		r.worstWait = max(r.worstWait, waited)
+	}
+	if waited <= p.target {
+		r.inTime++
+	} else {
+		r.late++
+	}
+	if p.large {
+		r.largeServed++
+	}
+	r.outcomes[p.priority] = append(r.outcomes[p.priority], waited)
 }
 
 func (r *replay) share() float64 { return float64(r.inTime) / float64(r.total) }
