--- a/internal/decision/placement/fits.go
+++ b/internal/decision/placement/fits.go
@@ -41,7 +41,8 @@
 }
 
 // contested returns the KV memory to reserve at the engine before the request is sent there; zero if it has room
-// for whatever all processes may place there before they know of each other.
+// for whatever all processes may place there before they know of each other: what they place anywhere, and what
+// finds no room yet.
 //
 // When most engines are full, the one that gets room gets the next requests of all processes. A margin that
 // prevents that leaves a quarter of the memory unused; the engine itself can tell who comes first, at the price
@@ -53,7 +54,8 @@
 		return 0
 	}
 	tokens := p.lengths.Tokens(req.Route.Name, req.Prompt)
-	arriving := pool.arriving.Fleet(now, len(p.loads.peers))
+	peers := len(p.loads.peers)
+	arriving := pool.placed.Margin(now, peers) + pool.refused.Fleet(now, peers)
 	if float64(l.tokens+tokens+arriving) < kvCacheLimit*float64(traits.KVTokens) {
 		return 0
 	}
@@ -88,6 +90,9 @@
 		p.unreported[e.hash] = u
 	}
 	u.Report(now, tokens)
+	if pool := p.pools[e.endpoint.Service()]; pool != nil && !e.prefillOnly() {
+		pool.placed.Report(now, tokens)
+	}
 }
 
 // forgetRemoved drops what is known of engines that are not listed any more.
@@ -143,6 +148,7 @@
 			cached := int(float64(req.Prompt.Tokens) * pool.cachedShare)
 			at.TimeToFirstEvent = e.prefillTime(req.Prompt.Tokens, cached, 0) + e.delay
 		}
+		pool.refused.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
 		return at, p.noRoom(pool)
 	}
 	return carawayspread.Placement{}, noEndpoint()
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -52,8 +52,9 @@
 	// cachedShare is the share of the tokens of prompts that engines have cached.
 	cachedShare float64
 	urgencies   urgencyShares
-	// arriving is what arrives at this process.
-	arriving room.Unreported
+	// placed is what peers place at engines that decode, and refused what arrives at this process and finds no
+	// room.
+	placed, refused room.Unreported
 	// minGapTarget is the shortest of gapTargets; zero for none.
 	minGapTarget time.Duration
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -26,7 +26,6 @@
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	prefixHashes := req.Prompt.PrefixHashes()
 	pool.observePrompt(req)
-	pool.arriving.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
 	engines := pool.candidates(req, prefixHashes)
 	best, ok := p.best(now, pool, engines, req, prefixHashes)
 	if !ok && len(engines) < len(pool.ordered) {
