--- a/internal/decision/placement/fits.go
+++ b/internal/decision/placement/fits.go
@@ -7,18 +7,20 @@
 	"carawayspread/internal/decision/room"
 )
 
-// fits reports whether the engine has a free slot, and KV memory for the request until its end.
-func (p *Placer) fits(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
-	if slots := slotsOf(e, req); l.running >= slots {
-		return false
-	}
-	return p.fitsMemory(now, l, e, req, p.lengths.Tokens(req.Route.Name, req.Prompt))
+// needs is the KV memory that a request takes, in tokens.
+type needs struct{ prefill, whole int }
+
+func (p *Placer) needsOf(req carawayspread.PlacementRequest) needs {
+	return needs{prefill: room.Blocks(req.Prompt.Tokens), whole: p.lengths.Tokens(req.Route.Name, req.Prompt)}
 }
 
-// fitsPrefill reports whether an engine that only prefills has KV memory for the prompt. Prompts queue there
-// for slots, and those that wait for a decode engine keep their memory.
-func (p *Placer) fitsPrefill(now time.Time, l load, e *engine, req carawayspread.PlacementRequest) bool {
-	return p.fitsMemory(now, l, e, req, room.Blocks(req.Prompt.Tokens))
+// fits reports whether the engine has a free slot, and KV memory for the request until its end. Prompts queue
+// for slots at engines that only prefill, and keep their memory until a decode engine takes it.
+func (p *Placer) fits(now time.Time, l load, e *engine, req carawayspread.PlacementRequest, n needs) bool {
+	if e.prefillOnly() {
+		return p.fitsMemory(now, l, e, req, n.prefill)
+	}
+	return l.running < slotsOf(e, req) && p.fitsMemory(now, l, e, req, n.whole)
 }
 
 // fitsMemory reports whether the engine holds that many more tokens, and what peers may be placing there at
@@ -31,14 +33,16 @@
 	if l.running == 0 {
 		return tokens <= memory
 	}
-	if req.Service.Engine.MaxHold == 0 {
+	full := kvCacheLimit * float64(memory)
+	if req.Service.Engine.MaxHold == 0 && float64(l.tokens+tokens) > full/2 {
 		tokens += p.unreportedTokens(now, e)
 	}
-	return float64(l.tokens+tokens) < kvCacheLimit*float64(memory)
+	return float64(l.tokens+tokens) < full
 }
 
 // contested returns the KV memory to reserve at the engine before the request is sent there; zero if it has room
-// for whatever all processes may place there before they know of each other.
+// for whatever all processes may place there before they know of each other: what they place anywhere, and what
+// finds no room yet.
 //
 // When most engines are full, the one that gets room gets the next requests of all processes. A margin that
 // prevents that leaves a quarter of the memory unused; the engine itself can tell who comes first, at the price
@@ -50,7 +54,8 @@
 		return 0
 	}
 	tokens := p.lengths.Tokens(req.Route.Name, req.Prompt)
-	arriving := pool.arriving.Fleet(now, len(p.loads.peers))
+	peers := len(p.loads.peers)
+	arriving := pool.placed.Margin(now, peers) + pool.refused.Fleet(now, peers)
 	if float64(l.tokens+tokens+arriving) < kvCacheLimit*float64(traits.KVTokens) {
 		return 0
 	}
@@ -85,6 +90,9 @@
 		p.unreported[e.hash] = u
 	}
 	u.Report(now, tokens)
+	if pool := p.pools[e.endpoint.Service()]; pool != nil && !e.prefillOnly() {
+		pool.placed.Report(now, tokens)
+	}
 }
 
 // forgetRemoved drops what is known of engines that are not listed any more.
@@ -129,14 +137,21 @@
 }
 
 // noChoice returns the refusal of a request for which there is no engine: because none may take it, or because
-// none of those that may has room.
-func (p *Placer) noChoice(now time.Time, pool *pool, req carawayspread.PlacementRequest) *carawayspread.Error {
+// none of those that may has room. Of the latter it says how long the first event takes once there is room.
+func (p *Placer) noChoice(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	for _, e := range pool.ordered {
-		if !e.prefillOnly() && pool.eligible(now, e, req) {
-			return p.noRoom(pool)
+		if e.prefillOnly() || !pool.eligible(now, e, req) {
+			continue
+		}
+		var at carawayspread.Placement
+		if req.PrefilledBy == "" {
+			cached := int(pool.affinityHitRate * float64(sharedTokens(req.Prompt)))
+			at.TimeToFirstEvent = e.prefillTime(req.Prompt.Tokens, cached, 0) + e.delay
 		}
+		pool.refused.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
+		return at, p.noRoom(pool)
 	}
-	return noEndpoint()
+	return carawayspread.Placement{}, noEndpoint()
 }
 
 // noRoom returns the refusal of a request for which no engine has room. It tells when some is expected: an
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -51,8 +51,9 @@
 	urgency                 urgency
 	// candidateBuffer is the last result of candidates, reused by the next call.
 	candidateBuffer []*engine
-	// arriving is what arrives at this process.
-	arriving room.Unreported
+	// placed is what peers place at engines that decode, and refused what arrives at this process and finds no
+	// room.
+	placed, refused room.Unreported
 	// minGapTarget is the shortest of gapTargets; zero for none.
 	minGapTarget time.Duration
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -27,7 +27,6 @@
 func (p *Placer) placePrompt(now time.Time, pool *pool, req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
 	prefixHashes := req.Prompt.PrefixHashes()
 	pool.observePrompt(req)
-	pool.arriving.Report(now, p.lengths.Tokens(req.Route.Name, req.Prompt))
 	engines := pool.candidates(req, prefixHashes)
 	best, ok := p.best(now, pool, engines, req, prefixHashes)
 	if !ok && len(engines) < len(pool.ordered) {
@@ -35,7 +34,7 @@
 		best, ok = p.best(now, pool, pool.ordered, req, prefixHashes)
 	}
 	if !ok {
-		return carawayspread.Placement{}, p.noChoice(now, pool, req)
+		return p.noChoice(now, pool, req)
 	}
 	if req.PrefilledBy != "" {
 		return carawayspread.Placement{
@@ -71,12 +70,13 @@
 	}
 	q := pool.urgency.of(req.Route.Priority)
 	var best choice
+	need := p.needsOf(req)
 	for e := range rotated(engines, req.Fingerprint) {
 		if !pool.eligible(now, e, req) || e.prefillOnly() && (req.SingleEndpoint || !canDecode) {
 			continue
 		}
 		l := p.load(now, e)
-		if e.prefillOnly() && !p.fitsPrefill(now, l, e, req) || !e.prefillOnly() && !p.fits(now, l, e, req) {
+		if !p.fits(now, l, e, req, need) {
 			continue
 		}
 		e.settle(now, l)
@@ -189,7 +189,7 @@
 	if source := pool.engines[req.PrefilledBy]; source != nil {
 		zone = source.endpoint.Zone()
 	}
-	traits := req.Service.Engine
+	traits, need := req.Service.Engine, p.needsOf(req)
 	var transferTime time.Duration
 	if traits.LinkBitsPerSecond > 0 {
 		transferTime = time.Duration(float64(req.Prompt.Tokens) * float64(traits.KVBytesPerToken) * 8 / float64(traits.LinkBitsPerSecond) * float64(time.Second))
@@ -199,7 +199,7 @@
 			continue
 		}
 		l := p.load(now, e)
-		if !p.fits(now, l, e, req) {
+		if !p.fits(now, l, e, req, need) {
 			continue
 		}
 		first := transferTime + e.stepTime(l.running)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -74,6 +74,8 @@
 	backup           *runBackup              // of the attempt that is carried out; nil if there is none
 	returning        bool                    // the attempt goes to the engine where its run has stopped
 	latest           attemptTrace
+	waited           time.Duration // for room at endpoints
+	waitEnd          string        // how the latest wait ended; empty for none
 }
 
 // attemptTrace is what the log says about how the latest attempt was sent and answered.
@@ -147,7 +149,7 @@
 // attempt sends the request once. It reports whether the request may be retried.
 func (c *call) attempt(ctx context.Context) (retry bool, err error) {
 	clear(c.full)
-	p, at, err := c.placeWithRoom(ctx)
+	p, at, err := c.placeInTurn(ctx)
 	if err != nil {
 		if c.handover != nil {
 			c.singleEndpoint = true
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -39,6 +39,7 @@
 	linkMegabits    float64       // per second
 	maxLateness     time.Duration // of a timer; zero if the processor is not observed
 	descriptors     int64         // that the process may have open; zero if not stated
+	maxWaiting      int           // requests
 	usage           *Usage
 	firstStart      bool
 	backupLinkShare float64 // zero if no copies of running requests are kept
@@ -68,6 +69,7 @@
 	megabyte     = 1 << 20
 	maxGrace     = time.Hour
 	maxWindow    = time.Hour
+	maxWaiting   = 4096
 	// defaultBound is what operators are guaranteed if the settings state no bounds: the shortest
 	// that any user has asked for.
 	defaultBound = 2 * time.Second
@@ -166,7 +168,7 @@
 	if !root.Field("limits").Exists() {
 		return
 	}
-	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness", "descriptors")
+	limits := root.Field("limits").Object("cores", "linkMegabits", "maxLateness", "descriptors", "waiting")
 	s.cores = limits.Need("cores").Number()
 	s.linkMegabits = limits.Need("linkMegabits").Number()
 	if s.cores <= 0 || s.linkMegabits <= 0 {
@@ -178,6 +180,9 @@
 	if descriptors := limits.Field("descriptors"); descriptors.Exists() {
 		s.descriptors = descriptors.Int(minDescriptors, maxDescriptors)
 	}
+	if waiting := limits.Field("waiting"); waiting.Exists() {
+		s.maxWaiting = int(waiting.Int(0, maxWaiting))
+	}
 }
 
 func (s *Settings) readUsage(root document.Node) {
@@ -207,6 +212,9 @@
 // Descriptors returns how many descriptors the process may have open; zero if that is not stated.
 func (s *Settings) Descriptors() int64 { return s.descriptors }
 
+// MaxWaiting returns how many requests of each service may wait for room at engines; zero if none may.
+func (s *Settings) MaxWaiting() int { return s.maxWaiting }
+
 // Capacity returns the capacity of the instance for comparison with other instances: thousandths of
 // a core times megabits per second, so that neither alone decides.
 func (s *Settings) Capacity() uint32 {
