--- a/internal/controller/speedlog/log_test.go
+++ b/internal/controller/speedlog/log_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,14 +20,14 @@
 type table struct {
 	carawayspread.Table
 	item  carawayspread.Item
-	down  bool
+	down  atomic.Bool
 	loses bool // the answer to the next write, which takes effect
 	calls int
 }
 
 func (t *table) Get(ctx context.Context, _ carawayspread.Key) (carawayspread.Item, error) {
 	t.calls++
-	if t.down {
+	if t.down.Load() {
 		<-ctx.Done()
 		return carawayspread.Item{}, ctx.Err()
 	}
@@ -38,7 +39,7 @@
 
 func (t *table) Apply(ctx context.Context, writes ...carawayspread.Write) error {
 	t.calls++
-	if t.down {
+	if t.down.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -101,8 +102,8 @@
 		"saved":                         {func(*table) {}, func(*table) {}, 3},
 		"the answer to a write is lost": {func(tab *table) { tab.loses = true }, func(*table) {}, 3},
 		"down at the start, then up": {func(*table) {}, func(tab *table) {
-			tab.down = true
-			time.AfterFunc(3*time.Second, func() { tab.down = false })
+			tab.down.Store(true)
+			time.AfterFunc(3*time.Second, func() { tab.down.Store(false) })
 		}, 3},
 		"malformed": {func(*table) {}, func(tab *table) { tab.item.Body = json.RawMessage(`{"engines":7}`) }, 0},
 	} {
