Speeds of engines outlive all processes

Cause: processes that all start at once know no engine's speed, and nobody to ask.

Change: speedlog keeps lasting speeds in one item of the table, written by one process when a seventh of the engines have changed, read once at a start; a key names an engine, its start and role, so that one that started again begins anew.

Result: TestSpeedsOutliveAllProcesses, TestUnchangedSpeedsAreWrittenOnce.

--- a/internal/daemon/gatewayd/speeds.go
+++ b/internal/daemon/gatewayd/speeds.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"slices"
 
 	"carawayspread"
+	"carawayspread/internal/controller/speedlog"
 	"carawayspread/internal/process/decisionlog"
 )
 
@@ -11,10 +13,11 @@
 type speedSource interface {
 	carawayspread.SpeedTracker
 	SlowEngines() (passing int, spread float64)
+	KnownSpeeds() []carawayspread.EngineSpeed
 }
 
-// setUpSpeeds exchanges the speeds of engines with peers if the placer estimates them.
-func (d *Daemon) setUpSpeeds() {
+// setUpSpeeds exchanges the speeds of engines with peers, and keeps them in the table, if the placer estimates them.
+func (d *Daemon) setUpSpeeds(ports Ports) {
 	source, ok := d.placer.(speedSource)
 	if !ok {
 		return
@@ -28,6 +31,16 @@
 		_, spread := source.SlowEngines()
 		return spread
 	})
+	if ports.Table != nil {
+		d.speedLog = speedlog.New(ports.Table, source, d.savesSpeeds, d.clock, d.decisionLog)
+	}
+}
+
+// savesSpeeds reports whether this process is the one that saves speeds in the table: the one with the lowest
+// identifier of those that it knows, which may be two for a moment. It also returns their number.
+func (d *Daemon) savesSpeeds() (chosen bool, processes int) {
+	self, all := d.peers.Membership()
+	return len(all) > 0 && self == slices.Min(all), len(all)
 }
 
 // loggedSpeeds logs what this process tells its peers of engines that have become slow or usual again.
