--- a/internal/decision/runmoves/doc.go
+++ b/internal/decision/runmoves/doc.go
@@ -1,5 +1,5 @@
-// Package runmoves decides which running requests move off an engine that leaves, in which order, and when
-// each of them is stopped there to go on elsewhere.
+// Package runmoves decides which running requests move off an engine that leaves or is too slow for them, in
+// which order, and when each of them is stopped there to go on elsewhere.
 //
 // An engine says that it leaves seconds before it ends. A hundred answers run there, some of which last
 // longer; their callers lose what they have, and routes that allow one attempt lose the whole request. The
@@ -11,5 +11,8 @@
 // copy that waited no longer at the link than its caller tolerates between two events, or when little time is
 // left. Where the copy finds no room, or the notice does not suffice, the run stays.
 //
+// An engine may also turn out slow, and long answers end at their time limits there that others would complete.
+// What its events have shown decides, after some of them, and an engine that is expected to be clearly faster.
+//
 // A process that starts knows no runs: those of the one before it ended with their connections.
 package runmoves
