--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -177,11 +177,15 @@
 	}
 }
 
+// log writes how a move has ended. One that found no engine was none, and may be tried by each run several times.
 func (m *runMove) log(step runmoves.Step, took time.Duration) {
 	g := m.c.g
+	g.set.GetOrCreateCounter(`gateway_run_moves_total{step="` + step.String() + `"}`).Inc()
+	if m.at.Endpoint.ID() == "" {
+		return
+	}
 	g.log.Write(decisionlog.Start("move").Text("id", m.c.metadata.ID).Text("from", string(m.from.ID())).
 		Text("to", string(m.at.Endpoint.ID())).Text("step", step.String()).Ms("tookMs", took))
-	g.set.GetOrCreateCounter(`gateway_run_moves_total{step="` + step.String() + `"}`).Inc()
 }
 
 // copyRun copies the run while it goes on, until it may be stopped. It returns any other step that ends the
