Placement: roles follow proven speeds

Change: roles are planned with the slowdown that many measurements show, and without slowness that passes.

Result: TestRolesFollowProvenSpeeds.

--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -133,10 +133,11 @@
 }
 
 // toleratesPrefill reports whether the engine's answers keep the gap limit however many prompts are
-// prefilled beside them.
+// prefilled beside them, but for times when the engine is slower than usual: roles follow it.
 func (pool *pool) toleratesPrefill(e *engine, running int) bool {
 	limit := pool.gapLimit()
-	return limit == 0 || e.eventGap(running, pool.tokensPerEvent, time.Hour, int(pool.meanPromptTokens)) <= limit
+	passing := time.Duration(pool.tokensPerEvent) * (e.stepTime(running) - time.Duration(float64(e.stepTime(running))/e.speed.passing))
+	return limit == 0 || e.eventGap(running, pool.tokensPerEvent, time.Hour, int(pool.meanPromptTokens))-passing <= limit
 }
 
 // disaggregated reports whether most engines that decode do not tolerate prefill.
@@ -164,9 +165,6 @@
 // engines. With the initial values they would look faster than they are and get all requests.
 func (pool *pool) seedUnlearned() {
 	median, known := pool.medianSlowdown(true)
-	if scale, measured := pool.prefillScale(); measured {
-		median, known = scale, true
-	}
 	disaggregated := pool.disaggregated()
 	sources := map[bool]*engine{} // one engine with measurements for each role
 	for _, e := range pool.ordered {
--- a/internal/decision/placement/queue_test.go
+++ b/internal/decision/placement/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -90,3 +91,25 @@
 	}
 	qt.Check(t, ratio > 2.2, qt.IsTrue, qt.Commentf("%.2f times slower", ratio))
 }
+
+// Prompts found too few decode engines for half a minute: the first answers of a peak, which had waited for
+// prompts that were not known yet, made all engines look slower than they are, and a third of the fleet
+// changed its role. Roles follow a speed that many measurements show.
+func TestRolesFollowProvenSpeeds(t *testing.T) {
+	for name, c := range map[string]struct {
+		measurements float64
+		least, most  float64 // of the part of the slowdown that roles follow, as a power of it
+	}{
+		"the first answer":  {1, 0, 0.15},
+		"many measurements": {200, 0.9, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReplay("estimate", true, 1, 1, 1)
+			p := r.placers[0].(*Placer)
+			e := p.pools["s"].engines["w0"]
+			p.LearnSpeeds([]carawayspread.EngineSpeed{{Engine: e.speed.key, Prefill: carawayspread.SpeedShare{Ratio: 0.8, Weight: c.measurements}}}, 1)
+			power := math.Log(p.pools["s"].provenSlowdown(e)) / math.Log(e.slowdown)
+			qt.Check(t, power >= c.least && power <= c.most, qt.IsTrue, qt.Commentf("%.2f of %.2f", power, e.slowdown))
+		})
+	}
+}
--- a/internal/decision/placement/speeds.go
+++ b/internal/decision/placement/speeds.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"math"
 	"slices"
 	"time"
 
@@ -173,28 +172,6 @@
 	return enginespeed.Prior{Ratio: ratio, Weight: 1 / float64(max(1, p.processes))}
 }
 
-// minScaleEngines is how many engines must have been measured to tell how long prefills take at all.
-const minScaleEngines = 3
-
-// prefillScale returns the median of what has been measured of prefill engines, relative to their nominal
-// time, if enough have been.
-//
-// The nominal time is that of other engines. Until each had answered some prompts, engines that no answer
-// had come from looked twice as fast as those that one had, and got the next prompts.
-func (pool *pool) prefillScale() (scale float64, known bool) {
-	var measured []float64
-	for _, e := range pool.ordered {
-		if ratio, known := e.speed.prefill.Measured(); known && e.prefillOnly() {
-			measured = append(measured, ratio)
-		}
-	}
-	if len(measured) < minScaleEngines {
-		return 1, false
-	}
-	slices.Sort(measured)
-	return math.Exp(measured[len(measured)/2]), true
-}
-
 // updatePriors sets the medians of the engines that something is known of, and lets slowness pass.
 func (pool *pool) updatePriors(now time.Time) {
 	pool.priors.prefill, _ = pool.medianSlowdown(true)
