placement: queues by what has no answer yet, waits by urgency, speeds of the fleet

Queues were counted down by expected times, so that slow engines looked idle; urgent prompts, which engines prefill first, came back early and made queues seem shorter; what was learned of an engine was forgotten before its next answer. Change: the end of a prefill engine's queue is corrected by the prefills of all processes that have no answer; a prompt waits for what is as urgent; speeds are measured against all that an engine had to do, and exchanged. An engine that starts again or changes its role begins anew. Roles follow speeds that many measurements show, and no slowness that passes.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -153,6 +153,7 @@
 	d.peers.SetRefusalTracker(d.gateway)
 	d.peers.SetCrashTracker(d.gateway)
 	d.peers.SetPartTracker(d.gateway)
+	d.setUpSpeeds()
 	d.setUpRoleController(ports)
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
--- a/internal/decision/enginespeed/estimate.go
+++ b/internal/decision/enginespeed/estimate.go
@@ -90,14 +90,6 @@
 	return math.Exp(slowness)
 }
 
-// Measured returns the mean of the logarithms of the measurements alone.
-func (e *Estimate) Measured() (ratio float64, known bool) {
-	if e.weight <= 0 {
-		return 0, false
-	}
-	return e.ratios / e.weight, true
-}
-
 // Known reports whether there is any evidence of the lasting speed.
 func (e *Estimate) Known() bool { return e.weight > 0 }
 
--- a/internal/decision/placement/pool.go
+++ b/internal/decision/placement/pool.go
@@ -46,6 +46,8 @@
 	// lastDecayed is when learned values last decayed, and lastSeeded when engines without
 	// measurements last received values of others.
 	lastDecayed, lastSeeded time.Time
+	priors                  priors
+	urgency                 urgency
 	// candidateBuffer is the last result of candidates, reused by the next call.
 	candidateBuffer []*engine
 	// minGapTarget is the shortest of gapTargets; zero for none.
@@ -87,11 +89,12 @@
 	}
 	pool.lastDecayed = now
 	pool.seedUnlearned()
+	pool.updatePriors(now)
 	for _, prefillOnly := range []bool{true, false} {
 		median, _ := pool.medianSlowdown(prefillOnly)
 		for _, e := range pool.ordered {
 			if e.prefillOnly() == prefillOnly {
-				e.decay(now, median)
+				e.decay(now, median, pool.priors)
 			}
 		}
 	}
@@ -126,10 +129,11 @@
 }
 
 // toleratesPrefill reports whether the engine's answers keep the gap limit however many prompts are
-// prefilled beside them.
+// prefilled beside them, but for times when the engine is slower than usual: roles follow it.
 func (pool *pool) toleratesPrefill(e *engine, running int) bool {
 	limit := pool.gapLimit()
-	return limit == 0 || e.eventGap(running, pool.tokensPerEvent, time.Hour, int(pool.meanPromptTokens)) <= limit
+	passing := time.Duration(pool.tokensPerEvent) * (e.stepTime(running) - time.Duration(float64(e.stepTime(running))/e.speed.passing))
+	return limit == 0 || e.eventGap(running, pool.tokensPerEvent, time.Hour, int(pool.meanPromptTokens))-passing <= limit
 }
 
 // disaggregated reports whether most engines that decode do not tolerate prefill.
