soak: callers that do not name the stream they take up, and firstStart in all settings

Change: a quarter of the streams that are taken up name nothing; they are held to one version like all others, and are left out of the share that must go on. Gateways restart with firstStart.

--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -159,7 +159,7 @@
 		settings := filepath.Join(dir, name+".jsonc")
 		text := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
 "store":%q,"seeds":[%s],"grace":"%v","memoryMegabytes":%d,"promises":{"leaving":"%v","inForce":"%v"},
-"retries":{"ratio":%g,"slack":%d,"window":"%v"}}
+"retries":{"ratio":%g,"slack":%d,"window":"%v"},"firstStart":true}
 `, name, own[0], own[1], own[2], own[3], storeRelay.Address(), strings.Join(seeds, ","), grace, memoryMegabytes, drainBound, drainBound, retryRatio, retrySlack, retryWindow)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return trace.ConvertSystemError(err)
--- a/internal/soak/history/builds.go
+++ b/internal/soak/history/builds.go
@@ -108,7 +108,7 @@
 }
 
 // checkResumptions: where processes run without a fault, and two workers of their version serve, streams
-// that callers take up go on at least half as often as new ones begin.
+// that callers name and take up go on at least half as often as new ones begin.
 func (h *History) checkResumptions() []string {
 	versionOf := map[string]string{}
 	for _, a := range h.answers {
@@ -127,7 +127,7 @@
 			if began(a) {
 				fresh++
 			}
-		case a.After < worker.Events && h.serving(versionOf[a.Resumes], a.SentAt, a.EndedAt) >= minServing:
+		case !a.Unnamed && a.After < worker.Events && h.serving(versionOf[a.Resumes], a.SentAt, a.EndedAt) >= minServing:
 			taken++
 			if began(a) {
 				went++
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -58,6 +58,7 @@
 	Part            string // the second part of the prompt of a stream, if it is not the common one
 	Resumes         string // the attempt that began the stream which this one takes up; empty if none
 	After           int    // the last event that the caller had
+	Unnamed         bool   // the request did not name the attempt that it resumes
 	Err             error  // why there is no response, or why its body is incomplete
 }
 
@@ -102,9 +103,14 @@
 	return a
 }
 
-// Resume takes up a stream that broke, under a new id. tries are the attempts so far, the first one first.
+// unnamedShare is the reciprocal of the share of streams that are taken up without a word of which they are.
+const unnamedShare = 4
+
+// Resume takes up a stream that broke, under a new id. tries are the attempts so far, the first one first. Some
+// callers do not name it.
 func (c *Caller) Resume(ctx context.Context, id string, tries []Answer) Answer {
 	a := Answer{ID: id, Kind: Stream, Resumes: tries[0].ID, SentAt: time.Now()}
+	a.Unnamed = crc32.ChecksumIEEE([]byte(id))%unnamedShare == 0
 	for _, try := range tries {
 		a.After = max(a.After, try.LastEvent())
 	}
@@ -144,7 +150,9 @@
 		req.Header.Set("Carawayspread-Prefix-Hash", fmt.Sprintf("%s:300,%s:300,%x:300", firstPart, cmp.Or(a.Part, commonPart), crc32.ChecksumIEEE([]byte(text))))
 	}
 	if a.Resumes != "" {
-		req.Header.Set("Resumes", a.Resumes)
+		if !a.Unnamed {
+			req.Header.Set("Resumes", a.Resumes)
+		}
 		req.Header.Set("Last-Event-Id", strconv.Itoa(a.After))
 	}
 	resp, err := c.client.Do(req)
