Gateway: a second attempt beside a slow first one, where operators ask for it

Change: setting hedging.share. Plain requests that may be repeated; paid by this process's share of the retry budget; the first answer is delivered, the other attempt is cancelled at once. Off without the setting.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -149,7 +149,8 @@
 		gateway.WithPartReporters(d.peers.BroadcastPartCrashes, d.peers.BroadcastPartsAnswered),
 		gateway.WithTrials(d.claimTrial),
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
-		gateway.WithEndpointProber(ports.Prober))
+		gateway.WithEndpointProber(ports.Prober),
+		gateway.WithHedging(newHedging(s.HedgingShare(), clock)))
 	d.peers.SetRefusalTracker(d.gateway)
 	d.peers.SetCrashTracker(d.gateway)
 	d.peers.SetPartTracker(d.gateway)
--- a/internal/daemon/gatewayd/retries.go
+++ b/internal/daemon/gatewayd/retries.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"carawayspread"
 	"carawayspread/internal/controller/retryclaims"
 	"carawayspread/internal/decision/fleetbudget"
+	"carawayspread/internal/decision/hedging"
 )
 
 // claimedFraction is the part of the slack of the retry budget that is claimed in the table. The other part goes
@@ -22,3 +24,11 @@
 	claimer := retryclaims.New(ports.Table, ports.StoreTime, clock, d.decisionLog, fleetbudget.UsedFraction*limits.Claimed, limits.Window, d.peers.FleetSize)
 	return limits, claimer.Claim
 }
+
+// newHedging returns nil if no request is to get a second attempt while the first one runs.
+func newHedging(share float64, clock carawayspread.Clock) *hedging.Hedging {
+	if share == 0 {
+		return nil
+	}
+	return hedging.New(clock, share, rand.Float64())
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -159,7 +159,17 @@
 	attemptCtx, stop := c.watchStall(ctx, at, tracker, c.route.Retry == carawayspread.RetryIdempotent && c.ran+1 < c.route.MaxAttempts)
 	defer stop()
 	sentAt := c.g.clock.Now()
-	reply, err := c.send(attemptCtx, at, phase)
+	var reply *carawayspread.Reply
+	var hedged *racer // nil if no second attempt may run beside this one
+	if c.mayHedge() {
+		hedged = c.sendHedged(ctx, attemptCtx, &racer{at: at, tracker: tracker})
+		defer hedged.cancel()
+		attemptCtx = hedged.ctx
+		at, tracker, sentAt, reply, err = hedged.at, hedged.tracker, hedged.sentAt, hedged.reply, hedged.err
+		hedged.settle()
+	} else {
+		reply, err = c.send(attemptCtx, at, phase)
+	}
 	switch {
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome = c.recordUnsent(ctx, at)
@@ -183,6 +193,9 @@
 	c.sends++
 	kind := c.classify(reply, phase)
 	c.recordFeedback(at, reply, kind, sentAt)
+	if hedged != nil {
+		c.hedged(hedged, kind)
+	}
 	if kind == carawayspread.ReplyAnswer || kind == carawayspread.ReplyNotRun {
 		c.g.endpointAnsweredOver(at.Endpoint.ID(), sentAt, reply.ConnectedAt)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"carawayspread/internal/decision/authentication"
 	"carawayspread/internal/decision/backpressure"
 	"carawayspread/internal/decision/fleetbudget"
+	"carawayspread/internal/decision/hedging"
 	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/decision/rejections"
@@ -81,6 +82,7 @@
 	running             atomic.Int64
 	held                atomic.Int64                 // bytes of answers that are held in memory
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
+	hedging             *hedging.Hedging             // nil if no request gets a second attempt while the first one runs
 	origins             *origin.Origins
 	peerOrigins         carawayspread.PeerOrigins
 
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -18,8 +18,8 @@
 	return carawayspread.OutcomeUnreachable
 }
 
-// send sends one attempt to its endpoint.
-func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
+// outbound returns one attempt as it is sent now.
+func (c *call) outbound(at carawayspread.Placement, phase carawayspread.Phase) carawayspread.Outbound {
 	h := endToEnd(c.r.Header)
 	if c.routing.Keyring() != nil {
 		bearer.Strip(h)
@@ -34,11 +34,17 @@
 	}
 	c.g.protocol.SetAttemptHeaders(h, attempt)
 	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
-	c.beginRetry()
-	reply, err := c.g.transport.Send(ctx, at.Endpoint, carawayspread.Outbound{
+	return carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
 		Proceed: func() bool { return c.g.takesRequests(at.Endpoint) },
-	})
+	}
+}
+
+// send sends one attempt to its endpoint.
+func (c *call) send(ctx context.Context, at carawayspread.Placement, phase carawayspread.Phase) (*carawayspread.Reply, error) {
+	out := c.outbound(at, phase)
+	c.beginRetry()
+	reply, err := c.g.transport.Send(ctx, at.Endpoint, out)
 	c.endRetry(err)
 	if err == nil {
 		c.latest.reply, c.latest.echoedID = reply, c.g.protocol.EchoedID(reply)
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -39,6 +39,7 @@
 	linkMegabits    float64       // per second
 	maxLateness     time.Duration // of a timer; zero if the processor is not observed
 	usage           *Usage
+	hedgingShare    float64
 	firstStart      bool
 }
 
@@ -66,6 +67,8 @@
 	megabyte     = 1 << 20
 	maxGrace     = time.Hour
 	maxWindow    = time.Hour
+	// maxHedgingShare bounds what operators may add to the load of endpoints.
+	maxHedgingShare = 0.1
 	// defaultBound is what operators are guaranteed if the settings state no bounds: the shortest
 	// that any user has asked for.
 	defaultBound = 2 * time.Second
@@ -93,7 +96,7 @@
 		digest: digest(body), placement: "estimate", rolePolicy: RolesBalanced, cores: defaultCores, linkMegabits: defaultLinkMegabits,
 		bounds: zonereader.Bounds{Drain: defaultBound, ConfigApply: defaultBound},
 	}
-	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits", "usage", "firstStart")
+	root := document.Parse(name, body).Object("instance", "addresses", "store", "seeds", "grace", "memoryMegabytes", "retries", "placement", "rolePolicy", "promises", "limits", "usage", "firstStart", "hedging")
 	instance := root.Need("instance").Object("id", "zone")
 	s.id = instance.Need("id").Text()
 	s.zone = instance.Need("zone").Text()
@@ -128,6 +131,7 @@
 	s.readBounds(root)
 	s.readLimits(root)
 	s.readUsage(root)
+	s.readHedging(root)
 	if err := root.Err(); err != nil {
 		return nil, err
 	}
@@ -182,6 +186,20 @@
 	s.usage = &Usage{address: address, windows: carawayspread.NewUsageWindows(max(length, time.Second), due)}
 }
 
+func (s *Settings) readHedging(root document.Node) {
+	if !root.Field("hedging").Exists() {
+		return
+	}
+	hedging := root.Field("hedging").Object("share")
+	s.hedgingShare = hedging.Need("share").Number()
+	if s.hedgingShare < 0 || s.hedgingShare > maxHedgingShare {
+		hedging.Fail("share must be from 0 to %v", maxHedgingShare)
+	}
+}
+
+// HedgingShare returns the share of requests that may get a second attempt while the first one runs.
+func (s *Settings) HedgingShare() float64 { return s.hedgingShare }
+
 // Usage returns where and when usage is reported; nil if it is not.
 func (s *Settings) Usage() *Usage { return s.usage }
 
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -48,6 +48,9 @@
 		"no capacity":          {`"store"`, `"limits": {"cores": 0, "linkMegabits": 20}, "store"`, `limits: cores and linkMegabits must be positive`},
 		"incomplete promises":  {`"store"`, `"promises": {"leaving": "2s"}, "store"`, `promises.inForce: missing`},
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
+		"hedging of too much":  {`"store"`, `"hedging": {"share": 0.2}, "store"`, `hedging: share must be from 0 to 0.1`},
+		"hedging of less":      {`"store"`, `"hedging": {"share": -0.1}, "store"`, `hedging: share must be from 0 to 0.1`},
+		"hedging of nothing":   {`"store"`, `"hedging": {}, "store"`, `hedging.share: missing`},
 		"invalid seed address": {`["10.0.0.2:3"]`, `["x"]`, `seeds[0]: must be an IP number and port`},
 	} {
 		t.Run(name, func(t *testing.T) {
