--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -161,7 +161,8 @@
 		gateway.WithReconnect(func() bool { return d.connLimit.Reconnect() }),
 		gateway.WithRunMoves(runmoves.New(clock, s.Bounds().Drain), ports.Mover),
 		gateway.WithRunBackups(d.newRunBackups()),
-		gateway.WithEndpointProber(ports.Prober))
+		gateway.WithEndpointProber(ports.Prober),
+		gateway.WithHedging(newHedging(s.HedgingShare(), clock)))
 	d.setUpPeers()
 	d.setUpSpeeds(ports)
 	d.setUpRoleController(ports)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -180,7 +180,17 @@
 	attemptCtx, stopWatch := c.watchSilence(attemptCtx, at.Endpoint)
 	defer stopWatch()
 	sentAt := c.g.clock.Now()
-	reply, err := c.send(attemptCtx, at, phase)
+	var reply *carawayspread.Reply
+	var hedged *racer // nil if no second attempt may run beside this one
+	if c.mayHedge() {
+		hedged = c.sendHedged(ctx, attemptCtx, &racer{at: at, tracker: tracker})
+		defer hedged.cancel()
+		attemptCtx = hedged.ctx
+		at, tracker, sentAt, reply, err = hedged.at, hedged.tracker, hedged.sentAt, hedged.reply, hedged.err
+		hedged.settle()
+	} else {
+		reply, err = c.send(attemptCtx, at, phase)
+	}
 	if !errors.Is(err, carawayspread.ErrUnsent) {
 		c.reservation = "" // it is used, or ends by itself
 	}
@@ -208,6 +218,9 @@
 	c.sends++
 	kind := c.classify(reply, phase)
 	c.recordFeedback(at, reply, kind, sentAt)
+	if hedged != nil {
+		c.hedged(hedged, kind)
+	}
 	if kind == carawayspread.ReplyAnswer || kind == carawayspread.ReplyNotRun {
 		c.g.endpointAnsweredOver(at.Endpoint.ID(), sentAt, reply.ConnectedAt)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"carawayspread/internal/decision/authentication"
 	"carawayspread/internal/decision/backpressure"
 	"carawayspread/internal/decision/fleetbudget"
+	"carawayspread/internal/decision/hedging"
 	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/quarantine"
 	"carawayspread/internal/decision/rejections"
@@ -87,6 +88,7 @@
 	maxAllHeld          int64                        // bound of held
 	readAhead           *readahead.Budget            // of streams whose callers read slowly
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
+	hedging             *hedging.Hedging             // nil if no request gets a second attempt while the first one runs
 	origins             *origin.Origins
 	peerOrigins         carawayspread.PeerOrigins
 	moves               *runmoves.Moves // nil if no runs move
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -59,6 +59,9 @@
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
 		"share of the links":   {`"store"`, `"runBackups": {"linkShare": 1.5}, "store"`, `runBackups: linkShare must be above 0 and at most 1`},
 		"no share":             {`"store"`, `"runBackups": {}, "store"`, `runBackups.linkShare: missing`},
+		"hedging of too much":  {`"store"`, `"hedging": {"share": 0.2}, "store"`, `hedging: share must be from 0 to 0.1`},
+		"hedging of less":      {`"store"`, `"hedging": {"share": -0.1}, "store"`, `hedging: share must be from 0 to 0.1`},
+		"hedging of nothing":   {`"store"`, `"hedging": {}, "store"`, `hedging.share: missing`},
 		"invalid seed address": {`["10.0.0.2:3"]`, `["x"]`, `seeds[0]: must be an IP number and port`},
 	} {
 		t.Run(name, func(t *testing.T) {
