--- a/internal/daemon/gatewayd/usage.go
+++ b/internal/daemon/gatewayd/usage.go
@@ -28,7 +28,7 @@
 	ledger    *usage.Ledger
 	publisher *usagepublisher.Publisher
 	reporter  *usagereporter.Reporter
-	witnesses *leasewitnesses.Witnesses
+	witnesses *leasewitnesses.Witnesses             // nil if reports wait while the table is silent
 	keyring   atomic.Pointer[carawayspread.Keyring] // whose workspace names the ledger has
 }
 
@@ -43,19 +43,23 @@
 		maxIsolation = time.Minute // without a revocation bound, an isolated process keeps serving
 	}
 	ledger := usage.New(d.peers.ID())
-	witnesses := leasewitnesses.New(d.peers, carawayspread.UptimeClock(ports.Uptime, d.clock), usagereporter.ActingLimit)
-	d.peers.SetWitnessReceiver(witnesses)
-	d.gateway.Metrics().NewGauge("gateway_usage_witnesses", func() float64 { return float64(witnesses.Named()) })
+	deps := usagereporter.Deps{
+		Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
+		SyncedTime: d.syncedClock.Now, Workspaces: d.workspaces, MaxIsolation: maxIsolation,
+		Backoff: backoff.New(d.clock, reportRetryBase, reportRetryLimit),
+		Clock:   d.clock, Log: d.decisionLog, Metrics: d.gateway.Metrics(),
+	}
 	d.usage = &usageAccounting{
-		windows: s.Windows(), ledger: ledger, witnesses: witnesses,
+		windows: s.Windows(), ledger: ledger,
 		publisher: usagepublisher.New(ledger, d.peers, s.Windows(), d.syncedClock.Now, d.clock),
-		reporter: usagereporter.New(d.settings.ID(), s.Windows(), usagereporter.Deps{
-			Ledger: ledger, Fleet: d.peers, Sink: ports.Usage, Table: ports.Table, Uptime: ports.Uptime,
-			SyncedTime: d.syncedClock.Now, Workspaces: d.workspaces, MaxIsolation: maxIsolation, Witnesses: witnesses,
-			Backoff: backoff.New(d.clock, reportRetryBase, reportRetryLimit),
-			Clock:   d.clock, Log: d.decisionLog, Metrics: d.gateway.Metrics(),
-		}),
 	}
+	if s.ThroughSilence() {
+		witnesses := leasewitnesses.New(d.peers, carawayspread.UptimeClock(ports.Uptime, d.clock), usagereporter.ActingLimit)
+		d.peers.SetWitnessReceiver(witnesses)
+		d.gateway.Metrics().NewGauge("gateway_usage_witnesses", func() float64 { return float64(witnesses.Named()) })
+		d.usage.witnesses, deps.Witnesses = witnesses, witnesses
+	}
+	d.usage.reporter = usagereporter.New(d.settings.ID(), s.Windows(), deps)
 }
 
 // runUsage publishes and reports usage until the returned functions are called. stopReports has this
@@ -74,8 +78,10 @@
 		defer close(left)
 		_ = d.usage.reporter.Run(reports) // ends only when it has left or its context has ended
 	})
-	running.Go(func() { _ = d.usage.witnesses.Run(counts) }) // these end only when their context does
-	running.Go(func() { _ = d.usage.publisher.Run(counts) })
+	running.Go(func() { _ = d.usage.publisher.Run(counts) }) // ends only when its context does
+	if w := d.usage.witnesses; w != nil {
+		running.Go(func() { _ = w.Run(counts) })
+	}
 	end := d.clock.Now()
 	stopReports = sync.OnceFunc(func() {
 		end = d.clock.Now().Add(time.Duration(graceForRequests * float64(d.settings.Grace())))
--- a/internal/version/gatewaysettings/settings.go
+++ b/internal/version/gatewaysettings/settings.go
@@ -48,13 +48,18 @@
 
 // Usage states where and when the usage of workspaces is reported.
 type Usage struct {
-	address string // IP address and port
-	windows carawayspread.UsageWindows
+	address        string // IP address and port
+	windows        carawayspread.UsageWindows
+	throughSilence bool
 }
 
 // Address returns the IP address and port that receive the reports.
 func (u *Usage) Address() string { return u.address }
 
+// ThroughSilence reports whether the process that reports goes on while the table is silent, by promises of other
+// processes.
+func (u *Usage) ThroughSilence() bool { return u.throughSilence }
+
 // Windows returns the usage windows and when their reports are due.
 func (u *Usage) Windows() carawayspread.UsageWindows { return u.windows }
 
@@ -193,11 +198,14 @@
 	if !root.Field("usage").Exists() {
 		return
 	}
-	usage := root.Field("usage").Object("address", "window", "due")
+	usage := root.Field("usage").Object("address", "window", "due", "throughSilence")
 	address := usage.Need("address").Address()
 	length := usage.Need("window").Duration(time.Second, maxWindow)
 	due := usage.Need("due").Duration(time.Second, maxWindow)
 	s.usage = &Usage{address: address, windows: carawayspread.NewUsageWindows(max(length, time.Second), due)}
+	if through := usage.Field("throughSilence"); through.Exists() {
+		s.usage.throughSilence = through.Bool()
+	}
 }
 
 func (s *Settings) readHedging(root document.Node) {
--- a/internal/version/gatewaysettings/settings_test.go
+++ b/internal/version/gatewaysettings/settings_test.go
@@ -40,6 +40,11 @@
 	s, err = Parse("gateway.jsonc", []byte(strings.Replace(validSettings, `"store"`, `"runBackups": {"linkShare": 0.05}, "store"`, 1)))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.BackupLinkShare(), qt.Equals, 0.05)
+
+	s, err = Parse("gateway.jsonc", []byte(strings.Replace(validSettings, `"store"`,
+		`"usage": {"address": "10.0.0.3:1", "window": "5s", "due": "10s", "throughSilence": true}, "store"`, 1)))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Usage().ThroughSilence(), qt.IsTrue)
 }
 
 // An invalid file must be refused with every fault and its position in one error.
@@ -54,6 +59,7 @@
 		"lateness":             {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "maxLateness": "2s"}, "store"`, `limits.maxLateness: `},
 		"descriptors":          {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "descriptors": 3}, "store"`, `limits.descriptors: `},
 		"waiting":              {`"store"`, `"limits": {"cores": 1, "linkMegabits": 20, "waiting": -1}, "store"`, `limits.waiting: `},
+		"through silence":      {`"store"`, `"usage": {"address": "10.0.0.3:1", "window": "5s", "due": "10s", "throughSilence": 1}, "store"`, `usage.throughSilence: `},
 		"no capacity":          {`"store"`, `"limits": {"cores": 0, "linkMegabits": 20}, "store"`, `limits: cores and linkMegabits must be positive`},
 		"incomplete promises":  {`"store"`, `"promises": {"leaving": "2s"}, "store"`, `promises.inForce: missing`},
 		"bound too short":      {`"store"`, `"promises": {"leaving": "2s", "inForce": "1ms"}, "store"`, `promises.inForce: must be`},
