Check of routes: the platform's folder only decodes

Cause: platform/catalog imported the checks and the reader of documents, which the drawing of areas does not allow.

Change: the format of a configuration is a type of the root; routingcheck reads with it.

--- a/cmd/gateway/checkroutes.go
+++ b/cmd/gateway/checkroutes.go
@@ -83,11 +83,11 @@
 
 // checkRoutes prints what the check of a configuration finds, and returns the exit code.
 func checkRoutes(w io.Writer, name string, body, inForce []byte) int {
-	draft, unreadable := catalog.Draft(name, body)
+	draft, unreadable := routingcheck.Read(name, body, catalog.Format())
 	found := routingcheck.Check(draft)
 	found.Errors = append(unreadable, found.Errors...)
 	if inForce != nil {
-		before, _ := catalog.Draft("in force", inForce)
+		before, _ := routingcheck.Read("in force", inForce, catalog.Format())
 		if draft.Version <= before.Version && draft.Version > 0 {
 			found.Errors.Add(draft.Place(), "version %d is not newer than %d, which is in force", draft.Version, before.Version)
 		}
