--- a/route.go
+++ b/route.go
@@ -67,14 +67,9 @@
 	// BacksUpRuns says that engines copy the KV memory of a running request to another engine as it
 	// grows, so that the request goes on there after a crash.
 	BacksUpRuns bool
-	// HandleTime is how long an engine keeps a KV cache that nobody takes; zero if unknown.
-	HandleTime time.Duration
 	// MaxHold is the longest reservation of a slot and KV memory that engines accept; zero if they take
 	// none.
 	MaxHold time.Duration
-	// MaxPin is the longest time that engines keep the KV memory of a complete request on demand; zero if
-	// they do not.
-	MaxPin time.Duration
 }
 
 // RoutedService is a service that routes refer to.
