--- a/review/.standin/drain.go
+++ b/review/.standin/drain.go
@@ -19,7 +19,6 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 const (
-	drainMemory  = 184
 	drainCallers = 10
 	drainStep    = 25 * time.Millisecond
 	drainGrace   = 8 * time.Second
@@ -60,7 +59,7 @@
 		workers = append(workers, w)
 		check(store.PutServer(w.id, rows.Server{Service: "huvo11a", Address: w.address(), Zone: "bogota-norte", Slots: 64, State: "ready", Seq: i + 1}))
 	}
-	gateways := newGateways(r, temporary, address, "bogota-norte", 2, drainMemory)
+	gateways := newGateways(r, temporary, address, "bogota-norte", 2, smallFrontOfGrown)
 	awaitReady(gateways)
 	time.Sleep(4 * time.Second) // in touch
 	prompt := []string{"Carawayspread-Model: m", "Carawayspread-Token-Count: 628,80"}
--- a/review/.standin/idle.go
+++ b/review/.standin/idle.go
@@ -11,7 +11,7 @@
 	"carawayspread/internal/standin/rows"
 )
 
-// idleManifest has a route, timeouts and limits of toponimia-co, under other names.
+// idleManifest has a route, timeouts and limits of toponimia-co-grown, under other names.
 const idleManifest = `{"version":7,
  "routes":[
   {"name":"spelling-match","host":"ficu95.example","prefix":"/lohu930/","kind":"stream","timeout_ms":2500,"target_latency_ms":400,"target_gap_ms":300,"priority":0,"service":"huvo11a","max_attempts":1}],
@@ -19,8 +19,7 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
 const (
-	idleMemory = 284
-	// idlePerSecond are the requests of the zone bogota-centro, which has one front: each of another consumer.
+	// idlePerSecond are requests of the zone bogota-centro at one front, each of another consumer.
 	idlePerSecond = 63
 	idleTime      = 50 * time.Second
 	// idleContact is contact_ms of the page that has the rule, idleTries the consumers that it asks for.
@@ -48,7 +47,7 @@
 		w := newWorker(r, fmt.Sprintf("i-%02d", i), 2, 30*time.Millisecond)
 		check(store.PutServer(w.id, rows.Server{Service: "huvo11a", Address: w.address(), Zone: "bogota-centro", Slots: 64, State: "ready", Seq: i + 1}))
 	}
-	front := newGateways(r, temporary, address, "bogota-centro", 1, idleMemory)[0]
+	front := newGateways(r, temporary, address, "bogota-centro", 1, smallFrontOfGrown)[0]
 	awaitReady([]*gateway{front})
 	start := time.Now()
 	end := start.Add(idleTime)
--- a/review/.standin/memory.go
+++ b/review/.standin/memory.go
@@ -19,9 +19,8 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":5000,"idle_timeout_ms":30000}}`
 
 const (
-	memoryGateways  = 2
-	memoryMegabytes = 284
-	memoryWorkers   = 18
+	memoryGateways = 2
+	memoryWorkers  = 18
 	// steadyCallers send ordinary streams over kept channels, at each gateway: 70 streams of the sheet a second,
 	// each of about three seconds, are some 60 at each of four gateways.
 	steadyCallers = 60
@@ -52,7 +51,7 @@
 		workers = append(workers, w)
 		check(store.PutServer(w.id, rows.Server{Service: "huvo11a", Address: w.address(), Zone: "bogota-norte", Slots: 64, State: "ready", Seq: i + 1}))
 	}
-	gateways := newGateways(r, temporary, address, "bogota-norte", memoryGateways, memoryMegabytes)
+	gateways := newGateways(r, temporary, address, "bogota-norte", memoryGateways, frontOfToponimia)
 	awaitReady(gateways)
 	start := time.Now()
 	end := start.Add(memoryTime)
--- a/review/.standin/stage.go
+++ b/review/.standin/stage.go
@@ -98,7 +98,21 @@
 	started   []*gateway
 )
 
-// settingsText is deploy/gateway.jsonc.tmpl as the platform fills it in for a front of toponimia-co.
+// machine is what the settings of a front say of its site.
+type machine struct {
+	memoryMegabytes   int
+	cores, linkMbps   float64
+	drainMs, configMs int
+	budgetSlack       int
+}
+
+// frontOfToponimia is the front of toponimia-co, smallFrontOfGrown the small one of toponimia-co-grown.
+var (
+	frontOfToponimia  = machine{memoryMegabytes: 284, cores: 0.304, linkMbps: 1000, drainMs: 2000, configMs: 2000, budgetSlack: 54}
+	smallFrontOfGrown = machine{memoryMegabytes: 184, cores: 0.144, linkMbps: 10, drainMs: 3000, configMs: 3000, budgetSlack: 102}
+)
+
+// settingsText is deploy/gateway.jsonc.tmpl as the platform fills it in.
 const settingsText = `{
   "instance": { "id": %q, "zone": %q },
   "addresses": { "listen": %q, "health": %q, "peer": %q, "metrics": %q },
@@ -107,13 +121,13 @@
   "firstStart": true,
   "grace": "8s",
   "memoryMegabytes": %d,
-  "limits": { "cores": 0.304, "linkMegabits": 1000.0, "descriptors": 4100, "maxLateness": "50ms", "waiting": 64 },
-  "promises": { "leaving": "2000ms", "inForce": "2000ms" },
-  "retries": { "ratio": 0.2, "slack": 54, "window": "10s" }
+  "limits": { "cores": %g, "linkMegabits": %g, "descriptors": 4100, "maxLateness": "50ms", "waiting": 64 },
+  "promises": { "leaving": "%dms", "inForce": "%dms" },
+  "retries": { "ratio": 0.2, "slack": %d, "window": "10s" }
 }
 `
 
-func newGateways(r *record, dir, store, zone string, n, memoryMegabytes int) []*gateway {
+func newGateways(r *record, dir, store, zone string, n int, m machine) []*gateway {
 	addresses := freeAddresses(4 * n)
 	var all []*gateway
 	for i := range n {
@@ -122,9 +136,10 @@
 		for other := range n {
 			seeds = append(seeds, strconv.Quote(addresses[4*other+2]))
 		}
-		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), front: own[0], ready: own[1], control: own[2], memoryMegabytes: memoryMegabytes, record: r}
+		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), front: own[0], ready: own[1], control: own[2], memoryMegabytes: m.memoryMegabytes, record: r}
 		g.settings = filepath.Join(dir, g.name+".jsonc")
-		text := fmt.Sprintf(settingsText, g.name, zone, own[0], own[1], own[2], own[3], strings.Join(seeds, ", "), store, memoryMegabytes)
+		text := fmt.Sprintf(settingsText, g.name, zone, own[0], own[1], own[2], own[3], strings.Join(seeds, ", "), store,
+			m.memoryMegabytes, m.cores, m.linkMbps, m.drainMs, m.configMs, m.budgetSlack)
 		check(os.WriteFile(g.settings, []byte(text), 0o600))
 		var err error
 		g.log, err = os.Create(filepath.Join(dir, g.name+".log"))
