Drain: the time that a body takes counts

What callers saw: a front had been told to shut down. 3.15 s later they sent requests over kept connections, whose bodies took 3.4 s.

Cause: what is left was compared with what the answer needs once the body had been read, but counted from the arrival of the header. The same time decided whether the request belongs to the first seconds of a drain, in which everything is accepted: a body that began in them and ended near the end of the drain was passed on as well.

Arrival and what was assumed for the answer, 3.15 + 3.0 + 0.3 s, lie before the end of the drain at 7.2 s; counted from the end of the body they do not. Ruled out: the signal was noticed at once (the process ended 7.21 s after it), and the endpoint was not late (first event after 250 ms).

Change: the decision counts from now, when the body has been read. Every request is decided at the moment at which it is passed on, so that the time of its body cannot be left out, whenever it began.

--- a/internal/process/gateway/accept.go
+++ b/internal/process/gateway/accept.go
@@ -13,17 +13,17 @@
 	"carawayspread"
 )
 
-// finishesInTime reports whether the request can be accepted in spite of a drain.
+// finishesInTime reports whether the request can be accepted in spite of a drain, now that it has been read.
 func (c *call) finishesInTime() bool {
-	window := c.g.drain.Load()
-	if window == nil || c.arrived.Before(window.restrictFrom) {
+	window, now := c.g.drain.Load(), c.g.clock.Now()
+	if window == nil || now.Before(window.restrictFrom) {
 		return true
 	}
-	needed := c.deadline.Sub(c.arrived)
+	needed := c.deadline.Sub(now)
 	if p := c.metadata.Prompt; p != nil {
 		needed = min(needed, maxFirstEventTargets*c.route.TargetLatency+time.Duration(p.MaxOutputTokens)*maxTokenTime)
 	}
-	return c.arrived.Add(needed + drainMargin).Before(window.end)
+	return now.Add(needed + drainMargin).Before(window.end)
 }
 
 // path returns the escaped path as the caller sent it.
