Drain: a request that cannot be answered is refused before its body

Cause: the drain was looked at after the body.

Change: the drain is looked at before each read of the body, so a request that arrives late is refused at once, and one whose body goes on past the first seconds at its next bytes. net/http closes the connection of such a request half a second after the answer, which resets it while the caller still sends, and a caller that gets the reset may not read the refusal. So the answer is flushed and the rest of the body read and dropped, within the limit of bodies and the shutdown.

TestDrainRefusesBeforeTheBody fails before (no answer within 5 s while the body is incomplete). Without the read of the rest it fails with a broken pipe while the caller sends.

--- a/internal/process/gateway/accept.go
+++ b/internal/process/gateway/accept.go
@@ -67,6 +67,11 @@
 	c.applyPriority()
 	routing, route := c.routing, c.route
 	c.line.Int("version", int64(routing.Version())).Text("route", route.Name).Text("workspace", c.workspace.Name())
+	timeLeft := route.Timeout
+	if c.metadata.TimeLeft > 0 {
+		timeLeft = min(timeLeft, c.metadata.TimeLeft)
+	}
+	c.deadline = c.arrived.Add(timeLeft)
 	if err := c.readBody(routing.Limits().BodyBytes); err != nil {
 		return err
 	}
@@ -75,11 +80,6 @@
 		return carawayspread.NewError(carawayspread.CodeNoEndpoint, "the service of the route is not known",
 			carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
 	}
-	timeLeft := route.Timeout
-	if c.metadata.TimeLeft > 0 {
-		timeLeft = min(timeLeft, c.metadata.TimeLeft)
-	}
-	c.deadline = c.arrived.Add(timeLeft)
 	if !c.finishesInTime() {
 		return c.drainingError()
 	}
@@ -93,17 +93,34 @@
 	return c.findBuild()
 }
 
+// errNotInTime says that a drain leaves no time to answer the request.
+var errNotInTime = errors.New("the process ends before the deadline of the request")
+
+// acceptedBody is the body of a request. Its reader gets errNotInTime as soon as the request can no longer be accepted.
+type acceptedBody struct {
+	io.Reader
+	c *call
+}
+
+func (b acceptedBody) Read(p []byte) (int, error) {
+	if !b.c.finishesInTime() {
+		return 0, errNotInTime
+	}
+	return b.Reader.Read(p)
+}
+
 func (c *call) readBody(limit int64) *carawayspread.Error {
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	// The end of a request's context does not interrupt a read of its body; a read deadline does.
-	defer context.AfterFunc(c.r.Context(), func() {
-		_ = http.NewResponseController(c.w).SetReadDeadline(c.g.clock.Now())
-	})()
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	defer c.stopReadingAtShutdown()()
+	bounded := http.MaxBytesReader(c.w, c.r.Body, limit)
+	body, err := io.ReadAll(acceptedBody{bounded, c})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNotInTime):
+		c.unread = bounded
+		return c.drainingError()
 	case err != nil && c.shuttingDown():
 		return c.drainingError()
 	case errors.As(err, &tooLarge):
@@ -116,6 +133,24 @@
 	return nil
 }
 
+// stopReadingAtShutdown interrupts a read of the body when the request is abandoned, which the end of its context
+// does not do.
+func (c *call) stopReadingAtShutdown() (stop func() bool) {
+	return context.AfterFunc(c.r.Context(), func() {
+		_ = http.NewResponseController(c.w).SetReadDeadline(c.g.clock.Now())
+	})
+}
+
+// discardUnread reads what the caller still sends of a request that has been refused. Otherwise the connection would
+// be reset while the caller sends, and the caller might not receive the refusal.
+func (c *call) discardUnread() {
+	if c.unread == nil || http.NewResponseController(c.w).Flush() != nil {
+		return
+	}
+	defer c.stopReadingAtShutdown()()
+	_, _ = io.Copy(io.Discard, c.unread)
+}
+
 func fingerprint(path string, body []byte) uint64 {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, path)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -35,6 +36,7 @@
 	workspace   carawayspread.Workspace // of the API key; zero where unknown
 	service     carawayspread.RoutedService
 	body        []byte
+	unread      io.Reader // the rest of the body of a request that was refused before it was read; nil if there is none
 	fingerprint uint64
 	connBroken  bool // the connection to the caller cannot be used any more
 
--- a/internal/process/gateway/drain_test.go
+++ b/internal/process/gateway/drain_test.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,7 +19,7 @@
 func (b *harness) plainStreams() {
 	b.gateway.Adopt(carawayspread.NewRouting(2, []*carawayspread.Route{
 		route("resume", carawayspread.RetryResume, true, 2), route("once", carawayspread.RetryNever, true, 3),
-	}, map[string]carawayspread.RoutedService{"s": {Name: "s"}}, carawayspread.CallerLimits{BodyBytes: 100}))
+	}, map[string]carawayspread.RoutedService{"s": {Name: "s"}}, carawayspread.CallerLimits{BodyBytes: 1 << 20}))
 }
 
 // drainOf8s is a drain of a process with a grace period of 8 s, which has been told to shut down now.
@@ -122,3 +126,55 @@
 		})
 	}
 }
+
+// Guards against callers that learn only after they have sent a long body that a process which drains cannot answer,
+// and against resets that take the refusal from those that go on sending.
+func TestDrainRefusesBeforeTheBody(t *testing.T) {
+	const (
+		length = 1 << 20
+		chunk  = length / 16
+		pause  = 50 * time.Millisecond // all chunks take longer than net/http waits for a caller that still sends
+	)
+	for name, begun := range map[string]time.Duration{
+		"begun late":                    3150 * time.Millisecond,
+		"begun before the last seconds": 2900 * time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.plainStreams()
+			b.drainOf8s()
+			b.clock.Advance(begun)
+			conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			send := func(text string) {
+				_, err := io.WriteString(conn, text)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			send(fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: a.example\r\nCarawayspread-Deadline-Ms: 8000\r\nContent-Length: %d\r\n\r\n", length))
+			send(strings.Repeat("b", chunk))
+			for b.gateway.Running() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(pause)
+			b.clock.Advance(time.Second)
+			send(strings.Repeat("b", chunk))
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			answers := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(answers, nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+			qt.Check(t, resp.Close, qt.IsTrue)
+			for range length/chunk - 2 {
+				time.Sleep(pause)
+				send(strings.Repeat("b", chunk))
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			qt.Check(t, err, qt.IsNil)
+			_, err = answers.ReadByte()
+			qt.Check(t, err, qt.ErrorIs, io.EOF)
+			qt.Check(t, b.transport.all(), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -141,7 +141,11 @@
 	if err.Code() == carawayspread.CodeUnauthenticated {
 		c.w.Header().Set("WWW-Authenticate", bearer.Challenge)
 	}
+	if c.unread != nil {
+		_ = http.NewResponseController(c.w).EnableFullDuplex()
+	}
 	c.g.protocol.WriteError(c.w, err)
+	c.discardUnread()
 }
 
 // closeIfDraining makes the caller of a draining process, or of one whose processor cannot keep up, open a
