Drain: a request that waited or was refused is not begun too late

What callers would see: a stream that is cut at the end of a drain, though it was passed on to its endpoint only shortly before: it had arrived early, and then waited for room or was refused by endpoints.

Cause: what a drain leaves was looked at when the request arrived, and not again when it was passed on.

Change: from 3 s after the signal on, no request begins to run unless its deadline is before the end, neither after a wait for room nor after a refusal nor where no endpoint was reached. It is refused as not run, which is so, and its caller goes elsewhere. What may have run goes on, as nobody can be told that it has not, and so does a prompt that is prefilled: its answer is nearer here than at another process.

TestRequestIsNotBegunLateInADrain fails before in the four cases that must be refused ("waited for room", "refused", "unreachable", "prefill is refused" are sent); "may have run" and "prefilled" guard against refusing too much.

--- a/internal/process/gateway/accept.go
+++ b/internal/process/gateway/accept.go
@@ -19,6 +19,10 @@
 	return window == nil || c.g.clock.Now().Before(window.restrictFrom) || c.deadline.Add(drainMargin).Before(window.end)
 }
 
+// mayBegin reports whether a drain lets the next attempt begin the request. One that may have run, or that is
+// prefilled, goes on: another process could not answer it as soon.
+func (c *call) mayBegin() bool { return c.ran > 0 || c.handover != nil || c.finishesInTime() }
+
 // path returns the escaped path as the caller sent it.
 func path(r *http.Request) string {
 	target, _, _ := strings.Cut(r.RequestURI, "?")
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -151,6 +151,9 @@
 // attempt sends the request once. It reports whether the request may be retried.
 func (c *call) attempt(ctx context.Context) (retry bool, err error) {
 	clear(c.full)
+	if !c.mayBegin() {
+		return false, c.drainingError()
+	}
 	p, at, err := c.placeInTurn(ctx)
 	if err != nil {
 		if c.handover != nil {
--- a/internal/process/gateway/drain_test.go
+++ b/internal/process/gateway/drain_test.go
@@ -178,3 +178,60 @@
 		})
 	}
 }
+
+// Guards against streams that are cut at shutdown, since they waited or were refused by an endpoint until too late in
+// a drain: the time that is left was looked at when they arrived.
+func TestRequestIsNotBegunLateInADrain(t *testing.T) {
+	for name, test := range map[string]struct {
+		path    string
+		prefill bool                               // one engine prefills for the others
+		waits   bool                               // there is no room until the last seconds
+		steps   func(later func(step) step) []step // later makes an answer arrive in the last seconds
+		status  int
+		sends   int
+	}{
+		"waited for room":    {path: "/once/x", waits: true, status: 503},
+		"refused":            {path: "/once/x", steps: func(later func(step) step) []step { return []step{later(notRun(503))} }, status: 503, sends: 1},
+		"unreachable":        {path: "/never/x", steps: func(later func(step) step) []step { return []step{later(unreachable())} }, status: 503, sends: 1},
+		"may have run":       {path: "/safe/x", steps: func(later func(step) step) []step { return []step{later(disconnect())} }, status: 200, sends: 2},
+		"prefilled":          {path: "/once/x", prefill: true, steps: func(later func(step) step) []step { return []step{later(kvHandle()), events(1, 2, io.EOF)} }, status: 200, sends: 2},
+		"prefill is refused": {path: "/once/x", prefill: true, steps: func(later func(step) step) []step { return []step{later(notRun(503))} }, status: 503, sends: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			if test.prefill {
+				b.engines(carawayspread.RolePrefill, carawayspread.RoleDecode, carawayspread.RoleDecode)
+			}
+			if test.steps != nil {
+				b.transport.steps = test.steps(func(s step) step {
+					return func(a sentAttempt) (*carawayspread.Reply, error) {
+						b.clock.Advance(200 * time.Millisecond)
+						return s(a)
+					}
+				})
+			}
+			placer := &fullPlacer{Placer: b.placer}
+			placer.full.Store(test.waits)
+			b.gateway.placer, b.gateway.maxWaiting = placer, 4
+			b.drainOf8s()
+			b.clock.Advance(2900 * time.Millisecond)
+			if test.waits {
+				go func() {
+					for b.gateway.waitingRequests() == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(20 * time.Millisecond)
+					placer.full.Store(false)
+					b.clock.Advance(150 * time.Millisecond)
+				}()
+			}
+			resp, body, err := b.post(t, test.path, "body", tokens, "100,50")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status, qt.Commentf("%s", body))
+			qt.Check(t, b.transport.all(), qt.HasLen, test.sends)
+			if test.status == http.StatusServiceUnavailable {
+				qt.Check(t, body, qt.Contains, "this process is leaving")
+			}
+		})
+	}
+}
--- a/internal/process/gateway/waiting.go
+++ b/internal/process/gateway/waiting.go
@@ -93,6 +93,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return p, at, waitLeft, ctx.Err()
+		case !c.mayBegin():
+			return p, at, waitLeft, c.drainingError()
 		case !ticket.Latest.After(now):
 			return p, at, waitLate, refusal
 		case room.removed(ticket):
