Sidecar: a drain refuses what waits for a slot

What callers would see: an answer that breaks off as the sidecar of its endpoint ends, though the request had not begun when the sidecar was told to. Found by reading, as the cause of the late requests of the gateway on a related path; no run has shown it.

Cause: a sidecar that drains refuses new requests, but one that had come before and waited for a slot ran as soon as one was free, also shortly before the running ones are aborted.

Change: what waits is refused as draining and not run, at once, and its entry tries another endpoint, as it does for a request that comes later. A slot that is free at the same moment is given back.

--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -73,7 +73,7 @@
 		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
 	}
 	if w.isClosed() {
-		return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
+		return leaving()
 	}
 	if suspended := w.suspension(s.clock.Now()); suspended > 0 {
 		return carawayspread.NewError(carawayspread.CodeOverloaded, "the endpoint asked for a pause",
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -126,7 +126,7 @@
 	}
 	for _, w := range s.workers {
 		if id == "" || w.spec.ID == id {
-			w.draining.Store(true)
+			w.drain()
 			running += int(w.running.Load())
 		}
 	}
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -24,10 +24,11 @@
 	running        atomic.Int64
 	waiting        atomic.Int64
 	draining       atomic.Bool
-	quiescing      atomic.Int32 // running calls that need the endpoint idle; not negative
-	suspendedUntil atomic.Int64 // end of the endpoint's Retry-After, in Unix nanoseconds
-	down           atomic.Bool  // the last probe failed
-	timedOutProbes atomic.Int64 // consecutive probes that timed out
+	drained        chan struct{} // closed when draining is set
+	quiescing      atomic.Int32  // running calls that need the endpoint idle; not negative
+	suspendedUntil atomic.Int64  // end of the endpoint's Retry-After, in Unix nanoseconds
+	down           atomic.Bool   // the last probe failed
+	timedOutProbes atomic.Int64  // consecutive probes that timed out
 	state          atomic.Pointer[observed]
 
 	mu              sync.Mutex
@@ -50,6 +51,7 @@
 		spec:            spec,
 		log:             l,
 		slots:           make(chan struct{}, spec.Slots),
+		drained:         make(chan struct{}),
 		runningRequests: map[uint64]int{},
 		trials:          map[uint64]bool{},
 		reportedBoots:   map[string]bool{},
@@ -63,7 +65,8 @@
 // at twice the load fell to 26% of capacity in a run with stand-in engines.
 const slotsPerWaiter = 4
 
-// acquireSlot acquires a slot and waits at most for left.
+// acquireSlot acquires a slot and waits at most for left. A request that waits when the endpoint begins to drain is
+// refused, as it could run until after the end of this process; another endpoint may take it.
 func (w *worker) acquireSlot(ctx context.Context, clock carawayspread.Clock, left time.Duration) *carawayspread.Error {
 	select {
 	case w.slots <- struct{}{}:
@@ -77,7 +80,13 @@
 	defer w.waiting.Add(-1)
 	select {
 	case w.slots <- struct{}{}:
+		if w.draining.Load() {
+			w.releaseSlot()
+			return leaving()
+		}
 		return nil
+	case <-w.drained:
+		return leaving()
 	case <-clock.After(left):
 		return full()
 	case <-ctx.Done():
@@ -85,6 +94,17 @@
 	}
 }
 
+// drain makes the endpoint refuse requests that have not begun.
+func (w *worker) drain() {
+	if !w.draining.Swap(true) {
+		close(w.drained)
+	}
+}
+
+func leaving() *carawayspread.Error {
+	return carawayspread.NewError(carawayspread.CodeDraining, "the endpoint is leaving", carawayspread.NotRun())
+}
+
 func full() *carawayspread.Error {
 	return carawayspread.NewError(carawayspread.CodeOverloaded, "the endpoint is full",
 		carawayspread.NotRun(), carawayspread.RetryAfter(refusalRetry))
