Entry: a request is not begun too late in a shutdown

What callers would see: an answer that is aborted as the entry ends, though the entry had sent the request to an endpoint only shortly before: its body had arrived slowly, or it had waited in the queue or for a slot.

Cause: an entry that is told to end refuses new requests, and sends all that it had accepted, however late. One that runs when the time for requests is over is aborted.

Change: in the second half of the time for requests, one that has not begun is refused as not run, unless its deadline is before the end; what begins in the first half has at least the other half. What may have run goes on. An operator's drain has no end, and refuses as before only new requests.

TestSlowBodyIsNotBegunAtTheEndOfAnEntry: without the check, "late" is sent to its endpoint and answered 200. Its other cases, an early body and a deadline before the end, guard against refusing too much.

--- a/cmd/carawayspread/grace_test.go
+++ b/cmd/carawayspread/grace_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,3 +80,52 @@
 		})
 	}
 }
+
+// Guards against requests that an ending entry sends to an endpoint so late that their answers are aborted: their
+// bodies were still arriving when it was told to end.
+func TestSlowBodyIsNotBegunAtTheEndOfAnEntry(t *testing.T) {
+	const grace = 5 * time.Second // of which requests have 3.5 s
+	for name, test := range map[string]struct {
+		body     time.Duration // from the signal to the end of the body
+		deadline time.Duration // from the signal; zero for none
+		status   int
+	}{
+		"late":                          {2300 * time.Millisecond, 0, http.StatusServiceUnavailable},
+		"late, deadline before the end": {2300 * time.Millisecond, 3100 * time.Millisecond, http.StatusOK},
+		"early":                         {500 * time.Millisecond, 0, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			var runs atomic.Int64
+			f.sidecar("sidecar-1", endpoint{"record-1", "records", "plain", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if r.Method == http.MethodPut { // no probe
+					runs.Add(1)
+				}
+			})})
+			entry := f.entryWith(strings.Replace(entrySettings, `"timeouts": {`, fmt.Sprintf(`"timeouts": {"grace": "%v", `, grace), 1), "entry-1")
+			conn, err := net.Dial("tcp4", entry.row.Address)
+			qt.Assert(t, err, qt.IsNil)
+			defer func() { _ = conn.Close() }()
+			header := ""
+			if test.deadline > 0 {
+				header = "X-Deadline: " + time.Now().Add(test.deadline).Format(time.RFC3339Nano) + "\r\n"
+			}
+			_, err = fmt.Fprintf(conn, "PUT /services/records/1 HTTP/1.1\r\nHost: a\r\nX-Workspace: demo\r\nX-Class: interactive\r\n%sContent-Length: 4\r\n\r\nbo", header)
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond) // the entry reads the body
+			entry.signal(terminate)
+			time.Sleep(test.body)
+			_, err = io.WriteString(conn, "dy")
+			qt.Assert(t, err, qt.IsNil)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, resp.Header.Get("Retry-After") != "", qt.Equals, test.status != http.StatusOK)
+			qt.Check(t, runs.Load() > 0, qt.Equals, test.status == http.StatusOK)
+			<-entry.ended
+			qt.Check(t, entry.cmd.ProcessState.ExitCode(), qt.Equals, 0)
+		})
+	}
+}
--- a/internal/daemon/base/group.go
+++ b/internal/daemon/base/group.go
@@ -74,6 +74,13 @@
 	return err
 }
 
+// AbortTime returns when FinishRequests aborts the requests that still run, if it is called now.
+func (b *Base) AbortTime() time.Time { return b.clock.Now().Add(b.timeForRequests()) }
+
+func (b *Base) timeForRequests() time.Duration {
+	return b.settings.Timeouts().Grace() - abortReserve - shutdownReserve
+}
+
 // FinishRequests calls wait, which returns when the last request of the server has finished or its
 // context has ended, and returns its error.
 //
@@ -82,7 +89,7 @@
 // FinishRequests therefore aborts the requests that are still running, so that they are answered
 // without their endpoints, and waits again.
 func (b *Base) FinishRequests(runCtx context.Context, s *server.Server, wait func(context.Context) error) error {
-	graceful, cancel := context.WithTimeout(runCtx, b.settings.Timeouts().Grace()-abortReserve-shutdownReserve)
+	graceful, cancel := context.WithTimeout(runCtx, b.timeForRequests())
 	defer cancel()
 	err := wait(graceful)
 	if err == nil || runCtx.Err() != nil {
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -147,7 +147,7 @@
 	case <-runCtx.Done():
 		return runCtx.Err()
 	}
-	d.entry.Drain()
+	d.entry.Shutdown(d.base.AbortTime())
 	d.base.Log().Info("entry is draining")
 	return d.base.FinishRequests(runCtx, d.data, d.data.Shutdown)
 }
--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -14,8 +14,11 @@
 )
 
 // attempt sends the call to one endpoint and forwards its answer to the end.
-// If final is set, no other attempt may follow the failure.
-func (e *Entry) attempt(ctx context.Context, d *dispatcher.Dispatcher, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int) (failure *carawayspread.Error, final bool) {
+// If final is set, no other attempt may follow the failure. mayHaveRun says that an earlier attempt may have run.
+func (e *Entry) attempt(ctx context.Context, d *dispatcher.Dispatcher, c *call.Call, answer *relay, tried map[carawayspread.EndpointID]bool, n int, mayHaveRun bool) (failure *carawayspread.Error, final bool) {
+	if !mayHaveRun && !e.mayBegin(c) {
+		return drainingError(), true
+	}
 	part, refusal := e.checkParts(ctx, c)
 	if refusal != nil {
 		return refusal, true
@@ -26,6 +29,13 @@
 	if refusal != nil {
 		return refusal, true
 	}
+	if !mayHaveRun && !e.mayBegin(c) { // it waited for the slot
+		slot.Release(0, carawayspread.OutcomeRefused)
+		if trial {
+			e.endTrial(ctx, c, carawayspread.OutcomeRefused)
+		}
+		return drainingError(), true
+	}
 	id := slot.Endpoint().ID()
 	tried[id] = true
 	eventsBefore := answer.events
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -63,6 +63,7 @@
 	trials      Trials
 	dispatchers atomic.Pointer[map[string]*dispatcher.Dispatcher] // by service; copy on write
 	draining    atomic.Bool
+	shutdown    atomic.Pointer[shutdown] // nil unless the process is ending
 	counters    *counters
 }
 
@@ -157,6 +158,14 @@
 // Drain makes the entry refuse new requests; running ones continue.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
+// Shutdown makes the entry refuse new requests, and in the second half of the time until end also those that have not
+// begun and may outlast it. At end, requests are aborted.
+func (e *Entry) Shutdown(end time.Time) {
+	now := e.clock.Now()
+	e.shutdown.Store(&shutdown{beginUntil: now.Add(end.Sub(now) / 2), end: end})
+	e.Drain()
+}
+
 // Draining reports whether the entry refuses new requests.
 func (e *Entry) Draining() bool { return e.draining.Load() }
 
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -101,7 +101,7 @@
 	tried := map[carawayspread.EndpointID]bool{}
 	mayHaveRun := false
 	for n := 1; ; n++ {
-		failure, final := e.attempt(ctx, d, c, answer, tried, n)
+		failure, final := e.attempt(ctx, d, c, answer, tried, n, mayHaveRun)
 		if failure == nil {
 			return nil
 		}
