Drain: callers are told to return at once where another process can take the request

What callers saw: a process that drains refused them with a Retry-After of 500 ms, whether or not another process could have served them at once. The wait alone exceeds most targets. Where there was no other process, they came back while the same one was still there, and were refused again.

Cause: one constant for all refusals of a draining process, though it knows how many processes there are.

Change: 10 ms if this process knows of others; by the time it refuses, its balancer has taken it out and a new connection leads elsewhere. The time until this process has ended if it is the only one, and 500 ms as before while the fleet is not known.

TestRetryAfterInADrain: the first two cases were 0.500 before.

--- a/internal/process/gateway/drain_test.go
+++ b/internal/process/gateway/drain_test.go
@@ -235,3 +235,28 @@
 		})
 	}
 }
+
+// Guards against callers that are told to return so late that they miss their target, or so early that the process
+// which has refused them is still there.
+func TestRetryAfterInADrain(t *testing.T) {
+	for name, test := range map[string]struct {
+		fleet int
+		known bool
+		after string
+	}{
+		"others can take it":   {3, true, "0.010"},
+		"no other process":     {1, true, "3.700"},
+		"the fleet is unknown": {1, false, "0.500"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			b.gateway.fleet = func() (int, bool) { return test.fleet, test.known }
+			b.drainOf8s()
+			b.clock.Advance(3500 * time.Millisecond)
+			resp, _, err := b.post(t, "/once/x", "body", tokens, "100,50")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			qt.Check(t, resp.Header.Get("Retry-After"), qt.Equals, test.after)
+		})
+	}
+}
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -76,7 +76,7 @@
 // drainingError returns the refusal of a request that the process cannot answer before it ends.
 func (c *call) drainingError() *carawayspread.Error {
 	return carawayspread.NewError(carawayspread.CodeDraining, "this process is leaving",
-		carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
+		carawayspread.NotRun(), carawayspread.RetryAfter(c.g.drainRetryDelay()))
 }
 
 // fingerprintText returns a fingerprint for log lines. It depends only on path and body, so it
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -31,6 +31,8 @@
 	// retryDelay is the Retry-After of most refusals, such as those of a process that has no
 	// routes yet or is draining.
 	retryDelay = 500 * time.Millisecond
+	// elsewhereRetryDelay is the Retry-After of a request that another process can take at once.
+	elsewhereRetryDelay = 10 * time.Millisecond
 	// targetMissedShare distinguishes a caller's retry after a refusal from a first request: the
 	// remaining time of a retry is below this share of the route's timeout.
 	targetMissedShare = 0.93
@@ -185,6 +187,20 @@
 // Drain makes the gateway accept, from restrictFrom on, only requests whose deadline is before end.
 func (g *Gateway) Drain(restrictFrom, end time.Time) { g.drain.Store(&drainWindow{restrictFrom, end}) }
 
+// drainRetryDelay returns when the caller of a request should return that a drain leaves no time for: at once if there
+// are other processes, and otherwise when this one has ended.
+func (g *Gateway) drainRetryDelay() time.Duration {
+	size, known := g.fleet()
+	window := g.drain.Load()
+	switch {
+	case known && size > 1:
+		return elsewhereRetryDelay
+	case known && window != nil:
+		return max(retryDelay, window.end.Sub(g.clock.Now()))
+	}
+	return retryDelay
+}
+
 // ServeHTTP routes and answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
