Soak: requests over open connections to gateways that end

The soak did not see streams that are cut at shutdown: it asked only whether a caller had any answer, its callers used a connection at once, bodies came whole, and streams ended within 160 ms.

--drains has 16 callers of each gateway hold a connection open and use it up to seven seconds later, with bodies that take up to 3.5 s, streams of up to 2.7 s and times left of up to 9 s, while orders to end (also to a process that is ending), restarts, SIGHUP, versions of the routes and leaving workers overlap. All workers are sound. A request is lost if its connection ends without the complete answer once it was passed on, or later than 200 ms after its last byte; excused are its own deadline, a kill, and a worker at work in the last sixth of the grace period on a request that was sent at most 3 s after the signal.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -34,6 +34,7 @@
 			&cli.BoolFlag{Name: "stops", Usage: "most faults are orders to end, and workers that hold requests"},
 			&cli.BoolFlag{Name: "harmful", Usage: "a caller sends requests that crash the workers which run them"},
 			&cli.BoolFlag{Name: "failing", Usage: "workers refuse most requests while gateways are killed and restarted in series"},
+			&cli.BoolFlag{Name: "drains", Usage: "gateways end, restart and change in series while callers use open connections"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
 		},
@@ -56,8 +57,12 @@
 	if c.Bool("failing") {
 		generate = schedule.GenerateFailing
 	}
+	if c.Bool("drains") {
+		generate = schedule.GenerateDrains
+	}
+	load := load{harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
 	for n := range uint64(max(1, c.Int("runs"))) {
-		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), c.Bool("harmful"), c.Bool("failing"))
+		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), load)
 		if err != nil {
 			return err
 		}
@@ -71,9 +76,12 @@
 	return nil
 }
 
+// load says what callers send beside their common requests, and how workers answer.
+type load struct{ harmful, failing, drains bool }
+
 // runSchedule runs one schedule of faults and returns the violated guarantees. If there are any, the
 // logs of the run, the schedule and the findings are kept in a folder named after the seed.
-func runSchedule(ctx context.Context, out io.Writer, binary, findings string, s *schedule.Schedule, size int, harmful, failing bool) ([]string, error) {
+func runSchedule(ctx context.Context, out io.Writer, binary, findings string, s *schedule.Schedule, size int, l load) ([]string, error) {
 	dir := filepath.Join(findings, fmt.Sprint(s.Seed()))
 	if err := os.RemoveAll(dir); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -86,12 +94,15 @@
 		return nil, err
 	}
 	defer f.Close()
-	if harmful {
+	if l.harmful {
 		f.Harmful()
 	}
-	if failing {
+	if l.failing {
 		f.Failing()
 	}
+	if l.drains {
+		f.Drains()
+	}
 	if err := f.Run(ctx, s); err != nil {
 		return nil, err
 	}
@@ -103,6 +114,10 @@
 	taken, went := f.History().ResumptionCounts()
 	fmt.Fprintf(out, "seed %d: %d faults, %d asked, %d served, %d of %d streams taken up went on, %d runs moved, %d broken\n",
 		s.Seed(), len(s.Steps()), asked, served, went, taken, f.History().MoveCount(), len(found))
+	if l.drains {
+		sent, answered, refused := f.History().DrainCounts()
+		fmt.Fprintf(out, "over kept connections to processes that end: %d sent, %d served, %d refused\n", sent, answered, refused)
+	}
 	if len(found) == 0 {
 		return nil, trace.ConvertSystemError(os.RemoveAll(dir))
 	}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -25,7 +25,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var output strings.Builder
-			found, err := runSchedule(t.Context(), &output, binary, dir, schedule.Generate(seed, length), size, false, false)
+			found, err := runSchedule(t.Context(), &output, binary, dir, schedule.Generate(seed, length), size, load{})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", output.String()))
 			t.Log(output.String())
@@ -39,11 +39,23 @@
 	const size, length, seed = 3, 14 * time.Second, 5010
 	dir := t.TempDir()
 	var output strings.Builder
-	found, err := runSchedule(t.Context(), &output, buildGateway(t, dir), dir, schedule.GenerateStops(seed, length), size, false, false)
+	found, err := runSchedule(t.Context(), &output, buildGateway(t, dir), dir, schedule.GenerateStops(seed, length), size, load{})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", output.String()))
 }
 
+// Guards against a request that is taken over an open connection by a gateway which ends, and whose answer is cut:
+// bodies come slowly, answers end late, and orders to end, restarts and changes overlap.
+func TestShortSoakOfDrains(t *testing.T) {
+	const size, length, seed = 3, 5 * time.Second, 1
+	dir := t.TempDir()
+	var output strings.Builder
+	found, err := runSchedule(t.Context(), &output, buildGateway(t, dir), dir, schedule.GenerateDrains(seed, length), size, load{drains: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", output.String()))
+	t.Log(output.String())
+}
+
 // buildGateway builds the gateway under test and returns its path.
 func buildGateway(t *testing.T, dir string) string {
 	t.Helper()
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -49,9 +49,11 @@
 // versions are those of the workers' software, which serve side by side.
 var versions = []string{"v1", "v2"}
 
-// timeouts are the timeouts of the routes.
-var timeouts = map[caller.Kind]time.Duration{
-	caller.Safe: 2 * time.Second, caller.Unsafe: 2 * time.Second, caller.Stream: 4 * time.Second, caller.Once: 4 * time.Second,
+// newTimeouts returns the timeouts of the routes.
+func newTimeouts() map[caller.Kind]time.Duration {
+	return map[caller.Kind]time.Duration{
+		caller.Safe: 2 * time.Second, caller.Unsafe: 2 * time.Second, caller.Stream: 4 * time.Second, caller.Once: 4 * time.Second,
+	}
 }
 
 // Fleet holds the gateways, their workers and the store.
@@ -63,7 +65,9 @@
 	storeRelay *relay.Relay
 	gateways   []*gateway
 	loadStart  time.Time
-	harmful    bool // a caller sends requests that crash workers
+	harmful    bool                          // a caller sends requests that crash workers
+	drains     bool                          // callers keep connections open until their process is gone
+	timeouts   map[caller.Kind]time.Duration // of the routes
 	thinkTime  time.Duration
 	refusals   float64 // share of the requests that workers refuse
 
@@ -82,6 +86,7 @@
 	program *program.Program
 	store   *relay.Relay // its connections to the store
 	faultMu sync.Mutex   // held during a fault of the process: one at a time
+	ending  atomic.Bool  // it was told to end
 }
 
 // listedWorker is one worker in the store's list, behind a relay.
@@ -96,9 +101,9 @@
 
 // New starts the stand-ins and size gateways of the binary, which log to dir.
 func New(binary, dir string, size int, clock carawayspread.Clock) (*Fleet, error) {
-	start := clock.Now()
-	f := &Fleet{clock: clock, store: rows.New(), loadStart: start, thinkTime: meanThinkTime, history: history.New(history.Bounds{
-		Timeouts: timeouts, Tolerance: tolerance, Drain: drainBound, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, MemoryMegabytes: memoryMegabytes,
+	start, timeouts := clock.Now(), newTimeouts()
+	f := &Fleet{clock: clock, timeouts: timeouts, store: rows.New(), loadStart: start, thinkTime: meanThinkTime, history: history.New(history.Bounds{
+		Timeouts: timeouts, Tolerance: tolerance, Drain: drainBound, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, MemoryMegabytes: memoryMegabytes, Grace: grace,
 	}, start)}
 	if err := f.start(binary, dir, size); err != nil {
 		f.Close()
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -76,6 +76,8 @@
 		return f.onAll(func(g *gateway) error { return f.restartGateway(g, syscall.SIGKILL) })
 	case schedule.Replace:
 		return f.restartGateway(g, syscall.SIGTERM)
+	case schedule.StopAgain:
+		return f.stopAgain(g)
 	case schedule.Pause:
 		return f.pause(g, step.Duration)
 	case schedule.PauseAll:
@@ -133,6 +135,11 @@
 	g.faultMu.Lock()
 	defer g.faultMu.Unlock()
 	from := f.clock.Now()
+	if s == syscall.SIGTERM {
+		f.history.RecordSignal(g.name, from)
+		g.ending.Store(true)
+		defer g.ending.Store(false)
+	}
 	if err := g.program.Signal(s); err != nil {
 		return err
 	}
@@ -144,6 +151,7 @@
 		return fmt.Errorf("%s had not ended after %v", g.name, grace)
 	}
 	ended := f.clock.Now()
+	g.ending.Store(false)
 	<-f.clock.After(restartDelay)
 	if err := g.program.Start(); err != nil {
 		return err
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -51,6 +51,9 @@
 	var callers sync.WaitGroup
 	for n, g := range f.gateways {
 		callers.Go(func() { f.watchMemory(loadCtx, g) })
+		if f.drains {
+			callers.Go(func() { f.useKeptConnections(loadCtx, g, s.Seed()<<16+uint64(n)) })
+		}
 		for c := range callersPerGateway {
 			callers.Go(func() {
 				f.sendRequests(loadCtx, g, rand.New(rand.NewPCG(s.Seed(), uint64(n*callersPerGateway+c+1))), fmt.Sprintf("%d-%s-%d", s.Seed(), g.name, c))
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -35,7 +35,8 @@
 	RetryRatio      float64
 	RetrySlack      int
 	RetryWindow     time.Duration
-	MemoryMegabytes int // per process
+	MemoryMegabytes int           // per process
+	Grace           time.Duration // from SIGTERM to the end of a process
 }
 
 // interval is the time in which a target was faulty. A shutdown (SIGTERM) excuses no lost
@@ -73,15 +74,17 @@
 	faults        map[Target][]interval
 	drainingSince map[string]time.Time // by worker
 	rateLimits    []rateLimit
-	streamers     map[string]streamer // by worker
-	finalAnswers  []answer            // to requests sent after all faults had ended
-	peakMemory    map[string]int      // by process, in megabytes
-	moveBreaches  []string            // as workers that hand over runs saw them
+	streamers     map[string]streamer    // by worker
+	keptAnswers   []answer               // to requests over kept connections
+	signals       map[string][]time.Time // SIGTERM, by process
+	finalAnswers  []answer               // to requests sent after all faults had ended
+	peakMemory    map[string]int         // by process, in megabytes
+	moveBreaches  []string               // as workers that hand over runs saw them
 }
 
 // New returns an empty history that begins at start.
 func New(bounds Bounds, start time.Time) *History {
-	return &History{bounds: bounds, start: start, faults: map[Target][]interval{}, drainingSince: map[string]time.Time{}, streamers: map[string]streamer{}, peakMemory: map[string]int{}}
+	return &History{bounds: bounds, start: start, faults: map[Target][]interval{}, signals: map[string][]time.Time{}, drainingSince: map[string]time.Time{}, streamers: map[string]streamer{}, peakMemory: map[string]int{}}
 }
 
 // RecordAnswer records what a caller got from a process.
@@ -208,6 +211,12 @@
 		found = append(found, h.checkTimeout(a)...)
 		found = append(found, h.checkAnswered(a)...)
 	}
+	for _, a := range h.keptAnswers {
+		found = append(found, h.checkAtMostOnce(a, executions[a.ID])...)
+		found = append(found, checkOwnAnswer(a, executions[a.ID])...)
+		found = append(found, checkRefusal(a, executions[a.ID])...)
+	}
+	found = append(found, h.checkLost()...)
 	found = append(found, h.checkDraining()...)
 	found = append(found, h.checkDrainFeedback()...)
 	found = append(found, h.checkRateLimits()...)
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -41,6 +41,8 @@
 	LeaveStarved Kind = "leaveStarved" // the same while half of the gateways get little of the processor
 	LeaveCut     Kind = "leaveCut"     // the same while a gateway alone has no answers of the store
 
+	StopAgain Kind = "stopAgain" // a gateway gets SIGTERM, also while it ends after another one
+
 	Narrow Kind = "narrow" // the bandwidth to the store is that of a small instance
 )
 
@@ -64,6 +66,9 @@
 	Silent, Silent, Silent, OneWay,
 }
 
+// drainKinds make shutdowns, restarts, signals and changes overlap while all workers are sound.
+var drainKinds = []Kind{Replace, Replace, Replace, Replace, StopAgain, StopAgain, Reload, Reload, Routes, Routes, Drain, Kill}
+
 // failingKinds make processes forget what they have spent, or miss time.
 var failingKinds = []Kind{Kill, Kill, Kill, KillAll, KillAll, Replace, Pause, PauseAll, StoreDown}
 
@@ -133,6 +138,13 @@
 	return s
 }
 
+// GenerateDrains returns a schedule of shutdowns, restarts, signals and changes in series that overlap.
+func GenerateDrains(seed uint64, length time.Duration) *Schedule {
+	s := &Schedule{seed: seed}
+	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, meanInterval, drainKinds)
+	return s
+}
+
 func generate(seed uint64, length time.Duration, common []Kind) *Schedule {
 	s := &Schedule{seed: seed}
 	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, meanInterval, common)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -59,7 +59,8 @@
 	Resumes         string // the attempt that began the stream which this one takes up; empty if none
 	After           int    // the last event that the caller had
 	Unnamed         bool   // the request did not name the attempt that it resumes
-	Err             error  // why there is no response, or why its body is incomplete
+	Pace            Pace
+	Err             error // why there is no response, or why its body is incomplete
 }
 
 // Connected reports whether any part of the request may have been sent.
@@ -138,10 +139,19 @@
 	if a.Kind == Safe {
 		method, body = http.MethodGet, nil
 	}
+	if a.Pace.Body > 0 {
+		method, body = http.MethodPost, &pacedReader{text: text, pause: a.Pace.Body / time.Duration(len(text))}
+	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+"/"+string(a.Kind)+"/x", body)
 	if err != nil {
 		return err
 	}
+	if body != nil {
+		req.ContentLength = int64(len(text))
+	}
+	if a.Pace.Left > 0 {
+		req.Header.Set("Carawayspread-Deadline-Ms", strconv.FormatInt(a.Pace.Left.Milliseconds(), 10))
+	}
 	req.GetBody = nil // net/http retries a request whose body it can rewind
 	req.Host = "a.example"
 	req.Header.Set("Carawayspread-Request-Id", a.ID)
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -48,8 +48,9 @@
 	loseResponses int  // number of next transactions whose responses are lost
 	suppressed    bool // waiting feed calls see no changes
 	engineFields  string
-	unusedRoutes  int // additional routes in each published version
-	era           int // number of restores plus one, unless SetEra changed it
+	streamTimeout time.Duration // zero for the default
+	unusedRoutes  int           // additional routes in each published version
+	era           int           // number of restores plus one, unless SetEra changed it
 }
 
 // New returns an empty store.
