--- a/internal/daemon/gatewayd/drain.go
+++ b/internal/daemon/gatewayd/drain.go
@@ -21,12 +21,12 @@
 	firstRequestWait = time.Second
 )
 
-// drain keeps serving requests that can be answered within the grace period, and returns when the
-// last request is answered or that period is nearly over.
+// drain keeps serving requests whose deadline is within the grace period, and returns when the last
+// request is answered or that period is nearly over.
 //
 // Connections would be reset if a process ended while its load balancer still sends to it. So the
 // process first reports that it is not ready, which removes it from the load balancer, and answers ask
-// callers to reconnect. If all processes drain at once, callers still arrive: requests that will finish
+// callers to reconnect. If all processes drain at once, callers still arrive: requests whose deadline is
 // within the grace period are served, and the others are refused with the time after which to retry.
 //
 // Idle connections stay open meanwhile. net/http can close a connection that it considers idle while
