--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -68,6 +68,7 @@
 	for _, p := range f.workers {
 		p.worker.ClearScript()
 		p.worker.SetRefusals(0)
+		p.worker.SetEventDelay(eventDelay)
 	}
 	<-f.clock.After(settleTime)
 	stop()
