--- a/internal/soak/history/lost.go
+++ b/internal/soak/history/lost.go
@@ -51,7 +51,7 @@
 	return sent, served, refused
 }
 
-// signalBefore returns when the process of a request was told to end during its drain or before the answer ended.
+// signalBefore returns the first order to end in whose drain the request was sent or its answer ended.
 func (h *History) signalBefore(a answer) (at time.Time, ending bool) {
 	for _, s := range h.signals[a.process] {
 		if s.Before(a.EndedAt) && a.SentAt.Before(s.Add(h.bounds.Grace+time.Second)) {
