Streams: lines and a counter tell where a continuation begins

Lines and metrics counted the events of an answer and named no identifier, so that they could not tell an engine that goes on elsewhere than after the caller's last event from a build that was guessed, a run that moved too early or an end that was lost.

The lines of requests and attempts name the last event that the caller has, event=order the first event that does not follow the one before where a stream goes on at another run, and gateway_continuations_total counts how the events of continuations followed. internal/decision/eventorder judges; by how much identifiers rise it learns from uninterrupted answers, by service. What callers get does not change.

Tests of the package and of the gateway pass without the race detector.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"carawayspread"
+	"carawayspread/internal/decision/eventorder"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/process/decisionlog"
 )
@@ -56,10 +57,11 @@
 	status           int                               // of the answer that was relayed
 	framing          carawayspread.Framing             // of the answer to the caller, once started
 	complete         func()                            // lets the connection to the caller end in order; nil if it may do so anyway
-	lastEventID      string
-	build            carawayspread.BuildID   // at which the stream began; zero if it has not, or if that is unknown
-	usageCounted     bool                    // the request was recorded as usage of its workspace
-	handover         *carawayspread.Handover // a KV cache that no decode engine has taken yet
+	verdict          eventorder.Verdict                // of the events of the answer that is relayed
+	order            *eventorder.Order                 // of the events that the caller has
+	build            carawayspread.BuildID             // at which the stream began; zero if it has not, or if that is unknown
+	usageCounted     bool                              // the request was recorded as usage of its workspace
+	handover         *carawayspread.Handover           // a KV cache that no decode engine has taken yet
 	endpoint         carawayspread.EndpointID
 	softwareVersion  string // of that endpoint
 	prefillEndpoint  carawayspread.EndpointID
@@ -95,7 +97,8 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.exclude, c.full = map[carawayspread.EndpointID]bool{}, map[carawayspread.EndpointID]bool{}
-	c.lastEventID = c.metadata.LastEventID
+	c.order = eventorder.New(c.g.steps, c.service.Name, c.metadata.LastEventID)
+	defer c.order.End()
 	defer c.withdrawRetry()
 	err := c.run(ctx)
 	c.releaseKV()
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -107,6 +107,9 @@
 		Text("request", fingerprintText(c.fingerprint)).Text("phase", phase.String()).Text("why", why).Int("sends", int64(c.sends)).Int("ran", int64(c.ran)).
 		Ms("sinceMs", c.g.clock.Now().Sub(c.arrived)).Ms("expectedMs", at.TimeToFirstEvent).Ms("leftMs", c.deadline.Sub(c.g.clock.Now())).
 		Ms("sentMs", c.latest.sentAfter).Ms("listAgeMs", c.latest.listAge).Int("list", int64(c.latest.listVersion))
+	if c.started {
+		line.Text("lastEvent", c.order.Last()).Int("events", int64(c.events))
+	}
 	if reply := c.latest.reply; reply != nil {
 		echoed := c.latest.echoedID
 		if echoed == "" {
@@ -173,6 +176,9 @@
 	if c.route != nil {
 		line.Ms("targetMs", c.route.TargetLatency)
 	}
+	if c.started && c.route.Stream {
+		line.Text("lastEvent", c.order.Last()).Int("events", int64(c.events))
+	}
 	if c.metadata.LastEventID != "" {
 		line.Text("resumes", c.metadata.Resumes).Text("after", c.metadata.LastEventID)
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"carawayspread"
 	"carawayspread/internal/decision/authentication"
 	"carawayspread/internal/decision/backpressure"
+	"carawayspread/internal/decision/eventorder"
 	"carawayspread/internal/decision/fleetbudget"
 	"carawayspread/internal/decision/hedging"
 	"carawayspread/internal/decision/origin"
@@ -86,6 +87,7 @@
 	prober              carawayspread.EndpointProber // nil if endpoints are not checked
 	hedging             *hedging.Hedging             // nil if no request gets a second attempt while the first one runs
 	origins             *origin.Origins
+	steps               *eventorder.Steps
 	peerOrigins         carawayspread.PeerOrigins
 	moves               *runmoves.Moves // nil if no runs move
 	mover               carawayspread.RunMover
@@ -144,6 +146,7 @@
 		maxAllHeld:   defaultHeldBytes,
 		readAhead:    readahead.NewBudget(defaultReadAheadBytes),
 		waitingRooms: map[string]*waitingRoom{},
+		steps:        eventorder.NewSteps(),
 	}
 	g.origins = origin.New(clock, func() time.Duration { return g.listAge() })
 	g.endpoints.Store(&map[string][]carawayspread.Endpoint{})
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -89,7 +89,7 @@
 // has stopped must not look complete, and only engines of one build continue each other's answers.
 func (c *call) movable(reply *carawayspread.Reply, at carawayspread.Endpoint) bool {
 	engine := c.service.Engine
-	return engine != nil && engine.MovesRuns && c.metadata.Prompt != nil && c.metadata.ID != "" && c.lastEventID != "" &&
+	return engine != nil && engine.MovesRuns && c.metadata.Prompt != nil && c.metadata.ID != "" && c.order.Last() != "" &&
 		reply.Framing != carawayspread.FramingClose && c.build != 0 && at.Build() == c.build && c.moves < maxMoves
 }
 
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -25,7 +25,7 @@
 		bearer.Strip(h)
 	}
 	attempt := carawayspread.Attempt{
-		To: at.Endpoint, TimeLeft: c.deadline.Sub(c.g.clock.Now()), Phase: phase, LastEventID: c.lastEventID,
+		To: at.Endpoint, TimeLeft: c.deadline.Sub(c.g.clock.Now()), Phase: phase, LastEventID: c.order.Last(),
 		Priority: c.route.Priority, FetchFrom: at.FetchFrom, Reservation: c.reservation,
 		Workspace: c.workspace.Name(), Backup: c.backup.endpoint(),
 	}
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -9,6 +9,8 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/openai"
+	"carawayspread/internal/decision/eventorder"
+	"carawayspread/internal/process/decisionlog"
 	"carawayspread/internal/request/readahead"
 )
 
@@ -33,6 +35,10 @@
 	body := &boundedBody{Reader: ahead, left: c.maxStreamBytes(reply)}
 	events := openai.NewEvents(body)
 	var early []byte // comments before the first event
+	if c.order.Last() != "" {
+		c.order.Join()
+		defer c.countContinuation()
+	}
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -45,6 +51,9 @@
 		if len(early) > 0 {
 			event, early = append(early, event...), nil
 		}
+		if openai.IsEvent(event) {
+			c.checkOrder(event, at)
+		}
 		if !c.started {
 			c.started, c.status = true, reply.Status
 			c.countUsage(0)
@@ -62,6 +71,25 @@
 	}
 }
 
+// checkOrder records the identifier of an event, and logs the first that does not follow the one before.
+func (c *call) checkOrder(event []byte, at carawayspread.Endpoint) {
+	id, after := eventID(event), c.order.Last()
+	verdict := c.order.Judge(id)
+	c.order.Take(id)
+	if verdict == eventorder.Follows || c.verdict != eventorder.Follows {
+		return
+	}
+	c.verdict = verdict
+	c.g.log.Write(decisionlog.Start("order").Text("id", c.metadata.ID).Text("endpoint", string(at.ID())).
+		Text("event", id).Text("after", after).Text("verdict", verdict.String()))
+}
+
+// countContinuation counts how the events followed of an answer that continues a stream.
+func (c *call) countContinuation() {
+	c.g.set.GetOrCreateCounter(`gateway_continuations_total{order="` + c.verdict.String() + `"}`).Inc()
+	c.verdict = eventorder.Follows
+}
+
 // writeEvent sends an event to the caller. The answer is read ahead while its caller does not take it.
 func (c *call) writeEvent(event []byte, ahead *readahead.Reader) error {
 	ahead.BeginWrite()
@@ -81,9 +109,6 @@
 	}
 	c.lastEventAt = now
 	tracker.Answered()
-	if id := eventID(event); id != "" {
-		c.lastEventID = id
-	}
 	c.events++
 	c.heard.Store(int64(c.events))
 }
