Endpoints: an answer without a body is not lost to the next request on its connection

What callers saw: none known.

Cause: net/http puts a connection back into its pool a moment before it hands over an answer that has no body. The next request on it may be withheld, as the connection was retired meanwhile or the endpoint leaves; the failed write closes the connection, and the answer before is dropped. A refusal that proves that nothing ran became an attempt that may have run. Threads that run in parallel meet it, one thread at a time hardly does. Shown by the addresses of the two deliveries: the withheld one is not that of the request which failed.

The write that is withheld fails once the request before has its answer, or the connection is closed. TestWithheldRequestLeavesTheAnswerBeforeIt hangs or fails without either.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: dialed, id: c.connections.Add(1), connectedAt: c.clock.Now()}, nil
+	return &conn{Conn: dialed, id: c.connections.Add(1), connectedAt: c.clock.Now(), closed: make(chan struct{})}, nil
 }
 
 // setUserTimeout bounds how long sent data may stay unacknowledged.
@@ -139,11 +139,11 @@
 
 func (c *Client) send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
 	var over atomic.Pointer[conn]
-	d := delivery{proceed: out.Proceed}
+	d := newDelivery(out.Proceed)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*conn); ok {
-				got.latest.Store(&d)
+				got.give(d)
 				over.Store(got)
 			}
 		},
@@ -162,9 +162,10 @@
 		transport = c.unpooled
 	}
 	resp, err := transport.RoundTrip(req)
+	close(d.returned)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return newReply(resp, sentOver, &d), nil
+		return newReply(resp, sentOver, d), nil
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -18,6 +19,16 @@
 	answers     atomic.Int64 // that came over it
 	retired     atomic.Bool  // carries no further request
 	latest      atomic.Pointer[delivery]
+	before      <-chan struct{} // closed once the request before the latest has its answer; nil if there was none
+	closeOnce   sync.Once
+	closed      chan struct{}
+}
+
+// give gives the connection to a request. It is called before the request is written, never while another is.
+func (c *conn) give(d *delivery) {
+	if before := c.latest.Swap(d); before != nil {
+		c.before = before.returned
+	}
 }
 
 // States of a delivery.
@@ -33,6 +44,12 @@
 	state   atomic.Int32
 	proceed func() bool // nil if nothing keeps the request from being written
 	stopped atomic.Bool // proceed returned false
+	// returned is closed once the request has its answer, or none.
+	returned chan struct{}
+}
+
+func newDelivery(proceed func() bool) *delivery {
+	return &delivery{proceed: proceed, returned: make(chan struct{})}
 }
 
 // begin reports whether the request may be written.
@@ -56,11 +73,30 @@
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	if d := c.latest.Load(); d != nil && !d.begin(c.retired.Load()) {
+		c.awaitAnswerBefore()
 		return 0, errWithheld
 	}
 	return c.Conn.Write(b)
 }
 
+// awaitAnswerBefore waits until the request before has its answer. net/http gives a connection to the next
+// request a moment before that, and drops the answer if a write of the next one has failed by then.
+func (c *conn) awaitAnswerBefore() {
+	if c.before == nil {
+		return
+	}
+	select {
+	case <-c.before:
+	case <-c.closed:
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // retire keeps the connection from carrying further requests after that of the delivery. net/http may have
 // given it to the next one already, which then is withheld unless it has begun.
 func (c *conn) retire(d *delivery) {
--- a/internal/connection/direct/conn_test.go
+++ b/internal/connection/direct/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -90,6 +91,36 @@
 	qt.Check(t, a.lines, qt.HasLen, 3)
 }
 
+// An answer without a body is lost, and its request counts as one that may have run, since the write of the
+// next request on its connection is withheld a moment before the answer is handed over.
+func TestWithheldRequestLeavesTheAnswerBeforeIt(t *testing.T) {
+	for name, release := range map[string]func(c *conn, before *delivery){
+		"answered": func(_ *conn, before *delivery) { close(before.returned) },
+		"closed":   func(c *conn, _ *delivery) { _ = c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			here, there := net.Pipe()
+			defer func() { _ = there.Close() }()
+			c := &conn{Conn: here, closed: make(chan struct{})}
+			before := newDelivery(nil)
+			c.give(before)
+			c.give(newDelivery(func() bool { return false }))
+			failed := make(chan error)
+			go func() {
+				_, err := c.Write([]byte("next"))
+				failed <- err
+			}()
+			select {
+			case err := <-failed:
+				t.Fatalf("the write returned %v before the answer", err)
+			case <-time.After(50 * time.Millisecond):
+			}
+			release(c, before)
+			qt.Assert(t, <-failed, qt.ErrorIs, errWithheld)
+		})
+	}
+}
+
 // A delivery is either begun or withheld, whoever comes first.
 func TestDelivery(t *testing.T) {
 	for name, c := range map[string]struct {
