Streams: nothing goes on after an event without an identifier

What callers saw: a stream whose last events had no identifier, or of which no event had one, went on at another engine within one answer, repeated those events and arrived as complete.

Cause: the next run was asked to go on after the last identifier that was seen, wherever the caller stood behind it. A run that goes on from the copy of a lost engine was asked even where no event had one, and began again.

Now a stream goes on only if the last event that its caller has is the one with the last identifier: at other attempts, from a copy, and by a move, which does not stop a run in that state. Fields that make no event for the caller (a time to wait, a comment) do not count. Such a stream is cut where it breaks, and its caller may take it up.

--- a/internal/decision/eventorder/order.go
+++ b/internal/decision/eventorder/order.go
@@ -24,6 +24,7 @@
 	service string
 
 	last    string // identifier of the last event that has one
+	unnamed bool   // an event without an identifier came after it
 	number  int64  // of last
 	counted bool   // last is a number
 	joined  bool   // events of more than one run follow one another
@@ -70,6 +71,7 @@
 // Take takes an event with that identifier for the last one.
 func (o *Order) Take(id string) {
 	if id == "" {
+		o.unnamed = true
 		return
 	}
 	if step, rises := o.step(id); rises && !o.joined {
@@ -91,8 +93,11 @@
 // Last returns the identifier of the last event that has one.
 func (o *Order) Last() string { return o.last }
 
+// GoesOn reports whether another run may go on after the last event: its identifier names that event.
+func (o *Order) GoesOn() bool { return o.last != "" && !o.unnamed }
+
 func (o *Order) set(id string) {
-	o.last = id
+	o.last, o.unnamed = id, false
 	o.number, o.counted = parse(id)
 }
 
--- a/internal/process/gateway/backups.go
+++ b/internal/process/gateway/backups.go
@@ -98,7 +98,7 @@
 	if b == nil || ctx.Err() != nil || c.mayRetry() || c.suspected || c.g.prober == nil {
 		return nil
 	}
-	if c.lastEventAt.IsZero() || reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
+	if !c.order.GoesOn() || c.lastEventAt.IsZero() || reply.Framing == carawayspread.FramingClose || !errors.As(err, &brokenOffError{}) {
 		return nil
 	}
 	gone := errors.Is(context.Cause(attemptCtx), errLost) || c.isLost(ctx, lost)
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -307,7 +307,7 @@
 	case carawayspread.RetryIdempotent:
 		return !c.started
 	case carawayspread.RetryResume:
-		return !c.started || c.build != 0 && c.order.Last() != "" // an engine begins again without it
+		return !c.started || c.build != 0 && c.order.GoesOn()
 	}
 	return false
 }
--- a/internal/process/gateway/move.go
+++ b/internal/process/gateway/move.go
@@ -55,17 +55,11 @@
 
 // takeMove returns where the run goes on whose stream has ended with err; nil if no move has stopped it.
 func (c *call) takeMove(ctx context.Context, err error) *continuation {
-	m := c.move
+	m := c.endMove()
 	if m == nil {
 		return nil
 	}
-	c.move = nil
-	c.g.mu.Lock()
-	delete(c.g.movable, m.run)
-	c.g.mu.Unlock()
-	m.run.End()
 	m.mu.Lock()
-	m.streamEnded = true
 	stopped := m.stopped
 	m.mu.Unlock()
 	if stopped == nil || !errors.As(err, &brokenOffError{}) {
@@ -93,6 +87,23 @@
 	return next
 }
 
+// endMove keeps the run from being stopped, unless it has been, and returns its move; nil if there is none.
+func (c *call) endMove() *runMove {
+	m := c.move
+	if m == nil {
+		return nil
+	}
+	c.move = nil
+	c.g.mu.Lock()
+	delete(c.g.movable, m.run)
+	c.g.mu.Unlock()
+	m.run.End()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.streamEnded = true
+	return m
+}
+
 // abandon frees the copy of a run that the call does not continue, as soon as its move has ended.
 func (m *runMove) abandon() {
 	m.mu.Lock()
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -58,6 +58,9 @@
 	if c.g.moves == nil {
 		return
 	}
+	if c.move != nil && !c.order.GoesOn() {
+		c.endMove().abandon() // its run must not be stopped now
+	}
 	if c.move != nil {
 		if c.move.run.Event() {
 			c.g.beginMoves()
@@ -89,7 +92,7 @@
 // has stopped must not look complete, and only engines of one build continue each other's answers.
 func (c *call) movable(reply *carawayspread.Reply, at carawayspread.Endpoint) bool {
 	engine := c.service.Engine
-	return engine != nil && engine.MovesRuns && c.metadata.Prompt != nil && c.metadata.ID != "" && c.order.Last() != "" &&
+	return engine != nil && engine.MovesRuns && c.metadata.Prompt != nil && c.metadata.ID != "" && c.order.GoesOn() &&
 		reply.Framing != carawayspread.FramingClose && c.build != 0 && at.Build() == c.build && c.moves < maxMoves
 }
 
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -78,7 +78,9 @@
 func (c *call) checkOrder(event []byte, at carawayspread.Endpoint) error {
 	id, after := eventID(event), c.order.Last()
 	if c.verdict = c.order.Judge(id); c.verdict == eventorder.Follows {
-		c.order.Take(id)
+		if id != "" || openai.Data(event) != nil {
+			c.order.Take(id)
+		}
 		return nil
 	}
 	c.g.log.Write(decisionlog.Start("order").Text("id", c.metadata.ID).Text("endpoint", string(at.ID())).
