Streams: identifiers are read as callers read them

What callers saw: nothing yet; where an event has more than one line with an identifier, takes it back, holds a zero byte there or ends its lines with CR, the next run was asked to go on after, and compared with, another identifier than that of the caller's last event.

Cause: the first line that begins with "id:" counted, up to the next LF. By the standard of event streams the last one counts, one without a value takes the identifier back, one with a zero byte is ignored, and lines may end with CR.

Evidence: 5 of 14 cases of TestIdentifierOfAnEventIsThatWhichItsCallerReads are red on the code before.

--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -14,18 +14,20 @@
 	"carawayspread/internal/request/readahead"
 )
 
-var idField = []byte("id:")
-
-// eventID returns the identifier of an event; empty if it has none.
+// eventID returns the identifier of an event as callers read it; empty if it has none.
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(rest))
+	var id []byte
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if string(name) == "id" && bytes.IndexByte(value, 0) < 0 {
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return ""
+	return string(id)
 }
 
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+
 // relayStream relays an answer event by event. An incomplete event at the end of a broken answer
 // never reaches the caller.
 func (c *call) relayStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
