Streams: an answer of another kind continues no stream

What callers saw: nothing yet; an engine that was to continue a stream and answered with an object behind which a blank line stands had that object passed on as an event of the stream; and a stream that its caller took up and that came with another status than 200, as 206, was passed on without a look at its events.

Cause: only the status decided what is a stream, and any bytes before a blank line are an event.

Now an answer that states another media type than the one that was begun is no continuation; where either states none, it goes on as before. On routes of streams, answers with any status of success and the type of event streams are relayed event by event.

Evidence: 2 of 8 cases of TestAnswerOfAnotherKindContinuesNoStream are red on the code before, the other six must be served as now.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -257,7 +257,7 @@
 		return c.mayRetry(), errIncomplete
 	}
 	c.ran++
-	if c.route.Stream && reply.Status == http.StatusOK {
+	if c.isStream(reply) {
 		outcome, err = c.relayStream(ctx, reply, at.Endpoint, tracker)
 		if next := c.takeMove(ctx, err); next != nil {
 			stopWatch()
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 
 	"carawayspread"
@@ -28,12 +30,31 @@
 
 func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
 
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether an answer is relayed event by event.
+func (c *call) isStream(reply *carawayspread.Reply) bool {
+	return c.route.Stream && (reply.Status == http.StatusOK || carawayspread.Succeeded(reply.Status) && mediaType(reply.Header) == eventStreamType)
+}
+
+// mediaType returns the type of a body; empty if none is stated.
+func mediaType(h http.Header) string {
+	stated, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return stated
+}
+
 // relayStream relays an answer event by event. An incomplete event at the end of a broken answer
 // never reaches the caller.
 func (c *call) relayStream(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint, tracker carawayspread.AttemptTracker) (carawayspread.Outcome, error) {
 	ahead := readahead.New(reply.Body, c.g.readAhead)
 	defer func() { _ = ahead.Close() }()
 	defer func() { _ = reply.Body.Close() }()
+	if err := c.checkType(reply); err != nil {
+		return carawayspread.OutcomeFailed, err
+	}
 	body := &boundedBody{Reader: ahead, left: c.maxStreamBytes(reply)}
 	events := openai.NewEvents(body)
 	var early []byte // comments before the first event
@@ -75,6 +96,15 @@
 	}
 }
 
+// checkType returns an error if an answer is to continue a stream and is of another type.
+func (c *call) checkType(reply *carawayspread.Reply) error {
+	begun, next := mediaType(c.w.Header()), mediaType(reply.Header)
+	if !c.started || begun == "" || next == "" || begun == next {
+		return nil
+	}
+	return errors.Join(errIncomplete, fmt.Errorf("an answer of type %q continues none of type %q", next, begun))
+}
+
 // checkOrder returns an error if an event does not follow the last one that the caller has, and takes it for
 // the last one otherwise.
 func (c *call) checkOrder(event []byte, at carawayspread.Endpoint) error {
