Entry: a stream does not follow part of an object

What callers saw: nothing yet; a caller that asked for a stream and got an object of more than 64 KiB that broke off had the events of a second run behind the first part of the object, or an error event there, and the answer ended as complete.

Cause: whether an answer may go on, and how it ends, was decided by what the caller had asked for, not by what it had been sent.

Now it is decided by what was sent: only a stream goes on, and ends with an error event; the connection of any other answer is reset.

--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -28,6 +28,7 @@
 	w           http.ResponseWriter
 	call        *call.Call
 	sent        bool           // the status and header are sent
+	streams     bool           // what is sent is a part of the stream that was asked for
 	status      int            // of the last answer of an endpoint; zero before the first
 	events      int            // complete events sent to the caller
 	digest      *xxhash.Digest // of the data of these events
@@ -47,7 +48,7 @@
 func (a *relay) succeeded() bool { return carawayspread.Succeeded(a.status) }
 
 // resumable reports whether another attempt can continue the answer from what was sent.
-func (a *relay) resumable() bool { return !a.sent || a.call.Stream() }
+func (a *relay) resumable() bool { return !a.sent || a.streams }
 
 // setResumeHeaders sets the headers that state which events the caller has received.
 func (a *relay) setResumeHeaders(header http.Header) {
@@ -79,11 +80,11 @@
 	}
 	a.status = got.Status
 	a.recordHeader(got)
-	if isStream(got) {
-		return a.forwardEvents(got)
-	}
-	if a.sent {
+	switch {
+	case a.sent && !(a.streams && isStream(got)):
 		return incomplete("the endpoint cannot resume the answer")
+	case isStream(got):
+		return a.forwardEvents(got)
 	}
 	return a.forwardBody(got)
 }
@@ -193,7 +194,7 @@
 	if a.sent {
 		return
 	}
-	a.sent = true
+	a.sent, a.streams = true, a.call.Stream() && isStream(got)
 	header := a.w.Header()
 	for name, values := range got.Header {
 		if !strings.HasPrefix(name, "Carawayspread-") && name != "X-Request-Id" && name != "Date" {
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -190,7 +190,7 @@
 	switch {
 	case !answer.started():
 		e.refuse(w, r, c, failure)
-	case c.Stream():
+	case answer.streams:
 		answer.sendError(failure)
 	default:
 		// The status has been sent, so only an aborted connection can show the
