Entry: an answer of a lost entry does not look complete

What callers saw: nothing yet; a caller of an entry that is killed took the part of an answer that it had for the whole, where the answer ends with its connection: its endpoint marked the end in no other way, or the caller speaks HTTP/1.0 and gets no chunks.

Cause: the kernel closes the connections of a process that is killed in order. Gateways set such connections to be reset; entries did not, though the page on the path of a request says so of both.

Now entries do, also where they replay an answer, and take it back once the answer is complete.

--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 )
 
 // Default limits of a Server.
@@ -65,6 +66,7 @@
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
+		ConnContext:       callers.ConnContext,
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/internal/process/entry/once.go
+++ b/internal/process/entry/once.go
@@ -53,14 +53,15 @@
 		return
 	}
 	if stored != nil {
-		replay(w, stored)
+		replay(w, r, stored)
 		return
 	}
-	answer := newRelay(w, c, e.clock)
+	answer := newRelay(w, c, e.clock).withCaller(r)
 	answer.record = &recorder{}
 	answer.beforeEnd = func() error { return answer.record.store(ctx, claim) }
 	failure := e.serve(ctx, c, answer)
 	if failure == nil {
+		answer.markComplete()
 		e.finished(c, answer, "served")
 		return
 	}
@@ -86,7 +87,7 @@
 	return unknownOutcome(failure)
 }
 
-func replay(w http.ResponseWriter, stored *Stored) {
+func replay(w http.ResponseWriter, r *http.Request, stored *Stored) {
 	for name, value := range stored.Header {
 		w.Header().Set(name, value)
 	}
@@ -94,6 +95,13 @@
 	if stored.Unmarked {
 		setUnmarked(w.Header())
 	}
+	if stored.Unmarked || !r.ProtoAtLeast(1, 1) {
+		complete := resetOnLoss(r)
+		defer func() {
+			_ = http.NewResponseController(w).Flush() // an error shows at the caller
+			complete()
+		}()
+	}
 	w.WriteHeader(stored.Status)
 	_, _ = w.Write(stored.Body)
 }
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/hopbyhop"
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/connection/sidecarhttp"
@@ -33,15 +34,23 @@
 	events      int            // complete events sent to the caller
 	digest      *xxhash.Digest // of the data of these events
 	clock       carawayspread.Clock
-	firstByteAt time.Time    // zero before the first byte of the answer
-	record      *recorder    // nil unless the answer is to be stored
-	beforeEnd   func() error // called before the end of a complete answer is sent
+	firstByteAt time.Time     // zero before the first byte of the answer
+	record      *recorder     // nil unless the answer is to be stored
+	beforeEnd   func() error  // called before the end of a complete answer is sent
+	caller      *http.Request // nil if it is not known
+	complete    func()        // lets the connection to the caller end in order; nil if it may do so anyway
 }
 
 func newRelay(w http.ResponseWriter, c *call.Call, clock carawayspread.Clock) *relay {
 	return &relay{w: w, call: c, clock: clock, digest: xxhash.New(), beforeEnd: func() error { return nil }}
 }
 
+// withCaller sets the caller's request.
+func (a *relay) withCaller(r *http.Request) *relay {
+	a.caller = r
+	return a
+}
+
 func (a *relay) started() bool { return a.sent }
 
 // succeeded reports whether the last answer is a success.
@@ -210,12 +219,34 @@
 	case got.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(got.Length, 10))
 	}
+	if a.caller != nil && (got.Unmarked || !a.caller.ProtoAtLeast(1, 1)) {
+		a.complete = resetOnLoss(a.caller)
+	}
 	a.w.WriteHeader(got.Status)
 }
 
+// resetOnLoss has the connection of the request reset if the process is lost before the returned function is
+// called. An error means that the connection has gone.
+func resetOnLoss(r *http.Request) (complete func()) {
+	complete, _ = callers.ResetOnLoss(r.Context())
+	return complete
+}
+
+// markComplete lets the connection to the caller end in order.
+func (a *relay) markComplete() {
+	if a.complete == nil {
+		return
+	}
+	_ = http.NewResponseController(a.w).Flush() // an error shows at the caller
+	a.complete()
+}
+
 // setUnmarked makes an answer end with its connection. Its endpoint marked the end in no other way, so
 // that a length or a last chunk would claim a proof that does not exist.
 func setUnmarked(header http.Header) { header.Set("Transfer-Encoding", "identity") }
 
 // sendError ends an incomplete stream with an error event.
-func (a *relay) sendError(failure *carawayspread.Error) { _ = a.write(openai.ErrorEvent(failure)) }
+func (a *relay) sendError(failure *carawayspread.Error) {
+	_ = a.write(openai.ErrorEvent(failure))
+	a.markComplete()
+}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -38,7 +38,7 @@
 		e.runAtMostOnce(ctx, w, r, c)
 		return
 	}
-	e.runAnswered(ctx, w, r, c, newRelay(w, c, e.clock))
+	e.runAnswered(ctx, w, r, c, newRelay(w, c, e.clock).withCaller(r))
 }
 
 // runContext returns the context of the run. An at-most-once request continues after
@@ -71,6 +71,7 @@
 		e.fail(w, r, c, answer, failure)
 		return
 	}
+	answer.markComplete()
 	e.finished(c, answer, "served")
 }
 
