--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/hopbyhop"
 	"carawayspread/internal/connection/openai"
 	"carawayspread/internal/connection/sidecarhttp"
@@ -28,26 +29,35 @@
 	w           http.ResponseWriter
 	call        *call.Call
 	sent        bool           // the status and header are sent
+	streams     bool           // what is sent is a part of the stream that was asked for
 	status      int            // of the last answer of an endpoint; zero before the first
 	events      int            // complete events sent to the caller
 	digest      *xxhash.Digest // of the data of these events
 	clock       carawayspread.Clock
-	firstByteAt time.Time    // zero before the first byte of the answer
-	record      *recorder    // nil unless the answer is to be stored
-	beforeEnd   func() error // called before the end of a complete answer is sent
+	firstByteAt time.Time     // zero before the first byte of the answer
+	record      *recorder     // nil unless the answer is to be stored
+	beforeEnd   func() error  // called before the end of a complete answer is sent
+	caller      *http.Request // nil if it is not known
+	complete    func()        // lets the connection to the caller end in order; nil if it may do so anyway
 }
 
 func newRelay(w http.ResponseWriter, c *call.Call, clock carawayspread.Clock) *relay {
 	return &relay{w: w, call: c, clock: clock, digest: xxhash.New(), beforeEnd: func() error { return nil }}
 }
 
+// withCaller sets the caller's request.
+func (a *relay) withCaller(r *http.Request) *relay {
+	a.caller = r
+	return a
+}
+
 func (a *relay) started() bool { return a.sent }
 
 // succeeded reports whether the last answer is a success.
 func (a *relay) succeeded() bool { return carawayspread.Succeeded(a.status) }
 
 // resumable reports whether another attempt can continue the answer from what was sent.
-func (a *relay) resumable() bool { return !a.sent || a.call.Stream() }
+func (a *relay) resumable() bool { return !a.sent || a.streams }
 
 // setResumeHeaders sets the headers that state which events the caller has received.
 func (a *relay) setResumeHeaders(header http.Header) {
@@ -79,11 +89,11 @@
 	}
 	a.status = got.Status
 	a.recordHeader(got)
-	if isStream(got) {
-		return a.forwardEvents(got)
-	}
-	if a.sent {
+	switch {
+	case a.sent && !(a.streams && isStream(got)):
 		return incomplete("the endpoint cannot resume the answer")
+	case isStream(got):
+		return a.forwardEvents(got)
 	}
 	return a.forwardBody(got)
 }
@@ -193,7 +203,7 @@
 	if a.sent {
 		return
 	}
-	a.sent = true
+	a.sent, a.streams = true, a.call.Stream() && isStream(got)
 	header := a.w.Header()
 	for name, values := range got.Header {
 		if !strings.HasPrefix(name, "Carawayspread-") && name != "X-Request-Id" && name != "Date" {
@@ -209,12 +219,34 @@
 	case got.Length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(got.Length, 10))
 	}
+	if a.caller != nil && (got.Unmarked || !a.caller.ProtoAtLeast(1, 1)) {
+		a.complete = resetOnLoss(a.caller)
+	}
 	a.w.WriteHeader(got.Status)
 }
 
+// resetOnLoss has the connection of the request reset if the process is lost before the returned function is
+// called. An error means that the connection has gone.
+func resetOnLoss(r *http.Request) (complete func()) {
+	complete, _ = callers.ResetOnLoss(r.Context())
+	return complete
+}
+
+// markComplete lets the connection to the caller end in order.
+func (a *relay) markComplete() {
+	if a.complete == nil {
+		return
+	}
+	_ = http.NewResponseController(a.w).Flush() // an error shows at the caller
+	a.complete()
+}
+
 // setUnmarked makes an answer end with its connection. Its endpoint marked the end in no other way, so
 // that a length or a last chunk would claim a proof that does not exist.
 func setUnmarked(header http.Header) { header.Set("Transfer-Encoding", "identity") }
 
 // sendError ends an incomplete stream with an error event.
-func (a *relay) sendError(failure *carawayspread.Error) { _ = a.write(openai.ErrorEvent(failure)) }
+func (a *relay) sendError(failure *carawayspread.Error) {
+	_ = a.write(openai.ErrorEvent(failure))
+	a.markComplete()
+}
--- a/internal/process/entry/run.go
+++ b/internal/process/entry/run.go
@@ -38,7 +38,7 @@
 		e.runAtMostOnce(ctx, w, r, c)
 		return
 	}
-	e.runAnswered(ctx, w, r, c, newRelay(w, c, e.clock))
+	e.runAnswered(ctx, w, r, c, newRelay(w, c, e.clock).withCaller(r))
 }
 
 // runContext returns the context of the run. An at-most-once request continues after
@@ -71,6 +71,7 @@
 		e.fail(w, r, c, answer, failure)
 		return
 	}
+	answer.markComplete()
 	e.finished(c, answer, "served")
 }
 
@@ -190,7 +191,7 @@
 	switch {
 	case !answer.started():
 		e.refuse(w, r, c, failure)
-	case c.Stream():
+	case answer.streams:
 		answer.sendError(failure)
 	default:
 		// The status has been sent, so only an aborted connection can show the
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -257,7 +257,7 @@
 		return c.mayRetry(), errIncomplete
 	}
 	c.ran++
-	if c.route.Stream && reply.Status == http.StatusOK {
+	if c.isStream(reply) {
 		outcome, err = c.relayStream(ctx, reply, at.Endpoint, tracker)
 		if next := c.takeMove(ctx, err); next != nil {
 			stopWatch()
@@ -307,7 +307,7 @@
 	case carawayspread.RetryIdempotent:
 		return !c.started
 	case carawayspread.RetryResume:
-		return !c.started || c.build != 0 && c.order.Last() != "" // an engine begins again without it
+		return !c.started || c.build != 0 && c.order.GoesOn()
 	}
 	return false
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"mime"
 	"net/http"
 
 	"carawayspread"
@@ -14,16 +16,34 @@
 	"carawayspread/internal/request/readahead"
 )
 
-var idField = []byte("id:")
-
-// eventID returns the identifier of an event; empty if it has none.
+// eventID returns the identifier of an event as callers read it; empty if it has none.
 func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(rest))
+	var id []byte
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if string(name) == "id" && bytes.IndexByte(value, 0) < 0 {
+			id = bytes.TrimSpace(value)
 		}
 	}
-	return ""
+	return string(id)
+}
+
+func isLineEnd(r rune) bool { return r == '\r' || r == '\n' }
+
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether an answer is relayed event by event.
+func (c *call) isStream(reply *carawayspread.Reply) bool {
+	return c.route.Stream && (reply.Status == http.StatusOK || carawayspread.Succeeded(reply.Status) && mediaType(reply.Header) == eventStreamType)
+}
+
+// mediaType returns the type of a body; empty if none is stated.
+func mediaType(h http.Header) string {
+	stated, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return stated
 }
 
 // relayStream relays an answer event by event. An incomplete event at the end of a broken answer
@@ -32,6 +52,9 @@
 	ahead := readahead.New(reply.Body, c.g.readAhead)
 	defer func() { _ = ahead.Close() }()
 	defer func() { _ = reply.Body.Close() }()
+	if err := c.checkType(reply); err != nil {
+		return carawayspread.OutcomeFailed, err
+	}
 	body := &boundedBody{Reader: ahead, left: c.maxStreamBytes(reply)}
 	events := openai.NewEvents(body)
 	var early []byte // comments before the first event
@@ -73,12 +96,23 @@
 	}
 }
 
+// checkType returns an error if an answer is to continue a stream and is of another type.
+func (c *call) checkType(reply *carawayspread.Reply) error {
+	begun, next := mediaType(c.w.Header()), mediaType(reply.Header)
+	if !c.started || begun == "" || next == "" || begun == next {
+		return nil
+	}
+	return errors.Join(errIncomplete, fmt.Errorf("an answer of type %q continues none of type %q", next, begun))
+}
+
 // checkOrder returns an error if an event does not follow the last one that the caller has, and takes it for
 // the last one otherwise.
 func (c *call) checkOrder(event []byte, at carawayspread.Endpoint) error {
 	id, after := eventID(event), c.order.Last()
 	if c.verdict = c.order.Judge(id); c.verdict == eventorder.Follows {
-		c.order.Take(id)
+		if id != "" || openai.Data(event) != nil {
+			c.order.Take(id)
+		}
 		return nil
 	}
 	c.g.log.Write(decisionlog.Start("order").Text("id", c.metadata.ID).Text("endpoint", string(at.ID())).
