Soak: the order of events is judged in every stream

A stream that broke off, that its caller left or that it took up could hold any events.

Each event of a stream is now compared with the one that is due after the last event that its caller had over all its tries. Callers count an event as theirs only once it is complete.

--- a/internal/soak/history/builds.go
+++ b/internal/soak/history/builds.go
@@ -44,7 +44,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, a := range h.answers {
-		if a.Resumes == "" || a.After >= worker.Events {
+		if a.Resumes == "" || a.After >= h.events {
 			continue
 		}
 		taken++
@@ -127,7 +127,7 @@
 			if began(a) {
 				fresh++
 			}
-		case !a.Unnamed && a.After < worker.Events && h.serving(versionOf[a.Resumes], a.SentAt, a.EndedAt) >= minServing:
+		case !a.Unnamed && a.After < h.events && h.serving(versionOf[a.Resumes], a.SentAt, a.EndedAt) >= minServing:
 			taken++
 			if began(a) {
 				went++
--- a/internal/soak/history/history.go
+++ b/internal/soak/history/history.go
@@ -66,6 +66,7 @@
 // History holds the observations of one soak. It is safe for concurrent use.
 type History struct {
 	bounds Bounds
+	events int // of a complete stream
 
 	mu            sync.Mutex
 	start         time.Time
@@ -84,7 +85,7 @@
 
 // New returns an empty history that begins at start.
 func New(bounds Bounds, start time.Time) *History {
-	return &History{bounds: bounds, start: start, faults: map[Target][]interval{}, signals: map[string][]time.Time{}, drainingSince: map[string]time.Time{}, streamers: map[string]streamer{}, peakMemory: map[string]int{}}
+	return &History{bounds: bounds, events: worker.Events, start: start, faults: map[Target][]interval{}, signals: map[string][]time.Time{}, drainingSince: map[string]time.Time{}, streamers: map[string]streamer{}, peakMemory: map[string]int{}}
 }
 
 // RecordAnswer records what a caller got from a process.
@@ -204,7 +205,8 @@
 	var found []string
 	for _, a := range h.answers {
 		found = append(found, h.checkAtMostOnce(a, executions[a.ID])...)
-		found = append(found, checkOwnAnswer(a, executions[a.ID])...)
+		found = append(found, checkOwnAnswer(a, h.events, executions[a.ID])...)
+		found = append(found, checkOrder(a)...)
 		found = append(found, checkProof(a, executions[a.ID])...)
 		found = append(found, h.checkUnframed(a, executions[a.ID])...)
 		found = append(found, checkRefusal(a, executions[a.ID])...)
@@ -213,7 +215,8 @@
 	}
 	for _, a := range h.keptAnswers {
 		found = append(found, h.checkAtMostOnce(a, executions[a.ID])...)
-		found = append(found, checkOwnAnswer(a, executions[a.ID])...)
+		found = append(found, checkOwnAnswer(a, h.events, executions[a.ID])...)
+		found = append(found, checkOrder(a)...)
 		found = append(found, checkRefusal(a, executions[a.ID])...)
 	}
 	found = append(found, h.checkLost()...)
@@ -238,12 +241,12 @@
 }
 
 // checkOwnAnswer: a success is the complete answer to the caller's own request.
-func checkOwnAnswer(a answer, executions []request) []string {
+func checkOwnAnswer(a answer, events int, executions []request) []string {
 	if a.Status != 200 || a.Err != nil {
 		return nil
 	}
 	if a.Kind.Streams() {
-		if want := streamBody(a.ID, a.After); withoutVersions(a.Body) != want {
+		if want := streamBody(a.ID, a.After, events); withoutVersions(a.Body) != want {
 			return finding("%s got as whole %q", a.ID, a.Body)
 		}
 		return nil
@@ -254,15 +257,6 @@
 	return nil
 }
 
-// streamBody returns the events of a stream after the given one.
-func streamBody(id string, after int) string {
-	var b strings.Builder
-	for n := after + 1; n <= worker.Events; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: part %d of %s\n\n", n, n, id)
-	}
-	return b.String()
-}
-
 // checkRefusal: a refusal without a worker's seal means that the request hasn't run.
 func checkRefusal(a answer, executions []request) []string {
 	isRefusal := a.Status == 429 || a.Status == 503 || a.Status == 408 || a.Status == 421
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -123,7 +123,8 @@
 // LastEvent returns the number of the last complete event of a stream; zero if there is none.
 func (a Answer) LastEvent() int {
 	last := 0
-	for event := range strings.SplitSeq(a.Body, "\n\n") {
+	whole := a.Body[:max(0, strings.LastIndex(a.Body, "\n\n"))]
+	for event := range strings.SplitSeq(whole, "\n\n") {
 		if text, ok := strings.CutPrefix(event, "id: "); ok && strings.Contains(event, "data: ") {
 			number, _, _ := strings.Cut(text, "\n")
 			if n, err := strconv.Atoi(number); err == nil {
