Soak: releases, long streams, zones, and callers that break off

The soak had two versions of the workers' software from its first second to its last, so that no process ever took the only version it saw for the only one there was; workers ended only in HARMFUL=1, all processes were in one zone, streams had four events, and callers took up only what had broken.

Options of stand-ins: the number of events of a stream, a caller that breaks off, a relay that leads to a successor. Callers that take up a stream try gateways until one accepts their connection.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,7 @@
 			&cli.BoolFlag{Name: "harmful", Usage: "a caller sends requests that crash the workers which run them"},
 			&cli.BoolFlag{Name: "failing", Usage: "workers refuse most requests while gateways are killed and restarted in series"},
 			&cli.BoolFlag{Name: "drains", Usage: "gateways end, restart and change in series while callers use open connections"},
+			&cli.BoolFlag{Name: "releases", Usage: "workers are replaced by ones of other versions in series, in several zones, and streams are long"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
 		},
@@ -60,7 +61,10 @@
 	if c.Bool("drains") {
 		generate = schedule.GenerateDrains
 	}
-	load := load{harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
+	if c.Bool("releases") {
+		generate = schedule.GenerateReleases
+	}
+	load := load{releases: c.Bool("releases"), harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
 	for n := range uint64(max(1, c.Int("runs"))) {
 		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), load)
 		if err != nil {
@@ -77,7 +81,7 @@
 }
 
 // load says what callers send beside their common requests, and how workers answer.
-type load struct{ harmful, failing, drains bool }
+type load struct{ harmful, failing, drains, releases bool }
 
 // runSchedule runs one schedule of faults and returns the violated guarantees. If there are any, the
 // logs of the run, the schedule and the findings are kept in a folder named after the seed.
@@ -89,7 +93,11 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	f, err := fleet.New(binary, dir, size, carawayspread.SystemClock())
+	var opts []fleet.Option
+	if l.releases {
+		opts = append(opts, fleet.WithReleases())
+	}
+	f, err := fleet.New(binary, dir, size, carawayspread.SystemClock(), opts...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -66,15 +66,21 @@
 	gateways   []*gateway
 	loadStart  time.Time
 	harmful    bool                          // a caller sends requests that crash workers
+	releases   bool                          // workers are replaced by ones of other versions
+	releaseMu  sync.Mutex                    // held during a release
 	drains     bool                          // callers keep connections open until their process is gone
 	timeouts   map[caller.Kind]time.Duration // of the routes
 	thinkTime  time.Duration
+	eventDelay time.Duration // of workers
+	events     int           // of a stream
+	zones      int
 	refusals   float64 // share of the requests that workers refuse
 
 	mu              sync.Mutex
 	workers         []*listedWorker
 	allWorkers      []*listedWorker // including drained ones
 	version         int
+	release         int // the version of the workers' software, where it is one
 	seq             int
 	injectionErrors []error // of the injection itself, not of the gateways
 }
@@ -95,16 +101,23 @@
 	relay       *relay.Relay
 	service     string
 	role        string
-	version     string      // of its software
+	version     string // of its software
+	zone        string
 	rateLimited atomic.Bool // it reports a rate
 }
 
+// Option sets an optional part of a fleet.
+type Option func(*Fleet)
+
 // New starts the stand-ins and size gateways of the binary, which log to dir.
-func New(binary, dir string, size int, clock carawayspread.Clock) (*Fleet, error) {
+func New(binary, dir string, size int, clock carawayspread.Clock, opts ...Option) (*Fleet, error) {
 	start, timeouts := clock.Now(), newTimeouts()
-	f := &Fleet{clock: clock, timeouts: timeouts, store: rows.New(), loadStart: start, thinkTime: meanThinkTime, history: history.New(history.Bounds{
+	f := &Fleet{clock: clock, timeouts: timeouts, store: rows.New(), loadStart: start, thinkTime: meanThinkTime, eventDelay: eventDelay, events: worker.Events, zones: 1, history: history.New(history.Bounds{
 		Timeouts: timeouts, Tolerance: tolerance, Drain: drainBound, RetryRatio: retryRatio, RetrySlack: retrySlack, RetryWindow: retryWindow, MemoryMegabytes: memoryMegabytes, Grace: grace,
 	}, start)}
+	for _, opt := range opts {
+		opt(f)
+	}
 	if err := f.start(binary, dir, size); err != nil {
 		f.Close()
 		return nil, err
@@ -123,6 +136,9 @@
 	f.publishRoutes()
 	for n := range plainWorkers + prefillWorkers + decodeWorkers {
 		service, role, version := "plain", "", versions[n%len(versions)]
+		if f.releases {
+			version = versions[0]
+		}
 		if n >= plainWorkers {
 			service, role = "model", "prefill"
 		}
@@ -166,10 +182,10 @@
 			return err
 		}
 		settings := filepath.Join(dir, name+".jsonc")
-		text := fmt.Sprintf(`{"instance":{"id":%q,"zone":"z"},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
+		text := fmt.Sprintf(`{"instance":{"id":%q,"zone":%q},"addresses":{"listen":%q,"health":%q,"peer":%q,"metrics":%q},
 "store":%q,"seeds":[%s],"grace":"%v","memoryMegabytes":%d,"promises":{"leaving":"%v","inForce":"%v"},
 "retries":{"ratio":%g,"slack":%d,"window":"%v"},"firstStart":true}
-`, name, own[0], own[1], own[2], own[3], storeRelay.Address(), strings.Join(seeds, ","), grace, memoryMegabytes, drainBound, drainBound, retryRatio, retrySlack, retryWindow)
+`, name, f.zone(n), own[0], own[1], own[2], own[3], storeRelay.Address(), strings.Join(seeds, ","), grace, memoryMegabytes, drainBound, drainBound, retryRatio, retrySlack, retryWindow)
 		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return trace.ConvertSystemError(err)
 		}
@@ -185,6 +201,9 @@
 	return nil
 }
 
+// zone returns the zone of the nth gateway or worker.
+func (f *Fleet) zone(n int) string { return "z" + strings.Repeat("z", n%f.zones) }
+
 // ownHost returns a loopback address that only this process uses. On a shared address, another
 // soak or an outgoing connection could take the port of a gateway while it restarts.
 func ownHost() string {
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -105,6 +105,10 @@
 		return f.leaveDuring(step, func() error { return f.starveHalf(step) })
 	case schedule.LeaveCut:
 		return f.leaveDuring(step, func() error { f.cutFromStore(g, step.Duration); return nil })
+	case schedule.Release:
+		return f.releaseWorkers(step)
+	case schedule.Strand:
+		return f.strand(g, step)
 	case schedule.Routes:
 		f.publishRoutes()
 	case schedule.Restore:
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -68,7 +68,7 @@
 	for _, p := range f.workers {
 		p.worker.ClearScript()
 		p.worker.SetRefusals(0)
-		p.worker.SetEventDelay(eventDelay)
+		p.worker.SetEventDelay(f.eventDelay)
 	}
 	<-f.clock.After(settleTime)
 	stop()
@@ -101,7 +101,8 @@
 func (f *Fleet) sendRequests(ctx context.Context, g *gateway, rng *rand.Rand, name string) {
 	c := caller.New(g.listen)
 	for n := 0; ctx.Err() == nil; n++ {
-		a := c.Send(context.WithoutCancel(ctx), callerKinds[rng.IntN(len(callerKinds))], fmt.Sprint(name, "-", n))
+		kind := callerKinds[rng.IntN(len(callerKinds))]
+		a := c.SendPaced(context.WithoutCancel(ctx), kind, fmt.Sprint(name, "-", n), f.pace(rng, kind))
 		f.history.RecordAnswer(g.name, a)
 		if a.Kind == caller.Stream {
 			f.resume(ctx, rng, a)
@@ -114,7 +115,7 @@
 	}
 }
 
-// resume takes up a stream that broke after an event, at any gateway.
+// resume takes up a stream that broke after an event, at any gateway that accepts its connection.
 func (f *Fleet) resume(ctx context.Context, rng *rand.Rand, began caller.Answer) {
 	tries := []caller.Answer{began}
 	for n := range maxResumptions {
@@ -122,10 +123,15 @@
 		if last.Err == nil && last.Status == http.StatusOK || began.LastEvent() == 0 {
 			return
 		}
-		g := f.gateways[rng.IntN(len(f.gateways))]
-		a := caller.New(g.listen).Resume(context.WithoutCancel(ctx), fmt.Sprint(began.ID, "-again-", n), tries)
-		f.history.RecordAnswer(g.name, a)
-		tries = append(tries, a)
+		for _, i := range rng.Perm(len(f.gateways)) {
+			g := f.gateways[i]
+			a := caller.New(g.listen).Resume(context.WithoutCancel(ctx), fmt.Sprint(began.ID, "-again-", n), tries)
+			f.history.RecordAnswer(g.name, a)
+			tries = append(tries, a)
+			if a.Connected() {
+				break
+			}
+		}
 	}
 }
 
--- a/internal/soak/fleet/platform.go
+++ b/internal/soak/fleet/platform.go
@@ -24,6 +24,11 @@
 
 // addWorker starts a worker and lists it as ready.
 func (f *Fleet) addWorker(service, role, version string) error {
+	return f.addWorkerAt(nil, service, role, version)
+}
+
+// addWorkerAt is addWorker at the address of an earlier one, if workerRelay is not nil.
+func (f *Fleet) addWorkerAt(workerRelay *relay.Relay, service, role, version string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seq++
@@ -31,15 +36,18 @@
 	if err != nil {
 		return err
 	}
-	workerRelay, err := relay.New(w.Address(), f.clock)
-	if err != nil {
-		return err
+	if workerRelay == nil {
+		if workerRelay, err = relay.New(w.Address(), f.clock); err != nil {
+			return err
+		}
 	}
+	workerRelay.SetTarget(w.Address())
 	w.ListenedAt(workerRelay.Address())
 	w.SetVersion(version)
-	w.SetEventDelay(eventDelay)
+	w.SetEventDelay(f.eventDelay)
+	w.SetEvents(f.events)
 	w.SetRefusals(f.refusals)
-	p := &listedWorker{worker: w, relay: workerRelay, service: service, role: role, version: version}
+	p := &listedWorker{worker: w, relay: workerRelay, service: service, role: role, version: version, zone: f.zone(f.seq)}
 	if f.harmful {
 		f.crashOnHarmful(p)
 	}
@@ -54,7 +62,7 @@
 func (f *Fleet) publishWorker(p *listedWorker, state string) error {
 	f.seq++
 	return f.store.PutServer(p.worker.ID(), rows.Server{
-		Service: p.service, Address: p.relay.Address(), Zone: "z", Slots: 8, State: state, Stage: p.role, Seq: f.seq, Version: p.version,
+		Service: p.service, Address: p.relay.Address(), Zone: p.zone, Slots: 8, State: state, Stage: p.role, Seq: f.seq, Version: p.version,
 	})
 }
 
--- a/internal/soak/relay/relay.go
+++ b/internal/soak/relay/relay.go
@@ -40,7 +40,7 @@
 type Relay struct {
 	clock         carawayspread.Clock
 	listener      net.Listener
-	target        string
+	target        atomic.Pointer[string]
 	fault         atomic.Int32
 	responseBytes atomic.Int64
 
@@ -56,7 +56,8 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r := &Relay{clock: clock, listener: listener, target: target, conns: map[net.Conn]bool{}}
+	r := &Relay{clock: clock, listener: listener, conns: map[net.Conn]bool{}}
+	r.SetTarget(target)
 	go r.serve()
 	return r, nil
 }
@@ -64,6 +65,9 @@
 // Address returns the IP address and port of the relay.
 func (r *Relay) Address() string { return r.listener.Addr().String() }
 
+// SetTarget forwards new connections to another address.
+func (r *Relay) SetTarget(address string) { r.target.Store(&address) }
+
 // SetFault applies a fault to open and new connections from now on.
 func (r *Relay) SetFault(fault Fault) {
 	r.fault.Store(int32(fault))
@@ -121,7 +125,7 @@
 }
 
 func (r *Relay) forward(conn net.Conn) {
-	upstream, err := net.Dial("tcp4", r.target)
+	upstream, err := net.Dial("tcp4", *r.target.Load())
 	if err != nil {
 		reset(conn)
 		return
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -43,6 +43,9 @@
 
 	StopAgain Kind = "stopAgain" // a gateway gets SIGTERM, also while it ends after another one
 
+	Release Kind = "release" // the workers of models are replaced, one after the other, by ones of another version
+	Strand  Kind = "strand"  // one gateway alone misses the beginning of a release, and all others are killed
+
 	Narrow Kind = "narrow" // the bandwidth to the store is that of a small instance
 )
 
@@ -72,6 +75,11 @@
 // failingKinds make processes forget what they have spent, or miss time.
 var failingKinds = []Kind{Kill, Kill, Kill, KillAll, KillAll, Replace, Pause, PauseAll, StoreDown}
 
+// releaseKinds make processes miss, learn late or forget which versions of the workers' software serve.
+var releaseKinds = []Kind{
+	Release, Release, Release, Strand, Strand, Kill, KillAll, Replace, Pause, PauseAll, LeaveCut, LeavePaused, Drain, Refused, Delayed, StoreDown, StoreSilent, StoreForgot,
+}
+
 // harmfulKinds are faults of processes and of the store.
 var harmfulKinds = []Kind{Kill, Replace, Pause, StoreDown, Drain}
 
@@ -89,6 +97,8 @@
 	// seriesMeanInterval is the same for starts in series: several within a window of the retry budget.
 	seriesMeanInterval = 2 * time.Second
 	minLimitedDuration = 6 * time.Second
+	// releaseMeanInterval leaves some of the time to one version alone.
+	releaseMeanInterval = time.Second
 	// minUnlistedDuration is the shortest time for which a draining worker is still listed as
 	// ready: longer than the time in which processes have to stop sending to it.
 	minUnlistedDuration = 4 * time.Second
@@ -138,6 +148,13 @@
 	return s
 }
 
+// GenerateReleases returns a schedule of releases, while processes are killed, paused and cut from the store.
+func GenerateReleases(seed uint64, length time.Duration) *Schedule {
+	s := &Schedule{seed: seed}
+	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, releaseMeanInterval, releaseKinds)
+	return s
+}
+
 // GenerateDrains returns a schedule of shutdowns, restarts, signals and changes in series that overlap.
 func GenerateDrains(seed uint64, length time.Duration) *Schedule {
 	s := &Schedule{seed: seed}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -174,6 +174,10 @@
 	a.Status, a.Seal, a.HasRetryAfter = resp.StatusCode, resp.Header.Get("Carawayspread-Server-Seal"), resp.Header.Get("Retry-After") != ""
 	a.ServerLeaving, a.HasServerLimit = resp.Header.Get("Server-Leaving") != "", resp.Header.Get("Server-Limit") != ""
 	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if a.Pace.Events > 0 && a.Status == http.StatusOK {
+		a.Body, err = readEvents(resp.Body, a.Pace.Events)
+		return err
+	}
 	answer, err := io.ReadAll(resp.Body)
 	a.Body = string(answer)
 	return err
--- a/internal/standin/caller/pace.go
+++ b/internal/standin/caller/pace.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"io"
+	"strings"
 	"time"
 )
 
@@ -10,6 +13,31 @@
 type Pace struct {
 	Body time.Duration // in which the body is sent; zero for at once
 	Left time.Duration // for which the caller waits; zero if it does not say so
+	// Events is after how many events the caller of a stream breaks off; zero if it does not.
+	Events int
+}
+
+// errBrokeOff ends an answer that its caller did not read to its end.
+var errBrokeOff = errors.New("the caller broke off")
+
+// readEvents reads so many events of a stream.
+func readEvents(body io.Reader, n int) (string, error) {
+	var read strings.Builder
+	r := bufio.NewReader(body)
+	for n > 0 {
+		line, err := r.ReadString('\n')
+		read.WriteString(line)
+		if err == io.EOF {
+			return read.String(), nil
+		}
+		if err != nil {
+			return read.String(), err
+		}
+		if line == "\n" {
+			n--
+		}
+	}
+	return read.String(), errBrokeOff
 }
 
 // SendPaced sends one request at that pace and waits for the complete answer.
--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -41,7 +41,7 @@
 		text = handleOf(got)
 	case strings.Contains(got.Target, "/stream/"):
 		text = ""
-		for n := firstMissing(got); n <= Events; n++ {
+		for n := firstMissing(got); n <= w.length(); n++ {
 			text += w.event(n, got.ID)
 		}
 	}
@@ -83,7 +83,7 @@
 	first := firstMissing(got)
 	r := w.beginRun(got.ID, first)
 	defer w.endRun(got.ID, r)
-	for n := first; n <= Events; n++ {
+	for n := first; n <= w.length(); n++ {
 		event := w.event(n, got.ID)
 		truncated := (behaviour == Truncate || behaviour == TruncateLate) && n == first+1
 		if truncated {
@@ -117,6 +117,20 @@
 	return true
 }
 
+// SetEvents sets the number of events in a complete stream.
+func (w *Worker) SetEvents(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.events = n
+}
+
+// length returns the number of events in a complete stream.
+func (w *Worker) length() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.events
+}
+
 func (w *Worker) pace() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -25,7 +25,7 @@
 // extraLead is how long before the answer that is due a repeated one arrives: the time to run a request.
 const extraLead = 20 * time.Millisecond
 
-// Events is the number of events in a complete stream.
+// Events is the number of events in a complete stream, unless SetEvents says otherwise.
 const Events = 4
 
 // HarmfulBody is the body of a request that crashes each worker which runs it, and HarmfulPart a part of its
@@ -67,6 +67,7 @@
 	headers     map[string]string // additional headers of responses
 	onCrash     func()            // nil if requests crash no worker
 	harmfulPart string            // of a prompt that crashes the worker; empty if none does
+	events      int               // of a complete stream
 	eventDelay  time.Duration     // before each event of a stream after the first
 	refusals    float64           // share of the requests that are refused
 	version     string            // of its software, which each event names; empty if they name none
@@ -83,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{id: id, listener: listener, script: script, conns: map[net.Conn]bool{}, headers: map[string]string{}, runs: map[string]*run{}, memories: map[string]memory{}}
+	w := &Worker{id: id, listener: listener, script: script, events: Events, conns: map[net.Conn]bool{}, headers: map[string]string{}, runs: map[string]*run{}, memories: map[string]memory{}}
 	byAddress.Store(w.Address(), w)
 	go w.serve()
 	return w, nil
