--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -123,7 +123,8 @@
 // LastEvent returns the number of the last complete event of a stream; zero if there is none.
 func (a Answer) LastEvent() int {
 	last := 0
-	for event := range strings.SplitSeq(a.Body, "\n\n") {
+	whole := a.Body[:max(0, strings.LastIndex(a.Body, "\n\n"))]
+	for event := range strings.SplitSeq(whole, "\n\n") {
 		if text, ok := strings.CutPrefix(event, "id: "); ok && strings.Contains(event, "data: ") {
 			number, _, _ := strings.Cut(text, "\n")
 			if n, err := strconv.Atoi(number); err == nil {
@@ -173,6 +174,10 @@
 	a.Status, a.Seal, a.HasRetryAfter = resp.StatusCode, resp.Header.Get("Carawayspread-Server-Seal"), resp.Header.Get("Retry-After") != ""
 	a.ServerLeaving, a.HasServerLimit = resp.Header.Get("Server-Leaving") != "", resp.Header.Get("Server-Limit") != ""
 	a.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	if a.Pace.Events > 0 && a.Status == http.StatusOK {
+		a.Body, err = readEvents(resp.Body, a.Pace.Events)
+		return err
+	}
 	answer, err := io.ReadAll(resp.Body)
 	a.Body = string(answer)
 	return err
