Slots of an odd entry end no request

Callers saw their connections cut without an answer, each request for the service, as long as the list had one entry with 2^62 slots.

Cause: placePlain divided by four times the slots, which is 0 in 64 bits: "integer divide by zero". net/http recovers the panic and closes the connection. Every request looks at every endpoint of its service, so that one entry cut all of them. Slots of 2^61 and 2^63-1 gave negative divisors, whose endpoint looked the cheaper the more it ran.

The cost is worked out in floating point now, which has neither a zero nor a change of sign at any number of slots.

--- a/internal/decision/placement/plain.go
+++ b/internal/decision/placement/plain.go
@@ -21,7 +21,7 @@
 		slots := max(1, e.endpoint.Slots())
 		running := p.load(now, e).running
 		first := time.Duration(float64(mean) * queueFactor(e, running))
-		cost := first + mean*time.Duration(running)/time.Duration(4*slots)
+		cost := first + time.Duration(float64(mean)*float64(running)/(4*float64(slots)))
 		cost += p.crossZoneCost(e, req)
 		if best == nil || cost < bestCost {
 			best, bestFirst, bestCost = e, first, cost
--- a/internal/decision/placement/plain_test.go
+++ b/internal/decision/placement/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -73,3 +74,31 @@
 	qt.Check(t, refused, qt.Equals, 0)
 	qt.Check(t, worstRatio <= 1.5, qt.IsTrue, qt.Commentf("%.2f", worstRatio))
 }
+
+// One entry of the list states so many slots that four times the number is none: each request for the
+// service ends in a panic, and its caller's connection is cut without an answer.
+func TestSlotsOfAnOddEntryEndNoRequest(t *testing.T) {
+	for name, slots := range map[string]int{
+		"none": 0, "negative": math.MinInt64, "four times it is nothing": 1 << 62, "four times it is negative": 1 << 61,
+		"the largest number": math.MaxInt64,
+	} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			p := New(carawayspread.Environment{Clock: clock, Zone: "z", Rand: rand.New(rand.NewPCG(1, 2))})
+			p.SetEndpoints("s", []carawayspread.Endpoint{
+				carawayspread.NewEndpoint("odd", "s", "z", "10.0.0.1:1", false, carawayspread.WithSlots(slots)),
+				carawayspread.NewEndpoint("sound", "s", "z", "10.0.0.2:1", false, carawayspread.WithSlots(4)),
+			})
+			req := carawayspread.PlacementRequest{
+				Route: &carawayspread.Route{Name: "r", TargetLatency: time.Second}, Service: carawayspread.RoutedService{Name: "s"},
+				Arrived: clock.Now(), Deadline: clock.Now().Add(time.Second),
+			}
+			for range 3 {
+				at, err := p.Place(req)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, at.TimeToFirstEvent > 0, qt.IsTrue)
+				p.Sent(req, at)
+			}
+		})
+	}
+}
