--- a/endpoint.go
+++ b/endpoint.go
@@ -1,6 +1,13 @@
 package carawayspread
 
-import "time"
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+)
 
 // EndpointID identifies one worker. A worker that starts again may keep its identifier, and then knows
 // nothing of before.
@@ -51,6 +58,45 @@
 	return e
 }
 
+const (
+	// MaxSlots bounds the slots of an endpoint, like the running requests that processes tell each other.
+	MaxSlots = 1 << 20
+	// maxNameBytes bounds the names of endpoints, which travel in headers and datagrams.
+	maxNameBytes = 256
+)
+
+// broadcast is the address of all machines of a network.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
+// Validate returns an error if no worker can be reached with these values, or if they are out of range.
+func (e Endpoint) Validate() error {
+	for name, text := range map[string]string{"id": string(e.id), "service": e.service} {
+		if text == "" || len(text) > maxNameBytes || !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
+			return fmt.Errorf("%s: not 1 to %d bytes of text, is %.40q", name, maxNameBytes, text)
+		}
+	}
+	if err := validateAddress(e.address); err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if e.slots < 0 || e.slots > MaxSlots {
+		return fmt.Errorf("slots: not from 0 to %d, are %d", MaxSlots, e.slots)
+	}
+	return nil
+}
+
+// validateAddress returns an error if the text is not the IP address and port of one machine.
+func validateAddress(text string) error {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return err
+	}
+	ip := address.Addr().Unmap()
+	if address.Port() == 0 || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast {
+		return fmt.Errorf("not of one machine's port, is %s", address)
+	}
+	return nil
+}
+
 // Drained returns a copy of the endpoint that takes no new work.
 func (e Endpoint) Drained() Endpoint {
 	e.leaving = true
