One odd row does not keep daemons from following the instance list

One row with a port out of range, a number too large, another type or no identifier, and no daemon followed the list from then on: instances that joined got nothing, and those that left were called until each call failed.

Cause: a list with one invalid row was refused as a whole, so that no instance looks gone by mistake. A row that cannot be used stays as it was last held now, which keeps that promise for its own instance, and is left out if it never was; the other rows count. Such a row is logged once as an error with its identifier and the reason.

Not mended: a row nested over 10,000 deep makes the JSON of the whole list unreadable to encoding/json, and the last list stays in use.

--- a/instance.go
+++ b/instance.go
@@ -1,6 +1,10 @@
 package carawayspread
 
-import "context"
+import (
+	"context"
+	"errors"
+	"fmt"
+)
 
 // InstanceState is the state of an instance as the platform reports it.
 type InstanceState string
@@ -33,6 +37,23 @@
 	Endpoints []InstanceEndpoint `json:"endpoints,omitempty"`
 }
 
+// Validate returns an error if the row has no identifier, or an address at which nothing can listen. An address that
+// the platform does not know yet is empty.
+func (i Instance) Validate() error {
+	if i.ID == "" {
+		return errors.New("id: missing")
+	}
+	for field, address := range map[string]string{"address": i.Address, "control": i.Control} {
+		if address == "" {
+			continue
+		}
+		if err := validateAddress(address); err != nil {
+			return fmt.Errorf("%s: %w", field, err)
+		}
+	}
+	return nil
+}
+
 // InstanceEndpoint is one worker of an instance.
 type InstanceEndpoint struct {
 	ID      EndpointID `json:"id"`
@@ -42,6 +63,7 @@
 // InstanceList is the platform's list of instances. It may be outdated.
 type InstanceList interface {
 	// List returns all instances and the revision of the list. If the caller passes the current
-	// revision, List may return a nil slice and the same revision.
+	// revision, List may return a nil slice and the same revision. A row that cannot be used is as it was
+	// when it could be, and is left out if it never could.
 	List(ctx context.Context, have string) (instances []Instance, revision string, err error)
 }
--- a/internal/daemon/base/base.go
+++ b/internal/daemon/base/base.go
@@ -51,7 +51,7 @@
 	b.table = tableclient.NewTable(client, clock, b.set, tableclient.WithTimeouts(s.Timeouts().Table(), s.Timeouts().Table()))
 	b.objects = s3.New("http://"+p.Objects(), s3.WithBucket(p.Bucket()), s3.WithRegion(p.AWSRegion()),
 		s3.WithCredentials(id, secret))
-	b.watch = watch.New(instancelist.New("http://"+p.InstanceList()), clock, b.log)
+	b.watch = watch.New(instancelist.New("http://"+p.InstanceList(), instancelist.WithLog(b.log)), clock, b.log)
 	t := s.Timeouts()
 	b.changes = changelog.New(b.table, b.objects, clock, changelog.WithLogger(b.log), changelog.WithTimeout(t.Table()))
 	b.config = confsync.New(b.changes, clock,
