Crashes while the table fails end no process

An entry could end with a panic: "slice bounds out of range [:-512]", in the goroutine of a request (net/http recovers it, and the caller's connection is cut).

Cause: what is not written yet is bounded to 512 crashes and answers when it comes, but what a failed exchange puts back was added to what had come in between; the next crash then asked for a negative rest. An item of another writer that cannot be decoded made each exchange fail, for ever, so that only the count was missing. Found by reading for odd entries.

What is put back is bounded to the newest 512. An item that cannot be decoded is logged once and written over with the next crash; crashes and answers that lie further ahead than they are kept (an answer of the year 9999 hid the crashes of its part from all entries) are left out.

Evidence: TestCrashesWhileTheTableFails panicked before; TestOddItemIsWrittenOver of the package was not reached there.

--- a/internal/controller/partexchange/exchange.go
+++ b/internal/controller/partexchange/exchange.go
@@ -81,8 +81,9 @@
 	crashes  []crash  // not written yet
 	answered []answer // not written yet
 
-	wake   chan struct{}
-	passed map[uint64]time.Time // the last answer to each part that was passed on to Parts
+	wake    chan struct{}
+	refused uint64               // the last revision that could not be read
+	passed  map[uint64]time.Time // the last answer to each part that was passed on to Parts
 }
 
 // New returns an exchange over the table.
@@ -155,12 +156,15 @@
 	}
 	if err != nil {
 		x.mu.Lock()
-		x.crashes, x.answered = append(crashes, x.crashes...), append(answered, x.answered...)
+		x.crashes, x.answered = newest(append(crashes, x.crashes...)), newest(append(answered, x.answered...))
 		x.mu.Unlock()
 	}
 	return err
 }
 
+// newest returns the last maxEntries of them.
+func newest[T any](all []T) []T { return all[max(0, len(all)-maxEntries):] }
+
 // passOn passes answers that are new, and all crashes, to parts.
 func (x *Exchange) passOn(known item, parts Parts) {
 	passed := map[uint64]time.Time{}
@@ -210,8 +214,22 @@
 		return 0, item{}, err
 	}
 	var known item
-	err = json.Unmarshal(stored.Body, &known)
-	return stored.Rev, known, trace.Wrap(err)
+	if err := json.Unmarshal(stored.Body, &known); err != nil {
+		x.refuse(stored.Rev, err)
+		return stored.Rev, item{}, nil
+	}
+	ahead := x.clock.Now().Add(memory)
+	known.Crashes = slices.DeleteFunc(known.Crashes, func(c crash) bool { return c.At.After(ahead) })
+	known.Answered = slices.DeleteFunc(known.Answered, func(a answer) bool { return a.At.After(ahead) })
+	return stored.Rev, known, nil
+}
+
+// refuse logs once that the item of that revision is another writer's. It is written over with the next crash.
+func (x *Exchange) refuse(rev uint64, err error) {
+	if x.refused != rev {
+		x.refused = rev
+		x.log.WithError(err).WithField("rev", rev).Error("the crashes under parts of prompts cannot be read")
+	}
 }
 
 func (x *Exchange) write(ctx context.Context, rev uint64, next item) error {
--- a/internal/controller/partexchange/exchange_test.go
+++ b/internal/controller/partexchange/exchange_test.go
@@ -84,3 +84,51 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, len(known.Crashes)+len(known.Answered), qt.Equals, 0)
 }
+
+// More crashes come than are kept while the table fails, and the process ends in a panic.
+func TestCrashesWhileTheTableFails(t *testing.T) {
+	store := &duringRead{}
+	x := New(store, clockwork.NewFakeClock(), &log.Logger{Handler: logfmt.New(io.Discard), Level: log.FatalLevel})
+	many, parts := make([]carawayspread.PartCrash, maxEntries), make([]uint64, maxEntries)
+	store.then = func() { x.Crashed(many); x.Answered(parts) }
+	for range 3 {
+		x.Crashed(many)
+		x.Answered(parts)
+		qt.Check(t, x.exchange(t.Context(), &learned{map[uint64]int{}, map[uint64]int{}}), qt.IsNotNil)
+	}
+	qt.Check(t, x.crashes, qt.HasLen, maxEntries)
+}
+
+// duringRead is a table that fails, and calls then during each read.
+type duringRead struct {
+	carawayspread.Table
+	then func()
+}
+
+func (d *duringRead) Get(context.Context, carawayspread.Key) (carawayspread.Item, error) {
+	d.then()
+	return carawayspread.Item{}, errors.New("fault")
+}
+
+// Another writer left an item that is none: entries exchange no crashes from then on, or an answer of the year
+// 9999 hides those of its part.
+func TestOddItemIsWrittenOver(t *testing.T) {
+	for name, body := range map[string]string{
+		"a list": `[]`, "a number": `7`, "part too large": `{"crashes":[{"part":18446744073709551616}]}`, "crashes a text": `{"crashes":"x"}`,
+		"answered far ahead": `{"answered":[{"part":1,"at":"9999-12-31T23:59:59Z"}]}`, "no time": `{"answered":[{"part":1,"at":"soon"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(table.New(carawayspread.SystemClock()))
+			t.Cleanup(server.Close)
+			store := dynamodb.New(server.URL)
+			qt.Assert(t, store.Apply(t.Context(), carawayspread.Write{Item: carawayspread.Item{Key: key, Token: "t", Body: []byte(body)}}), qt.IsNil)
+			clock, quiet := clockwork.NewFakeClock(), &log.Logger{Handler: logfmt.New(io.Discard), Level: log.FatalLevel}
+			first, second := New(store, clock, quiet), New(store, clock, quiet)
+			at := &learned{map[uint64]int{}, map[uint64]int{}}
+			first.Crashed([]carawayspread.PartCrash{{Part: 1, Endpoint: "a"}})
+			qt.Assert(t, first.exchange(t.Context(), &learned{map[uint64]int{}, map[uint64]int{}}), qt.IsNil)
+			qt.Assert(t, second.exchange(t.Context(), at), qt.IsNil)
+			qt.Check(t, at.crashes, qt.DeepEquals, map[uint64]int{1: 1})
+		})
+	}
+}
