Retries are granted again after a restore, and after an odd item of claims

After the table was restored with claims of before, no process was ever granted a retry of such a service out of what the fleet shares: requests whose share was spent failed. An item of another writer did the same, for ever; one with negative retries, or with retries beyond 64 bits in sum, granted more than the budget.

Cause: what may be missing counts as claimed in full from now on, but as nothing could be taken, nothing was written; the next claim found the same item and counted from then on again. It is written now. Claims that no process can have made by the table's clock, and items that cannot be decoded, count in the same way: the service waits for one window, and the line of the claim says why.

Evidence: TestRestoredTableWithClaimsGrantsAgain and all 9 cases of TestOddItemDelaysClaimsForAWindow failed before.

--- a/internal/controller/retryclaims/claimer.go
+++ b/internal/controller/retryclaims/claimer.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -135,10 +136,11 @@
 	for range maxAttempts {
 		var item carawayspread.Item
 		var claims slackclaims.Claims
-		if item, claims, err = c.read(ctx, key); err != nil {
+		var replaced bool
+		if item, claims, replaced, err = c.read(ctx, key); err != nil {
 			return 0, 0, err
 		}
-		if retries, wait = claims.Take(c.now(), c.limit, c.window); retries == 0 && item.Rev > 0 {
+		if retries, wait = claims.Take(c.now(), c.limit, c.window); retries == 0 && item.Rev > 0 && !replaced {
 			return 0, wait, nil
 		}
 		if err = c.write(ctx, key, item.Rev, claims); !errors.Is(err, carawayspread.ErrCondition) {
@@ -157,28 +159,36 @@
 	return now
 }
 
-func (c *Claimer) read(ctx context.Context, key carawayspread.Key) (item carawayspread.Item, claims slackclaims.Claims, err error) {
+// read returns the item and its claims. If earlier claims may be missing, all that may be taken counts as claimed
+// from now on; replaced says that this must be written even if nothing is taken.
+func (c *Claimer) read(ctx context.Context, key carawayspread.Key) (item carawayspread.Item, claims slackclaims.Claims, replaced bool, err error) {
 	item, err = c.table.Get(ctx, key)
 	missing := errors.Is(err, carawayspread.ErrNoItem)
 	if err != nil && !missing {
-		return item, claims, err
+		return item, claims, false, err
 	}
 	if _, known := c.storeTime.Now(); !known {
-		return item, claims, errNoStoreTime
+		return item, claims, false, errNoStoreTime
 	}
 	var generation uint64
 	if restorable, ok := c.table.(carawayspread.Restorable); ok {
 		generation = restorable.Generation()
 	}
+	var odd error // of another writer's item
 	if !missing {
-		if err = json.Unmarshal(item.Body, &claims); err != nil {
-			return item, claims, err
+		odd = json.Unmarshal(item.Body, &claims)
+		if odd == nil && !claims.Possible(c.now(), c.window) {
+			odd = fmt.Errorf("no process can have made these %d claims at %s", len(claims.Claims), c.now())
 		}
 	}
-	if generation > 1 && claims.Generation != generation {
+	if odd != nil {
+		c.log.Write(decisionlog.Start("retryClaim").Text("service", key.Sort).Text("unreadable", odd.Error()))
+	}
+	if odd != nil || generation > 1 && claims.Generation != generation {
 		claims.Restored(c.now(), c.limit, generation)
+		replaced = true
 	}
-	return item, claims, nil
+	return item, claims, replaced, nil
 }
 
 func (c *Claimer) write(ctx context.Context, key carawayspread.Key, rev uint64, claims slackclaims.Claims) error {
--- a/internal/controller/retryclaims/claimer_test.go
+++ b/internal/controller/retryclaims/claimer_test.go
@@ -118,6 +118,42 @@
 	qt.Check(t, f.process(restored).Claim(t.Context(), "s"), qt.IsTrue)
 }
 
+// A table with claims of before was restored: all later processes count everything as claimed, for ever, and no
+// retry is granted again.
+func TestRestoredTableWithClaimsGrantsAgain(t *testing.T) {
+	f := newFleet(t)
+	qt.Assert(t, f.process(&faulty{Table: f.table, generation: 1}).Claim(t.Context(), "s"), qt.IsTrue)
+	restored := &faulty{Table: f.table, generation: 2}
+	qt.Check(t, f.process(restored).Claim(t.Context(), "s"), qt.IsFalse)
+	f.clock.Advance(2 * window)
+	qt.Check(t, f.process(restored).Claim(t.Context(), "s"), qt.IsTrue)
+}
+
+// Another writer left an item that is none, and no retry is granted again; or more are than the fleet may send.
+func TestOddItemDelaysClaimsForAWindow(t *testing.T) {
+	for name, body := range map[string]string{
+		"a list": `[]`, "a number": `7`, "a text": `"x"`, "claims a text": `{"claims":"x"}`, "number too large": `{"claims":[{"atMs":1e40,"retries":1}]}`,
+		"far ahead": `{"claims":[{"atMs":9223372036854775807,"retries":25}]}`, "far back": `{"claims":[{"atMs":-9223372036854775808,"retries":25}]}`,
+		"retries beyond 64 bits": `{"claims":[{"atMs":3600000,"retries":9223372036854775807},{"atMs":3600000,"retries":9223372036854775807}]}`,
+		"negative":               `{"claims":[{"atMs":3600000,"retries":-1000},{"atMs":3600000,"retries":25}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			key := carawayspread.Key{Partition: partition, Sort: "s"}
+			qt.Assert(t, f.table.Apply(t.Context(), carawayspread.Write{Item: carawayspread.Item{Key: key, Token: "t", Body: []byte(body)}}), qt.IsNil)
+			claimed := 0
+			for range 40 {
+				if f.process(f.table).Claim(t.Context(), "s") {
+					claimed++
+				}
+			}
+			qt.Check(t, claimed <= int(limit), qt.IsTrue, qt.Commentf("%d", claimed))
+			f.clock.Advance(2 * window)
+			qt.Check(t, f.process(f.table).Claim(t.Context(), "s"), qt.IsTrue)
+		})
+	}
+}
+
 // Guards against a claimed retry that is kept and spent after others have claimed what it counted for.
 func TestClaimedRetriesAreLostWithTime(t *testing.T) {
 	f := newFleet(t)
--- a/internal/decision/slackclaims/claims.go
+++ b/internal/decision/slackclaims/claims.go
@@ -57,6 +57,20 @@
 	return retries, 0
 }
 
+// maxRetries bounds the retries of one claim.
+const maxRetries = 1 << 20
+
+// Possible reports whether processes can have made the claims by that time of the table's clock.
+func (c *Claims) Possible(now, window time.Duration) bool {
+	latest := (now + window + Lifetime + margin).Milliseconds()
+	for _, claim := range c.Claims {
+		if claim.AtMs < 0 || claim.AtMs > latest || claim.Retries < 0 || claim.Retries > maxRetries {
+			return false
+		}
+	}
+	return true
+}
+
 // Restored notes that earlier claims may be missing: all that may be taken in a window counts as claimed.
 func (c *Claims) Restored(now time.Duration, limit float64, generation uint64) {
 	c.Claims, c.Generation = []Claim{{now.Milliseconds(), int(limit)}}, generation
