An odd item of the quarantine or of the start reserve is written over

With an item of another writer no quarantine was saved or restored any more, so that a request that crashes endpoints began anew after a loss of all processes, and what had ended never got its trial; an instance never had its start reserve again.

Cause: an item that cannot be decoded was an error of each read, and only a read without an error leads to a write. It is written over now by whoever writes next. As a trial, or a grant, may have been a moment ago, the one that finds such an item has none, and the next one is due after the usual time.

--- a/internal/controller/quarantinelog/log.go
+++ b/internal/controller/quarantinelog/log.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -129,6 +130,10 @@
 // restore passes the requests of the item on to the quarantine.
 func (l *Log) restore(ctx context.Context) error {
 	_, entries, err := l.read(ctx)
+	if errors.Is(err, errUnreadable) {
+		l.logError("restore", err)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -149,6 +154,9 @@
 	return nil
 }
 
+// errUnreadable means that another writer left the item. It is written over.
+var errUnreadable = errors.New("the item cannot be read")
+
 var errNoStoreTime = errors.New("the time of the store is not known")
 
 // collect takes what is new from the quarantine, and drops what has ended meanwhile.
@@ -175,7 +183,7 @@
 		return nil
 	}
 	rev, entries, err := l.read(ctx)
-	if err != nil {
+	if err != nil && !errors.Is(err, errUnreadable) {
 		return err
 	}
 	now, known := l.storeTime.Now()
@@ -223,7 +231,8 @@
 // claim returns how long the quarantine lasts on, and whether this process runs its trial.
 func (l *Log) claim(ctx context.Context, fingerprint uint64) (left time.Duration, granted bool, err error) {
 	rev, entries, err := l.read(ctx)
-	if err != nil {
+	unreadable := errors.Is(err, errUnreadable)
+	if err != nil && !unreadable {
 		return 0, false, err
 	}
 	now, known := l.storeTime.Now()
@@ -239,7 +248,7 @@
 	left = l.afterTrial(e.Trials)
 	e.UntilMs = (now + left).Milliseconds()
 	err = l.write(ctx, rev, entries)
-	return left, err == nil, err
+	return left, err == nil && !unreadable, err // the trial may have been run
 }
 
 // write replaces the item of that revision. Of too many entries it drops those that end first.
@@ -267,6 +276,8 @@
 		return 0, nil, err
 	}
 	var entries []entry
-	err = json.Unmarshal(item.Body, &entries)
-	return item.Rev, entries, trace.Wrap(err)
+	if err := json.Unmarshal(item.Body, &entries); err != nil {
+		return item.Rev, nil, fmt.Errorf("%w: %w", errUnreadable, err)
+	}
+	return item.Rev, entries, nil
 }
--- a/internal/controller/quarantinelog/log_test.go
+++ b/internal/controller/quarantinelog/log_test.go
@@ -245,3 +245,30 @@
 	processes[0].table.lost = 1 // the write takes effect
 	qt.Check(t, granted(), qt.Equals, 0)
 }
+
+// Another writer left an item that is none: no quarantine is saved from then on, and what has ended gets no trial
+// for ever, or one too many.
+func TestOddItemIsWrittenOver(t *testing.T) {
+	for name, body := range map[string]string{
+		"an object": `{}`, "a number": `7`, "of texts": `["x"]`, "number too large": `[{"fingerprint":1e99}]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			p := f.process()
+			p.afterTrial = func(int) time.Duration { return time.Minute }
+			put := func() {
+				rev, _, err := p.read(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				write := carawayspread.Write{IfRev: rev, Item: carawayspread.Item{Key: p.key, Token: fmt.Sprint("t", rev), Body: []byte(body)}}
+				qt.Assert(t, f.table.Apply(t.Context(), write), qt.IsNil)
+			}
+			put()
+			qt.Check(t, p.restore(t.Context()), qt.IsNil)
+			qt.Check(t, p.saveAll(t, map[uint64]time.Duration{1: time.Minute}), qt.Equals, 0)
+			put()
+			qt.Check(t, p.Claim(t.Context(), 1), qt.IsFalse)
+			f.clock.Advance(2 * time.Minute)
+			qt.Check(t, p.Claim(t.Context(), 1), qt.IsTrue)
+		})
+	}
+}
--- a/internal/controller/startreserve/claimer.go
+++ b/internal/controller/startreserve/claimer.go
@@ -78,18 +78,20 @@
 	key := carawayspread.Key{Partition: partition, Sort: c.instance}
 	item, err := c.table.Get(ctx, key)
 	var last state
+	unreadable := false // the last grant may have been a moment ago
 	switch {
 	case errors.Is(err, carawayspread.ErrNoItem):
 	case err != nil:
 		return false, err
 	default:
 		if err := json.Unmarshal(item.Body, &last); err != nil {
-			return false, err
+			c.log.WithError(err).WithField("rev", item.Rev).Error("the last grant cannot be read")
+			unreadable = true
 		}
 	}
 	now := c.clock.Now()
 	since := now.Sub(last.GrantedAt)
-	if since >= 0 && since < c.interval+skew {
+	if !unreadable && since >= 0 && since < c.interval+skew {
 		return false, nil
 	}
 	// An earlier grant that lies ahead shows that a clock was wrong: it counts from now on.
@@ -98,5 +100,5 @@
 		return false, err
 	}
 	err = c.table.Apply(ctx, carawayspread.Write{IfRev: item.Rev, Item: carawayspread.Item{Key: key, Token: uuid.NewString(), Body: body}})
-	return err == nil && since >= 0, err
+	return err == nil && since >= 0 && !unreadable, err
 }
--- a/internal/controller/startreserve/claimer_test.go
+++ b/internal/controller/startreserve/claimer_test.go
@@ -94,3 +94,20 @@
 	cancel()
 	qt.Check(t, <-ended, qt.ErrorIs, context.Canceled)
 }
+
+// Another writer left an item that is none, and the instance never has the reserve again.
+func TestOddItemDelaysTheReserveForAnInterval(t *testing.T) {
+	for name, body := range map[string]string{"a list": `[]`, "a number": `7`, "no time": `{"grantedAt":"soon"}`, "another type": `{"grantedAt":[]}`} {
+		t.Run(name, func(t *testing.T) {
+			table, clock := newTable(t), clockwork.NewFakeClock()
+			item := carawayspread.Item{Key: carawayspread.Key{Partition: partition, Sort: "e1"}, Token: "t", Body: []byte(body)}
+			qt.Assert(t, table.Apply(t.Context(), carawayspread.Write{Item: item}), qt.IsNil)
+			for want := range 2 {
+				got, err := start(table, clock, "e1").claim(t.Context())
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, got, qt.Equals, want == 1)
+				clock.Advance(interval + time.Minute)
+			}
+		})
+	}
+}
