Drain: a request is begun by the clock of its first byte, not of its placement

What a caller would see: its request was taken in the first 3 s of a shutdown, waited for a reservation or a connection, was sent after that and cut at the end of the grace; among these, requests that may not be repeated.

Cause: what is left was looked at before the attempt was placed. Up to three reservations (0.1 s each) and a connection (0.9 s) follow before the first byte, and a second attempt beside a slow one did not look at all. A prompt that is prefilled went on whatever was left, also where nobody may send the request again.

Fix: the transport asks once more when there is a connection, right before the first byte, as it does for endpoints that leave. An attempt that a drain withholds does not count against its endpoint. A prefilled prompt goes on only where its caller may send it again; otherwise its deadline decides, and the refusal says that it has not run.

The row "prefilled" of TestRequestIsNotBegunLateInADrain said that a request that may not be repeated is decoded whatever is left, which is the fault. It is now of a stream that may be taken up, and a row for one that may not asks for the refusal. The test counts POSTs, as the release of a KV cache is sent in the background.

TestSecondAttemptBesideASlowOne/the_second_breaks_after_the_first_broke was red once (500 in place of 502) in a run of the whole package with the race detector, load 15 to 20. From reading: the stand-in closes firstEnded before the result of the first attempt is in its channel, so that the second one may overtake it. Not traced further.

--- a/internal/process/gateway/accept.go
+++ b/internal/process/gateway/accept.go
@@ -19,9 +19,14 @@
 	return window == nil || c.g.clock.Now().Before(window.restrictFrom) || c.deadline.Add(drainMargin).Before(window.end)
 }
 
-// mayBegin reports whether a drain lets the next attempt begin the request. One that may have run, or that is
-// prefilled, goes on: another process could not answer it as soon.
-func (c *call) mayBegin() bool { return c.ran > 0 || c.handover != nil || c.finishesInTime() }
+// mayBegin reports whether a drain lets the next attempt be sent.
+func (c *call) mayBegin() bool { return c.begun() || c.finishesInTime() }
+
+// begun reports whether the request goes on in a drain, however late its answer is: nobody may be told that it has
+// not run, or it is prefilled and its caller may send it again after an answer that is cut.
+func (c *call) begun() bool {
+	return c.ran > 0 || c.started || c.handover != nil && c.route.Retry != carawayspread.RetryNever
+}
 
 // path returns the escaped path as the caller sent it.
 func path(r *http.Request) string {
--- a/internal/process/gateway/drain_test.go
+++ b/internal/process/gateway/drain_test.go
@@ -190,11 +190,14 @@
 		status  int
 		sends   int
 	}{
-		"waited for room":    {path: "/once/x", waits: true, status: 503},
-		"refused":            {path: "/once/x", steps: func(later func(step) step) []step { return []step{later(notRun(503))} }, status: 503, sends: 1},
-		"unreachable":        {path: "/never/x", steps: func(later func(step) step) []step { return []step{later(unreachable())} }, status: 503, sends: 1},
-		"may have run":       {path: "/safe/x", steps: func(later func(step) step) []step { return []step{later(disconnect())} }, status: 200, sends: 2},
-		"prefilled":          {path: "/once/x", prefill: true, steps: func(later func(step) step) []step { return []step{later(kvHandle()), events(1, 2, io.EOF)} }, status: 200, sends: 2},
+		"waited for room": {path: "/once/x", waits: true, status: 503},
+		"refused":         {path: "/once/x", steps: func(later func(step) step) []step { return []step{later(notRun(503))} }, status: 503, sends: 1},
+		"unreachable":     {path: "/never/x", steps: func(later func(step) step) []step { return []step{later(unreachable())} }, status: 503, sends: 1},
+		"may have run":    {path: "/safe/x", steps: func(later func(step) step) []step { return []step{later(disconnect())} }, status: 200, sends: 2},
+		"prefilled":       {path: "/resume/x", prefill: true, steps: func(later func(step) step) []step { return []step{later(kvHandle()), events(1, 2, io.EOF)} }, status: 200, sends: 2},
+		"prefilled, only run": {path: "/once/x", prefill: true, steps: func(later func(step) step) []step {
+			return []step{later(kvHandle()), answer(200), events(1, 2, io.EOF)}
+		}, status: 503, sends: 1},
 		"prefill is refused": {path: "/once/x", prefill: true, steps: func(later func(step) step) []step { return []step{later(notRun(503))} }, status: 503, sends: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -228,7 +231,13 @@
 			resp, body, err := b.post(t, test.path, "body", tokens, "100,50")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, resp.StatusCode, qt.Equals, test.status, qt.Commentf("%s", body))
-			qt.Check(t, b.transport.all(), qt.HasLen, test.sends)
+			var sends int
+			for _, s := range b.transport.all() {
+				if s.out.Method == http.MethodPost { // not the release of a KV cache
+					sends++
+				}
+			}
+			qt.Check(t, sends, qt.Equals, test.sends)
 			if test.status == http.StatusServiceUnavailable {
 				qt.Check(t, body, qt.Contains, "this process is leaving")
 			}
--- a/internal/process/gateway/hedge.go
+++ b/internal/process/gateway/hedge.go
@@ -96,7 +96,7 @@
 
 // hedge returns a second attempt, paid for by the retry budget, to another endpoint; nil if there is none.
 func (c *call) hedge(ctx context.Context, first carawayspread.Placement) *racer {
-	if ctx.Err() != nil || c.checkQuarantine() != nil {
+	if ctx.Err() != nil || !c.mayBegin() || c.checkQuarantine() != nil {
 		return nil
 	}
 	c.exclude[first.Endpoint.ID()] = true
--- a/internal/process/gateway/send.go
+++ b/internal/process/gateway/send.go
@@ -12,7 +12,7 @@
 // recordUnsent excludes an endpoint that could not be reached, and returns the attempt's outcome.
 func (c *call) recordUnsent(ctx context.Context, at carawayspread.Placement) carawayspread.Outcome {
 	c.exclude[at.Endpoint.ID()] = true
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !c.mayBegin() {
 		return carawayspread.OutcomeCancelled
 	}
 	return carawayspread.OutcomeUnreachable
@@ -34,9 +34,10 @@
 	}
 	c.g.protocol.SetAttemptHeaders(h, attempt)
 	c.latest = attemptTrace{listAge: c.g.listAge(), listVersion: c.g.listVersion(), sentAfter: c.g.clock.Now().Sub(c.arrived)}
+	begun := c.begun() // not read later: two attempts may run at the same time
 	return carawayspread.Outbound{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: h, Body: c.body,
-		Proceed: func() bool { return c.mayReceive(at.Endpoint) },
+		Proceed: func() bool { return (begun || c.finishesInTime()) && c.mayReceive(at.Endpoint) },
 	}
 }
 
