Moves: no run is stopped in the last second of a drain

What a caller would see: a stream that may not be taken up ends without its last events, as its run was stopped for a move when the process was about to end, and went on nowhere.

Cause: a move knew the notice of the engine and not the end of its own process. A stop may take a second.

Evidence: TestRunIsNotStoppedRightBeforeTheEnd, red before: the run moves although 0.8 s are left.

Fix: a run that would be stopped later than the bound of a stop before the end of the drain stays where it is.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -187,6 +187,12 @@
 // Drain makes the gateway accept, from restrictFrom on, only requests whose deadline is before end.
 func (g *Gateway) Drain(restrictFrom, end time.Time) { g.drain.Store(&drainWindow{restrictFrom, end}) }
 
+// endsWithin reports whether a drain ends before d has passed.
+func (g *Gateway) endsWithin(d time.Duration) bool {
+	window := g.drain.Load()
+	return window != nil && !g.clock.Now().Add(d).Before(window.end)
+}
+
 // drainRetryDelay returns when the caller of a request should return that a drain leaves no time for: at once if there
 // are other processes, and otherwise when this one has ended.
 func (g *Gateway) drainRetryDelay() time.Duration {
--- a/internal/process/gateway/late_test.go
+++ b/internal/process/gateway/late_test.go
@@ -106,3 +106,29 @@
 		})
 	}
 }
+
+// Guards against a run that is stopped for its move right before the process ends, so that nobody goes on with it
+// although its own engine would have ended it.
+func TestRunIsNotStoppedRightBeforeTheEnd(t *testing.T) {
+	for name, test := range map[string]struct {
+		end time.Duration // of the drain, from the first event
+		at  []string      // engines that ran a part of the request
+	}{
+		"less is left than a stop may take": {800 * time.Millisecond, []string{"a"}},
+		"enough is left":                    {7 * time.Second, []string{"a", "b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newMoveFleet(t, "a", "b")
+			f.list("a")
+			s := f.begin(t, "/once/stream/x")
+			now := f.gateway.clock.Now()
+			f.gateway.Drain(now, now.Add(test.end))
+			f.list("a:leaving", "b")
+			body, err := s.rest()
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, body, qt.Equals, eventsUpTo(worker.Events))
+			qt.Check(t, f.ranAt(), qt.DeepEquals, test.at)
+			f.checkNothingLeft(t)
+		})
+	}
+}
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -206,6 +206,10 @@
 			m.full[m.at.Endpoint.ID()] = true
 			m.drop()
 		case runmoves.StepStop:
+			if m.c.g.endsWithin(stopTimeout) { // the stream might not go on before the end
+				m.drop()
+				return runmoves.StepStay
+			}
 			return step
 		default:
 			m.drop()
