Gateway: a SIGHUP during the start does not end the process

What callers would see: connections that they had set up are reset, as the process ends without a word.

Cause: the handler of SIGHUP was installed after the daemon had begun to listen. Until then the signal ends a process.

Fix: the handler is installed before the settings are read; the signal is handled after the start.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -70,6 +70,8 @@
 }
 
 func run(c *cli.Context) error {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP) // one that comes during the start must not end the process
 	s, err := readSettings(c)
 	if err != nil {
 		return err
@@ -102,21 +104,19 @@
 	}
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(d.LibraryWriter())
-	go reportReloads(c.Context, c.String("config"), s)
+	go reportReloads(c.Context, reloads, c.String("config"), s)
 	return d.Run(c.Context)
 }
 
-// reportReloads reads the settings file on each SIGHUP and logs whether it is valid and differs
+// reportReloads reads the settings file on each signal and logs whether it is valid and differs
 // from the running settings. Changes take effect at the next start, since a running process keeps
 // its addresses.
-func reportReloads(ctx context.Context, name string, running *gatewaysettings.Settings) {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
+func reportReloads(ctx context.Context, reloads <-chan os.Signal, name string, running *gatewaysettings.Settings) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-changed:
+		case <-reloads:
 		}
 		entry := log.WithField("instance", running.ID()).WithField("running", running.Digest())
 		next, err := gatewaysettings.Read(name)
--- a/cmd/gateway/reload_test.go
+++ b/cmd/gateway/reload_test.go
@@ -39,13 +39,13 @@
 	}))
 	t.Cleanup(func() { log.SetHandler(discard.New()) })
 	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP) // without a receiver the signal would end the test process
+	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		reportReloads(ctx, name, running)
+		reportReloads(ctx, hangups, name, running)
 	}()
 	// reloadUntil has the file read until a log line reports whether it holds other settings.
 	reloadUntil := func(changed bool) (fields log.Fields) {
