Drain: times count from when the signal may have come

What callers saw: requests that came later than 3 s after a SIGTERM were taken and passed on without a look at their deadlines, and cut at the end of the grace or killed with the process.

Cause: a drain counted from when the process noticed the signal. One that stood still, or waits for the processor, notices it late, and its end, by which requests are accepted, lies as much too late, if need be beyond SIGKILL.

Evidence: TestSignalThatIsNoticedLateBoundsWhatIsTaken has a process of its own that is stopped when its SIGTERM comes and goes on 1.5 s later.

Fix: the signal cannot have come before the timers that fired in time. From there count the 3 s and the end by which requests are accepted. What runs keeps 0.85 of the grace from when the signal is noticed, as it may not be ended for a guess. The window is set before anything else is done.

--- a/cmd/gateway/process_test.go
+++ b/cmd/gateway/process_test.go
@@ -139,3 +139,30 @@
 	p.begin(t)
 	p.awaitServing(t)
 }
+
+// Guards against requests that a process takes for its first seconds of a shutdown, and cuts or is killed with, since
+// it has noticed the signal late.
+func TestSignalThatIsNoticedLateBoundsWhatIsTaken(t *testing.T) {
+	p := startProcess(t, storeOfStreams(t))
+	p.begin(t)
+	address := p.awaitServing(t)
+	p.signal(t, syscall.SIGSTOP)
+	sent := time.Now()
+	p.signal(t, syscall.SIGTERM)
+	time.Sleep(1500 * time.Millisecond)
+	p.signal(t, syscall.SIGCONT)
+	var taken, refused int
+	for n := 0; time.Since(sent) < 4400*time.Millisecond; n++ {
+		late := time.Since(sent) > 3100*time.Millisecond
+		switch status := streamAt(address, fmt.Sprint("id-", n)); {
+		case late && status == http.StatusOK:
+			taken++
+		case late && status == http.StatusServiceUnavailable:
+			refused++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	qt.Check(t, taken, qt.Equals, 0)
+	qt.Check(t, refused > 0, qt.IsTrue)
+	qt.Check(t, <-p.ended, qt.IsNil)
+}
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -313,8 +313,9 @@
 		WithField("peer", d.peers.Address()).WithField("settings", d.settings.Digest()).Info("start")
 	select {
 	case <-ctx.Done():
+		times := d.beginDrain()
 		stopReports()
-		d.drain()
+		d.drain(times)
 	case <-runCtx.Done():
 	}
 	stopCounts()
--- a/internal/daemon/gatewayd/drain.go
+++ b/internal/daemon/gatewayd/drain.go
@@ -15,6 +15,9 @@
 	// By the fraction graceForAborted, those that did not are aborted and answered.
 	graceForRequests = 0.9
 	graceForAborted  = 0.95
+	// leastForRequests is the fraction of the grace period that running requests have from the moment at which the
+	// signal is noticed, also where it may have come earlier.
+	leastForRequests = 0.85
 	drainPoll        = 20 * time.Millisecond
 	// firstRequestWait is how long a new connection may be open without a request. Callers send
 	// the request at once, and wait a second for a connection.
@@ -32,27 +35,49 @@
 // Idle connections stay open meanwhile. net/http can close a connection that it considers idle while
 // a request on it is being read. That request would still run, but its caller would get neither an
 // answer nor a refusal.
-func (d *Daemon) drain() {
-	d.draining.Store(true)
-	d.election.Resign()
-	start := d.clock.Now()
-	end := start.Add(time.Duration(graceForRequests * float64(d.settings.Grace())))
-	abortEnd := start.Add(time.Duration(graceForAborted * float64(d.settings.Grace())))
-	d.log.WithField("running", d.gateway.Running()).Info("leaving")
-	d.gateway.Drain(start.Add(acceptPeriod), end)
-	defer d.abortRequestsAt(end)()
-	for now := start; now.Before(end); now = d.clock.Now() {
-		if now.Sub(start) > acceptPeriod && d.gateway.Running() == 0 {
+func (d *Daemon) drain(times drainTimes) {
+	d.log.WithField("running", d.gateway.Running()).WithField("lateMs", times.late.Milliseconds()).Info("leaving")
+	defer d.abortRequestsAt(times.end)()
+	for now := d.clock.Now(); now.Before(times.end); now = d.clock.Now() {
+		if now.After(times.acceptUntil) && d.gateway.Running() == 0 {
 			break
 		}
 		<-d.clock.After(drainPoll)
 	}
-	d.drainConnections(end, abortEnd)
-	d.refuseRemaining(end)
-	d.abortRemaining(abortEnd)
+	d.drainConnections(times.end, times.abortEnd)
+	d.refuseRemaining(times.end)
+	d.abortRemaining(times.abortEnd)
 	_ = d.callers.Close()
 }
 
+// drainTimes are the times of a process that has been told to shut down.
+type drainTimes struct {
+	late        time.Duration // how much earlier than it was noticed the signal may have come
+	acceptUntil time.Time     // until when connections are accepted at least
+	end         time.Time     // until when running requests may finish
+	abortEnd    time.Time     // until when aborted ones are answered
+}
+
+// beginDrain makes the gateway accept only what it can answer before the process ends, and returns the times of the
+// drain. It waits for nothing: what is accepted meanwhile would be cut.
+//
+// A process that is behind notices the signal late. What it accepts then is bounded by the earliest time at which the
+// signal may have come; the requests that run are not ended for what may not be so.
+func (d *Daemon) beginDrain() drainTimes {
+	noticed, late := d.clock.Now(), d.standstill.SignalLateness()
+	grace := func(share float64) time.Duration { return time.Duration(share * float64(d.settings.Grace())) }
+	sent := noticed.Add(-late)
+	d.gateway.Drain(sent.Add(acceptPeriod), sent.Add(grace(graceForRequests)))
+	d.draining.Store(true)
+	d.election.Resign()
+	times := drainTimes{late: late, acceptUntil: noticed.Add(acceptPeriod), end: sent.Add(grace(graceForRequests))}
+	if least := noticed.Add(grace(leastForRequests)); times.end.Before(least) {
+		times.end = least
+	}
+	times.abortEnd = times.end.Add(grace(graceForAborted - graceForRequests))
+	return times
+}
+
 // drainConnections stops accepting connections and waits until the open ones are closed. It stops
 // waiting for connections without a request after firstRequestWait.
 //
