Entry: no request waits at a sidecar until late in a shutdown

What a caller would see: a request that an entry sends in the first half of a shutdown waits at the sidecar for a slot, gets it in the last part of the grace and is aborted there.

Cause: the time for which a sidecar lets it wait was of the class's target alone. The entry cannot look once more, as it does not learn when the wait ends.

Evidence: TestWaitForASlotEndsInTimeInAShutdown (of the bound; found by reading, no run has shown it to callers).

Fix: the wait ends when the entry would begin nothing any more, unless the deadline is before its end. One that waited when the signal came is not called back.

--- a/internal/process/entry/attempt.go
+++ b/internal/process/entry/attempt.go
@@ -57,14 +57,11 @@
 // slotDeadline returns until when attempt n may wait for a slot. A retry gets at
 // least minRetrySlotWait, as its latency target may have been missed already.
 func (e *Entry) slotDeadline(c *call.Call, n int) time.Time {
-	deadline := firstByteDeadline(c)
-	if n == 1 {
-		return deadline
+	now, latest := e.clock.Now(), firstByteDeadline(c)
+	if earliest := now.Add(minRetrySlotWait); n > 1 && latest.Before(earliest) {
+		latest = earliest
 	}
-	if earliest := e.clock.Now().Add(minRetrySlotWait); deadline.Before(earliest) {
-		return earliest
-	}
-	return deadline
+	return e.shutdown.Load().waitUntil(now, latest, c.Job().Deadline)
 }
 
 const (
--- a/internal/process/entry/shutdown.go
+++ b/internal/process/entry/shutdown.go
@@ -19,6 +19,19 @@
 	if s == nil || e.clock.Now().Before(s.beginUntil) {
 		return true
 	}
-	deadline := c.Job().Deadline
+	return s.outlasts(c.Job().Deadline)
+}
+
+// outlasts reports whether the process still runs at the deadline of a request; zero for none.
+func (s *shutdown) outlasts(deadline time.Time) bool {
 	return !deadline.IsZero() && deadline.Before(s.end)
 }
+
+// waitUntil returns until when a request with that deadline may wait for a slot that it would wait for until latest.
+// One that is sent in time may get its slot at the sidecar, so late that its answer is aborted.
+func (s *shutdown) waitUntil(now, latest, deadline time.Time) time.Time {
+	if s == nil || !now.Before(s.beginUntil) || !latest.After(s.beginUntil) || s.outlasts(deadline) {
+		return latest
+	}
+	return s.beginUntil
+}
--- a/internal/process/entry/shutdown_test.go
+++ b/internal/process/entry/shutdown_test.go
@@ -46,3 +46,27 @@
 		})
 	}
 }
+
+// Guards against requests that are cut at the end of an entry, since they waited for a slot at their sidecar for so
+// long that they ran only in the last part of the grace.
+func TestWaitForASlotEndsInTimeInAShutdown(t *testing.T) {
+	now := time.Unix(100, 0)
+	at := func(second int) time.Time { return now.Add(time.Duration(second) * time.Second) }
+	s := &shutdown{beginUntil: at(3), end: at(6)}
+	for name, c := range map[string]struct {
+		shutdown            *shutdown
+		now, latest, wanted time.Time
+		deadline            time.Time // zero for none
+	}{
+		"the process does not end":           {nil, at(0), at(5), at(5), at(9)},
+		"its wait ends in time":              {s, at(0), at(2), at(2), at(9)},
+		"its wait ends too late":             {s, at(0), at(5), at(3), at(9)},
+		"without a deadline":                 {s, at(0), at(5), at(3), time.Time{}},
+		"its deadline is before the end":     {s, at(0), at(5), at(5), at(5)},
+		"it has run, and is sent once again": {s, at(4), at(5), at(5), at(9)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, c.shutdown.waitUntil(c.now, c.latest, c.deadline), qt.Equals, c.wanted)
+		})
+	}
+}
