Endpoints: a request outlasts the connections that others have retired

What callers saw: an attempt that reached no endpoint, and so a refusal where no other endpoint was left, although the endpoint took requests. Seen in one run of TestRetiredConnectionsLoseNoRequest of 600 under load: "nothing was sent: the connection was closed: the request was withheld".

Cause: a request may be given nine connections. Those that were idle and had been retired or closed meanwhile counted like those that were opened for it, and others retire more while it is given one after the other.

Only connections that were opened for the request count now; an idle one is gone after it was given out. TestRequestOutlastsRetiredConnections, ten retired connections, is red with the count of before.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -38,9 +38,9 @@
 	idleTimeout = 8 * time.Second
 	// maxIdleConns is the number of idle connections kept for each endpoint.
 	maxIdleConns = 8
-	// maxReconnects bounds the connections that a request is given and that are closed before it is written:
-	// all idle ones and one that was opened for it.
-	maxReconnects = maxIdleConns
+	// maxReconnects bounds the connections that are opened for a request and closed before it is written. Those
+	// that were open before do not count: each is taken from the idle ones, and is gone.
+	maxReconnects = 8
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
 	bufferSize     = 4 << 10
@@ -126,37 +126,38 @@
 // Send sends the request once. Its error matches carawayspread.ErrUnsent if no byte was written. A request
 // that was given a connection which turned out to be closed before that takes another one.
 func (c *Client) Send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
-	for reconnects := 0; ; reconnects++ {
+	for reconnects := 0; ; {
 		reply, err := c.send(ctx, to, out)
 		if !errors.Is(err, errConnClosed) || ctx.Err() != nil || reconnects == maxReconnects {
 			return reply, err
 		}
+		if !errors.Is(err, errIdleConnClosed) {
+			reconnects++
+		}
 	}
 }
 
-// errConnClosed says that a connection was closed before a byte of the request was written.
-var errConnClosed = fmt.Errorf("%w: the connection was closed", carawayspread.ErrUnsent)
+var (
+	// errConnClosed says that a connection was closed before a byte of the request was written, and
+	// errIdleConnClosed that it had been open before the request.
+	errConnClosed     = fmt.Errorf("%w: the connection was closed", carawayspread.ErrUnsent)
+	errIdleConnClosed = fmt.Errorf("%w while it was idle", errConnClosed)
+)
 
 func (c *Client) send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
 	var over atomic.Pointer[conn]
+	var idle atomic.Bool // the connection was open before
 	d := newDelivery(out.Proceed)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*conn); ok {
 				got.give(d)
 				over.Store(got)
+				idle.Store(info.Reused)
 			}
 		},
 	})
-	req := (&http.Request{
-		Method: out.Method,
-		URL:    &url.URL{Scheme: "http", Host: to.Address(), Opaque: out.Target},
-		Host:   out.Host,
-		Header: withoutDefaults(out.Header),
-		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body:          singleUseBody{bytes.NewReader(out.Body)},
-		ContentLength: int64(len(out.Body)),
-	}).WithContext(ctx)
+	req := newRequest(to, out).WithContext(ctx)
 	transport := c.transport
 	if out.Alone {
 		transport = c.unpooled
@@ -172,6 +173,8 @@
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, err)
 	case d.withhold() && d.stopped.Load():
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, carawayspread.ErrWithdrawn)
+	case d.withhold() && idle.Load():
+		return nil, fmt.Errorf("%w: %w", errIdleConnClosed, err)
 	case d.withhold():
 		return nil, fmt.Errorf("%w: %w", errConnClosed, err)
 	case isEndless(err):
@@ -180,6 +183,20 @@
 	return nil, err
 }
 
+// newRequest returns a request that net/http sends once and as it is.
+func newRequest(to carawayspread.Endpoint, out carawayspread.Outbound) *http.Request {
+	req := &http.Request{
+		Method: out.Method,
+		URL:    &url.URL{Scheme: "http", Host: to.Address(), Opaque: out.Target},
+		Host:   out.Host,
+		Header: withoutDefaults(out.Header),
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body:          singleUseBody{bytes.NewReader(out.Body)},
+		ContentLength: int64(len(out.Body)),
+	}
+	return req
+}
+
 // errNoConn says that an answer came over no connection of the client.
 var errNoConn = errors.New("the answer came over an unknown connection")
 
--- a/internal/connection/direct/conn_test.go
+++ b/internal/connection/direct/conn_test.go
@@ -121,6 +121,46 @@
 	}
 }
 
+// A request is given up as not sent although its endpoint takes requests, since it was given many connections that
+// others had retired.
+func TestRequestOutlastsRetiredConnections(t *testing.T) {
+	const many = maxReconnects + 2
+	a := &recorder{lines: map[string]int{}}
+	to := listen(t, a.handle)
+	c := New()
+	defer c.Close()
+	c.transport.MaxIdleConnsPerHost = many
+	var mu sync.Mutex
+	var open []*conn
+	var dialed sync.WaitGroup
+	dialed.Add(many)
+	c.transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		next, err := c.dial(ctx, network, address)
+		mu.Lock()
+		defer mu.Unlock()
+		if open = append(open, next.(*conn)); len(open) <= many {
+			dialed.Done()
+		}
+		return next, err
+	}
+	var all sync.WaitGroup
+	for n := range many {
+		all.Go(func() {
+			out := get(fmt.Sprint("/", n))
+			out.Proceed = func() bool { dialed.Wait(); return true } // all have a connection of their own
+			_, err := c.Send(context.Background(), to, out)
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+	all.Wait()
+	for _, idle := range open {
+		idle.retired.Store(true)
+	}
+	_, err := c.Send(context.Background(), to, get("/last"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.lines["GET /last HTTP/1.1\r\n"], qt.Equals, 1)
+}
+
 // A delivery is either begun or withheld, whoever comes first.
 func TestDelivery(t *testing.T) {
 	for name, c := range map[string]struct {
