Gateway: events that are held take of one budget

Callers of other requests were not served while workers sent long events to many requests at once: each event just short of what one may have (1 MB), without its end.

Cause: an event is held until it is complete, and comments until the first event. Each stream had a bound, all together had none. Answers that are held whole had one for all (a fifth of the memory).

Both now take of that same budget beyond the buffer of a reader. A stream for which nothing is left fails without blame: its endpoint runs, so that its request is no suspect, and another endpoint may take it up.

--- a/internal/connection/openai/events.go
+++ b/internal/connection/openai/events.go
@@ -28,13 +28,61 @@
 // Events reads server-sent events one complete event at a time, so that a truncated event is never
 // forwarded.
 type Events struct {
-	r     *bufio.Reader
-	event []byte // reused; valid until the next call of Next
-	idle  int    // bytes since the last event that belong to none
+	r      *bufio.Reader
+	event  []byte                     // reused; valid until the next call of Next
+	idle   int                        // bytes since the last event that belong to none
+	memory carawayspread.MemoryBudget // of events that are longer than a buffer
+	taken  int                        // of memory, for event
+}
+
+// EventsOption sets an optional part of Events.
+type EventsOption func(*Events)
+
+// WithMemory has the bytes of events that are longer than a buffer taken from the budget, until the next event or
+// Close.
+func WithMemory(memory carawayspread.MemoryBudget) EventsOption {
+	return func(e *Events) { e.memory = memory }
 }
 
 // NewEvents returns Events that reads from the stream.
-func NewEvents(r io.Reader) *Events { return &Events{r: bufio.NewReaderSize(r, readBufferSize)} }
+func NewEvents(r io.Reader, opts ...EventsOption) *Events {
+	e := &Events{r: bufio.NewReaderSize(r, readBufferSize), memory: anyMemory{}}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// anyMemory is a budget without a bound.
+type anyMemory struct{}
+
+func (anyMemory) Take(int) bool { return true }
+func (anyMemory) Release(int)   {}
+
+// Close releases what was taken of the memory. No event is valid any more.
+func (e *Events) Close() {
+	if e.taken > 0 {
+		e.memory.Release(e.taken)
+		e.event, e.taken = nil, 0
+	}
+}
+
+// add appends to the event. It returns an error if the event is too long, or if there is no memory for it.
+func (e *Events) add(p []byte) error {
+	size := len(e.event) + len(p)
+	if size > maxEventBytes {
+		return tooLong("an event of the answer is too long")
+	}
+	if size > max(cap(e.event), readBufferSize) {
+		grown := max(size, 2*cap(e.event))
+		if !e.memory.Take(grown - e.taken) {
+			return carawayspread.NewError(carawayspread.CodeIncomplete, "an event of the answer is too long for now", carawayspread.CausedBy(carawayspread.ErrNoMemory))
+		}
+		e.event, e.taken = append(make([]byte, 0, grown), e.event...), grown
+	}
+	e.event = append(e.event, p...)
+	return nil
+}
 
 // Rest returns the length in bytes of the incomplete event at the end of the stream, after Next has
 // returned an error.
@@ -45,13 +93,13 @@
 // returned in the same way; IsEvent tells them apart. If the stream ends within an event, that event is dropped, and Next returns the error of the
 // stream, or ErrInsideEvent if that is io.EOF.
 func (e *Events) Next() ([]byte, error) {
+	e.Close()
 	e.event = e.event[:0]
 	lineStart := 0
 	for {
 		line, err := e.r.ReadSlice('\n') // or the beginning of a long line
-		e.event = append(e.event, line...)
-		if len(e.event) > maxEventBytes {
-			return nil, tooLong("an event of the answer is too long")
+		if err := e.add(line); err != nil {
+			return nil, err
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/internal/process/gateway/endless.go
+++ b/internal/process/gateway/endless.go
@@ -95,3 +95,16 @@
 }
 
 func (g *Gateway) release(body []byte) { g.held.Add(-int64(len(body))) }
+
+// heldMemory is the memory for what the gateway holds of answers, as a carawayspread.MemoryBudget.
+type heldMemory struct{ *Gateway }
+
+func (m heldMemory) Take(n int) bool {
+	if m.held.Add(int64(n)) <= m.maxAllHeld {
+		return true
+	}
+	m.Release(n)
+	return false
+}
+
+func (m heldMemory) Release(n int) { m.held.Add(-int64(n)) }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -31,18 +31,25 @@
 	defer func() { _ = ahead.Close() }()
 	defer func() { _ = reply.Body.Close() }()
 	body := &boundedBody{Reader: ahead, left: c.maxStreamBytes(reply)}
-	events := openai.NewEvents(body)
+	memory := heldMemory{c.g}
+	events := openai.NewEvents(body, openai.WithMemory(memory))
+	defer events.Close()
 	var early []byte // comments before the first event
+	defer func() { memory.Release(len(early)) }()
 	for {
 		event, err := events.Next()
 		if err != nil {
 			return c.endStream(ctx, reply, at, events.Rest(), err)
 		}
 		if !c.started && !openai.IsEvent(event) {
+			if !memory.Take(len(event)) {
+				return c.endStream(ctx, reply, at, 0, carawayspread.ErrNoMemory)
+			}
 			early = append(early, event...)
 			continue
 		}
 		if len(early) > 0 {
+			memory.Release(len(early))
 			event, early = append(early, event...), nil
 		}
 		if !c.started {
@@ -102,6 +109,8 @@
 	switch {
 	case isEndless(err):
 		return c.rejectEndless(at, err)
+	case errors.Is(err, carawayspread.ErrNoMemory): // the endpoint runs
+		return carawayspread.OutcomeFailed, errors.Join(errIncomplete, err)
 	case err != nil:
 		return carawayspread.OutcomeFailed, brokenOffError{err}
 	case reply.Framing == carawayspread.FramingClose && c.framing != carawayspread.FramingClose:
--- a/transport.go
+++ b/transport.go
@@ -94,6 +94,16 @@
 // ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
 var ErrEndless = errors.New("the answer has no end")
 
+// ErrNoMemory means that a process has no room for what it would have to hold of an answer.
+var ErrNoMemory = errors.New("there is no memory for the answer")
+
+// MemoryBudget bounds what all readers of a process hold together. It is safe for concurrent use.
+type MemoryBudget interface {
+	// Take reserves n bytes. It returns false, and reserves none, if there is no room for them.
+	Take(n int) bool
+	Release(n int)
+}
+
 // ErrNotListening means that nothing accepts connections at the endpoint's address.
 var ErrNotListening = errors.New("nothing listens at the address")
 
