Gateway: headers of answers are bounded by what they take, and together

Callers of other requests were not served while workers answered many requests with heads of thousands of short fields. A gateway with 100 MB took 222 MB for 200 requests, 364 MB where a long event followed, and 10 of 40 lookups beside them were served.

Cause: net/http bounds the bytes of a head (64 KB). 60 KB hold 7,700 fields, which take twenty times as much in the header and its copies. Nothing bounded the heads of all answers together.

The bound of a head counts what its fields take; a longer one is an answer without end, and its connection is closed. What a head takes beyond 4 KB comes out of the budget for all answers that are held, until its request is over.

--- a/cmd/soak/floods_test.go
+++ b/cmd/soak/floods_test.go
@@ -27,13 +27,22 @@
 	const memoryMegabytes, requests = 100, 200
 	dir := t.TempDir()
 	binary := buildGateway(t, dir)
+	manyFields := func() string {
+		var b strings.Builder
+		for i := 0; b.Len() < 60<<10; i++ {
+			_, _ = fmt.Fprintf(&b, "X%x:\r\n", i)
+		}
+		return b.String()
+	}()
 	unframed := "Connection: close\r\n\r\n"
 	for name, sent := range map[string]struct{ path, head, body string }{
-		"one event":   {"/once/x", unframed, "data: " + strings.Repeat("x", 1<<20-100)},
-		"comments":    {"/once/x", unframed, strings.Repeat(": waiting\n\n", 5<<10)},
-		"bodies":      {"/order/x", unframed, strings.Repeat("x", 7<<20)},
-		"a long head": {"/order/x", "X-More: " + strings.Repeat("x", 60<<10), ""},
-		"errors":      {"/once/x", unframed, strings.Repeat("x", 1<<20-100)},
+		"one event":     {"/once/x", unframed, "data: " + strings.Repeat("x", 1<<20-100)},
+		"comments":      {"/once/x", unframed, strings.Repeat(": waiting\n\n", 5<<10)},
+		"bodies":        {"/order/x", unframed, strings.Repeat("x", 7<<20)},
+		"many fields":   {"/order/x", manyFields + unframed, "x"},
+		"a long head":   {"/order/x", "X-More: " + strings.Repeat("x", 60<<10), ""},
+		"errors":        {"/once/x", unframed, strings.Repeat("x", 1<<20-100)},
+		"fields, event": {"/once/x", manyFields + unframed, "data: " + strings.Repeat("x", 1<<20-100)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			over := make(chan struct{})
@@ -46,9 +55,9 @@
 			platform := httptest.NewServer(store)
 			t.Cleanup(platform.Close)
 			store.Publish(1, "model")
-			for i := range 8 {
+			for i := range 9 {
 				worker, err := raw.New(func(conn *net.TCPConn, req *http.Request) {
-					if req.URL.Path == "/lookup/x" {
+					if req.URL.Path == "/lookup/x" || i == 8 { // that one is sound
 						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: %s\r\nCarawayspread-Server-Seal: s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("Carawayspread-Request-Id"))
 						return
 					}
--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -164,7 +164,7 @@
 	resp, err := transport.RoundTrip(req)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return newReply(resp, sentOver, &d), nil
+		return bounded(newReply(resp, sentOver, &d))
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
@@ -190,6 +190,17 @@
 	}
 }
 
+// bounded returns the reply unless its header takes more memory than the bytes of one may. net/http bounds these
+// bytes alone: thousands of fields fit into them.
+func bounded(reply *carawayspread.Reply) (*carawayspread.Reply, error) {
+	if n := reply.HeadBytes(); n > maxHeaderBytes {
+		err := errors.Join(carawayspread.ErrEndless, fmt.Errorf("the header takes %d bytes", n), reply.Body.Close())
+		reply.Retire()
+		return nil, err
+	}
+	return reply, nil
+}
+
 // endlessHeads are parts of the errors of net/http, which have no type, for heads that are too long.
 var endlessHeads = []string{"response headers exceeded", "too many 1xx"}
 
--- a/internal/connection/direct/client_test.go
+++ b/internal/connection/direct/client_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -226,3 +227,44 @@
 	_ = reply.Body.Close()
 	qt.Check(t, reply.ConnectedAt, qt.Equals, connectedAt.Add(2*time.Second))
 }
+
+// Guards against a process that runs out of memory by heads that fit into the bytes of one and hold thousands of
+// fields, which take twenty times as much. The connection is not used again.
+func TestHeadOfManyFieldsIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		fields, length int
+		taken          bool
+	}{
+		"some fields":    {100, 100, true},
+		"one long field": {1, 60 << 10, true},
+		"thousands":      {5000, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var connections atomic.Int64
+			to := listen(t, func(_ int64, conn net.Conn, r *bufio.Reader) {
+				connections.Add(1)
+				for {
+					if _, err := readHead(r); err != nil {
+						return
+					}
+					var b strings.Builder
+					b.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+					for i := range c.fields {
+						b.WriteString("X" + strconv.Itoa(i) + ": " + strings.Repeat("x", c.length) + "\r\n")
+					}
+					_, _ = io.WriteString(conn, b.String()+"\r\n")
+				}
+			})
+			client := New()
+			defer client.Close()
+			for range 3 {
+				_, err := client.Send(context.Background(), to, get("/x"))
+				qt.Check(t, err == nil, qt.Equals, c.taken, qt.Commentf("%v", err))
+				qt.Check(t, errors.Is(err, carawayspread.ErrEndless), qt.Equals, !c.taken)
+			}
+			if !c.taken {
+				qt.Check(t, connections.Load(), qt.Equals, int64(3))
+			}
+		})
+	}
+}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -78,6 +78,7 @@
 	latest           attemptTrace
 	waited           time.Duration // for room at endpoints
 	waitEnd          string        // how the latest wait ended; empty for none
+	headBytes        int           // taken of the memory for headers of answers
 }
 
 // attemptTrace is what the log says about how the latest attempt was sent and answered.
@@ -97,6 +98,7 @@
 	c.exclude, c.full = map[carawayspread.EndpointID]bool{}, map[carawayspread.EndpointID]bool{}
 	c.lastEventID = c.metadata.LastEventID
 	defer c.withdrawRetry()
+	defer func() { heldMemory{c.g}.Release(c.headBytes) }()
 	err := c.run(ctx)
 	c.releaseKV()
 	if err == nil {
@@ -199,7 +201,17 @@
 	if !errors.Is(err, carawayspread.ErrUnsent) {
 		c.reservation = "" // it is used, or ends by itself
 	}
+	if err == nil && !c.takeHead(reply) {
+		discard(reply)
+		err = carawayspread.ErrNoMemory
+	}
 	switch {
+	case errors.Is(err, carawayspread.ErrNoMemory): // the endpoint runs
+		c.sends++
+		c.ran++
+		c.exclude[at.Endpoint.ID()] = true
+		c.logAttempt(at, phase, err.Error())
+		return c.mayRetry(), errors.Join(errIncomplete, err)
 	case errors.Is(err, carawayspread.ErrUnsent):
 		outcome, c.latest.notRun = c.recordUnsent(ctx, at), true
 		c.releaseReservation(at)
--- a/internal/process/gateway/endless.go
+++ b/internal/process/gateway/endless.go
@@ -17,6 +17,8 @@
 	// a few hundred bytes.
 	baseStreamBytes = 1 << 20
 	bytesPerToken   = 4 << 10
+	// freeHeadBytes is the part of a header that counts towards the memory of its connection.
+	freeHeadBytes = 4 << 10
 )
 
 // boundedBody returns carawayspread.ErrEndless once more bytes have been read than an answer may have.
@@ -96,6 +98,16 @@
 
 func (g *Gateway) release(body []byte) { g.held.Add(-int64(len(body))) }
 
+// takeHead takes the memory of a header until the request is over; false if there is none.
+func (c *call) takeHead(reply *carawayspread.Reply) bool {
+	n := max(0, reply.HeadBytes()-freeHeadBytes)
+	if n > 0 && !(heldMemory{c.g}).Take(n) {
+		return false
+	}
+	c.headBytes += n
+	return true
+}
+
 // heldMemory is the memory for what the gateway holds of answers, as a carawayspread.MemoryBudget.
 type heldMemory struct{ *Gateway }
 
--- a/internal/process/gateway/floods_test.go
+++ b/internal/process/gateway/floods_test.go
@@ -19,13 +19,14 @@
 // stuckTransport is a carawayspread.EndpointTransport to endpoints that send the text and do not go on.
 type stuckTransport struct {
 	text   string
+	head   string // a field of the header
 	mu     sync.Mutex
 	bodies []*stuckBody
 }
 
 func (s *stuckTransport) Send(_ context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
-	answer := reply(sentAttempt{to.ID(), out}, http.StatusOK, "", io.EOF)
-	body := &stuckBody{text: strings.NewReader(s.text), closed: make(chan struct{})}
+	answer := reply(sentAttempt{to.ID(), out}, http.StatusOK, "", io.EOF, "X-More", s.head)
+	body := &stuckBody{head: int64(len(s.head)), text: strings.NewReader(s.text), closed: make(chan struct{})}
 	answer.Body = body
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,7 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.bodies {
-		n := b.read.Load()
+		n := b.head + b.read.Load()
 		all += n
 		select {
 		case <-b.closed:
@@ -60,6 +61,7 @@
 // stuckBody gives its text, and then nothing until it is closed.
 type stuckBody struct {
 	text   *strings.Reader
+	head   int64
 	read   atomic.Int64
 	once   sync.Once
 	closed chan struct{}
@@ -85,19 +87,23 @@
 // is a share of its memory.
 func TestAnswersAtOnceAreHeldWithinTheMemory(t *testing.T) {
 	const memory, requests = 100 << 20, 150
-	for name, c := range map[string]struct{ path, text string }{
-		"one event":           {"/once/x", "data: " + strings.Repeat("x", 1<<20-100)},
-		"lines of one event":  {"/resume/x", strings.Repeat("data: more\n", 90<<10)},
-		"an event after many": {"/once/x", "id: 1\ndata: part 1\n\ndata: " + strings.Repeat("x", 1<<20-100)},
-		"comments":            {"/once/x", strings.Repeat(": waiting\n\n", 5900)},
-		"one comment":         {"/once/x", ": " + strings.Repeat("x", 1<<20-100)},
-		"bodies":              {"/never/x", strings.Repeat("x", 1<<20-100)},
+	for name, c := range map[string]struct {
+		path, text string
+		head       int
+	}{
+		"one event":           {"/once/x", "data: " + strings.Repeat("x", 1<<20-100), 0},
+		"lines of one event":  {"/resume/x", strings.Repeat("data: more\n", 90<<10), 0},
+		"an event after many": {"/once/x", "id: 1\ndata: part 1\n\ndata: " + strings.Repeat("x", 1<<20-100), 0},
+		"comments":            {"/once/x", strings.Repeat(": waiting\n\n", 5900), 0},
+		"one comment":         {"/once/x", ": " + strings.Repeat("x", 1<<20-100), 0},
+		"long heads":          {"/never/x", "", 300 << 10},
+		"bodies":              {"/never/x", strings.Repeat("x", 1<<20-100), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newHarness(t)
 			WithMemory(memory)(b.gateway)
 			b.gateway.maxWaiting = requests
-			transport := &stuckTransport{text: c.text}
+			transport := &stuckTransport{text: c.text, head: strings.Repeat("x", c.head)}
 			b.gateway.transport = transport
 			endpoints := make([]carawayspread.Endpoint, 40)
 			for i := range endpoints {
--- a/transport.go
+++ b/transport.go
@@ -94,6 +94,19 @@
 // ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
 var ErrEndless = errors.New("the answer has no end")
 
+// headFieldBytes is what a field of a header takes beside its text, in the header as it came and in copies of it.
+const headFieldBytes = 256
+
+// HeadBytes returns about how much memory the header of the reply takes.
+func (r *Reply) HeadBytes() (n int) {
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += headFieldBytes + len(name) + len(value)
+		}
+	}
+	return n
+}
+
 // ErrNoMemory means that a process has no room for what it would have to hold of an answer.
 var ErrNoMemory = errors.New("there is no memory for the answer")
 
