Sidecar: heads of engines are bounded, and one without end is no crash

An engine that sent long heads to several requests at once had its sidecar hold up to 10 MB of each, net/http's default; the requests of the other engines on that machine end with it. A head without end also counted as a crash where the engine's state could not be read either, and its request as a suspect.

A head may have what an entry takes of one (64 KB); an entry takes 4 KB more, as sidecars add fields of their own. A head that is too long proves that the engine runs.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -14,8 +14,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -173,7 +171,7 @@
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrUnsent, carawayspread.ErrWithdrawn)
 	case d.withhold():
 		return nil, fmt.Errorf("%w: %w", errConnClosed, err)
-	case isEndless(err):
+	case framed.HeadTooLong(err):
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
 	}
 	return nil, err
@@ -201,14 +199,6 @@
 	return reply, nil
 }
 
-// endlessHeads are parts of the errors of net/http, which have no type, for heads that are too long.
-var endlessHeads = []string{"response headers exceeded", "too many 1xx"}
-
-// isEndless reports whether the endpoint sent a head without end.
-func isEndless(err error) bool {
-	return slices.ContainsFunc(endlessHeads, func(part string) bool { return strings.Contains(err.Error(), part) })
-}
-
 func framing(resp *http.Response) carawayspread.Framing {
 	switch {
 	case !framed.Marked(resp):
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -8,6 +8,8 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
+	"strings"
 )
 
 // ErrUnmarked means that an answer has neither a length nor chunks.
@@ -35,3 +37,12 @@
 
 // CloseIdleConnections closes the idle connections of the next transport.
 func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
+// tooLongHeads are parts of the errors of net/http, which have no type, for heads that are too long.
+var tooLongHeads = []string{"response headers exceeded", "too many 1xx"}
+
+// HeadTooLong reports whether the error of a http.RoundTripper says that the server sent too long a head. It runs,
+// and is at fault.
+func HeadTooLong(err error) bool {
+	return slices.ContainsFunc(tooLongHeads, func(part string) bool { return strings.Contains(err.Error(), part) })
+}
--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -23,10 +23,15 @@
 	connectTimeout  = 500 * time.Millisecond
 	maxIdleConns    = 64
 	idleTimeout     = 90 * time.Second
-	maxHeaderBytes  = 64 << 10
 	maxRefusalBytes = 64 << 10
 )
 
+// MaxHeaderBytes bounds the header of an endpoint's answer. A sidecar adds at most ownHeaderBytes.
+const (
+	MaxHeaderBytes = 64 << 10
+	ownHeaderBytes = 4 << 10
+)
+
 // Attempt is one attempt to run a request at an endpoint.
 type Attempt struct {
 	ID        string
@@ -66,7 +71,7 @@
 		DialContext:            (&net.Dialer{Timeout: connectTimeout}).DialContext,
 		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: MaxHeaderBytes + ownHeaderBytes,
 		DisableCompression:     true,
 	}
 	// net/http retries a request by itself if a reused connection turns out to be closed. A
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/sidecarhttp"
 )
 
@@ -205,7 +206,7 @@
 		return
 	}
 	failure := carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint failed while it ran the request", carawayspread.CausedBy(err))
-	if r.Context().Err() == nil && s.crashed(worker, boot) {
+	if r.Context().Err() == nil && !framed.HeadTooLong(err) && s.crashed(worker, boot) {
 		w.Header().Set(sidecarhttp.HeaderCrashed, "true")
 	}
 	s.refuse(w, r, failure)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -92,6 +92,8 @@
 		DialContext:         (&net.Dialer{Timeout: endpointDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
 		DisableCompression:  true,
+		// An entry takes no longer one.
+		MaxResponseHeaderBytes: sidecarhttp.MaxHeaderBytes,
 	}
 	// An at-most-once request gets its own connection, since net/http retries requests
 	// on reused connections that turn out to be closed.
