Entry: answers to an operator's query of the fleet are bounded

An entry that an operator asked for the state of the fleet read 256 MB and more from an address at which something else sent bytes without end, for the second that the query may take, from 32 addresses at once.

Cause: twirp reads a whole body, and the client had no bound. The other clients of these services are bounded by transfer.Limits, which this one has now.

TestAnswerWithoutEndOfAnInstanceIsNotHeld: 256 MB, the test's end, in three of five cases before; under 16 MB with the buffers of sockets now.

--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -15,7 +15,6 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/control"
-	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/report"
 	"carawayspread/internal/controller/partexchange"
 	"carawayspread/internal/controller/startreserve"
@@ -112,11 +111,7 @@
 // entry.
 func (d *Daemon) adminHandler() http.Handler {
 	instances := func(context.Context) ([]carawayspread.Instance, error) { return d.base.Instances(), nil }
-	client := &http.Client{Transport: framed.New(http.DefaultTransport.(*http.Transport).Clone())}
-	dial := func(address string) control.Control {
-		return control.NewControlProtobufClient("http://"+address, client)
-	}
-	return admin.New(d.base.Changes(), d.base.Config(), fleet.New(instances, dial), d.base.Clock(), admin.WithLogger(d.base.Log()))
+	return admin.New(d.base.Changes(), d.base.Config(), fleet.New(instances, fleet.Dial), d.base.Clock(), admin.WithLogger(d.base.Log()))
 }
 
 // Run serves until ctx ends, then refuses new requests and returns when the running ones are
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"carawayspread"
 	"carawayspread/internal/connection/adminapi"
 	"carawayspread/internal/connection/control"
+	"carawayspread/internal/connection/transfer"
 )
 
 const (
@@ -20,8 +21,19 @@
 	// twelve rounds of a millisecond, or of the timeout if none of them responds.
 	maxConcurrentCalls = 32
 	defaultTimeout     = time.Second
+	// maxAnswerBytes bounds an answer: more than any sidecar's, and little for maxConcurrentCalls of them.
+	maxAnswerBytes = 256 << 10
 )
 
+// Dial returns the client of the process at an IP address and port. That may be another one than the list says,
+// which may send anything.
+func Dial(address string) control.Control {
+	fetch := transfer.New(transfer.Limits{
+		ConnectTimeout: defaultTimeout, IdleTimeout: defaultTimeout, TotalTimeout: defaultTimeout, MaxBytes: maxAnswerBytes,
+	})
+	return control.NewControlProtobufClient("http://"+address, fetch.Client())
+}
+
 // Fleet queries the listed instances. It is safe for concurrent use.
 type Fleet struct {
 	list    func(ctx context.Context) ([]carawayspread.Instance, error)
