Daemons: bodies of queries by other processes are bounded

Whoever reaches the address at which gateways, entries and sidecars answer each other could send a body without end, for two minutes, and all of it was held: twirp reads a whole body.

A query has some hundred bytes. The servers take 64 KB, as of a head, and close the connection of one that has more.

--- a/internal/daemon/base/base.go
+++ b/internal/daemon/base/base.go
@@ -88,11 +88,12 @@
 }
 
 // Listen returns a server on the address, with the limits of the settings.
-func (b *Base) Listen(address string, handler http.Handler) (*server.Server, error) {
+func (b *Base) Listen(address string, handler http.Handler, opts ...server.Option) (*server.Server, error) {
 	t := b.settings.Timeouts()
-	return server.Listen(address, handler,
+	return server.Listen(address, handler, append([]server.Option{
 		server.WithTimeouts(t.ReadHeader(), t.ReadBody(), t.Idle()),
-		server.WithHeaderLimit(b.settings.Limits().HeaderBytes()))
+		server.WithHeaderLimit(b.settings.Limits().HeaderBytes()),
+	}, opts...)...)
 }
 
 // Settings returns the settings of the daemon.
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -100,7 +100,7 @@
 	if d.admin, err = d.base.Listen(s.Admin(), operators); err != nil {
 		return err
 	}
-	if d.control, err = d.base.Listen(s.Control(), peers); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), peers, server.WithBodyLimit(server.QueryLimit)); err != nil {
 		return err
 	}
 	d.reports, err = report.Listen(d.control.Address())
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -220,7 +220,7 @@
 	if d.health, err = server.Listen(d.settings.Health(), health); err != nil {
 		return err
 	}
-	d.control = server.New(d.peers.Listener(), d.learner.Handler())
+	d.control = server.New(d.peers.Listener(), d.learner.Handler(), server.WithBodyLimit(server.QueryLimit))
 	observe := http.NewServeMux()
 	server.HandleHealthAndMetrics(observe, d.Ready, d.gateway.Metrics())
 	d.metrics, err = server.Listen(d.settings.Metrics(), observe)
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -21,6 +21,8 @@
 	bodyTimeout       = 2 * time.Minute
 	idleTimeout       = 2 * time.Minute
 	headerLimit       = 64 << 10 // bytes
+	// QueryLimit bounds the body of a query by another process, which has some hundred bytes.
+	QueryLimit = 64 << 10
 )
 
 // Server is an HTTP server on one address.
@@ -46,6 +48,11 @@
 // WithHeaderLimit limits the size of a request header in bytes.
 func WithHeaderLimit(n int) Option { return func(s *http.Server) { s.MaxHeaderBytes = n } }
 
+// WithBodyLimit limits the size of a request body in bytes. A connection on which more arrives is closed.
+func WithBodyLimit(n int64) Option {
+	return func(s *http.Server) { s.Handler = http.MaxBytesHandler(s.Handler, n) }
+}
+
 // Listen returns a server on the address. It serves once Run is called.
 func Listen(address string, handler http.Handler, opts ...Option) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/daemon/sidecard/daemon.go
+++ b/internal/daemon/sidecard/daemon.go
@@ -54,7 +54,7 @@
 	mux := http.NewServeMux()
 	server.HandleHealthAndMetrics(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
 	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
-	if d.control, err = d.base.Listen(s.Control(), mux); err != nil {
+	if d.control, err = d.base.Listen(s.Control(), mux, server.WithBodyLimit(server.QueryLimit)); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if d.reports, err = report.Listen(d.control.Address()); err != nil {
