--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -15,7 +15,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -166,7 +165,7 @@
 	close(d.returned)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return newReply(resp, sentOver, d), nil
+		return bounded(newReply(resp, sentOver, d))
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
@@ -177,7 +176,7 @@
 		return nil, fmt.Errorf("%w: %w", errIdleConnClosed, err)
 	case d.withhold():
 		return nil, fmt.Errorf("%w: %w", errConnClosed, err)
-	case isEndless(err):
+	case framed.HeadTooLong(err):
 		return nil, fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
 	}
 	return nil, err
@@ -215,12 +214,15 @@
 	}
 }
 
-// endlessHeads are parts of the errors of net/http, which have no type, for heads that are too long.
-var endlessHeads = []string{"response headers exceeded", "too many 1xx"}
-
-// isEndless reports whether the endpoint sent a head without end.
-func isEndless(err error) bool {
-	return slices.ContainsFunc(endlessHeads, func(part string) bool { return strings.Contains(err.Error(), part) })
+// bounded returns the reply unless its header takes more memory than the bytes of one may. net/http bounds these
+// bytes alone: thousands of fields fit into them.
+func bounded(reply *carawayspread.Reply) (*carawayspread.Reply, error) {
+	if n := reply.HeadBytes(); n > maxHeaderBytes {
+		err := errors.Join(carawayspread.ErrEndless, fmt.Errorf("the header takes %d bytes", n), reply.Body.Close())
+		reply.Retire()
+		return nil, err
+	}
+	return reply, nil
 }
 
 func framing(resp *http.Response) carawayspread.Framing {
