--- a/internal/controller/startreserve/claimer.go
+++ b/internal/controller/startreserve/claimer.go
@@ -91,7 +91,7 @@
 	}
 	now := c.clock.Now()
 	since := now.Sub(last.GrantedAt)
-	if !unreadable && since >= 0 && since < c.interval+skew {
+	if since >= 0 && since < c.interval+skew {
 		return false, nil
 	}
 	// An earlier grant that lies ahead shows that a clock was wrong: it counts from now on.
