Moves: a stream that goes on has all events that its run had made

What callers saw: nothing yet; a stream whose run had moved ended as complete before events that the run had made already, where the reset of the stopped stream lost them on the way and the engine that went on sent none or fewer.

Cause: how many events a run had made, which the answer to the call that stops it states, was logged and compared with nothing, and an answer without events counts as whole where it continues one.

Now a continuation of a stopped run that ends before them counts as broken off. The caller's own events are counted, so that nothing is compared where it took the stream up, nor where another run follows.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -72,6 +72,7 @@
 	prefillDuration  time.Duration           // time of the prefill on a separate engine
 	connections      []uint64                // over which the request was answered
 	events           int                     // of the answer
+	made             int                     // events of the run that the attempt continues, at least; zero if unknown
 	heard            atomic.Int64            // as events, for other goroutines
 	move             *runMove                // of the stream that is relayed; nil if it does not move
 	moves            int                     // runs of the request that could move
--- a/internal/process/gateway/move.go
+++ b/internal/process/gateway/move.go
@@ -51,6 +51,7 @@
 	request  carawayspread.PlacementRequest
 	from     carawayspread.Endpoint
 	backup   bool // from the copy of a run whose engine is lost
+	made     int  // events that the run has made, at least
 }
 
 // takeMove returns where the run goes on whose stream has ended with err; nil if no move has stopped it.
@@ -75,6 +76,7 @@
 	next := &continuation{at: m.at, tracker: m.tracker, request: m.request, from: m.from}
 	m.mu.Lock()
 	next.handover, next.returns = carawayspread.Handover{Handle: m.handle, From: m.from}, m.step == runmoves.StepReturn
+	next.made = m.made
 	goesOn := next.returns || m.step == runmoves.StepContinue
 	m.mu.Unlock()
 	switch {
@@ -126,6 +128,8 @@
 // memory of the run that has stopped, and its stream begins after the last event that the caller has.
 func (c *call) continueRun(ctx context.Context, next *continuation) (retry bool, err error) {
 	c.dropBackup()
+	c.made = max(c.made, next.made)
+	defer func() { c.made = 0 }()
 	for {
 		ran := c.ran
 		c.ran-- // it is the same run
--- a/internal/process/gateway/moves.go
+++ b/internal/process/gateway/moves.go
@@ -51,6 +51,7 @@
 	stopped     chan struct{} // closed when step is known; nil before a call that stops the run
 	step        runmoves.Step // after the calls that stop the run
 	handle      string        // names a copy that nobody has used
+	made        int           // events that the run has made, at least
 }
 
 // offerMove records an event of a stream whose run may move.
@@ -268,12 +269,12 @@
 	return result
 }
 
-// keepHandle keeps the newest name of the copy.
+// keepHandle keeps the newest name of the copy, and how many events it holds.
 func (m *runMove) keepHandle(result carawayspread.CopyResult) {
 	if result.Handle == "" {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.handle = result.Handle
+	m.handle, m.made = result.Handle, result.Events
 }
--- a/internal/process/gateway/stream.go
+++ b/internal/process/gateway/stream.go
@@ -157,7 +157,7 @@
 	if errors.Is(err, io.EOF) {
 		err = c.checkEnd(ctx, reply, at)
 	}
-	if err == nil && !c.started {
+	if err == nil && (!c.started || c.metadata.LastEventID == "" && c.events < c.made) {
 		err = io.ErrUnexpectedEOF
 	}
 	c.recordEnd(reply, rest, err)
