--- a/Makefile
+++ b/Makefile
@@ -51,4 +51,4 @@
 SIZE ?= 3
 soak:
 	$(GO) build -o target/ ./cmd/gateway
-	$(GO) run ./cmd/soak --seed $(SEED) --runs $(RUNS) --length $(LENGTH) --size $(SIZE) $(if $(STOPS),--stops) $(if $(HARMFUL),--harmful) $(if $(FAILING),--failing) $(if $(DRAINS),--drains) $(if $(RELEASES),--releases)
+	$(GO) run ./cmd/soak --seed $(SEED) --runs $(RUNS) --length $(LENGTH) --size $(SIZE) $(if $(STOPS),--stops) $(if $(HARMFUL),--harmful) $(if $(FAILING),--failing) $(if $(DRAINS),--drains) $(if $(RELEASES),--releases) $(if $(STRANDS),--strands)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -36,6 +36,7 @@
 			&cli.BoolFlag{Name: "failing", Usage: "workers refuse most requests while gateways are killed and restarted in series"},
 			&cli.BoolFlag{Name: "drains", Usage: "gateways end, restart and change in series while callers use open connections"},
 			&cli.BoolFlag{Name: "releases", Usage: "workers are replaced by ones of other versions in series, in several zones, and streams are long"},
+			&cli.BoolFlag{Name: "strands", Usage: "as --releases; the only fault is that one gateway alone outlives the others and has missed a release"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
 		},
@@ -64,7 +65,10 @@
 	if c.Bool("releases") {
 		generate = schedule.GenerateReleases
 	}
-	load := load{releases: c.Bool("releases"), harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
+	if c.Bool("strands") {
+		generate = schedule.GenerateStrands
+	}
+	load := load{releases: c.Bool("releases") || c.Bool("strands"), harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
 	for n := range uint64(max(1, c.Int("runs"))) {
 		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), load)
 		if err != nil {
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -56,6 +56,17 @@
 	t.Log(output.String())
 }
 
+// Guards against a stream with events of two builds: the only gateway that outlives the others has missed the beginning
+// of a release, and takes the build that it sees for the only one.
+func TestSoleSurvivorJoinsNoBuilds(t *testing.T) {
+	const size, length, seed = 5, 40 * time.Second, 1
+	dir := t.TempDir()
+	var output strings.Builder
+	found, err := runSchedule(t.Context(), &output, buildGateway(t, dir), dir, schedule.GenerateStrands(seed, length), size, load{releases: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", output.String()))
+}
+
 // buildGateway builds the gateway under test and returns its path.
 func buildGateway(t *testing.T, dir string) string {
 	t.Helper()
--- a/internal/soak/fleet/releases.go
+++ b/internal/soak/fleet/releases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -27,6 +28,9 @@
 	abortShare, crashShare = 5, 3
 	// unlistAfter is how long the entry of a crashed worker stays.
 	unlistAfter = time.Second
+	// strandedPart is how many thirds of a release a gateway misses, and killTime is ample for killing the others.
+	strandedPart = 2
+	killTime     = 100 * time.Millisecond
 	// ever is longer than a soak.
 	ever = time.Hour
 )
@@ -60,6 +64,7 @@
 	f.release++
 	version, old := fmt.Sprint("v", f.release), slices.Clone(f.workers)
 	f.mu.Unlock()
+	rng.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
 	for _, p := range old {
 		if p.service != "model" {
 			continue
@@ -107,20 +112,25 @@
 	return errors.Join(err, f.addWorkerAt(address, p.service, p.role, version))
 }
 
-// strand has one gateway stand still, with no answers of the store, while a release begins, and kills all others as
-// it goes on.
+// strand has one gateway stand still, with no answers of the store, while a release begins, and go on once all others
+// have been killed.
 func (f *Fleet) strand(g *gateway, step schedule.Step) error {
-	released := make(chan error, 1)
-	go func() { released <- f.releaseWorkers(step) }()
+	var all sync.WaitGroup
+	errs := make([]error, 3)
+	all.Go(func() { errs[0] = f.releaseWorkers(step) })
 	g.store.SetFault(relay.Silent)
-	defer g.store.SetFault(relay.None)
-	err := f.pause(g, step.Duration/2)
-	f.history.RecordFault(history.Target(g.name), f.clock.Now(), f.clock.Now().Add(unlistAfter))
-	err = errors.Join(err, f.onAll(func(other *gateway) error {
+	still := step.Duration * strandedPart / 3
+	all.Go(func() {
+		errs[1] = f.pause(g, still+killTime)
+		f.runFault(history.Target(g.name), unlistAfter, func() {}, func() { g.store.SetFault(relay.None) })
+	})
+	<-f.clock.After(still)
+	errs[2] = f.onAll(func(other *gateway) error {
 		if other == g {
 			return nil
 		}
 		return f.restartGateway(other, syscall.SIGKILL)
-	}))
-	return errors.Join(err, <-released)
+	})
+	all.Wait()
+	return errors.Join(errs...)
 }
--- a/internal/soak/schedule/schedule.go
+++ b/internal/soak/schedule/schedule.go
@@ -155,6 +155,13 @@
 	return s
 }
 
+// GenerateStrands returns a schedule of releases whose beginning one gateway misses, while all others are killed.
+func GenerateStrands(seed uint64, length time.Duration) *Schedule {
+	s := &Schedule{seed: seed}
+	s.addSteps(rand.New(rand.NewPCG(seed, 0)), length, rareMeanInterval, []Kind{Strand})
+	return s
+}
+
 // GenerateDrains returns a schedule of shutdowns, restarts, signals and changes in series that overlap.
 func GenerateDrains(seed uint64, length time.Duration) *Schedule {
 	s := &Schedule{seed: seed}
