Gateway: chunks and trailers without end blame no request

A worker that sent a chunk's line, a chunk's number or a trailer without end was taken for one that had crashed, and its request became a suspect, until the worker was asked for a connection.

Cause: net/http gives these up by errors of its own, which looked like any broken body. They prove that the endpoint runs, as heads that are too long do.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -182,12 +183,23 @@
 
 func newReply(resp *http.Response, over *conn, d *delivery) *carawayspread.Reply {
 	return &carawayspread.Reply{
-		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Framing: framing(resp),
+		Status: resp.StatusCode, Header: resp.Header, Body: body{resp.Body}, Length: resp.ContentLength, Framing: framing(resp),
 		ConnectedAt: over.connectedAt, Connection: over.id, EarlierAnswers: int(over.answers.Add(1)) - 1,
 		RetireConnection: func() { over.retire(d) },
 	}
 }
 
+// body is the body of an answer. What frames it may have no end either.
+type body struct{ io.ReadCloser }
+
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && framed.FramingTooLong(err) {
+		err = fmt.Errorf("%w: %w", carawayspread.ErrEndless, err)
+	}
+	return n, err
+}
+
 // bounded returns the reply unless its header takes more memory than the bytes of one may. net/http bounds these
 // bytes alone: thousands of fields fit into them.
 func bounded(reply *carawayspread.Reply) (*carawayspread.Reply, error) {
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -38,11 +38,20 @@
 // CloseIdleConnections closes the idle connections of the next transport.
 func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
-// tooLongHeads are parts of the errors of net/http, which have no type, for heads that are too long.
-var tooLongHeads = []string{"response headers exceeded", "too many 1xx"}
+// These are parts of the errors of net/http, which have no type, for what is too long besides bodies: of heads,
+// and of chunks and trailers.
+var (
+	endlessHeads   = []string{"response headers exceeded", "too many 1xx"}
+	endlessFraming = []string{"header line too long", "chunk length too large", "too much non-data", "suspiciously long trailer"}
+)
 
 // HeadTooLong reports whether the error of a http.RoundTripper says that the server sent too long a head. It runs,
 // and is at fault.
-func HeadTooLong(err error) bool {
-	return slices.ContainsFunc(tooLongHeads, func(part string) bool { return strings.Contains(err.Error(), part) })
+func HeadTooLong(err error) bool { return contains(err, endlessHeads) }
+
+// FramingTooLong reports the same of an error of a body, and what frames it.
+func FramingTooLong(err error) bool { return contains(err, endlessFraming) }
+
+func contains(err error, parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool { return strings.Contains(err.Error(), part) })
 }
