--- a/internal/connection/openai/openai_test.go
+++ b/internal/connection/openai/openai_test.go
@@ -127,3 +127,18 @@
 	c.rest = c.rest[n:]
 	return n, nil
 }
+
+// Guards against a stream that keeps its caller waiting without an event, and is held: blank lines or comments
+// without end.
+func TestTooMuchBetweenEventsHasNoEnd(t *testing.T) {
+	for name, line := range map[string]string{"blank lines": "\n", "comments": ": waiting\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			events := NewEvents(strings.NewReader("data: 1\n\n" + strings.Repeat(line, 128<<10)))
+			var err error
+			for err == nil {
+				_, err = events.Next()
+			}
+			qt.Check(t, err, qt.ErrorIs, carawayspread.ErrEndless)
+		})
+	}
+}
