Streams that may be taken up begin at builds that all may know

What callers saw: during a release a gateway was cut off or stood still for a moment.

Cause: a process relies on the only build that it lists while its list is up to two seconds old, and streams began at a build as soon as one process had read it. Silence of the peers counted as consent. A build that came and went while a process stood still or was cut off counted as never there, and the age of the list was taken from a clock that does not count suspension.

Now a resumable stream begins at a build only once that has been listed for as long as a list may be old; where no other endpoint writes answers, at once, at the build that has been listed for longest. So a list that is young enough is proof, whoever answers. Two lists that are relied on lie that far apart at most, or no build counts as the only one for a stream's lifetime. The age is the longest that is possible by the store's own time, as that of the routes. No message between gateways changed; older ones begin streams as before.

Cost: for two seconds engines of a new version get no streams that may be taken up while others serve, also where those are full.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -28,6 +28,7 @@
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/decision/runmoves"
 	"carawayspread/internal/decision/standstill"
@@ -92,7 +93,8 @@
 	roleController *rolecontroller.Controller // nil if roles do not change
 	quarantineLog  *quarantinelog.Log         // nil without a table
 	partLog        *quarantinelog.Log         // nil without a table
-	buildRecords   *buildrecords.Records      // nil without a table
+	origins        *origin.Origins
+	buildRecords   *buildrecords.Records // nil without a table
 	syncedClock    *clocksync.Clock
 	usage          *usageAccounting // nil if no usage is reported
 	endpointsKnown atomic.Bool
@@ -133,7 +135,7 @@
 		Clock: clock, Zone: s.Zone(), Broadcast: d.peers.Broadcast,
 		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	origins := d.newOrigins(ports)
+	d.newOrigins(ports)
 	uptimeClock := carawayspread.UptimeClock(ports.Uptime, clock)
 	d.standstill = standstill.New(uptimeClock)
 	retryLimits, claimRetry := d.setUpRetries(ports, uptimeClock)
@@ -148,7 +150,7 @@
 		gateway.WithListAge(d.listAge),
 		gateway.WithWaiting(s.MaxWaiting()),
 		gateway.WithListVersion(d.listVersion),
-		gateway.WithOrigins(origins, d.peers),
+		gateway.WithOrigins(d.origins, d.peers),
 		gateway.WithCrashReporter(func(fingerprint uint64, id carawayspread.EndpointID, withdrawn bool) {
 			d.peers.BroadcastCrash(peers.Crash{Fingerprint: fingerprint, Endpoint: string(id), Withdrawn: withdrawn})
 		}),
@@ -166,7 +168,7 @@
 	d.setUpFollower(ports)
 	d.setUpUsage(ports)
 	d.setUpQuarantineLogs(ports)
-	d.setUpBuildRecords(ports, origins)
+	d.setUpBuildRecords(ports)
 	if ports.Connections != nil {
 		d.gateway.Metrics().NewGauge("gateway_connections_opened", func() float64 { return float64(ports.Connections()) })
 	}
--- a/internal/daemon/gatewayd/origins.go
+++ b/internal/daemon/gatewayd/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"carawayspread"
@@ -13,24 +14,31 @@
 // rely on.
 const originsInterval = 500 * time.Millisecond
 
-// newOrigins returns what the process knows of where streams began, which it exchanges with its peers. Where
+// newOrigins creates what the process knows of where streams began, which it exchanges with its peers. Where
 // there is a table, it keeps the builds of each service for the time after all processes were lost.
-func (d *Daemon) newOrigins(ports Ports) *origin.Origins {
+func (d *Daemon) newOrigins(ports Ports) {
 	var opts []origin.Option
 	if ports.Table != nil {
 		opts = append(opts, origin.WithRecords())
 	}
-	origins := origin.New(d.clock, d.listAge, opts...)
-	d.peers.SetOriginTracker(origins)
-	return origins
+	d.origins = origin.New(carawayspread.UptimeClock(ports.Uptime, d.clock), d.oldestList, opts...)
+	d.peers.SetOriginTracker(d.origins)
+}
+
+// oldestList returns the longest time for which the list of endpoints may have been outdated.
+func (d *Daemon) oldestList() time.Duration {
+	if age, known := d.follower.ListAge(); known {
+		return age
+	}
+	return math.MaxInt64
 }
 
 // setUpBuildRecords creates the records of the builds, unless there is no table.
-func (d *Daemon) setUpBuildRecords(ports Ports, origins *origin.Origins) {
+func (d *Daemon) setUpBuildRecords(ports Ports) {
 	if ports.Table == nil {
 		return
 	}
-	d.buildRecords = buildrecords.New(ports.Table, origins, ports.StoreTime, readers{d}, d.clock, d.decisionLog,
+	d.buildRecords = buildrecords.New(ports.Table, d.origins, ports.StoreTime, readers{d}, d.clock, d.decisionLog,
 		d.gateway.Metrics(), d.settings.FirstStart())
 }
 
@@ -58,6 +66,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-d.clock.After(originsInterval):
+			d.origins.Watch()
 			d.gateway.TellUntold()
 		}
 	}
--- a/internal/decision/origin/builds.go
+++ b/internal/decision/origin/builds.go
@@ -8,8 +8,10 @@
 
 // builds are the builds of one service that are listed.
 type builds struct {
-	listed map[carawayspread.BuildID]bool // zero stands for endpoints of unknown build
-	since  time.Time                      // when they were listed first, all of them and no other
+	listed map[carawayspread.BuildID]bool      // zero stands for endpoints of unknown build
+	first  map[carawayspread.BuildID]time.Time // since when each of them has been listed
+	newest time.Time                           // the latest of first
+	since  time.Time                           // when they were listed first, all of them and no other
 	// changed says that this process has seen others before, so that since is when they became these.
 	changed bool
 }
@@ -18,8 +20,9 @@
 func (o *Origins) SetEndpoints(endpoints []carawayspread.Endpoint) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	at := o.clock.Now()
 	if o.knownSince.IsZero() {
-		o.knownSince = o.clock.Now()
+		o.knownSince = at
 	}
 	listed := map[string]map[carawayspread.BuildID]bool{}
 	for _, e := range endpoints {
@@ -32,15 +35,33 @@
 		before := o.services[service]
 		switch {
 		case before == nil:
-			o.services[service] = &builds{listed: now, since: o.knownSince}
+			o.services[service] = newBuilds(now, nil, at)
+			o.services[service].since = o.knownSince
 			o.changes++
 		case !equal(before.listed, now):
-			o.services[service] = &builds{listed: now, since: o.clock.Now(), changed: true}
+			o.services[service] = newBuilds(now, before.first, at)
+			o.services[service].changed = true
 			o.changes++
 		}
 	}
 }
 
+// newBuilds returns the builds that are listed since now, given since when those before have been.
+func newBuilds(listed map[carawayspread.BuildID]bool, before map[carawayspread.BuildID]time.Time, now time.Time) *builds {
+	b := &builds{listed: listed, first: map[carawayspread.BuildID]time.Time{}, since: now}
+	for build := range listed {
+		first, ok := before[build]
+		if !ok {
+			first = now
+		}
+		b.first[build] = first
+		if first.After(b.newest) {
+			b.newest = first
+		}
+	}
+	return b
+}
+
 func equal(a, b map[carawayspread.BuildID]bool) bool {
 	if len(a) != len(b) {
 		return false
@@ -67,7 +88,7 @@
 	if o.recorded && !o.restored {
 		lifetime = max(lifetime, retention)
 	}
-	if b == nil || len(b.listed) != 1 || b.listed[0] || now.Sub(b.since) < lifetime || o.listAge() > maxListAge {
+	if b == nil || len(b.listed) != 1 || b.listed[0] || now.Sub(b.since) < lifetime || !o.followed(now, lifetime) {
 		return 0, false
 	}
 	for build := range b.listed {
--- a/internal/decision/origin/origins.go
+++ b/internal/decision/origin/origins.go
@@ -15,7 +15,8 @@
 	// retention is how long a stream is kept. It exceeds the time for which callers try.
 	retention = 2 * time.Minute
 	// maxListAge is how old the list of endpoints may be for a process to rely on having seen a single
-	// build.
+	// build, and how long a build has been listed before streams begin there that a process with such a list
+	// may have to take up.
 	maxListAge = 2 * time.Second
 )
 
@@ -46,6 +47,9 @@
 	services map[string]*builds
 	// knownSince is when endpoints were listed first. What was listed before is known from records only.
 	knownSince time.Time
+	// reliedOn is as of when the list was the newest when this process last relied on it, and followedSince
+	// when it could do so again after a time in which builds may have come and gone; zero for never.
+	reliedOn, followedSince time.Time
 	// longest is the longest lifetime of a stream that began, by service. A route may be given a shorter
 	// timeout meanwhile, while callers still hold streams of the longer one.
 	longest  map[string]time.Duration
@@ -62,7 +66,8 @@
 // callers may hold streams of other timeouts.
 func WithRecords() Option { return func(o *Origins) { o.recorded = true } }
 
-// New returns Origins without streams. listAge returns the age of the list of endpoints.
+// New returns Origins without streams. listAge returns the longest time for which the list of endpoints may
+// have been outdated. Both must count the time for which the machine is suspended.
 func New(clock carawayspread.Clock, listAge func() time.Duration, opts ...Option) *Origins {
 	streams, err := lru.NewLRU[carawayspread.StreamID, began](maxStreams, nil)
 	if err != nil {
--- a/internal/process/follower/follower.go
+++ b/internal/process/follower/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"carawayspread"
@@ -74,6 +75,8 @@
 	mu    sync.Mutex
 	known [carawayspread.ResourceCount]knownVersion
 
+	listTime atomic.Int64 // nanoseconds; of the list of endpoints, as in heldStatus or earlier
+
 	refresh refresh
 }
 
@@ -201,6 +204,7 @@
 // process that is paused or behind, which would pass it on as the age of the same contents: such a process
 // and its peers would confirm an old list to one another for as long as it is behind.
 func (f *Follower) confirm(r peerReport) {
+	f.noteListTime()
 	age, known := f.store.Age(r.status.StoreTime)
 	if !known || !f.possible(r.status.StoreTime) {
 		return
@@ -309,6 +313,7 @@
 	if err != nil {
 		return
 	}
+	f.noteListTime()
 	if f.election.IsReader() {
 		f.announce()
 	}
--- a/internal/process/follower/freshness.go
+++ b/internal/process/follower/freshness.go
@@ -38,6 +38,20 @@
 	return f.store.Age(f.heldStatus(carawayspread.ResourceRoutes).StoreTime)
 }
 
+// ListAge returns the longest time for which the list of endpoints held may have been outdated, by the store's
+// clock; false if it is not known. The source may be locked: it passes on a new list.
+func (f *Follower) ListAge() (time.Duration, bool) {
+	return f.store.Age(time.Duration(f.listTime.Load()))
+}
+
+// noteListTime keeps the reading of the store's clock that the list of endpoints held is known by.
+func (f *Follower) noteListTime() {
+	now := int64(f.heldStatus(carawayspread.ResourceEndpoints).StoreTime)
+	for before := f.listTime.Load(); now > before && !f.listTime.CompareAndSwap(before, now); {
+		before = f.listTime.Load()
+	}
+}
+
 // RunStoreClock keeps the bound on the store's clock narrow until ctx ends, by asking the peer
 // whose store time is in use, or by a call to the store if that does not help. Processes that get
 // everything from peers make no call to the store themselves for long.
--- a/internal/process/follower/freshness_test.go
+++ b/internal/process/follower/freshness_test.go
@@ -14,8 +14,10 @@
 	"carawayspread"
 )
 
-// changes records when the routes changed.
+// changes records when the resource changed.
 type changes struct {
+	resource carawayspread.Resource
+
 	mu sync.Mutex
 	at map[uint64]time.Time // by digest
 }
@@ -23,19 +25,22 @@
 func (c *changes) change(s *store) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s.change(carawayspread.ResourceRoutes)
+	s.change(c.resource)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.at[s.at[carawayspread.ResourceRoutes]] = time.Now()
+	c.at[s.at[c.resource]] = time.Now()
 }
 
 // missed returns a change that the process does not hold although its freshness covers it.
 func (c *changes) missed(n *node) (uint64, bool) {
 	age, known := n.follower.Age()
+	if c.resource == carawayspread.ResourceEndpoints {
+		age, known = n.follower.ListAge()
+	}
 	if !known {
 		return 0, false
 	}
-	held := n.Status(carawayspread.ResourceRoutes).Digest
+	held := n.Status(c.resource).Digest
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for digest, at := range c.at {
@@ -46,9 +51,9 @@
 	return 0, false
 }
 
-// Guards against a revoked API key that is still accepted: no process reports a freshness that
-// covers a change which it does not hold, however late messages are and whichever processes are cut
-// off.
+// Guards against a revoked API key that is still accepted, and against a build of engines that is taken for the
+// only one: no process reports a freshness that covers a change which it does not hold, however late messages
+// are and whichever processes are cut off.
 func TestFreshnessNeverCoversMissedChange(t *testing.T) {
 	for name, injectFault := range map[string]func(cl *cluster){
 		"nothing":                   func(*cluster) {},
@@ -70,16 +75,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runClusterWithStoreClock(t, 3, 3, func(cl *cluster) {
-				c := &changes{at: map[uint64]time.Time{}}
+				var all []*changes
+				for resource := range carawayspread.ResourceCount {
+					all = append(all, &changes{resource: resource, at: map[uint64]time.Time{}})
+				}
 				injectFault(cl)
 				for step := range 200 {
-					if step%7 == 0 {
-						c.change(cl.store)
+					for _, c := range all {
+						if step%7 == 3*int(c.resource) {
+							c.change(cl.store)
+						}
 					}
 					time.Sleep(50 * time.Millisecond)
 					for _, n := range cl.nodes {
-						if digest, bad := c.missed(n); bad {
-							t.Fatalf("process %s holds %d, its freshness covers %d", n.name(), n.Status(carawayspread.ResourceRoutes).Digest, digest)
+						for _, c := range all {
+							if digest, bad := c.missed(n); bad {
+								t.Fatalf("process %s holds %d of resource %d, its freshness covers %d", n.name(), n.Status(c.resource).Digest, c.resource, digest)
+							}
 						}
 					}
 				}
--- a/internal/process/gateway/reserve.go
+++ b/internal/process/gateway/reserve.go
@@ -104,15 +104,19 @@
 
 // excluded returns the endpoints that must not get the request now.
 func (c *call) excluded() map[carawayspread.EndpointID]bool {
-	if len(c.full) == 0 {
+	tooNew := c.tooNew()
+	if len(c.full) == 0 && len(tooNew) == 0 {
 		return c.g.backpressure.AddUnavailable(c.exclude)
 	}
-	all := make(map[carawayspread.EndpointID]bool, len(c.exclude)+len(c.full))
+	all := make(map[carawayspread.EndpointID]bool, len(c.exclude)+len(c.full)+len(tooNew))
 	for id := range c.exclude {
 		all[id] = true
 	}
 	for id := range c.full {
 		all[id] = true
 	}
+	for _, id := range tooNew {
+		all[id] = true
+	}
 	return c.g.backpressure.AddUnavailable(all)
 }
--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -99,6 +99,15 @@
 	c.g.set.GetOrCreateCounter(`gateway_resumptions_total{origin="` + how + `"}`).Inc()
 }
 
+// tooNew returns the endpoints at which the stream may not begin yet, as its caller may take it up at a process
+// that does not list their build.
+func (c *call) tooNew() []carawayspread.EndpointID {
+	if !c.route.Stream || c.route.Retry != carawayspread.RetryResume || c.started || c.build != 0 || c.metadata.LastEventID != "" {
+		return nil
+	}
+	return c.g.origins.TooNew(c.service.Name, (*c.g.endpoints.Load())[c.service.Name])
+}
+
 // beginStream records at which build the stream begins, before its caller gets the first event.
 func (c *call) beginStream(at carawayspread.Endpoint) {
 	if c.metadata.LastEventID != "" {
--- a/internal/process/gateway/resume_test.go
+++ b/internal/process/gateway/resume_test.go
@@ -91,3 +91,40 @@
 		})
 	}
 }
+
+// A stream begins at a build that has just appeared, and goes on at another one at a process that does not list it
+// yet; or requests that nobody takes up get no engines of a new build.
+func TestStreamBeginsWhereAllProcessesMayKnowTheBuild(t *testing.T) {
+	refusedOnce := []step{notRun(503), events(1, 4, io.EOF)}
+	for name, test := range map[string]struct {
+		path     string
+		versions []string
+		then     time.Duration
+		steps    []step
+		status   int
+		sends    int
+	}{
+		"another build":                {path: "/resume/x", versions: []string{"v1", "v2"}, steps: refusedOnce, status: http.StatusServiceUnavailable, sends: 1},
+		"another build, seconds later": {path: "/resume/x", versions: []string{"v1", "v2"}, then: 2 * time.Second, steps: refusedOnce, status: http.StatusOK, sends: 2},
+		"not to be taken up":           {path: "/once/x", versions: []string{"v1", "v2"}, steps: refusedOnce, status: http.StatusOK, sends: 2},
+		"no stream":                    {path: "/safe/x", versions: []string{"v1", "v2"}, steps: []step{notRun(503), answer(200)}, status: http.StatusOK, sends: 2},
+		"one build":                    {path: "/resume/x", versions: []string{"v1", "v1"}, steps: refusedOnce, status: http.StatusOK, sends: 2},
+		"only new ones":                {path: "/resume/x", versions: []string{"v2", "v2"}, steps: refusedOnce, status: http.StatusOK, sends: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, test.steps...)
+			b.listVersions("s", "v1")
+			b.clock.Advance(time.Minute)
+			b.listVersions("s", test.versions...)
+			b.clock.Advance(test.then)
+			resp, body, err := b.post(t, test.path, "body", tokens, "100,50")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, b.transport.all(), qt.HasLen, test.sends)
+			if test.status != http.StatusOK {
+				qt.Check(t, body, qt.Contains, `"notRun":true`)
+				qt.Check(t, b.transport.all()[0].to, qt.Equals, carawayspread.EndpointID("a-v1"))
+			}
+		})
+	}
+}
