The only build of a service is not that of a route of several

Cause: which service a request goes to is drawn by chance where its route leads to several. A stream that nobody knew went on at the only build of the service that was drawn as it was taken up, or of the service to which its route had been moved since. While each service has one build, no peer was told of its streams, so that it took the loss of one process and nothing else.

Now a route that leads to several services, or led to others within a stream's lifetime, has no only build: peers are told of its streams, of those that had begun as soon as the route is moved, and what nobody knows is refused. Peers are asked without a service, so that no only build ends the question: gateways of older releases answer that as they are. A request is matched with what had its path before, so that routes for parts of a path that come and go count.

Began has the route as a further argument; the tests that call it follow.

Left: a process that does not have the new routes yet and gets no answer; a process that starts does not know where routes led before.

--- a/internal/decision/origin/begin_test.go
+++ b/internal/decision/origin/begin_test.go
@@ -167,7 +167,7 @@
 	for _, i := range r.rng.Perm(len(r.held[n])) {
 		if at := r.held[n][i]; !refused[at.ID()] {
 			stream := carawayspread.StreamOrigin{Stream: id, Build: at.Build()}
-			if r.fleet[n].Began(stream, "s", lifetime) {
+			if r.fleet[n].Began(stream, RouteID{}, "s", lifetime) {
 				r.tell(n, []carawayspread.StreamOrigin{stream})
 			}
 			return at.Build()
--- a/internal/decision/origin/origins.go
+++ b/internal/decision/origin/origins.go
@@ -30,6 +30,7 @@
 // untold is a stream that began here and that no peer was told of.
 type untold struct {
 	origin   carawayspread.StreamOrigin
+	route    RouteID
 	service  string
 	at       time.Time     // when its first event came
 	lifetime time.Duration // for which it may last, with all tries of its caller
@@ -53,10 +54,11 @@
 	// longest is the longest lifetime of a stream that began, by service. A route may be given a shorter
 	// timeout meanwhile, while callers still hold streams of the longer one.
 	longest  map[string]time.Duration
-	changes  uint64 // of what records hold
-	recorded bool   // there are records
-	restored bool   // they were read
-	first    bool   // no stream began before this process
+	moved    map[RouteID]time.Time // when a route was given other services, if less than retention ago
+	changes  uint64                // of what records hold
+	recorded bool                  // there are records
+	restored bool                  // they were read
+	first    bool                  // no stream began before this process
 }
 
 // Option sets an optional part of Origins.
@@ -73,17 +75,17 @@
 	if err != nil {
 		panic(err) // the size is a constant
 	}
-	o := &Origins{clock: clock, listAge: listAge, streams: streams, services: map[string]*builds{}, longest: map[string]time.Duration{}}
+	o := &Origins{clock: clock, listAge: listAge, streams: streams, services: map[string]*builds{}, longest: map[string]time.Duration{}, moved: map[RouteID]time.Time{}}
 	for _, opt := range opts {
 		opt(o)
 	}
 	return o
 }
 
-// Began records that a stream of the service began here. It reports whether peers must be told: whether
+// Began records that a stream of the route began here, at the service. It reports whether peers must be told: whether
 // they might not know its build otherwise. lifetime is how long a stream may last, with all tries of its
 // caller.
-func (o *Origins) Began(stream carawayspread.StreamOrigin, service string, lifetime time.Duration) (tell bool) {
+func (o *Origins) Began(stream carawayspread.StreamOrigin, route RouteID, service string, lifetime time.Duration) (tell bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock.Now()
@@ -92,11 +94,11 @@
 		o.longest[service] = lifetime
 		o.changes++
 	}
-	if _, sole := o.sole(now, service, lifetime); !sole {
+	if _, sole := o.sole(now, service, lifetime); !sole || o.hasMoved(now, route, lifetime) {
 		return true
 	}
 	if len(o.untold) < maxStreams {
-		o.untold = append(o.untold, untold{stream, service, now, lifetime})
+		o.untold = append(o.untold, untold{stream, route, service, now, lifetime})
 	}
 	return false
 }
@@ -126,7 +128,8 @@
 }
 
 // Untold returns the streams that began here, may still be taken up, and now have to be told to peers:
-// another build of their service has appeared, or the list of endpoints has become too old to tell.
+// another build of their service has appeared, their route leads elsewhere, or the list of endpoints has become too
+// old to tell.
 func (o *Origins) Untold() []carawayspread.StreamOrigin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -137,7 +140,7 @@
 		if now.Sub(u.at) > u.lifetime {
 			continue
 		}
-		if _, sole := o.sole(now, u.service, u.lifetime); sole {
+		if _, sole := o.sole(now, u.service, u.lifetime); sole && !o.hasMoved(now, u.route, u.lifetime) {
 			kept = append(kept, u)
 		} else {
 			tell = append(tell, u.origin)
--- a/internal/decision/origin/origins_test.go
+++ b/internal/decision/origin/origins_test.go
@@ -64,7 +64,7 @@
 			sole, ok := o.Sole("s", lifetime)
 			qt.Check(t, ok, qt.Equals, test.want != "")
 			qt.Check(t, sole, qt.Equals, build(test.want))
-			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 1, Build: 2}, "s", lifetime), qt.Equals, !ok)
+			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 1, Build: 2}, RouteID{}, "s", lifetime), qt.Equals, !ok)
 		})
 	}
 }
@@ -88,9 +88,9 @@
 			o := New(clock, func() time.Duration { return age })
 			o.SetEndpoints(listOf("v1"))
 			first(o)
-			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 1, Build: build("v1")}, "s", lifetime), qt.IsFalse)
+			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 1, Build: build("v1")}, RouteID{}, "s", lifetime), qt.IsFalse)
 			clock.Advance(lifetime - time.Second)
-			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 2, Build: build("v1")}, "s", lifetime), qt.IsFalse)
+			qt.Check(t, o.Began(carawayspread.StreamOrigin{Stream: 2, Build: build("v1")}, RouteID{}, "s", lifetime), qt.IsFalse)
 			if name == "another build, much later" {
 				clock.Advance(2 * time.Second) // the first stream has ended by then
 			}
@@ -145,7 +145,7 @@
 func TestStreamsAreBounded(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	o := New(clock, func() time.Duration { return 0 })
-	o.Began(carawayspread.StreamOrigin{Stream: 1, Build: 7}, "s", lifetime)
+	o.Began(carawayspread.StreamOrigin{Stream: 1, Build: 7}, RouteID{}, "s", lifetime)
 	o.Learn([]carawayspread.StreamOrigin{{Stream: 1, Build: 8}, {Stream: 2, Build: 9}})
 	for id, want := range map[carawayspread.StreamID]carawayspread.BuildID{1: 7, 2: 9} {
 		got, ok := o.Build(id)
--- a/internal/decision/origin/record_test.go
+++ b/internal/decision/origin/record_test.go
@@ -68,7 +68,7 @@
 			lost := New(clock, func() time.Duration { return 0 }, WithRecords())
 			for _, versions := range test.lists {
 				lost.SetEndpoints(listOf(versions...))
-				lost.Began(carawayspread.StreamOrigin{Stream: 1, Build: build(versions[0])}, "s", max(lifetime, test.longest))
+				lost.Began(carawayspread.StreamOrigin{Stream: 1, Build: build(versions[0])}, RouteID{}, "s", max(lifetime, test.longest))
 				table.review(lost, true)
 				clock.Advance(10 * time.Second)
 			}
@@ -148,7 +148,7 @@
 				stream := carawayspread.StreamOrigin{Stream: next, Build: build(versions[r.rng.IntN(len(versions))])}
 				next++
 				began[stream.Stream] = stream.Build
-				if r.fleet[0].Began(stream, "s", lifetime) {
+				if r.fleet[0].Began(stream, RouteID{}, "s", lifetime) {
 					for _, o := range r.holders(stream.Stream, 0) {
 						o.Learn([]carawayspread.StreamOrigin{stream})
 					}
--- a/internal/decision/origin/replay_test.go
+++ b/internal/decision/origin/replay_test.go
@@ -107,7 +107,7 @@
 					stream := carawayspread.StreamOrigin{Stream: next, Build: build(versions[r.rng.IntN(len(versions))])}
 					next++
 					began[stream.Stream] = stream.Build
-					if r.fleet[n].Began(stream, "s", lifetime) {
+					if r.fleet[n].Began(stream, RouteID{}, "s", lifetime) {
 						for _, o := range r.holders(stream.Stream, n) {
 							o.Learn([]carawayspread.StreamOrigin{stream})
 						}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -173,7 +173,10 @@
 
 // Adopt replaces the routes by a newer set.
 func (g *Gateway) Adopt(routing *carawayspread.Routing) {
-	old := g.routing.Swap(routing)
+	old := g.routing.Load()
+	g.origins.SetRoutes(old, routing) // before the first request goes to another service
+	g.routing.Store(routing)
+	g.TellUntold()
 	line := decisionlog.Start("routes").Int("version", int64(routing.Version())).Int("routes", int64(routing.Len()))
 	if old != nil {
 		line.Int("replaces", int64(old.Version()))
--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -73,6 +73,9 @@
 	if build, ok := c.g.origins.Build(id); ok {
 		return build, originOwn
 	}
+	if c.g.origins.LedElsewhere(c.route, lifetime) { // the only build of a service is not that of the route
+		return c.g.peerOrigins.FindOrigin(c.r.Context(), id, "", lifetime).Build, originPeer
+	}
 	answer := c.g.peerOrigins.FindOrigin(c.r.Context(), id, c.service.Name, lifetime)
 	how = originPeer
 	if answer.Build == 0 {
@@ -118,7 +121,9 @@
 		return
 	}
 	stream := carawayspread.StreamOrigin{Stream: carawayspread.NewStreamID(c.metadata.ID), Build: c.build}
-	if c.g.origins.Began(stream, c.service.Name, streamLifetime(c.route)) {
+	lifetime := streamLifetime(c.route)
+	tell := c.g.origins.Began(stream, origin.NewRouteID(c.route), c.service.Name, lifetime)
+	if tell || c.g.origins.LedElsewhere(c.route, lifetime) {
 		c.g.peerOrigins.TellOrigins([]carawayspread.StreamOrigin{stream})
 	}
 }
--- a/route.go
+++ b/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"strings"
 	"time"
@@ -221,5 +222,12 @@
 	return n
 }
 
+// Routes returns all routes.
+func (t *Routing) Routes() iter.Seq[*Route] {
+	return func(yield func(*Route) bool) {
+		t.routes.Ascend(func(route hostedRoute) bool { return yield(route.Route) })
+	}
+}
+
 // Len returns the number of routes.
 func (t *Routing) Len() int { return t.routes.Len() }
