--- a/internal/process/gateway/resume.go
+++ b/internal/process/gateway/resume.go
@@ -73,6 +73,9 @@
 	if build, ok := c.g.origins.Build(id); ok {
 		return build, originOwn
 	}
+	if c.g.origins.LedElsewhere(c.route, lifetime) { // the only build of a service is not that of the route
+		return c.g.peerOrigins.FindOrigin(c.r.Context(), id, "", lifetime).Build, originPeer
+	}
 	answer := c.g.peerOrigins.FindOrigin(c.r.Context(), id, c.service.Name, lifetime)
 	how = originPeer
 	if answer.Build == 0 {
@@ -99,6 +102,15 @@
 	c.g.set.GetOrCreateCounter(`gateway_resumptions_total{origin="` + how + `"}`).Inc()
 }
 
+// tooNew returns the endpoints at which the stream may not begin yet, as its caller may take it up at a process
+// that does not list their build.
+func (c *call) tooNew() []carawayspread.EndpointID {
+	if !c.route.Stream || c.route.Retry != carawayspread.RetryResume || c.started || c.build != 0 || c.metadata.LastEventID != "" {
+		return nil
+	}
+	return c.g.origins.TooNew(c.service.Name, (*c.g.endpoints.Load())[c.service.Name])
+}
+
 // beginStream records at which build the stream begins, before its caller gets the first event.
 func (c *call) beginStream(at carawayspread.Endpoint) {
 	if c.metadata.LastEventID != "" {
@@ -109,7 +121,9 @@
 		return
 	}
 	stream := carawayspread.StreamOrigin{Stream: carawayspread.NewStreamID(c.metadata.ID), Build: c.build}
-	if c.g.origins.Began(stream, c.service.Name, streamLifetime(c.route)) {
+	lifetime := streamLifetime(c.route)
+	tell := c.g.origins.Began(stream, origin.NewRouteID(c.route), c.service.Name, lifetime)
+	if tell || c.g.origins.LedElsewhere(c.route, lifetime) {
 		c.g.peerOrigins.TellOrigins([]carawayspread.StreamOrigin{stream})
 	}
 }
