An odd entry has one reason for which it is left out

Fields were checked in the random order of a map, so that an entry with two odd ones was named by either, and again with each change of the reason; the list is also read without an allocation for each entry.

--- a/endpoint.go
+++ b/endpoint.go
@@ -70,9 +70,10 @@
 
 // Validate returns an error if no worker can be reached with these values, or if they are out of range.
 func (e Endpoint) Validate() error {
-	for name, text := range map[string]string{"id": string(e.id), "service": e.service} {
+	for _, name := range [...]struct{ field, text string }{{"id", string(e.id)}, {"service", e.service}} {
+		text := name.text
 		if text == "" || len(text) > maxNameBytes || !utf8.ValidString(text) || strings.ContainsFunc(text, unicode.IsControl) {
-			return fmt.Errorf("%s: not 1 to %d bytes of text, is %.40q", name, maxNameBytes, text)
+			return fmt.Errorf("%s: not 1 to %d bytes of text, is %.40q", name.field, maxNameBytes, text)
 		}
 	}
 	if err := validateAddress(e.address); err != nil {
--- a/instance.go
+++ b/instance.go
@@ -43,12 +43,12 @@
 	if i.ID == "" {
 		return errors.New("id: missing")
 	}
-	for field, address := range map[string]string{"address": i.Address, "control": i.Control} {
-		if address == "" {
+	for _, address := range [...]struct{ field, text string }{{"address", i.Address}, {"control", i.Control}} {
+		if address.text == "" {
 			continue
 		}
-		if err := validateAddress(address); err != nil {
-			return fmt.Errorf("%s: %w", field, err)
+		if err := validateAddress(address.text); err != nil {
+			return fmt.Errorf("%s: %w", address.field, err)
 		}
 	}
 	return nil
