Test of answers at once: waits until all are answered, and ends

It counts looks now, waits until all requests are answered, and has later answers end at once. What it checks is the same.

--- a/internal/process/gateway/floods_test.go
+++ b/internal/process/gateway/floods_test.go
@@ -21,6 +21,7 @@
 	text   string
 	head   string // a field of the header
 	mu     sync.Mutex
+	closed bool // answers that come now end at once
 	bodies []*stuckBody
 }
 
@@ -31,6 +32,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bodies = append(s.bodies, body)
+	if s.closed {
+		_ = body.Close()
+	}
 	return answer, nil
 }
 
@@ -53,6 +57,7 @@
 func (s *stuckTransport) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for _, b := range s.bodies {
 		_ = b.Close()
 	}
@@ -129,10 +134,13 @@
 					}
 				})
 			}
-			// All that will be read has been read once nothing more is for a while.
-			for last, since := int64(-1), time.Now(); time.Since(since) < 300*time.Millisecond; time.Sleep(10 * time.Millisecond) {
-				if _, now, _ := transport.read(); now != last {
-					last, since = now, time.Now()
+			// All that will be read has been read once all are answered and nothing more is for a while. Looks are
+			// counted, since one may take longer than that on a busy machine.
+			deadline := time.Now().Add(time.Minute)
+			for last, quiet := int64(-1), 0; quiet < 30 && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+				answers, now, _ := transport.read()
+				if quiet++; now+received.Load() != last || answers < requests {
+					last, quiet = now+received.Load(), 0
 				}
 			}
 			answers, all, open := transport.read()
