Gateway: the log says how the expected time of a request was judged

A refusal named the expected time and the target, but not what was allowed, whether the request counted as one of the largest of its route, how far these lagged, and whether its caller came back. So four causes of too few largest requests served could not be told apart: a tolerance that ends too soon, a wrong boundary of the largest, admissions that are never answered, and callers that come back and are counted twice.

Request lines have allowedMs, size, lag and again; gateway_judged_requests_total counts outcomes by size. Lines may have 768 bytes: those of served streams reached the old bound of 512 and lost their last keys. No decision changes; tests of the gateway, the log and all decisions pass.

--- a/internal/decision/placement/fairness.go
+++ b/internal/decision/placement/fairness.go
@@ -66,9 +66,17 @@
 
 // extraTolerance returns the tolerance that a request gets in addition to the usual one.
 func (f *fairness) extraTolerance(kind int) float64 {
-	if kind == 0 || f.arrived[0] < 1 || f.arrived[1] < 1 {
+	if kind == 0 {
 		return 0
 	}
-	lag := minAdmissionRatio*f.admitted[0]/f.arrived[0] - f.admitted[1]/f.arrived[1]
-	return maxExtraTolerance * min(1, max(0, lag/fullToleranceLag))
+	return maxExtraTolerance * min(1, max(0, f.lag()/fullToleranceLag))
+}
+
+// lag returns by how much the admission share of the largest requests is below the one that they
+// should have; negative if above, and zero if it is not known.
+func (f *fairness) lag() float64 {
+	if f.arrived[0] < 1 || f.arrived[1] < 1 {
+		return 0
+	}
+	return minAdmissionRatio*f.admitted[0]/f.arrived[0] - f.admitted[1]/f.arrived[1]
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -51,7 +51,7 @@
 	if best.fetchSource != nil {
 		at.FetchFrom = &best.fetchSource.endpoint
 	}
-	if err := p.admit(now, req, best); err != nil {
+	if err := p.admit(now, req, best, &at); err != nil {
 		return at, err
 	}
 	p.correctBacklog(now, pool, best.engine)
@@ -152,8 +152,9 @@
 	return time.Duration(late * float64(req.Route.TargetLatency))
 }
 
-// admit refuses a request that would be too late to be worth its engine time.
-func (p *Placer) admit(now time.Time, req carawayspread.PlacementRequest, best choice) error {
+// admit refuses a request that would be too late to be worth its engine time. What it decided by is
+// added to the placement.
+func (p *Placer) admit(now time.Time, req carawayspread.PlacementRequest, best choice, at *carawayspread.Placement) error {
 	first := best.timeToFirstEvent
 	if now.Add(first).After(req.Deadline) {
 		return p.overloaded(first)
@@ -176,6 +177,7 @@
 		kind = fair.recordArrival(weightedTokens(req.Prompt))
 		allowed = time.Duration(max(targetTolerance*target, (unqueuedTolerance+fair.extraTolerance(kind))*unqueued)) - now.Sub(req.Arrived)
 	}
+	at.Allowed, at.Largest, at.AdmissionLag = allowed, kind == 1, fair.lag()
 	if first > allowed {
 		return p.overloaded(first - allowed)
 	}
--- a/internal/process/decisionlog/log.go
+++ b/internal/process/decisionlog/log.go
@@ -15,7 +15,7 @@
 	// over 35 processes these are about ten seconds' worth.
 	queueSize = 512
 	// maxLineBytes bounds a line; a longer one is truncated.
-	maxLineBytes = 512
+	maxLineBytes = 768
 	// maxValueBytes bounds a text value, which may come from outside.
 	maxValueBytes = 64
 )
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -159,6 +159,24 @@
 	}
 }
 
+// logAdmission adds to the request's log line how its expected time was judged, and counts its outcome
+// by size.
+func (c *call) logAdmission(route, outcome string) {
+	at := c.firstPlacement
+	if at.Allowed == 0 {
+		return
+	}
+	size := "other"
+	if at.Largest {
+		size = "largest"
+	}
+	c.line.Ms("allowedMs", at.Allowed).Text("size", size).Text("lag", strconv.FormatFloat(at.AdmissionLag, 'f', 2, 64))
+	if c.placementRequest().TargetMissed {
+		c.line.Text("again", "true")
+	}
+	c.g.set.GetOrCreateCounter(`gateway_judged_requests_total{route="` + route + `",size="` + size + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // finish writes the request's log line and updates the metrics.
 func (c *call) finish(outcome string, status int) {
 	now := c.g.clock.Now()
@@ -185,6 +203,7 @@
 	if c.waitEnd != "" {
 		line.Text("waited", c.waitEnd).Ms("waitedMs", c.waited)
 	}
+	c.logAdmission(route, outcome)
 	if outcome == "refused" {
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
--- a/placement.go
+++ b/placement.go
@@ -61,6 +61,13 @@
 	// ColdPrefillTime and WarmPrefillTime are PrefillTime with none and with all of a shared prefix
 	// in the cache, if no endpoint is known to hold that prefix; otherwise both are zero.
 	ColdPrefillTime, WarmPrefillTime time.Duration
+	// Allowed is the longest TimeToFirstEvent at which the request is admitted; zero if that was not
+	// decided, because the request was admitted before or has no prompt.
+	Allowed time.Duration
+	// Largest says that the request counts as one of the largest of its route, and AdmissionLag by
+	// how much their admission share is below the one that they should have; negative if above.
+	Largest      bool
+	AdmissionLag float64
 	// ReserveTokens is the KV memory to reserve at the endpoint before the request is sent there, since
 	// other processes may place requests in the same room; zero if there is enough for all.
 	ReserveTokens int
