SHORT: a test of the share of the largest requests at each process, known red

The test replays three kinds of prompts, the largest least urgent, before three processes at four loads, and asks of each process that the largest tenth and the fifth below it are served half as often as all. It is listed until the fix.

--- a/internal/decision/placement/replay_test.go
+++ b/internal/decision/placement/replay_test.go
@@ -34,7 +34,8 @@
 
 	total, inTime, refused, recomputed, shared int
 	large, largeServed                         int
-	requests                                   []pattern               // all requests that arrived
+	requests                                   []pattern // all requests that arrived
+	questions                                  []*question
 	outcomes                                   map[int][]time.Duration // of answers, by priority
 	late                                       int
 	crossZone                                  int
@@ -93,6 +94,7 @@
 	bytes     int
 	sigma     float64 // of the sizes: standard deviation of their logarithm
 	priority  int
+	question  *question // of one request
 }
 
 // withRandomSize returns the pattern with the size of one request.
@@ -166,7 +168,8 @@
 }
 
 func (r *replay) request(p pattern) {
-	placer := r.placers[r.rand.IntN(len(r.placers))]
+	process := r.rand.IntN(len(r.placers))
+	placer := r.placers[process]
 	r.total++
 	if p.large {
 		r.large++
@@ -176,6 +179,8 @@
 	r.requests = append(r.requests, p)
 	req := r.placing(p)
 	req.Prompt.Parts[0].ID = req.Prompt.Parts[0].ID&(1<<20-1) + uint64(kind)<<20
+	p.question = &question{process: process, priority: p.priority, tokens: p.tokens}
+	r.questions = append(r.questions, p.question)
 	r.place(placer, p, req)
 }
 
@@ -257,6 +262,9 @@
 	if p.large {
 		r.largeServed++
 	}
+	if p.question != nil {
+		p.question.served = !r.clock.Now().After(req.Deadline)
+	}
 	r.outcomes[p.priority] = append(r.outcomes[p.priority], waited)
 }
 
