Gateway: an admitted request counts until its answer is complete, once

Of the largest requests that were admitted, 14 to 30 of 100 left before their first event; the process counted them as served, and so took their size for served often enough. A request that an engine rejected, or whose endpoint had used up its rate, was placed again and counted as another arrival and another admission.

Cause: what was decided was counted, not what became of it.

Change: the gateway passes the admission of a request on to each further placement, and ends it with the answer; what an admission without a complete answer has taken is owed again.

TestAdmissionCountsUntilTheAnswerIsComplete: eight of eight cases red before, green now.

--- a/internal/process/gateway/admission_test.go
+++ b/internal/process/gateway/admission_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"testing"
 
@@ -9,6 +10,66 @@
 	"carawayspread"
 )
 
+// countingPlacer records how requests are counted. Its methods are called by one goroutine at a time.
+type countingPlacer struct {
+	carawayspread.Placer
+	arrived, admitted int
+	ends              []string
+}
+
+// countedAdmission records how its request ends.
+type countedAdmission struct{ placer *countingPlacer }
+
+func (a countedAdmission) End(served bool) {
+	a.placer.ends = append(a.placer.ends, fmt.Sprint("served ", served))
+}
+
+func (p *countingPlacer) Place(req carawayspread.PlacementRequest) (carawayspread.Placement, error) {
+	if !req.Repeated {
+		p.arrived++
+	}
+	counted := req.Admission != nil
+	at, err := p.Placer.Place(req)
+	if err == nil && !counted && at.Admission != nil {
+		p.admitted++
+		at.Admission = countedAdmission{p}
+	}
+	return at, err
+}
+
+// Guards against SHORT by requests that count as served though their callers got no answer, or twice
+// because they were placed again.
+func TestAdmissionCountsUntilTheAnswerIsComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		steps []step
+		roles []carawayspread.Role
+		end   string
+	}{
+		"served":                {[]step{events(1, 2, io.EOF)}, nil, "served true"},
+		"prefilled elsewhere":   {[]step{kvHandle(), events(1, 2, io.EOF)}, []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleDecode}, "served true"},
+		"handover failed":       {[]step{kvHandle(), notRun(503), events(1, 2, io.EOF)}, []carawayspread.Role{carawayspread.RolePrefill, carawayspread.RoleDecode, carawayspread.RoleDecode}, "served true"},
+		"rejected, then served": {[]step{notRun(503), events(1, 2, io.EOF)}, nil, "served true"},
+		"rejected everywhere":   {[]step{notRun(503), notRun(503), notRun(503)}, nil, "served false"},
+		"broke off":             {[]step{events(1, 1, io.ErrUnexpectedEOF)}, nil, "served false"},
+		"an error of the model": {[]step{answer(500)}, nil, "served false"},
+		"no answer":             {[]step{disconnect()}, nil, "served false"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t, test.steps...)
+			if test.roles != nil {
+				b.engines(test.roles...)
+			}
+			placer := &countingPlacer{Placer: b.placer}
+			b.gateway.placer = placer
+			_, _, _ = b.post(t, "/once/x", "p", tokens, "5000,50")
+			b.server.Close()
+			qt.Check(t, placer.arrived, qt.Equals, 1)
+			qt.Check(t, placer.admitted, qt.Equals, 1)
+			qt.Check(t, placer.ends, qt.DeepEquals, []string{test.end})
+		})
+	}
+}
+
 // urgentPlacer has each request go before others, and records the priorities of attempts.
 type urgentPlacer struct {
 	carawayspread.Placer
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -66,18 +66,20 @@
 	softwareVersion  string // of that endpoint
 	prefillEndpoint  carawayspread.EndpointID
 	timeToFirstEvent time.Duration
-	lastEventAt      time.Time               // zero before the first event
-	maxEventGap      time.Duration           // the longest gap between two events
-	firstPlacement   carawayspread.Placement // also set where the request was refused
-	prefillDuration  time.Duration           // time of the prefill on a separate engine
-	connections      []uint64                // over which the request was answered
-	events           int                     // of the answer
-	made             int                     // events of the run that the attempt continues, at least; zero if unknown
-	heard            atomic.Int64            // as events, for other goroutines
-	move             *runMove                // of the stream that is relayed; nil if it does not move
-	moves            int                     // runs of the request that could move
-	backup           *runBackup              // of the attempt that is carried out; nil if there is none
-	returning        bool                    // the attempt goes to the engine where its run has stopped
+	lastEventAt      time.Time                      // zero before the first event
+	maxEventGap      time.Duration                  // the longest gap between two events
+	firstPlacement   carawayspread.Placement        // also set where the request was refused
+	placed           bool                           // Place was called
+	admission        carawayspread.AdmissionTracker // nil if it is not counted
+	prefillDuration  time.Duration                  // time of the prefill on a separate engine
+	connections      []uint64                       // over which the request was answered
+	events           int                            // of the answer
+	made             int                            // events of the run that the attempt continues, at least; zero if unknown
+	heard            atomic.Int64                   // as events, for other goroutines
+	move             *runMove                       // of the stream that is relayed; nil if it does not move
+	moves            int                            // runs of the request that could move
+	backup           *runBackup                     // of the attempt that is carried out; nil if there is none
+	returning        bool                           // the attempt goes to the engine where its run has stopped
 	latest           attemptTrace
 	waited           time.Duration // for room at endpoints
 	waitEnd          string        // how the latest wait ended; empty for none
@@ -144,6 +146,7 @@
 		Exclude: c.excluded(), Bytes: len(c.body), Fingerprint: c.fingerprint, SingleEndpoint: c.singleEndpoint, Build: c.build,
 		Admitted:     c.singleEndpoint || c.ran > 0 || c.metadata.LastEventID != "", // a stream that its caller takes up was admitted before
 		TargetMissed: c.metadata.TimeLeft > 0 && c.metadata.TimeLeft < time.Duration(targetMissedShare*float64(c.route.Timeout)),
+		Repeated:     c.placed, Admission: c.admission,
 	}
 	if c.service.Engine != nil {
 		p.Prompt = c.metadata.Prompt
--- a/internal/process/gateway/feedback.go
+++ b/internal/process/gateway/feedback.go
@@ -81,6 +81,10 @@
 	for range maxPlacements {
 		p = c.placementRequest()
 		at, err = c.g.placer.Place(p)
+		c.placed = true
+		if at.Admission != nil {
+			c.admission = at.Admission
+		}
 		if at.Urgent {
 			c.makeUrgent()
 			p.Route = c.route
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -177,6 +177,13 @@
 	c.g.set.GetOrCreateCounter(`gateway_judged_requests_total{route="` + route + `",size="` + size + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// endAdmission records whether an admitted request was served.
+func (c *call) endAdmission(outcome string, status int) {
+	if c.admission != nil {
+		c.admission.End(outcome == "served" && carawayspread.Succeeded(status))
+	}
+}
+
 // finish writes the request's log line and updates the metrics.
 func (c *call) finish(outcome string, status int) {
 	now := c.g.clock.Now()
@@ -204,6 +211,7 @@
 		line.Text("waited", c.waitEnd).Ms("waitedMs", c.waited)
 	}
 	c.logAdmission(route, outcome)
+	c.endAdmission(outcome, status)
 	if outcome == "refused" {
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
