--- a/internal/decision/sizeshares/shares.go
+++ b/internal/decision/sizeshares/shares.go
@@ -26,12 +26,15 @@
 	owed     [classes]float64 // admissions; from 0 to maxOwed
 }
 
-// New returns Shares without arrivals. Each class is owed half an admission, the mean of what was
-// owed before the process started.
+// InitiallyOwed is what each class is owed at first: the mean of what it was owed before the process
+// started.
+const InitiallyOwed = 0.5
+
+// New returns Shares without arrivals.
 func New() *Shares {
 	s := &Shares{total: 1}
 	for class := range s.arrivals {
-		s.arrivals[class], s.owed[class] = 1.0/classes, 0.5
+		s.arrivals[class], s.owed[class] = 1.0/classes, InitiallyOwed
 	}
 	return s
 }
--- a/internal/process/gateway/admission_test.go
+++ b/internal/process/gateway/admission_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -20,7 +21,7 @@
 // countedAdmission records how its request ends.
 type countedAdmission struct{ placer *countingPlacer }
 
-func (a countedAdmission) End(served bool) {
+func (a countedAdmission) End(served bool, _ time.Duration) {
 	a.placer.ends = append(a.placer.ends, fmt.Sprint("served ", served))
 }
 
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
@@ -178,10 +179,15 @@
 }
 
 // endAdmission records whether an admitted request was served.
-func (c *call) endAdmission(outcome string, status int) {
-	if c.admission != nil {
-		c.admission.End(outcome == "served" && carawayspread.Succeeded(status))
+func (c *call) endAdmission(outcome string, status int, took time.Duration) {
+	if c.admission == nil {
+		return
+	}
+	waited := c.timeToFirstEvent
+	if waited == 0 && outcome == "callerLeft" {
+		waited = took
 	}
+	c.admission.End(outcome == "served" && carawayspread.Succeeded(status), waited)
 }
 
 // finish writes the request's log line and updates the metrics.
@@ -211,7 +217,7 @@
 		line.Text("waited", c.waitEnd).Ms("waitedMs", c.waited)
 	}
 	c.logAdmission(route, outcome)
-	c.endAdmission(outcome, status)
+	c.endAdmission(outcome, status, took)
 	if outcome == "refused" {
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
