Revert "Placement: an owed request waits at its own priority while its caller is likely to stay"

Cause: the longer tolerance lets the queue grow by requests that come late, for all of a route and not for the owed alone.

--- a/internal/decision/placement/admission_test.go
+++ b/internal/decision/placement/admission_test.go
@@ -11,13 +11,14 @@
 	"carawayspread/internal/decision/sizeshares"
 )
 
-// owing returns the admissions of a route after so many admissions of its smallest requests.
-func owing(admitted int) *admissions {
-	a := &admissions{shares: sizeshares.New(), overrun: 1}
-	for range admitted {
-		a.shares.Admitted(0)
+// owing returns shares of which each class is owed more than one admission.
+func owing() *sizeshares.Shares {
+	shares := sizeshares.New()
+	for range 100 {
+		shares.Admitted(0)
 	}
-	return a
+	shares.Unserved(0, 2)
+	return shares
 }
 
 // Guards against SHORT by admissions that count though nobody got an answer: what such a request has
@@ -25,28 +26,28 @@
 func TestAdmissionWithoutAnswerIsOwedAgain(t *testing.T) {
 	for name, test := range map[string]struct {
 		served bool
-		taken  float64
+		owed   float64
 	}{
-		"answered":     {true, 1},
-		"not answered": {false, 0},
+		"answered":     {true, 0},
+		"not answered": {false, 0.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newReplay("estimate", true, 1, 2, 2)
 			p := r.placers[0].(*Placer)
 			req := r.placing(short)
-			p.admissions[req.Route.Name] = owing(30)
 			at, err := p.Place(req)
 			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, at.Owed > 1, qt.IsTrue)
+			shares := p.shares[req.Route.Name]
+			qt.Check(t, shares.Owed(at.SizeClass), qt.Equals, 0.0)
 			req.Repeated, req.Admission = true, at.Admission
 			again, err := p.Place(req)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, again.Admission, qt.Equals, at.Admission)
 			for range 2 {
-				at.Admission.End(test.served, 0)
+				at.Admission.End(test.served)
 			}
-			taken := at.Owed - p.admissions[req.Route.Name].shares.Owed(at.SizeClass)
-			qt.Check(t, math.Abs(taken-test.taken) < 0.5, qt.IsTrue, qt.Commentf("%v", taken))
+			owed := shares.Owed(at.SizeClass)
+			qt.Check(t, math.Abs(owed-test.owed) < 1e-9, qt.IsTrue, qt.Commentf("%v", owed))
 		})
 	}
 }
@@ -74,9 +75,8 @@
 			large.priority, large.patience = 2, test.patience
 			req := r.placing(large)
 			if test.owed {
-				p.admissions[req.Route.Name] = owing(100)
+				p.shares[req.Route.Name] = owing()
 			}
-			p.admissionsOf(req.Route.Name).overrun = 4 // at its own priority the answer would come too late
 			at, err := p.Place(req)
 			qt.Check(t, err == nil, qt.Equals, test.admitted, qt.Commentf("expected after %v", at.TimeToFirstEvent))
 			qt.Check(t, at.Urgent, qt.Equals, test.admitted)
@@ -91,36 +91,3 @@
 		})
 	}
 }
-
-// Guards against requests of an owed size that go before others, or are refused, though they would be
-// answered at their own priority; and against ones that are admitted so late although answers of their
-// route come too late for that.
-func TestOwedRequestWaitsWhileItsCallerStays(t *testing.T) {
-	for name, test := range map[string]struct {
-		overrun  time.Duration // of answers that were expected after a tenth of a second
-		admitted bool
-	}{
-		"answers come as expected":       {100 * time.Millisecond, true},
-		"answers come far later":         {600 * time.Millisecond, false},
-		"nothing is known of the answer": {0, true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			r := newReplay("estimate", true, 1, 2, 2)
-			p := r.placers[0].(*Placer)
-			large := long
-			large.priority, large.patience = 2, 3*time.Second
-			req := r.placing(large)
-			admissions := owing(6)
-			p.admissions[req.Route.Name] = admissions
-			for range 200 {
-				(&admission{placer: p, of: admissions, expected: 100 * time.Millisecond}).End(true, test.overrun)
-			}
-			for _, e := range p.pools["s"].engines {
-				e.addPrefill(r.clock.Now(), 900*time.Millisecond)
-			}
-			at, err := p.Place(req)
-			qt.Check(t, err == nil, qt.Equals, test.admitted, qt.Commentf("expected after %v of %v", at.TimeToFirstEvent, at.Allowed))
-			qt.Check(t, at.Urgent, qt.IsFalse)
-		})
-	}
-}
--- a/internal/decision/placement/fairness.go
+++ b/internal/decision/placement/fairness.go
@@ -8,40 +8,26 @@
 )
 
 // overtakingOwed is how many admissions a size must be owed for its next request to go before others.
-const overtakingOwed = 1.0
-
-const (
-	// overrunLearningRate is the weight of one answer in the overrun of a route.
-	overrunLearningRate = 0.05
-	// maxOverrun bounds the overrun of one answer.
-	maxOverrun = 8
-)
-
-// admissions is what is known of the admissions of one route.
-type admissions struct {
-	shares *sizeshares.Shares
-	// overrun is the mean time to the first event relative to the expected one, at least 1.
-	overrun float64
-}
+const overtakingOwed = 1
 
 // weightedTokens returns the work of a request in prompt tokens; an output token counts as ten.
 func weightedTokens(p *carawayspread.Prompt) float64 {
 	return float64(p.Tokens) + 10*float64(sequenceTokens(p)-p.Tokens)
 }
 
-func (p *Placer) admissionsOf(route string) *admissions {
-	a := p.admissions[route]
-	if a == nil {
-		a = &admissions{shares: sizeshares.New(), overrun: 1}
-		p.admissions[route] = a
+func (p *Placer) sharesOf(route string) *sizeshares.Shares {
+	shares := p.shares[route]
+	if shares == nil {
+		shares = sizeshares.New()
+		p.shares[route] = shares
 	}
-	return a
+	return shares
 }
 
 // arrive counts the request where its caller sends it for the first time.
 func (p *Placer) arrive(req carawayspread.PlacementRequest) {
 	if !req.Repeated && !req.Admitted && !req.TargetMissed && req.PrefilledBy == "" {
-		p.admissionsOf(req.Route.Name).shares.Arrived(weightedTokens(req.Prompt))
+		p.sharesOf(req.Route.Name).Arrived(weightedTokens(req.Prompt))
 	}
 }
 
@@ -54,15 +40,6 @@
 	return left
 }
 
-// extraTolerance returns how much longer than usual a request may be expected to take whose size is
-// owed so many admissions. With a whole one that is until its caller leaves, if the answer is as late
-// as others of the route: an answer after the target is still worth something.
-func (a *admissions) extraTolerance(now time.Time, req carawayspread.PlacementRequest, usual time.Duration, owed float64) time.Duration {
-	longest := time.Duration(float64(untilCallerLeaves(now, req)) / a.overrun)
-	part := (min(overtakingOwed, owed) - sizeshares.InitiallyOwed) / (overtakingOwed - sizeshares.InitiallyOwed)
-	return time.Duration(max(0, part) * float64(max(0, longest-usual)))
-}
-
 // overtake judges a request again that was refused though its size is owed an admission: as one that
 // is among the most urgent, and as late as its caller waits for it.
 //
@@ -86,36 +63,28 @@
 
 // admission is an admitted request until its end.
 type admission struct {
-	placer   *Placer
-	of       *admissions
-	class    int
-	taken    float64       // of what the class was owed
-	expected time.Duration // time to the first event
-	ended    bool
+	placer *Placer
+	shares *sizeshares.Shares
+	class  int
+	taken  float64 // of what the class was owed
+	ended  bool
 }
 
 // countAdmission counts an admitted request, unless an earlier placement of it counts already.
-func (p *Placer) countAdmission(req carawayspread.PlacementRequest, class int, expected time.Duration) carawayspread.AdmissionTracker {
+func (p *Placer) countAdmission(req carawayspread.PlacementRequest, class int) carawayspread.AdmissionTracker {
 	if req.Admission != nil {
 		return req.Admission
 	}
-	of := p.admissionsOf(req.Route.Name)
-	return &admission{placer: p, of: of, class: class, taken: of.shares.Admitted(class), expected: expected}
+	shares := p.sharesOf(req.Route.Name)
+	return &admission{placer: p, shares: shares, class: class, taken: shares.Admitted(class)}
 }
 
 // End implements carawayspread.AdmissionTracker.
-func (a *admission) End(served bool, waited time.Duration) {
+func (a *admission) End(served bool) {
 	a.placer.mu.Lock()
 	defer a.placer.mu.Unlock()
-	if a.ended {
-		return
+	if !a.ended && !served {
+		a.shares.Unserved(a.class, a.taken)
 	}
 	a.ended = true
-	if !served {
-		a.of.shares.Unserved(a.class, a.taken)
-	}
-	if waited > 0 && a.expected > 0 {
-		overrun := min(maxOverrun, float64(waited)/float64(a.expected))
-		a.of.overrun = max(1, a.of.overrun+overrunLearningRate*(overrun-a.of.overrun))
-	}
 }
--- a/internal/decision/placement/placer.go
+++ b/internal/decision/placement/placer.go
@@ -24,6 +24,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/decision/room"
+	"carawayspread/internal/decision/sizeshares"
 )
 
 const (
@@ -109,12 +110,12 @@
 type Placer struct {
 	env carawayspread.Environment
 
-	mu         sync.Mutex
-	pools      map[string]*pool
-	byHash     map[uint32]*engine
-	loads      *loads
-	admissions map[string]*admissions // by route
-	lengths    *room.Lengths
+	mu      sync.Mutex
+	pools   map[string]*pool
+	byHash  map[uint32]*engine
+	loads   *loads
+	shares  map[string]*sizeshares.Shares // by route
+	lengths *room.Lengths
 	// unreported is what peers place at engines, by the engine's hash.
 	unreported map[uint32]*room.Unreported
 }
@@ -129,7 +130,7 @@
 		env.Broadcast = func(carawayspread.LoadUpdate) {}
 	}
 	return &Placer{
-		env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, loads: newLoads(), admissions: map[string]*admissions{},
+		env: env, pools: map[string]*pool{}, byHash: map[uint32]*engine{}, loads: newLoads(), shares: map[string]*sizeshares.Shares{},
 		lengths: room.NewLengths(), unreported: map[uint32]*room.Unreported{},
 	}
 }
--- a/internal/decision/placement/prompt.go
+++ b/internal/decision/placement/prompt.go
@@ -43,10 +43,10 @@
 		}, nil
 	}
 	at := p.placementOf(now, pool, best, req)
-	shares := p.admissionsOf(req.Route.Name).shares
+	shares := p.sharesOf(req.Route.Name)
 	class := shares.Class(weightedTokens(req.Prompt))
 	owed := shares.Owed(class)
-	refusal := p.admit(now, req, best, owed, &at)
+	refusal := p.admit(now, req, best, &at)
 	if refusal != nil && owed >= overtakingOwed && !req.Admitted {
 		if urgent, ok := p.overtake(now, pool, engines, req, prefixHashes); ok {
 			at, refusal = urgent, nil
@@ -57,7 +57,7 @@
 		return at, refusal
 	}
 	if !req.Admitted {
-		at.Admission = p.countAdmission(req, class, at.TimeToFirstEvent)
+		at.Admission = p.countAdmission(req, class)
 	}
 	p.correctBacklog(now, pool, pool.engines[at.Endpoint.ID()])
 	return at, nil
@@ -172,9 +172,9 @@
 	return time.Duration(late * float64(req.Route.TargetLatency))
 }
 
-// admit refuses a request that would be too late to be worth its engine time, given how many admissions
-// its size is owed. The longest time allowed is added to the placement.
-func (p *Placer) admit(now time.Time, req carawayspread.PlacementRequest, best choice, owed float64, at *carawayspread.Placement) error {
+// admit refuses a request that would be too late to be worth its engine time. What it decided by is
+// added to the placement.
+func (p *Placer) admit(now time.Time, req carawayspread.PlacementRequest, best choice, at *carawayspread.Placement) error {
 	first := best.timeToFirstEvent
 	if now.Add(first).After(req.Deadline) {
 		return p.overloaded(first)
@@ -188,10 +188,8 @@
 	} else {
 		at.Allowed = time.Duration(max(targetTolerance*target, unqueuedTolerance*unqueued)) - now.Sub(req.Arrived)
 	}
-	usual := at.Allowed
-	at.Allowed += p.admissionsOf(req.Route.Name).extraTolerance(now, req, usual, owed)
 	if first > at.Allowed {
-		return p.overloaded(first - usual)
+		return p.overloaded(first - at.Allowed)
 	}
 	return nil
 }
--- a/internal/decision/placement/replay_test.go
+++ b/internal/decision/placement/replay_test.go
@@ -277,7 +277,7 @@
 	waitedNow := r.clock.Now().Sub(p.question.triedAt)
 	p.question.served = req.Route.Patience == 0 || waitedNow <= req.Route.Patience
 	if req.Admission != nil {
-		req.Admission.End(p.question.served, waitedNow)
+		req.Admission.End(p.question.served)
 	}
 	r.outcomes[p.priority] = append(r.outcomes[p.priority], waited)
 }
--- a/internal/decision/sizeshares/shares.go
+++ b/internal/decision/sizeshares/shares.go
@@ -26,15 +26,12 @@
 	owed     [classes]float64 // admissions; from 0 to maxOwed
 }
 
-// InitiallyOwed is what each class is owed at first: the mean of what it was owed before the process
-// started.
-const InitiallyOwed = 0.5
-
-// New returns Shares without arrivals.
+// New returns Shares without arrivals. Each class is owed half an admission, the mean of what was
+// owed before the process started.
 func New() *Shares {
 	s := &Shares{total: 1}
 	for class := range s.arrivals {
-		s.arrivals[class], s.owed[class] = 1.0/classes, InitiallyOwed
+		s.arrivals[class], s.owed[class] = 1.0/classes, 0.5
 	}
 	return s
 }
--- a/internal/process/gateway/admission_test.go
+++ b/internal/process/gateway/admission_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -21,7 +20,7 @@
 // countedAdmission records how its request ends.
 type countedAdmission struct{ placer *countingPlacer }
 
-func (a countedAdmission) End(served bool, _ time.Duration) {
+func (a countedAdmission) End(served bool) {
 	a.placer.ends = append(a.placer.ends, fmt.Sprint("served ", served))
 }
 
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"time"
 
 	"carawayspread"
 	"carawayspread/internal/connection/bearer"
@@ -179,15 +178,10 @@
 }
 
 // endAdmission records whether an admitted request was served.
-func (c *call) endAdmission(outcome string, status int, took time.Duration) {
-	if c.admission == nil {
-		return
-	}
-	waited := c.timeToFirstEvent
-	if waited == 0 && outcome == "callerLeft" {
-		waited = took
+func (c *call) endAdmission(outcome string, status int) {
+	if c.admission != nil {
+		c.admission.End(outcome == "served" && carawayspread.Succeeded(status))
 	}
-	c.admission.End(outcome == "served" && carawayspread.Succeeded(status), waited)
 }
 
 // finish writes the request's log line and updates the metrics.
@@ -217,7 +211,7 @@
 		line.Text("waited", c.waitEnd).Ms("waitedMs", c.waited)
 	}
 	c.logAdmission(route, outcome)
-	c.endAdmission(outcome, status, took)
+	c.endAdmission(outcome, status)
 	if outcome == "refused" {
 		line.Text("best", string(c.firstPlacement.Endpoint.ID()))
 	}
--- a/placement.go
+++ b/placement.go
@@ -123,9 +123,8 @@
 
 // AdmissionTracker counts an admitted request until its end.
 type AdmissionTracker interface {
-	// End records whether the caller has got a complete answer, and how long it waited for the first
-	// event, or until it left; zero if that is unknown. Calls after the first have no effect.
-	End(served bool, waited time.Duration)
+	// End records whether the caller has got a complete answer. Calls after the first have no effect.
+	End(served bool)
 }
 
 // LoadUpdate is a process's own load on one endpoint. It is sent to the peers, so that each of them
