--- /dev/null
+++ b/internal/standin/crowd/trial.go
@@ -0,0 +1,50 @@
+package crowd
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Trial is a crowd at one process, with ordinary clients beside it.
+type Trial struct {
+	Target   Target
+	Size     int // clients of the crowd
+	PID      int // of the process
+	Ports    []int
+	Ordinary func() *http.Request // returns a request of an ordinary client
+}
+
+// Result is what a trial showed.
+type Result struct {
+	Sent        int64 // bytes, by the crowd
+	Memory      int64 // the most bytes that the process held, with those received but not read
+	Unread      int64 // the part of them that was received but not read
+	Descriptors int   // the most that the process had open
+	// Ordinary clients were served while the crowd was there, on a connection that was set up before and on a new
+	// one, and on a new one after the crowd had gone.
+	ServedKept, ServedNew, ServedAfter bool
+	KeptClosed                         bool // the process closed the connection that was set up before
+}
+
+// Run has a crowd of these kinds call the process. It returns false if the process served nobody before.
+func (t Trial) Run(kinds ...Client) (Result, bool) {
+	kept, fresh := NewOrdinary(true), NewOrdinary(false)
+	if !kept.Served(t.Ordinary) {
+		return Result{}, false
+	}
+	dials := kept.Dials()
+	meter := Measure(t.PID, t.Ports...)
+	clients := Start(t.Target, t.Size, kinds...)
+	clients.Settle()
+	r := Result{ServedKept: kept.Served(t.Ordinary), KeptClosed: kept.Dials() != dials, ServedNew: fresh.Served(t.Ordinary)}
+	clients.Close()
+	r.ServedAfter, r.Sent = fresh.Served(t.Ordinary), clients.Sent()
+	r.Memory, r.Unread, r.Descriptors = meter.Stop()
+	return r, true
+}
+
+// String returns the figures.
+func (r Result) String() string {
+	return fmt.Sprintf("sent %d MB, most memory %d MB, of it unread %d MB, most descriptors %d",
+		r.Sent>>20, r.Memory>>20, r.Unread>>20, r.Descriptors)
+}
