Gateway: what callers make it hold is bounded by its memory, and who stands still pays

What callers saw: under 300 requests that stopped one byte short, or were over the limit, the gateway held up to 884 MB of 144, the platform ends it there, and everybody's requests with it. With all its connections taken by clients that sent nothing, no new client was served.

Cause: bodies were read whole with a buffer that doubles, for as many connections as half of the memory carries at 32 KiB each; the only answer to memory in use, read once a second, was to refuse whoever came next. Receive buffers were as large as the kernel grants. Connections that nobody used were never closed for others.

Requests are accounted for in steps as bytes arrive, headers by what they become. When that is used up the incomplete request that has occupied the most memory for the longest time is given up, and refused as not run with Retry-After, or its connection closed; a complete one never is. A new connection takes the place of one that stands still or is idle.

--- a/cmd/gateway/main.go
+++ b/cmd/gateway/main.go
@@ -8,7 +8,6 @@
 	stdlog "log"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/apex/log"
@@ -29,10 +28,6 @@
 	"carawayspread/platform/wire"
 )
 
-// memoryLimitRatio is the fraction of the granted memory that is set as the soft limit of the
-// garbage collector. The rest is for memory that the limit does not count.
-const memoryLimitRatio = 0.7
-
 func main() {
 	log.SetHandler(logfmt.New(os.Stdout))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -76,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Memory())))
+	gatewayd.LimitMemory(s)
 	clock := carawayspread.SystemClock()
 	transport := direct.New(direct.WithClock(clock))
 	storeTime := storetime.New(uptime.Clock{})
--- a/internal/connection/callers/loss.go
+++ b/internal/connection/callers/loss.go
@@ -7,6 +7,9 @@
 
 type connKey struct{}
 
+// lingerer is a TCP connection.
+type lingerer interface{ SetLinger(seconds int) error }
+
 // ConnContext returns a context that holds the connection; it is for http.Server.ConnContext.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, conn)
@@ -18,7 +21,7 @@
 // The kernel closes the connections of a process that is killed in order. Of an answer that ends with
 // its connection, that looks complete.
 func ResetOnLoss(ctx context.Context) (done func(), err error) {
-	conn, ok := ctx.Value(connKey{}).(*net.TCPConn)
+	conn, ok := ctx.Value(connKey{}).(lingerer)
 	if !ok {
 		return func() {}, nil
 	}
--- a/internal/connection/callers/reset.go
+++ b/internal/connection/callers/reset.go
@@ -1,9 +1,6 @@
 package callers
 
-import (
-	"net"
-	"net/http"
-)
+import "net/http"
 
 // Reset resets the connection of a request whose handler is running, and then aborts the handler. Of
 // an answer that ends with its connection, a reset is the only end that does not look complete.
@@ -13,7 +10,7 @@
 	if err != nil {
 		return // the connection is closed with the handler
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(lingerer); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/internal/daemon/gatewayd/connlimit.go
+++ b/internal/daemon/gatewayd/connlimit.go
@@ -2,34 +2,58 @@
 
 import (
 	"context"
+	"math"
+	"runtime/debug"
 	"runtime/metrics"
 	"time"
 
+	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/intake"
 	"carawayspread/internal/decision/standstill"
 	"carawayspread/internal/process/decisionlog"
+	"carawayspread/internal/version/gatewaysettings"
 )
 
-// connectionBytes is the memory of a connection with its request, and connectionShare the share of the memory
-// of a process that all connections may take.
-const (
-	connectionBytes = 32 << 10
-	connectionShare = 0.5
-	// descriptorShare is the share of the descriptors that connections of callers may take. A request that runs
-	// takes another one, and idle connections to endpoints the rest.
-	descriptorShare = 0.5
-	// memoryInterval is the time between two readings of the memory in use, which take some microseconds.
-	memoryInterval = time.Second
-)
+// memoryInterval is the time between two readings of the memory in use, which take some microseconds.
+const memoryInterval = time.Second
+
+// LimitMemory sets the soft limit of the garbage collector of this process.
+func LimitMemory(s *gatewaysettings.Settings) {
+	debug.SetMemoryLimit(int64(intake.MemoryLimitShare * float64(s.Memory())))
+}
+
+// setUpIntake bounds what callers make the process hold, by its memory and descriptors.
+func (d *Daemon) setUpIntake() {
+	d.shares = intake.Divide(d.settings.Memory(), d.settings.Descriptors())
+	d.intake = intake.New(d.shares.RequestBytes, d.clock)
+	set := d.gateway.Metrics()
+	set.NewGauge(`gateway_held_bytes{of="requests"}`, func() float64 { return float64(d.intake.Used()) })
+	set.NewGauge(`gateway_given_up_total{limit="memory"}`, func() float64 { return float64(d.intake.Counts().ForMemory) })
+	set.NewGauge(`gateway_given_up_total{limit="connections"}`, func() float64 { return float64(d.intake.Counts().ForConnections) })
+	set.NewGauge("gateway_connections_refused_total", func() float64 { return float64(d.intake.Counts().Refused) })
+}
+
+// withAccounts bounds a listener for other processes and operators.
+func (d *Daemon) withAccounts() server.Option {
+	return server.WithAccounts(d.intake.Listener(d.shares.Auxiliary).Open, d.shares.ReceiveBuffer)
+}
+
+// logIntake logs what was refused or given up since the last call.
+func (d *Daemon) logIntake() {
+	counts := d.intake.Counts()
+	if last := d.lastCounts; counts != last {
+		d.decisionLog.Write(decisionlog.Start("intake").Int("forMemory", counts.ForMemory-last.ForMemory).
+			Int("forConnections", counts.ForConnections-last.ForConnections).Int("refused", counts.Refused-last.Refused).
+			Int("requestBytes", d.intake.Used()).Int("open", int64(d.connections.open())))
+	}
+	d.lastCounts = counts
+}
 
 // limitConnections makes the listener close connections unread that the process could not serve. A process
 // that is leaving serves all that it still gets.
 func (d *Daemon) limitConnections() {
-	maxOpen := int(connectionShare * float64(d.settings.Memory()) / connectionBytes)
-	if descriptors := d.settings.Descriptors(); descriptors > 0 {
-		maxOpen = min(maxOpen, int(descriptorShare*float64(descriptors)))
-	}
-	d.connLimit = connlimit.New(max(1, maxOpen), d.settings.MaxLateness())
+	d.connLimit = connlimit.New(math.MaxInt, d.settings.MaxLateness())
 	shed := d.gateway.Metrics().NewCounter("gateway_connections_shed_total")
 	d.listener.SetAdmission(func() bool {
 		if d.draining.Load() || d.connLimit.Accept(d.connections.open()) {
@@ -74,6 +98,7 @@
 		return
 	}
 	m.next = now.Add(memoryInterval)
+	d.logIntake()
 	part := m.read()
 	share := d.connLimit.UseMemory(part)
 	if m.accepting != (share == 1) {
--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -28,6 +28,7 @@
 	"carawayspread/internal/daemon/server"
 	"carawayspread/internal/decision/clocksync"
 	"carawayspread/internal/decision/connlimit"
+	"carawayspread/internal/decision/intake"
 	"carawayspread/internal/decision/origin"
 	"carawayspread/internal/decision/runbackups"
 	"carawayspread/internal/decision/runmoves"
@@ -108,6 +109,9 @@
 	connections *connections
 	listener    *callers.Listener
 	connLimit   *connlimit.Limit
+	intake      *intake.Intake
+	shares      intake.Shares
+	lastCounts  intake.Counts // that were logged; used by the goroutine of the timers only
 	standstill  *standstill.Detector
 	acceptEnded chan struct{} // closed when no further connection is accepted
 	health      *server.Server
@@ -210,25 +214,35 @@
 	if d.listener, err = callers.Listen(d.settings.Listen(), d.clock); err != nil {
 		return err
 	}
+	d.setUpIntake()
+	if err := callers.BoundReceiveBuffers(d.listener, d.shares.ReceiveBuffer); err != nil {
+		d.log.WithError(err).Warn("cannot bound receive buffers; the kernel holds more of what is not read")
+	}
 	d.limitConnections()
 	d.callers = &http.Server{
 		Handler: d.gateway, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: d.connections.setState,
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: d.setState,
 		ConnContext: callers.ConnContext,
 		BaseContext: func(net.Listener) context.Context { return d.requestCtx },
 	}
 	health := http.NewServeMux()
 	health.HandleFunc("GET /{path...}", d.serveReadiness)
-	if d.health, err = server.Listen(d.settings.Health(), health); err != nil {
+	if d.health, err = server.Listen(d.settings.Health(), health, server.WithBodyLimit(server.QueryLimit), d.withAccounts()); err != nil {
 		return err
 	}
-	d.control = server.New(d.peers.Listener(), d.learner.Handler(), server.WithBodyLimit(server.QueryLimit))
+	d.control = server.New(d.peers.Listener(), d.learner.Handler(), server.WithBodyLimit(server.QueryLimit), d.withAccounts())
 	observe := http.NewServeMux()
 	server.HandleHealthAndMetrics(observe, d.Ready, d.gateway.Metrics())
-	d.metrics, err = server.Listen(d.settings.Metrics(), observe)
+	d.metrics, err = server.Listen(d.settings.Metrics(), observe, server.WithBodyLimit(server.QueryLimit), d.withAccounts())
 	return err
 }
 
+// setState is the ConnState hook of the server for callers.
+func (d *Daemon) setState(conn net.Conn, state http.ConnState) {
+	callers.ConnState(conn, state)
+	d.connections.setState(conn, state)
+}
+
 func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !d.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -306,7 +320,7 @@
 	run(func(context.Context) error { return d.metrics.Run() })
 	run(func(context.Context) error {
 		defer close(d.acceptEnded)
-		if err := d.callers.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		if err := d.callers.Serve(callers.Account(d.listener, d.intake.Listener(d.shares.Connections).Open)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 		return nil
--- a/internal/daemon/server/server.go
+++ b/internal/daemon/server/server.go
@@ -3,10 +3,13 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +17,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/callers"
+	"carawayspread/internal/request/body"
 )
 
 // Default limits of a Server.
@@ -28,30 +32,41 @@
 
 // Server is an HTTP server on one address.
 type Server struct {
-	listener net.Listener
-	http     *http.Server
+	listener  net.Listener
+	http      *http.Server
+	bodyLimit int64 // bytes of a body that is read before its request is handled; zero if the handler reads it
 	// abort cancels the parent context of all requests.
 	abort context.CancelCauseFunc
 }
 
 // Option sets a limit of a Server.
-type Option func(*http.Server)
+type Option func(*Server)
 
 // WithTimeouts limits the time in which a client must send the header and the whole request, and how
 // long an idle connection is kept. Responses have no time limit, because net/http removes the read
 // deadline once the body has been read.
 func WithTimeouts(header, body, idle time.Duration) Option {
-	return func(s *http.Server) {
-		s.ReadHeaderTimeout, s.ReadTimeout, s.IdleTimeout = header, body, idle
+	return func(s *Server) {
+		s.http.ReadHeaderTimeout, s.http.ReadTimeout, s.http.IdleTimeout = header, body, idle
 	}
 }
 
 // WithHeaderLimit limits the size of a request header in bytes.
-func WithHeaderLimit(n int) Option { return func(s *http.Server) { s.MaxHeaderBytes = n } }
+func WithHeaderLimit(n int) Option { return func(s *Server) { s.http.MaxHeaderBytes = n } }
 
-// WithBodyLimit limits the size of a request body in bytes. A connection on which more arrives is closed.
-func WithBodyLimit(n int64) Option {
-	return func(s *http.Server) { s.Handler = http.MaxBytesHandler(s.Handler, n) }
+// WithBodyLimit limits the size of a request body in bytes, and has it read before the request is handled. A
+// connection on which more arrives is closed. Without this option the handler reads the bodies.
+func WithBodyLimit(n int64) Option { return func(s *Server) { s.bodyLimit = n } }
+
+// WithAccounts has the connections accounted for, and bounds what the kernel receives for each of them, in bytes.
+func WithAccounts(open callers.OpenAccount, receiveBuffer int) Option {
+	return func(s *Server) {
+		if l, ok := s.listener.(syscall.Conn); ok {
+			_ = callers.BoundReceiveBuffers(l, receiveBuffer) // without it the kernel holds more of what is not read
+		}
+		s.listener = callers.Account(s.listener, open)
+		s.http.ConnState = callers.ConnState
+	}
 }
 
 // Listen returns a server on the address. It serves once Run is called.
@@ -66,19 +81,50 @@
 // New returns a server for the connections of the listener. It serves once Run is called.
 func New(listener net.Listener, handler http.Handler, opts ...Option) *Server {
 	requestCtx, abort := context.WithCancelCause(context.Background())
-	s := &http.Server{
-		Handler:           handler,
+	s := &Server{listener: listener, abort: abort, http: &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return requestCtx },
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
 		ConnContext:       callers.ConnContext,
-	}
+	}}
 	for _, opt := range opts {
 		opt(s)
 	}
-	return &Server{listener: listener, http: s, abort: abort}
+	s.http.Handler = handler
+	if s.bodyLimit > 0 {
+		s.http.Handler = withBody(handler, s.bodyLimit)
+	}
+	return s
+}
+
+// withBody reads the body of each request before it is handled.
+func withBody(next http.Handler, limit int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		account := callers.AccountOf(r.Context())
+		text, err := body.Read(account, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+		if err == nil {
+			err = account.Received()
+		}
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), statusOf(err))
+			return
+		}
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(text)), int64(len(text))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.As(err, &body.TooLargeError{}):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, carawayspread.ErrGivenUp):
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
 }
 
 // Address returns the IP address and port.
--- a/internal/process/gateway/accept.go
+++ b/internal/process/gateway/accept.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
+	"carawayspread/internal/request/body"
 )
 
 // finishesInTime reports whether the request can be accepted in spite of a drain. The answer to a request that is
@@ -130,22 +132,30 @@
 		limit = defaultBodyLimit
 	}
 	defer c.stopReadingAtShutdown()()
+	account := callers.AccountOf(c.r.Context())
 	bounded := http.MaxBytesReader(c.w, c.r.Body, limit)
-	body, err := io.ReadAll(acceptedBody{bounded, c})
-	var tooLarge *http.MaxBytesError
+	text, err := body.Read(account, acceptedBody{bounded, c}, c.r.ContentLength, limit)
+	if err == nil {
+		err = account.Received()
+	}
 	switch {
+	case errors.Is(err, carawayspread.ErrGivenUp):
+		c.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return carawayspread.NewError(carawayspread.CodeOverloaded, err.Error(), carawayspread.NotRun(),
+			carawayspread.RetryAfter(c.g.noRoomRetryDelay()))
 	case errors.Is(err, errNotInTime):
 		c.unread = bounded
 		return c.drainingError()
 	case err != nil && c.shuttingDown():
 		return c.drainingError()
-	case errors.As(err, &tooLarge):
-		return carawayspread.NewError(carawayspread.CodeTooLarge, "the body is larger than the limit", carawayspread.NotRun())
+	case errors.As(err, &body.TooLargeError{}):
+		c.w.Header().Set("Connection", "close")
+		return carawayspread.NewError(carawayspread.CodeTooLarge, err.Error(), carawayspread.NotRun())
 	case err != nil:
 		c.connBroken = true
 		return carawayspread.NewError(carawayspread.CodeMalformed, "the body cannot be read", carawayspread.NotRun(), carawayspread.CausedBy(err))
 	}
-	c.body = body
+	c.body = text
 	return nil
 }
 
--- a/internal/process/gateway/buffered.go
+++ b/internal/process/gateway/buffered.go
@@ -19,9 +19,9 @@
 	defaultHeldBytes = 48 << 20
 	// defaultReadAheadBytes bounds what is read ahead of streams where the memory of the process is not known.
 	defaultReadAheadBytes = 8 << 20
-	// heldShare and readAheadShare are the parts of the memory of the process that these may take. Connections
-	// may take half of it.
-	heldShare      = 0.2
+	// heldShare and readAheadShare are the parts of the memory of the process that these may take, beside those
+	// of connections and requests.
+	heldShare      = 0.1
 	readAheadShare = 0.05
 	// copyBytes is the size of the buffer for the rest of a longer answer.
 	copyBytes = 32 << 10
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -213,6 +213,15 @@
 	return retryDelay
 }
 
+// noRoomRetryDelay returns when the caller of a request should return that this process has no memory for: at once if
+// another process may have some.
+func (g *Gateway) noRoomRetryDelay() time.Duration {
+	if size, known := g.fleet(); known && size > 1 {
+		return elsewhereRetryDelay
+	}
+	return retryDelay
+}
+
 // ServeHTTP routes and answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
