OpenAI: the messages of one body take no more memory than the body

What callers saw: nothing yet; an entry could be ended by a single request.

The first 64 elements are now found by a scan of the list, whose syntax encoding/json has checked, and share its memory; what is taken stays below twice the body.

--- a/internal/connection/openai/decode.go
+++ b/internal/connection/openai/decode.go
@@ -4,6 +4,7 @@
 package openai
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"slices"
@@ -25,6 +26,8 @@
 	defaultMaxTokens = 256
 	// maxParts bounds the messages of a prompt that are told apart.
 	maxParts = 64
+	// DecodeFactor is how many times the size of a body Decode may occupy beside it, for copies of its fields.
+	DecodeFactor = 2
 )
 
 // Completion contains the parsed parameters of a completion request.
@@ -73,12 +76,8 @@
 
 // parts returns a hash of each message that other requests may share, for the same model: all but the last.
 func (b completionBody) parts() []uint64 {
-	var messages []json.RawMessage
-	if json.Unmarshal(b.Messages, &messages) != nil || len(messages) == 0 {
-		return nil // a prompt, or what the endpoint will refuse
-	}
 	var parts []uint64
-	for _, message := range messages[:min(len(messages)-1, maxParts)] {
+	for _, message := range firstMessages(b.Messages) {
 		digest := xxhash.New()
 		_, _ = digest.WriteString(b.Model + "\x00")
 		_, _ = digest.Write(message)
@@ -89,6 +88,35 @@
 	return parts
 }
 
+// firstMessages returns the first maxParts elements of a valid list, without the last one of all; none of anything
+// else, which is a prompt or what the endpoint will refuse. They share the memory of the list, since millions of
+// elements fit into one body.
+func firstMessages(list json.RawMessage) []json.RawMessage {
+	list = bytes.TrimSpace(list)
+	if len(list) == 0 || list[0] != '[' {
+		return nil
+	}
+	var messages []json.RawMessage
+	begin, depth, inText := 1, 0, false
+	for i := 1; i < len(list) && len(messages) < maxParts; i++ {
+		switch c := list[i]; {
+		case inText && c == '\\':
+			i++
+		case c == '"':
+			inText = !inText
+		case inText:
+		case c == '[' || c == '{':
+			depth++
+		case c == ']' || c == '}':
+			depth--
+		case c == ',' && depth == 0:
+			messages = append(messages, bytes.TrimSpace(list[begin:i]))
+			begin = i + 1
+		}
+	}
+	return messages
+}
+
 // maxTokens returns the limit of the answer in tokens.
 func (b completionBody) maxTokens() (int, error) {
 	limit := b.MaxCompletionTokens
