Intake: a request that is refused for memory ends its connection

A request that is itself the costliest was marked as given up without an interrupt of its connection. If its caller kept the connection, the next request on it was refused as well, and the connection counted as closing. From reading; no run showed it. It is interrupted like any other now, so that it closes after the refusal.

--- a/internal/decision/intake/conn.go
+++ b/internal/decision/intake/conn.go
@@ -90,8 +90,7 @@
 			return nil
 		}
 		if !in.makeRoom(c, missing, ofLarge) {
-			c.givenUp = true
-			c.listener.closing++
+			in.giveUp(c)
 			in.counts.ForMemory++
 			return carawayspread.ErrGivenUp
 		}
