Entry: what callers make it hold is bounded by its memory and descriptors

What callers saw: under 300 requests that stopped short of their end, or were over the limit, an entry held up to 1,334 MB, 822 of them in receive buffers, and opened as many descriptors as there were callers. A sidecar had no bound on its connections either.

Cause: bodies were read whole by doubling, for any number of connections; settings knew neither memory nor descriptors.

Entry and sidecar have the bounds of the gateway (docs/design/intake.md) on each of their listeners, from limits.memoryMegabytes and limits.descriptors; without them those of the machine and the system. Decoding a chat is accounted for with twice its size. Bodies of control, health and metrics are read before they are handled, those of the administration API with its own limit.

The crowd's settings now state the 144 MB and the descriptors, which were the bounds before.

--- a/cmd/carawayspread/crowd_test.go
+++ b/cmd/carawayspread/crowd_test.go
@@ -35,14 +35,14 @@
 }
 
 // withLimits returns settings with the limits of the crowd's tests.
-func withLimits(settings string) string {
-	return strings.TrimSuffix(settings, "}") + fmt.Sprintf(`, "limits": {"bodyBytes": %d}}`, crowdBody)
+func withLimits(settings string, descriptors int) string {
+	return strings.TrimSuffix(settings, "}") + fmt.Sprintf(`, "limits": {"bodyBytes": %d, "memoryMegabytes": %d, "descriptors": %d}}`, crowdBody, grantedMegabytes, descriptors)
 }
 
 func startCrowdedEntry(t *testing.T, descriptors int) *crowdedProcess {
 	f := newFleet(t)
 	f.sidecar("sidecar-1", records("records-1", plain.New(0)))
-	p := &crowdedProcess{process: f.entryWith(withLimits(entrySettings), "entry-1"), descriptors: descriptors}
+	p := &crowdedProcess{process: f.entryWith(withLimits(entrySettings, descriptors), "entry-1"), descriptors: descriptors}
 	p.head = "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nX-Workspace: demo\r\nX-Class: interactive\r\n"
 	p.ordinary = func() *http.Request {
 		return newRequest(http.MethodGet, p.row.Address, "/services/records/records/7", http.NoBody, "X-Workspace", "demo", "X-Class", "interactive")
@@ -52,7 +52,7 @@
 
 func startCrowdedSidecar(t *testing.T, descriptors int) *crowdedProcess {
 	f := newFleet(t)
-	p := &crowdedProcess{process: f.sidecarWith(withLimits(sidecarSettings), "sidecar-1", records("records-1", plain.New(0))), descriptors: descriptors}
+	p := &crowdedProcess{process: f.sidecarWith(withLimits(sidecarSettings, descriptors), "sidecar-1", records("records-1", plain.New(0))), descriptors: descriptors}
 	path := sidecarhttp.PathPrefix + "records-1"
 	p.head = "POST " + path + "/receipts HTTP/1.1\r\nHost: sidecar\r\n" + sidecarhttp.HeaderAttempt + ": crowd-{n}\r\n"
 	n := 0
--- a/cmd/carawayspread/daemons.go
+++ b/cmd/carawayspread/daemons.go
@@ -65,6 +65,7 @@
 			if err != nil {
 				return err
 			}
+			base.LimitMemory(s)
 			return run(c.Context, s)
 		},
 	}
--- a/internal/daemon/base/base.go
+++ b/internal/daemon/base/base.go
@@ -3,7 +3,6 @@
 package base
 
 import (
-	"net/http"
 	"net/netip"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,7 +13,7 @@
 	"carawayspread/internal/connection/instancelist"
 	"carawayspread/internal/connection/s3"
 	"carawayspread/internal/connection/tableclient"
-	"carawayspread/internal/daemon/server"
+	"carawayspread/internal/decision/intake"
 	"carawayspread/internal/process/confsync"
 	"carawayspread/internal/process/watch"
 	"carawayspread/internal/version/changelog"
@@ -32,6 +31,8 @@
 	changes  *changelog.Log
 	config   *confsync.Syncer
 	watch    *watch.Watch
+	intake   *intake.Intake
+	shares   intake.Shares
 	adopted  func(*carawayspread.Config) // called with each adopted configuration; set before Run
 }
 
@@ -44,6 +45,7 @@
 		set:      metrics.NewSet(),
 		adopted:  func(*carawayspread.Config) {},
 	}
+	b.setUpIntake()
 	p := s.Platform()
 	id, secret := credentials()
 	client := dynamodb.New("http://"+p.Table(), dynamodb.WithName(p.TableName()), dynamodb.WithRegion(p.AWSRegion()),
@@ -87,15 +89,6 @@
 	return append(all, b.settings.Peers()...)
 }
 
-// Listen returns a server on the address, with the limits of the settings.
-func (b *Base) Listen(address string, handler http.Handler, opts ...server.Option) (*server.Server, error) {
-	t := b.settings.Timeouts()
-	return server.Listen(address, handler, append([]server.Option{
-		server.WithTimeouts(t.ReadHeader(), t.ReadBody(), t.Idle()),
-		server.WithHeaderLimit(b.settings.Limits().HeaderBytes()),
-	}, opts...)...)
-}
-
 // Settings returns the settings of the daemon.
 func (b *Base) Settings() *settings.Settings { return b.settings }
 
--- a/internal/daemon/base/group.go
+++ b/internal/daemon/base/group.go
@@ -39,6 +39,7 @@
 	}
 	g.Go(func(runCtx context.Context) error { return b.watch.Run(runCtx, changed) })
 	g.Go(b.config.Run)
+	g.Go(b.logIntake)
 	return g
 }
 
--- a/internal/daemon/entryd/daemon.go
+++ b/internal/daemon/entryd/daemon.go
@@ -94,7 +94,7 @@
 	server.HandleHealthAndMetrics(peers, ready, d.entry.Metrics(), d.base.Metrics())
 	peers.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	var err error
-	if d.data, err = d.base.Listen(s.Listen(), callers); err != nil {
+	if d.data, err = d.base.ListenForCallers(s.Listen(), callers); err != nil {
 		return err
 	}
 	if d.admin, err = d.base.Listen(s.Admin(), operators); err != nil {
--- a/internal/daemon/sidecard/daemon.go
+++ b/internal/daemon/sidecard/daemon.go
@@ -48,7 +48,7 @@
 		sidecar.WithCrashRecorder(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
 		sidecar.WithDeduplicator(attempts.New(b.Clock())))
 	var err error
-	if d.data, err = d.base.Listen(s.Listen(), d.sidecar); err != nil {
+	if d.data, err = d.base.ListenForCallers(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
--- a/internal/process/admin/change.go
+++ b/internal/process/admin/change.go
@@ -4,24 +4,25 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"carawayspread"
 	"carawayspread/internal/connection/adminapi"
+	"carawayspread/internal/connection/callers"
+	"carawayspread/internal/request/body"
 	"carawayspread/internal/version/change"
 	"carawayspread/internal/version/changelog"
 	"carawayspread/internal/version/finding"
 )
 
 func (a *Admin) set(r *http.Request, kind resourceKind) (any, error) {
-	body, err := readBody(r)
+	text, err := readBody(r)
 	if err != nil {
 		return nil, err
 	}
-	return a.accept(r, kind.set(r.PathValue("name"), body))
+	return a.accept(r, kind.set(r.PathValue("name"), text))
 }
 
 func (a *Admin) delete(r *http.Request, kind resourceKind) (any, error) {
@@ -29,11 +30,11 @@
 }
 
 func (a *Admin) changeGroup(r *http.Request) (any, error) {
-	body, err := readBody(r)
+	text, err := readBody(r)
 	if err != nil {
 		return nil, err
 	}
-	return a.accept(r, change.Parse("", body))
+	return a.accept(r, change.Parse("", text))
 }
 
 // accept appends the change to the configuration log and returns in which instances it is in force,
@@ -86,31 +87,37 @@
 }
 
 func (a *Admin) checkConfig(r *http.Request) (any, error) {
-	body, err := readBody(r)
+	text, err := readBody(r)
 	if err != nil {
 		return nil, err
 	}
 	cfg := a.holder.Current(r.Context())
 	checked := adminapi.CheckResult{Version: cfg.Version(), Findings: finding.List{}}
 	var list finding.List
-	if errors.As(change.Parse("", body).Check(cfg), &list) {
+	if errors.As(change.Parse("", text).Check(cfg), &list) {
 		checked.Findings = list
 	}
 	return checked, nil
 }
 
 func readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	account := callers.AccountOf(r.Context())
+	text, err := body.Read(account, r.Body, r.ContentLength, maxBodyBytes)
+	if err == nil {
+		err = account.Received()
+	}
+	var tooLarge body.TooLargeError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, carawayspread.NewError(
-			carawayspread.CodeTooLarge, fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit), carawayspread.NotRun(),
+			carawayspread.CodeTooLarge, fmt.Sprintf("the body exceeds %d bytes", tooLarge.Limit()), carawayspread.NotRun(),
 		)
-	}
-	if err != nil {
+	case errors.Is(err, carawayspread.ErrGivenUp):
+		return nil, carawayspread.NewError(carawayspread.CodeOverloaded, err.Error(), carawayspread.NotRun(), carawayspread.RetryAfter(retryDelay))
+	case err != nil:
 		return nil, malformed("the body cannot be read")
 	}
-	return body, nil
+	return text, nil
 }
 
 func actorOf(r *http.Request) (string, error) {
--- a/internal/request/call/call.go
+++ b/internal/request/call/call.go
@@ -4,7 +4,7 @@
 
 import (
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -12,7 +12,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/openai"
+	"carawayspread/internal/request/body"
 )
 
 // Headers that callers send.
@@ -27,6 +29,9 @@
 const (
 	servicesPrefix     = "/services/"
 	maxIdentifierBytes = 128 // of a header value
+	// noRoomRetryDelay is the Retry-After of a request that the process has no room for; requests are answered
+	// within seconds.
+	noRoomRetryDelay = time.Second
 )
 
 // Call is one caller's request. It is immutable.
@@ -79,10 +84,20 @@
 		Arrived:   now,
 		Deadline:  deadline,
 	}
-	if err := c.target(r, cfg); err != nil {
+	account := callers.AccountOf(r.Context())
+	parsed := openai.DecodeFactor * int64(len(c.body))
+	if err := account.Take(parsed); err != nil {
+		return nil, givenUp(w, err)
+	}
+	err = c.target(r, cfg)
+	account.Return(parsed)
+	if err != nil {
 		return nil, err
 	}
 	c.complete(class)
+	if err := account.Received(); err != nil {
+		return nil, givenUp(w, err)
+	}
 	return c, nil
 }
 
@@ -134,15 +149,24 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refuse(carawayspread.CodeTooLarge, "the body is too large")
+	text, err := body.Read(callers.AccountOf(r.Context()), http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	if err == nil {
+		return text, nil
 	}
-	if err != nil {
-		return nil, carawayspread.NewError(carawayspread.CodeMalformed, "the body ended early", carawayspread.NotRun(), carawayspread.CausedBy(err))
+	if errors.Is(err, carawayspread.ErrGivenUp) {
+		return nil, givenUp(w, err)
 	}
-	return body, nil
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	if errors.As(err, &body.TooLargeError{}) {
+		return nil, refuse(carawayspread.CodeTooLarge, err.Error())
+	}
+	return nil, carawayspread.NewError(carawayspread.CodeMalformed, "the body ended early", carawayspread.NotRun(), carawayspread.CausedBy(err))
+}
+
+// givenUp returns the refusal of a request that the process has no room for. Another process may have room at once.
+func givenUp(w http.ResponseWriter, err error) *carawayspread.Error {
+	w.Header().Set("Connection", "close")
+	return carawayspread.NewError(carawayspread.CodeOverloaded, err.Error(), carawayspread.NotRun(), carawayspread.RetryAfter(noRoomRetryDelay))
 }
 
 // target sets the service that the request is for.
@@ -156,7 +180,7 @@
 	}
 	service, ok := cfg.ServiceOfModel(completion.Model())
 	if !ok {
-		return refuse(carawayspread.CodeUnknownModel, "model: no service offers "+completion.Model())
+		return refuse(carawayspread.CodeUnknownModel, fmt.Sprintf("model: no service offers %.*s", maxIdentifierBytes, completion.Model()))
 	}
 	c.service = service
 	c.path = r.URL.RequestURI()
--- a/internal/version/settings/parse.go
+++ b/internal/version/settings/parse.go
@@ -18,6 +18,12 @@
 	minHeaderBytes = 1 << 10
 	maxHeaderBytes = 1 << 20
 	maxSlots       = 4096
+	// minMemoryMegabytes holds the process itself and some requests.
+	minMemoryMegabytes = 64
+	maxMemoryMegabytes = 1 << 20
+	// minDescriptors suffice for the addresses of the process and some connections.
+	minDescriptors = 64
+	maxDescriptors = 1 << 20
 	minTimeout     = time.Millisecond
 	maxTimeout     = 24 * time.Hour
 	// minBetweenBytes exceeds the second between two heartbeats of a sidecar; a shorter timeout
@@ -119,13 +125,19 @@
 }
 
 func (l *Limits) read(node document.Node) {
-	node = node.Object("bodyBytes", "headerBytes")
+	node = node.Object("bodyBytes", "headerBytes", "memoryMegabytes", "descriptors")
 	overlay(&l.bodyBytes, node.Field("bodyBytes"), func(n document.Node) int64 {
 		return n.Int(minBodyBytes, maxBodyBytes)
 	})
 	overlay(&l.headerBytes, node.Field("headerBytes"), func(n document.Node) int {
 		return int(n.Int(minHeaderBytes, maxHeaderBytes))
 	})
+	overlay(&l.memoryBytes, node.Field("memoryMegabytes"), func(n document.Node) int64 {
+		return n.Int(minMemoryMegabytes, maxMemoryMegabytes) << 20
+	})
+	overlay(&l.descriptors, node.Field("descriptors"), func(n document.Node) int64 {
+		return n.Int(minDescriptors, maxDescriptors)
+	})
 }
 
 func (t *Timeouts) read(node document.Node) {
--- a/internal/version/settings/parts.go
+++ b/internal/version/settings/parts.go
@@ -77,6 +77,8 @@
 type Limits struct {
 	bodyBytes   int64
 	headerBytes int
+	memoryBytes int64 // zero if not stated
+	descriptors int64 // zero if not stated
 }
 
 // BodyBytes returns the size of the largest request body.
@@ -85,6 +87,12 @@
 // HeaderBytes returns the size of the largest request header.
 func (l Limits) HeaderBytes() int { return l.headerBytes }
 
+// MemoryBytes returns the bytes that the process may use; zero for those of the machine.
+func (l Limits) MemoryBytes() int64 { return l.memoryBytes }
+
+// Descriptors returns how many descriptors the process may have open; zero for what the system allows.
+func (l Limits) Descriptors() int64 { return l.descriptors }
+
 // Timeouts holds the bounds on waiting. Each is positive.
 type Timeouts struct {
 	readHeader, readBody, idle, betweenBytes time.Duration
--- a/internal/version/settings/settings_test.go
+++ b/internal/version/settings/settings_test.go
@@ -35,6 +35,7 @@
 		"tenMistakes": {findings: 10},
 		"malformed":   {findings: 1},
 		"entry":       {findings: 3},
+		"limits":      {findings: 3},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
