Sidecar: a request takes a slot of its endpoint once its body is there

What callers saw: while some bodies stood still, whose requests had a slot each, a sidecar refused everybody else (503) until the bodies timed out, 30 s later; no ordinary client was served in 20 tries. Bodies over the limit were streamed to the endpoint, whatever their size, with up to 893 MB in receive buffers.

Cause: the slot was acquired before the body was read, and no limit of a body applied. The body is now read whole first, within the memory of the process, and refused as not run if it is over the limit (413), breaks off (400) or is given up (503).

--- a/internal/daemon/sidecard/daemon.go
+++ b/internal/daemon/sidecard/daemon.go
@@ -46,7 +46,7 @@
 	s := b.Settings()
 	d.sidecar = sidecar.New(workers(s), sidecar.WithClock(b.Clock()), sidecar.WithLog(b.Log()), sidecar.WithVersionObserver(b.Config().ObserveVersion),
 		sidecar.WithCrashRecorder(trial.New(b.Table(), b.Clock(), s.ID()+"/"+uuid.NewString())),
-		sidecar.WithDeduplicator(attempts.New(b.Clock())))
+		sidecar.WithDeduplicator(attempts.New(b.Clock())), sidecar.WithBodyLimit(s.Limits().BodyBytes()))
 	var err error
 	if d.data, err = d.base.ListenForCallers(s.Listen(), d.sidecar); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/process/sidecar/duplicate_test.go
+++ b/internal/process/sidecar/duplicate_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -41,3 +43,32 @@
 	qt.Check(t, second.Get(sidecarhttp.HeaderNotRun), qt.Not(qt.Equals), "true")
 	qt.Check(t, hits, qt.Equals, 0)
 }
+
+// The body of an attempt breaks off, and its caller is told that it has not run. The same attempt is delivered again,
+// late and whole: it must not run.
+func TestAttemptRefusedForItsBodyDoesNotRunLater(t *testing.T) {
+	runs := 0
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs++ }))
+	t.Cleanup(endpoint.Close)
+	s := New([]Worker{{ID: "engine-1", Kind: carawayspread.KindPlain, Address: strings.TrimPrefix(endpoint.URL, "http://")}},
+		WithDeduplicator(attempts.New(carawayspread.SystemClock())), WithBodyLimit(4))
+	t.Cleanup(s.Close)
+	for _, delivery := range []struct {
+		body   io.Reader
+		length int64
+		status int
+		notRun string
+	}{
+		{iotest.ErrReader(io.ErrUnexpectedEOF), 4, http.StatusBadRequest, "true"},
+		{strings.NewReader("body"), 4, carawayspread.CodeDuplicateAttempt.Status(), "false"},
+	} {
+		r := httptest.NewRequest(http.MethodPost, "/run/engine-1/x", delivery.body)
+		r.ContentLength = delivery.length
+		r.Header.Set(sidecarhttp.HeaderAttempt, "a-1")
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		qt.Check(t, w.Code, qt.Equals, delivery.status)
+		qt.Check(t, w.Header().Get(sidecarhttp.HeaderNotRun), qt.Equals, delivery.notRun)
+	}
+	qt.Check(t, runs, qt.Equals, 0)
+}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -15,8 +17,10 @@
 	"github.com/apex/log"
 
 	"carawayspread"
+	"carawayspread/internal/connection/callers"
 	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/sidecarhttp"
+	"carawayspread/internal/request/body"
 )
 
 // maxQueueWait bounds the wait for a slot where the request states no remaining time.
@@ -35,12 +39,43 @@
 		s.refuse(w, r, carawayspread.NewError(carawayspread.CodeNoEndpoint, "the endpoint is not beside this sidecar", carawayspread.NotRun()))
 		return
 	}
-	if refusal := s.admit(r, worker); refusal != nil {
+	// This check comes first: a second delivery of a refused attempt must not run after
+	// the caller was told that it has not run. As the first delivery may be running,
+	// the refusal does not say "not run".
+	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
+		s.refuse(w, r, carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before"))
+		return
+	}
+	text, refusal := s.readBody(w, r)
+	if refusal == nil {
+		refusal = s.admit(r, worker)
+	}
+	if refusal != nil {
 		s.refuse(w, r, refusal)
 		return
 	}
 	defer worker.releaseSlot()
-	s.run(w, r, worker, path)
+	s.run(w, r, worker, path, text)
+}
+
+// readBody reads the whole body, so that a request whose body stands still takes no slot of the endpoint.
+func (s *Sidecar) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *carawayspread.Error) {
+	account := callers.AccountOf(r.Context())
+	text, err := body.Read(account, http.MaxBytesReader(w, r.Body, s.bodyLimit), r.ContentLength, s.bodyLimit)
+	if err == nil {
+		err = account.Received()
+	}
+	if err == nil {
+		return text, nil
+	}
+	w.Header().Set("Connection", "close") // the rest of the body is not read
+	switch {
+	case errors.As(err, &body.TooLargeError{}):
+		return nil, carawayspread.NewError(carawayspread.CodeTooLarge, err.Error(), carawayspread.NotRun())
+	case errors.Is(err, carawayspread.ErrGivenUp):
+		return nil, carawayspread.NewError(carawayspread.CodeOverloaded, err.Error(), carawayspread.NotRun(), carawayspread.RetryAfter(refusalRetry))
+	}
+	return nil, carawayspread.NewError(carawayspread.CodeMalformed, "the body ended early", carawayspread.NotRun(), carawayspread.CausedBy(err))
 }
 
 func splitPath(r *http.Request) (carawayspread.EndpointID, string, bool) {
@@ -67,12 +102,6 @@
 // admit makes all checks that can still refuse the attempt as not run, and acquires a
 // slot of the endpoint.
 func (s *Sidecar) admit(r *http.Request, w *worker) *carawayspread.Error {
-	// This check comes first: a second delivery of a refused attempt must not run after
-	// the caller was told that it has not run. As the first delivery may be running,
-	// the refusal does not say "not run".
-	if !s.attempts.Accept(r.Header.Get(sidecarhttp.HeaderAttempt)) {
-		return carawayspread.NewError(carawayspread.CodeDuplicateAttempt, "the attempt has arrived before")
-	}
 	if w.isClosed() {
 		return leaving()
 	}
@@ -95,7 +124,7 @@
 
 // run forwards the request. From here on, only a failure to connect to the endpoint
 // proves that the request has not run.
-func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, worker *worker, path string) {
+func (s *Sidecar) run(w http.ResponseWriter, r *http.Request, worker *worker, path string, text []byte) {
 	_ = http.NewResponseController(w).EnableFullDuplex()
 	fingerprint := fingerprintOf(r)
 	boot := worker.bootID()
@@ -109,7 +138,7 @@
 	defer cancel()
 	req, err := s.outgoing(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	}), r, worker, path)
+	}), r, worker, path, text)
 	if err != nil {
 		s.refuse(w, r, carawayspread.NewError(carawayspread.CodeMalformed, "the path cannot be sent on", carawayspread.NotRun()))
 		return
@@ -141,12 +170,12 @@
 	return s.client
 }
 
-func (s *Sidecar) outgoing(ctx context.Context, r *http.Request, worker *worker, path string) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+worker.spec.Address+path, outgoingBody(r))
+func (s *Sidecar) outgoing(ctx context.Context, r *http.Request, worker *worker, path string, text []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+worker.spec.Address+path, outgoingBody(text))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = r.ContentLength
+	req.ContentLength = int64(len(text))
 	req.Header = r.Header.Clone()
 	for name := range req.Header {
 		if strings.HasPrefix(name, "Carawayspread-") {
@@ -156,22 +185,13 @@
 	return req, nil
 }
 
-// outgoingBody returns the body of r for the endpoint.
-//
-// After sending Content-Length bytes, a transport reads once more to see the end of
-// the body. At a server that read fails once the answer has begun; the transport then
-// closes the connection, and the answer is cut. The reader returned here ends after
-// Content-Length bytes without reading the body again, and the server does not read
-// it either (see run).
-func outgoingBody(r *http.Request) io.Reader {
-	switch {
-	case r.ContentLength == 0:
+// outgoingBody returns the body for the endpoint. A transport cannot rewind it, and so repeats no request whose body
+// it has begun to send.
+func outgoingBody(text []byte) io.Reader {
+	if len(text) == 0 {
 		return nil
-	case r.ContentLength > 0:
-		return io.NopCloser(io.LimitReader(r.Body, r.ContentLength))
-	default:
-		return r.Body
 	}
+	return io.NopCloser(bytes.NewReader(text))
 }
 
 type result struct {
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -23,6 +23,7 @@
 	probeTimeout        = 300 * time.Millisecond
 	maxIdlePerEndpoint  = 64
 	defaultSlots        = 16
+	defaultBodyLimit    = 8 << 20
 	// refusalRetry is the Retry-After of a request that found the endpoint full, about
 	// the duration of a short answer.
 	refusalRetry = time.Second
@@ -62,6 +63,7 @@
 	crashes         CrashRecorder
 	attempts        Deduplicator
 	versionObserver func(carawayspread.Version) // receives the configuration versions of requests
+	bodyLimit       int64                       // bytes
 	draining        atomic.Bool
 }
 
@@ -80,6 +82,9 @@
 // WithDeduplicator sets the detector of repeated attempts.
 func WithDeduplicator(a Deduplicator) Option { return func(s *Sidecar) { s.attempts = a } }
 
+// WithBodyLimit sets the maximum size of a request body in bytes.
+func WithBodyLimit(n int64) Option { return func(s *Sidecar) { s.bodyLimit = n } }
+
 // WithVersionObserver sets the function that receives the configuration versions of
 // requests.
 func WithVersionObserver(observe func(carawayspread.Version)) Option {
@@ -108,6 +113,7 @@
 		crashes:         noCrashRecorder{},
 		attempts:        acceptAllAttempts{},
 		versionObserver: func(carawayspread.Version) {},
+		bodyLimit:       defaultBodyLimit,
 	}
 	for _, opt := range opts {
 		opt(s)
