Settings: a memory that does not carry the largest body is a finding

A body that its settings allow, but the memory granted does not carry, would be refused in calm, without a reason that an operator sees. Entry and sidecar: limits.memoryMegabytes must be 16 times limits.bodyBytes (a finding at start and by 'config check'). The gateway, whose limit of a body comes with the routes, warns in its log when they are adopted.

--- a/internal/daemon/gatewayd/daemon.go
+++ b/internal/daemon/gatewayd/daemon.go
@@ -270,6 +270,10 @@
 func (d *Daemon) Adopt(t *carawayspread.Routing) {
 	d.gateway.Adopt(t)
 	d.addWorkspaceNames(t)
+	if limit, largest := t.Limits().BodyBytes, d.shares.LargestBody(); limit > largest {
+		d.log.WithField("bodyLimit", limit).WithField("largest", largest).WithField("memory", d.settings.Memory()).
+			Warn("the memory of the process does not carry a body of the largest size that is allowed")
+	}
 }
 
 // SetEndpoints applies the list of all endpoints.
--- a/internal/decision/intake/shares.go
+++ b/internal/decision/intake/shares.go
@@ -22,6 +22,7 @@
 	kernelFactor     = 2
 	minReceiveBuffer = 4 << 10
 	maxReceiveBuffer = 64 << 10
+	growthFactor     = 1.5
 )
 
 // Shares says how the memory and the descriptors of a process are divided.
@@ -32,6 +33,12 @@
 	ReceiveBuffer int   // bytes, of each connection
 }
 
+// LargestBody returns the largest body, in bytes, that is taken while nothing else occupies memory: while it grows, its
+// old buffer is held as well.
+func (s Shares) LargestBody() int64 {
+	return int64(largeShare * float64(s.RequestBytes) / growthFactor)
+}
+
 // Divide divides the memory, in bytes, and the descriptors of a process; zero descriptors are not considered.
 func Divide(memory, descriptors int64) Shares {
 	connections := int64(connectionShare * float64(memory) / connectionBytes)
--- a/internal/version/settings/parse.go
+++ b/internal/version/settings/parse.go
@@ -21,6 +21,9 @@
 	// minMemoryMegabytes holds the process itself and some requests.
 	minMemoryMegabytes = 64
 	maxMemoryMegabytes = 1 << 20
+	// memoryPerBodyByte is the memory of a process that holds one request of the largest size: a sixteenth of the
+	// memory is for a single prompt, of which decoding takes twice its size more.
+	memoryPerBodyByte = 16
 	// minDescriptors suffice for the addresses of the process and some connections.
 	minDescriptors = 64
 	maxDescriptors = 1 << 20
@@ -138,6 +141,9 @@
 	overlay(&l.descriptors, node.Field("descriptors"), func(n document.Node) int64 {
 		return n.Int(minDescriptors, maxDescriptors)
 	})
+	if l.memoryBytes >= minMemoryMegabytes<<20 && l.bodyBytes > l.memoryBytes/memoryPerBodyByte {
+		node.Fail("memoryMegabytes must be at least %d times bodyBytes, which is %d", memoryPerBodyByte, l.bodyBytes)
+	}
 }
 
 func (t *Timeouts) read(node document.Node) {
--- a/internal/version/settings/settings_test.go
+++ b/internal/version/settings/settings_test.go
@@ -36,6 +36,7 @@
 		"malformed":   {findings: 1},
 		"entry":       {findings: 3},
 		"limits":      {findings: 3},
+		"memory":      {findings: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
