--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Crowds of clients that do not behave, at processes whose memory is measured: one at a time, apart from other tests.
 crowds:
-	$(GO) test -count=1 -timeout 20m -p 1 -tags crowds -run '^Test(Crowd|LargestBody)' -skip '^($(or $(KNOWN_RED),none))$$' ./cmd/gateway ./cmd/carawayspread
+	$(GO) test -count=1 -timeout 20m -p 1 -tags crowds -run '^Test(Crowd|LargestBody)' -skip '^($(or $(KNOWN_RED),none))$$' ./cmd/gateway ./cmd/carawayspread ./cmd/soak
 
 lint:
 	@unformatted=$$($(GO) tool gofumpt -l .); \
@@ -56,4 +56,4 @@
 SIZE ?= 3
 soak:
 	$(GO) build -o target/ ./cmd/gateway
-	$(GO) run ./cmd/soak --seed $(SEED) --runs $(RUNS) --length $(LENGTH) --size $(SIZE) $(if $(STOPS),--stops) $(if $(HARMFUL),--harmful) $(if $(FAILING),--failing) $(if $(DRAINS),--drains) $(if $(RELEASES),--releases) $(if $(STRANDS),--strands)
+	$(GO) run ./cmd/soak --seed $(SEED) --runs $(RUNS) --length $(LENGTH) --size $(SIZE) $(if $(STOPS),--stops) $(if $(HARMFUL),--harmful) $(if $(FAILING),--failing) $(if $(DRAINS),--drains) $(if $(RELEASES),--releases) $(if $(STRANDS),--strands) $(if $(CROWDS),--crowds)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -36,6 +36,7 @@
 			&cli.BoolFlag{Name: "failing", Usage: "workers refuse most requests while gateways are killed and restarted in series"},
 			&cli.BoolFlag{Name: "drains", Usage: "gateways end, restart and change in series while callers use open connections"},
 			&cli.BoolFlag{Name: "releases", Usage: "workers are replaced by ones of other versions in series, in several zones, and streams are long"},
+			&cli.BoolFlag{Name: "crowds", Usage: "clients that do not behave call all gateways meanwhile"},
 			&cli.BoolFlag{Name: "strands", Usage: "as --releases; the only fault is that one gateway alone outlives the others and has missed a release"},
 			&cli.IntFlag{Name: "size", Value: 3, Usage: "gateways"},
 			&cli.StringFlag{Name: "findings", Value: "target/soak", Usage: "`FOLDER` for what broken promises leave"},
@@ -68,7 +69,7 @@
 	if c.Bool("strands") {
 		generate = schedule.GenerateStrands
 	}
-	load := load{releases: c.Bool("releases") || c.Bool("strands"), harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains")}
+	load := load{releases: c.Bool("releases") || c.Bool("strands"), harmful: c.Bool("harmful"), failing: c.Bool("failing"), drains: c.Bool("drains"), crowds: c.Bool("crowds")}
 	for n := range uint64(max(1, c.Int("runs"))) {
 		found, err := runSchedule(c.Context, c.App.Writer, c.String("gateway"), c.String("findings"), generate(c.Uint64("seed")+n, c.Duration("length")), c.Int("size"), load)
 		if err != nil {
@@ -85,7 +86,7 @@
 }
 
 // load says what callers send beside their common requests, and how workers answer.
-type load struct{ harmful, failing, drains, releases bool }
+type load struct{ harmful, failing, drains, releases, crowds bool }
 
 // runSchedule runs one schedule of faults and returns the violated guarantees. If there are any, the
 // logs of the run, the schedule and the findings are kept in a folder named after the seed.
@@ -115,6 +116,9 @@
 	if l.drains {
 		f.Drains()
 	}
+	if l.crowds {
+		f.Crowds()
+	}
 	if err := f.Run(ctx, s); err != nil {
 		return nil, err
 	}
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -66,6 +66,7 @@
 	gateways   []*gateway
 	loadStart  time.Time
 	harmful    bool                          // a caller sends requests that crash workers
+	crowds     bool                          // clients that do not behave call all gateways
 	releases   bool                          // workers are replaced by ones of other versions
 	releaseMu  sync.Mutex                    // held during a release
 	drains     bool                          // callers keep connections open until their process is gone
--- a/internal/soak/fleet/load.go
+++ b/internal/soak/fleet/load.go
@@ -54,6 +54,9 @@
 		if f.drains {
 			callers.Go(func() { f.useKeptConnections(loadCtx, g, s.Seed()<<16+uint64(n)) })
 		}
+		if f.crowds {
+			callers.Go(func() { f.sendCrowds(loadCtx, g, rand.New(rand.NewPCG(s.Seed(), uint64(n)<<32))) })
+		}
 		for c := range callersPerGateway {
 			callers.Go(func() {
 				f.sendRequests(loadCtx, g, rand.New(rand.NewPCG(s.Seed(), uint64(n*callersPerGateway+c+1))), fmt.Sprintf("%d-%s-%d", s.Seed(), g.name, c))
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -72,6 +72,20 @@
 	return all
 }
 
+// complete are the clients that send a whole request.
+var complete = []string{"whole", "idle after an answer", "more after the request"}
+
+// Unfinished returns the clients whose requests are never complete, in the order of their names.
+func Unfinished() []Client {
+	var all []Client
+	for _, name := range slices.Sorted(maps.Keys(Clients)) {
+		if !slices.Contains(complete, name) {
+			all = append(all, Clients[name])
+		}
+	}
+	return all
+}
+
 func write(w io.Writer, text string) error {
 	_, err := io.WriteString(w, text)
 	return err
--- a/internal/standin/rows/published.go
+++ b/internal/standin/rows/published.go
@@ -14,12 +14,12 @@
  {"name":"stream","host":"a.example","prefix":"/stream/","kind":"stream","timeout_ms":%[6]d,"target_latency_ms":600,"service":"%[2]s","max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
  {"name":"once","host":"a.example","prefix":"/once/","kind":"stream","timeout_ms":%[6]d,"target_latency_ms":600,"service":"%[2]s","max_attempts":1,"sticky":true,"target_gap_ms":300}%[3]s],
  "services":[{"name":"plain"},{"name":"model","engine":{"slots":8,"kv_capacity":100000,"kv_token_bytes":1000,"link_mbps":100000,"handle_ttl_s":5%[5]s}}],
- "limits":{"max_body_bytes":1000}%[4]s}`
+ "limits":{"max_body_bytes":%[7]d}%[4]s}`
 
 // Publish writes a version of the configuration with one route of each kind. The routes of streams
 // go to the service named by streams.
 func (s *Store) Publish(version int, streams string) {
-	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), "", s.engineJSON(), s.streamTimeoutMs()))
+	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), "", s.engineJSON(), s.streamTimeoutMs(), s.bodyLimitBytes()))
 }
 
 // SetUnusedRoutes sets how many additional routes, to which no request is sent, the next versions
@@ -30,6 +30,22 @@
 	s.unusedRoutes = routes
 }
 
+// SetBodyLimit sets the limit of a body in bytes, for the next versions.
+func (s *Store) SetBodyLimit(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bodyLimit = n
+}
+
+func (s *Store) bodyLimitBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cmp.Or(s.bodyLimit, defaultBodyLimit)
+}
+
+// defaultBodyLimit is the limit of a body in bytes unless another one is set.
+const defaultBodyLimit = 1000
+
 // SetStreamTimeout sets the timeout of the routes of streams, for the next versions.
 func (s *Store) SetStreamTimeout(d time.Duration) {
 	s.mu.Lock()
@@ -87,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), `,"tenants":`+string(body), s.engineJSON(), s.streamTimeoutMs()))
+	s.Put("op", "config", fmt.Appendf(nil, configTemplate, version, streams, s.unusedRoutesJSON(), `,"tenants":`+string(body), s.engineJSON(), s.streamTimeoutMs(), s.bodyLimitBytes()))
 	return nil
 }
 
--- a/internal/standin/rows/store.go
+++ b/internal/standin/rows/store.go
@@ -49,6 +49,7 @@
 	suppressed    bool // waiting feed calls see no changes
 	engineFields  string
 	streamTimeout time.Duration // zero for the default
+	bodyLimit     int           // bytes; zero for the default
 	unusedRoutes  int           // additional routes in each published version
 	era           int           // number of restores plus one, unless SetEra changed it
 }
