--- a/cmd/carawayspread/crowd_test.go
+++ b/cmd/carawayspread/crowd_test.go
@@ -84,16 +84,12 @@
 	trial := crowd.Trial{
 		Target: crowd.Target{Address: p.row.Address, Head: p.head, Limit: crowdBody}, Size: crowdSize,
 		PID: p.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: p.ordinary,
+		Megabytes: grantedMegabytes, Descriptors: p.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
 	qt.Assert(t, begun, qt.IsTrue)
 	t.Logf("%s; granted %d MB and %d descriptors", result, grantedMegabytes, p.descriptors)
-	qt.Check(t, result.Memory <= grantedMegabytes<<20, qt.IsTrue, qt.Commentf("%s", result))
-	qt.Check(t, result.Descriptors <= p.descriptors, qt.IsTrue, qt.Commentf("%s", result))
-	qt.Check(t, result.ServedKept, qt.IsTrue, qt.Commentf("on a kept connection"))
-	qt.Check(t, keptLives && result.KeptClosed, qt.IsFalse, qt.Commentf("the kept connection was closed"))
-	qt.Check(t, result.ServedNew, qt.IsTrue, qt.Commentf("on a new connection"))
-	qt.Check(t, result.ServedAfter, qt.IsTrue, qt.Commentf("after the crowd"))
+	qt.Check(t, trial.Violations(result), qt.HasLen, 0)
 	select {
 	case <-p.ended:
 		t.Errorf("the process has ended: %s", p.logged())
--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -89,16 +89,12 @@
 	trial := crowd.Trial{
 		Target: g.target(path), Size: crowdSize,
 		PID: g.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: g.ordinary,
+		Megabytes: grantedMegabytes, Descriptors: g.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
 	qt.Assert(t, begun, qt.IsTrue)
 	t.Logf("%s; granted %d MB and %d descriptors", result, grantedMegabytes, g.descriptors)
-	qt.Check(t, result.Memory <= grantedMegabytes<<20, qt.IsTrue, qt.Commentf("%s", result))
-	qt.Check(t, result.Descriptors <= g.descriptors, qt.IsTrue, qt.Commentf("%s", result))
-	qt.Check(t, result.ServedKept, qt.IsTrue, qt.Commentf("on a kept connection"))
-	qt.Check(t, keptLives && result.KeptClosed, qt.IsFalse, qt.Commentf("the kept connection was closed"))
-	qt.Check(t, result.ServedNew, qt.IsTrue, qt.Commentf("on a new connection"))
-	qt.Check(t, result.ServedAfter, qt.IsTrue, qt.Commentf("after the crowd"))
+	qt.Check(t, trial.Violations(result), qt.HasLen, 0)
 	select {
 	case err := <-g.ended:
 		t.Errorf("the process has ended: %v", err)
--- a/internal/decision/intake/intake_test.go
+++ b/internal/decision/intake/intake_test.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -185,6 +187,79 @@
 	qt.Check(t, <-result, qt.IsNil)
 }
 
+// Hundreds of callers send requests of all sizes at once, break them off, stop for a while or leave, so that each waits
+// for memory of others that wait themselves. All of them come to an end, the limits hold at every moment, and nothing
+// is left accounted for.
+func TestManyCallersAtOnce(t *testing.T) {
+	const callers, requests, maxOpen, bytes = 128, 50, 32, 1 << 20
+	in := New(bytes, carawayspread.SystemClock())
+	l := in.Listener(maxOpen)
+	var running sync.WaitGroup
+	for n := range callers {
+		running.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(n)))
+			for range requests {
+				interrupted := make(chan struct{})
+				c, ok := l.Open(func() { close(interrupted) })
+				if !ok {
+					continue
+				}
+				request(c, rng, interrupted)
+				c.Close()
+			}
+		})
+	}
+	ended := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(ended)
+	}()
+	for {
+		select {
+		case <-ended:
+			qt.Check(t, in.Used(), qt.Equals, int64(0))
+			qt.Check(t, in.waiting, qt.Equals, 0)
+			qt.Check(t, l.closing, qt.Equals, 0)
+			qt.Check(t, l.conns, qt.HasLen, 0)
+			qt.Check(t, in.Counts().ForMemory > 0, qt.IsTrue)
+			return
+		case <-time.After(time.Millisecond):
+			in.mu.Lock()
+			used, usedLarge, open := in.used, in.usedLarge, len(l.conns)
+			in.mu.Unlock()
+			qt.Assert(t, used >= 0 && used <= bytes && usedLarge <= used, qt.IsTrue, qt.Commentf("%d, %d of large ones", used, usedLarge))
+			qt.Assert(t, open <= maxOpen+maxOpen/4, qt.IsTrue, qt.Commentf("%d connections", open))
+		}
+	}
+}
+
+// request plays one request, which may stop before its end until it is interrupted.
+func request(c carawayspread.CallerAccount, rng *rand.Rand, interrupted <-chan struct{}) {
+	for range rng.IntN(8) {
+		n := int64(rng.IntN(128 << 10))
+		if c.Take(n) != nil {
+			return
+		}
+		c.Arrived(int(n))
+		c.Return(n / 4)
+	}
+	switch rng.IntN(4) {
+	case 0:
+		return
+	case 1:
+		select {
+		case <-interrupted:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	if c.Received() == nil {
+		time.Sleep(time.Duration(rng.IntN(int(time.Millisecond))))
+		c.Answered()
+		c.TakeForConnection(16 << 10)
+	}
+}
+
 // The shares together, with what the kernel has received, must fit into the memory, whatever its size.
 func TestSharesFitIntoTheMemory(t *testing.T) {
 	for _, megabytes := range []int64{64, 144, 160, 184, 216, 284, 424, 536, 1 << 14} {
--- a/internal/standin/crowd/trial.go
+++ b/internal/standin/crowd/trial.go
@@ -12,6 +12,10 @@
 	PID      int // of the process
 	Ports    []int
 	Ordinary func() *http.Request // returns a request of an ordinary client
+
+	// What the process is granted, and whether it must keep the connection that was set up before the crowd came.
+	Megabytes, Descriptors int
+	KeptLives              bool
 }
 
 // Result is what a trial showed.
@@ -43,6 +47,24 @@
 	return r, true
 }
 
+// Violations returns what a result shows that must not be.
+func (t Trial) Violations(r Result) []string {
+	var found []string
+	for text, ok := range map[string]bool{
+		fmt.Sprintf("%d MB of %d", r.Memory>>20, t.Megabytes):             r.Memory <= int64(t.Megabytes)<<20,
+		fmt.Sprintf("%d descriptors of %d", r.Descriptors, t.Descriptors): r.Descriptors <= t.Descriptors,
+		"an ordinary client was not served on a kept connection":          r.ServedKept,
+		"the kept connection was closed":                                  !t.KeptLives || !r.KeptClosed,
+		"an ordinary client was not served on a new connection":           r.ServedNew,
+		"an ordinary client was not served after the crowd":               r.ServedAfter,
+	} {
+		if !ok {
+			found = append(found, text)
+		}
+	}
+	return found
+}
+
 // String returns the figures.
 func (r Result) String() string {
 	return fmt.Sprintf("sent %d MB, most memory %d MB, of it unread %d MB, most descriptors %d",
