Soak: an answer by another process is not held against a refused connection

Traced: a caller that takes up a stream tries one gateway after the other under one identifier until one accepts its connection. The first was killed (killAll of the schedule) and refused the connection, so that nothing was sent to it; the next one relayed the answer of w-15. The check matches answers and runs by the identifier alone, and blamed the try that never was one; its other checks leave such tries out already. The try that reached a process is judged as before. TestBreaches has the case, red before.

--- a/internal/soak/history/history_test.go
+++ b/internal/soak/history/history_test.go
@@ -169,6 +169,7 @@
 			a.Kind, a.Unframed, a.Body = caller.Stream, true, "id: 1\ndata: part 1 of id\n\n"
 		}), unframed(true), nil, "as whole"},
 		"unframed, not passed on":                    {truncated, unframed(false), nil, "did not get the answer that w gave in full"},
+		"unframed, at a process after this one":      {unconnected, unframed(false), nil, ""},
 		"unframed, cut with an error":                {truncated, unframed(true), nil, ""},
 		"unframed, at a faulty worker":               {truncated, unframed(false), func(h *History) { h.RecordFault("w", at(0), at(time.Second)) }, ""},
 		"unframed, from a killed process":            {truncated, unframed(false), func(h *History) { h.RecordFault("g", at(0), at(time.Second)) }, ""},
--- a/internal/soak/history/unframed.go
+++ b/internal/soak/history/unframed.go
@@ -36,6 +36,9 @@
 	if len(executions) != 1 || !executions[0].Unframed || executions[0].Short || a.Status == 200 && a.Err == nil {
 		return nil
 	}
+	if !a.Connected() {
+		return nil // its caller sent the request to another process then, under the same identifier
+	}
 	target := Target(executions[0].worker)
 	if h.overlaps(target, a.SentAt, a.EndedAt) || h.overlaps(Target(a.process), a.SentAt, a.EndedAt) {
 		return nil
