Gateway: garbage turns no new connection away

Cause: the reading of the memory once a second counted garbage and refused new connections from 0.7 of the memory granted on, where the limit of the garbage collector is. A process whose requests take what they may take is near that limit all the time, so that whoever came next paid for those who filled it.

Now what is in use counts from 0.7 on, without garbage, and the total from 0.8 on, where the collector does not keep up.

--- a/internal/daemon/gatewayd/connlimit.go
+++ b/internal/daemon/gatewayd/connlimit.go
@@ -99,31 +99,45 @@
 	}
 	m.next = now.Add(memoryInterval)
 	d.logIntake()
-	part := m.read()
-	share := d.connLimit.UseMemory(part)
+	inUse, total := m.read()
+	share := d.connLimit.UseMemory(inUse, total)
 	if m.accepting != (share == 1) {
 		m.accepting = share == 1
-		d.decisionLog.Write(decisionlog.Start("memory").Int("usedPercent", int64(100*part)).Int("acceptedPercent", int64(100*share)).
-			Int("open", int64(d.connections.open())))
+		d.decisionLog.Write(decisionlog.Start("memory").Int("usedPercent", int64(100*inUse)).Int("totalPercent", int64(100*total)).
+			Int("acceptedPercent", int64(100*share)).Int("open", int64(d.connections.open())))
 	}
 }
 
 // memoryMeter reads how much memory the process uses. It is not safe for concurrent use.
 type memoryMeter struct {
 	granted   int64
-	samples   []metrics.Sample // mapped, and returned to the system
+	samples   []metrics.Sample // as in memoryMetrics
 	next      time.Time        // when to read again
 	accepting bool             // all connections, at the last reading
 }
 
+// memoryMetrics are what is mapped, returned to the system, free, taken by objects, and of them in use when they were
+// last marked.
+var memoryMetrics = []string{
+	"/memory/classes/total:bytes", "/memory/classes/heap/released:bytes", "/memory/classes/heap/free:bytes",
+	"/memory/classes/heap/objects:bytes", "/gc/heap/live:bytes",
+}
+
 func newMemoryMeter(granted int64) *memoryMeter {
-	return &memoryMeter{granted: granted, accepting: true, samples: []metrics.Sample{
-		{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"},
-	}}
+	m := &memoryMeter{granted: granted, accepting: true}
+	for _, name := range memoryMetrics {
+		m.samples = append(m.samples, metrics.Sample{Name: name})
+	}
+	return m
 }
 
-// read returns the part of the granted memory that is in use.
-func (m *memoryMeter) read() float64 {
+// read returns the part of the granted memory that is in use, and the part that is taken with garbage. What came into
+// use since objects were last marked counts as garbage; they are marked again before garbage takes more than the
+// collector's limit.
+func (m *memoryMeter) read() (inUse, total float64) {
 	metrics.Read(m.samples)
-	return float64(m.samples[0].Value.Uint64()-m.samples[1].Value.Uint64()) / float64(m.granted)
+	value := func(n int) float64 { return float64(m.samples[n].Value.Uint64()) / float64(m.granted) }
+	mapped, released, free, objects, live := value(0), value(1), value(2), value(3), value(4)
+	total = mapped - released
+	return total - free - max(0, objects-live), total
 }
--- a/internal/decision/connlimit/limit.go
+++ b/internal/decision/connlimit/limit.go
@@ -9,7 +9,9 @@
 // process until their callers give up.
 //
 // The other is the memory that the process uses, what it holds for callers that read slowly included. A process
-// over the memory that it is granted is killed with all its requests, so it takes less before that.
+// over the memory that it is granted is killed with all its requests, so it takes less before that. Garbage does
+// not count as long as the collector keeps up with it: a process whose requests take the memory that they may take
+// is at the collector's limit all the time, and would turn away callers that did not fill it.
 package connlimit
 
 import (
@@ -33,9 +35,12 @@
 	// reconnectEvery is one of how many answers asks its caller to reconnect, so that connections which are
 	// kept open spread as well.
 	reconnectEvery = 4
-	// Of the memory granted, new connections are accepted in full up to usualMemory, which the garbage collector
-	// keeps to while less is in use, and not at all from fullMemory on. The rest is for what runs.
+	// Of the memory granted, new connections are accepted in full while no more than usualMemory is in use and
+	// no more than usualTotal is taken with garbage, and not at all from fullMemory on. The garbage collector keeps
+	// the total near usualMemory while less is in use; beyond usualTotal it does not keep up, and what the kernel
+	// may have received does not fit beside it. The rest is for what runs.
 	usualMemory = 0.7
+	usualTotal  = 0.8
 	fullMemory  = 0.85
 )
 
@@ -77,15 +82,20 @@
 	return l.share
 }
 
-// UseMemory records the part of the granted memory that is in use, and returns the share of connections that this
-// allows.
-func (l *Limit) UseMemory(part float64) float64 {
+// UseMemory records which parts of the granted memory are in use and taken with garbage, and returns the share of
+// connections that they allow.
+func (l *Limit) UseMemory(inUse, total float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.memory = min(1, max(0, (fullMemory-part)/(fullMemory-usualMemory)))
+	l.memory = min(memoryShare(inUse, usualMemory), memoryShare(total, usualTotal))
 	return l.memory
 }
 
+// memoryShare falls from all at the usual part to nothing at fullMemory.
+func memoryShare(part, usual float64) float64 {
+	return min(1, max(0, (fullMemory-part)/(fullMemory-usual)))
+}
+
 // Accept reports whether a new connection is accepted while that many are open.
 func (l *Limit) Accept(open int) bool {
 	l.mu.Lock()
