Crowds: ordinary requests with a body are served beside a crowd, too

The tests of crowds sent ordinary requests without a body only, which take no memory of the account of requests but for their header. Beside each crowd, and after it, an ordinary request with a body of 24 KiB, by length or in chunks in turn, must be served on a new connection as well. Crowd and bounds are the same; a receipt is answered with 201, so that status counts as served.

--- a/cmd/carawayspread/crowd_test.go
+++ b/cmd/carawayspread/crowd_test.go
@@ -32,6 +32,7 @@
 	descriptors int
 	head        string               // of a request of the crowd, as in crowd.Target
 	ordinary    func() *http.Request // of a client that behaves
+	withBody    func() *http.Request // of one whose request has a body, of a stated length and in chunks in turn
 }
 
 // withLimits returns settings with the limits of the crowd's tests.
@@ -47,6 +48,11 @@
 	p.ordinary = func() *http.Request {
 		return newRequest(http.MethodGet, p.row.Address, "/services/records/records/7", http.NoBody, "X-Workspace", "demo", "X-Class", "interactive")
 	}
+	n := 0
+	p.withBody = func() *http.Request {
+		n++
+		return newRequest(http.MethodPost, p.row.Address, "/services/records/receipts", crowd.OrdinaryBody(n%2 == 0), "X-Workspace", "demo", "X-Class", "interactive")
+	}
 	return p
 }
 
@@ -56,11 +62,15 @@
 	path := sidecarhttp.PathPrefix + "records-1"
 	p.head = "POST " + path + "/receipts HTTP/1.1\r\nHost: sidecar\r\n" + sidecarhttp.HeaderAttempt + ": crowd-{n}\r\n"
 	n := 0
-	p.ordinary = func() *http.Request {
+	request := func(method, path string, body io.Reader) *http.Request {
 		n++
-		return newRequest(http.MethodGet, p.row.Address, path+"/records/7", http.NoBody,
+		return newRequest(method, p.row.Address, path, body,
 			sidecarhttp.HeaderAttempt, fmt.Sprint("ordinary-", n), sidecarhttp.HeaderRemaining, "5000")
 	}
+	p.ordinary = func() *http.Request { return request(http.MethodGet, path+"/records/7", http.NoBody) }
+	p.withBody = func() *http.Request {
+		return request(http.MethodPost, path+"/receipts", crowd.OrdinaryBody(n%2 == 0))
+	}
 	return p
 }
 
@@ -83,7 +93,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	trial := crowd.Trial{
 		Target: crowd.Target{Address: p.row.Address, Head: p.head, Limit: crowdBody}, Size: crowdSize,
-		PID: p.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: p.ordinary,
+		PID: p.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: p.ordinary, WithBody: p.withBody,
 		Megabytes: grantedMegabytes, Descriptors: p.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -64,8 +64,17 @@
 
 // ordinary returns a request of a client that behaves.
 func (g *crowdGateway) ordinary() *http.Request {
+	return g.request(http.MethodGet, "/lookup/x", http.NoBody)
+}
+
+// withBody returns a request of a client that behaves, with a body of a stated length and in chunks in turn.
+func (g *crowdGateway) withBody() *http.Request {
+	return g.request(http.MethodPost, "/order/x", crowd.OrdinaryBody(g.requests%2 == 0))
+}
+
+func (g *crowdGateway) request(method, path string, body io.Reader) *http.Request {
 	g.requests++
-	r, err := http.NewRequest(http.MethodGet, "http://"+g.address+"/lookup/x", http.NoBody)
+	r, err := http.NewRequest(method, "http://"+g.address+path, body)
 	if err != nil {
 		panic(err)
 	}
@@ -88,7 +97,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	trial := crowd.Trial{
 		Target: g.target(path), Size: crowdSize,
-		PID: g.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: g.ordinary,
+		PID: g.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: g.ordinary, WithBody: g.withBody,
 		Megabytes: grantedMegabytes, Descriptors: g.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
--- a/internal/standin/crowd/ordinary.go
+++ b/internal/standin/crowd/ordinary.go
@@ -57,5 +57,5 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK
+	return err == nil && (resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated)
 }
