Entry, sidecar: without a stated memory, that of a control group bounds the process

What callers would see: an entry in a control group of 512 MB on a machine of 16 GB, whose settings state no memory, divides the 16 GB, takes 4 GB of requests and is ended with all that run. From reading; no run showed it, as the tests state the memory.

--- a/cmd/soak/crowd_test.go
+++ b/cmd/soak/crowd_test.go
@@ -3,6 +3,9 @@
 package main
 
 import (
+	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +31,28 @@
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, found, qt.HasLen, 0, qt.Commentf("%s", output.String()))
 			t.Log(output.String())
+			if len(found) > 0 {
+				t.Log(closedUnread(t, filepath.Join(dir, fmt.Sprint(s.Seed()))))
+			}
 		})
 	}
 }
+
+// closedUnread returns the lines of the logs in a folder that say why connections were closed unread.
+func closedUnread(t *testing.T, dir string) string {
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	qt.Assert(t, err, qt.IsNil)
+	var found strings.Builder
+	for _, name := range logs {
+		text, err := os.ReadFile(name)
+		qt.Assert(t, err, qt.IsNil)
+		for line := range strings.Lines(string(text)) {
+			for _, event := range []string{"intake", "memory", "connections"} {
+				if strings.HasPrefix(line, "event="+event+" ") {
+					fmt.Fprintf(&found, "%s: %s", filepath.Base(name), line)
+				}
+			}
+		}
+	}
+	return found.String()
+}
--- a/internal/daemon/base/intake.go
+++ b/internal/daemon/base/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -35,12 +36,15 @@
 }
 
 // granted returns the memory, in bytes, and the descriptors of the process: those of the settings, or else of the
-// machine and the system.
+// machine, or of the control group that has less, and of the system.
 func granted(limits settings.Limits) (memory, descriptors int64) {
 	memory, descriptors = limits.MemoryBytes(), limits.Descriptors()
 	var info unix.Sysinfo_t
 	if memory == 0 && unix.Sysinfo(&info) == nil {
 		memory = int64(info.Totalram) * int64(info.Unit)
+		if limit := cgroupMemory(os.DirFS("/")); limit > 0 {
+			memory = min(memory, limit)
+		}
 	}
 	var open unix.Rlimit
 	if descriptors == 0 && unix.Getrlimit(unix.RLIMIT_NOFILE, &open) == nil {
