Change: one request with very many values keeps no process busy for minutes

What callers would see: an entry that answers nobody in time.

Cause: every value was a finding; its line was found by counting those of the text before it, and each check of a class looked its path up by making a node of every element of its list, and counted lines once more. All three grow with the square of the values.

Now a change reports its first 1,000 findings, an element is looked up by its index, and whether a path has a finding needs no line.

--- a/internal/process/admin/write.go
+++ b/internal/process/admin/write.go
@@ -16,12 +16,15 @@
 	"carawayspread/internal/version/document"
 )
 
+// maxDrainFindings bounds the findings of a request to drain, which has two fields.
+const maxDrainFindings = 100
+
 func readDrainRequest(r *http.Request) (adminapi.DrainRequest, error) {
 	body, err := readBody(r)
 	if err != nil {
 		return adminapi.DrainRequest{}, err
 	}
-	root := document.Parse("", body).Object("instance", "endpoint")
+	root := document.Parse("", body).WithMaxFindings(maxDrainFindings).Object("instance", "endpoint")
 	target := adminapi.DrainRequest{Instance: root.Field("instance").Text(), Endpoint: root.Field("endpoint").Text()}
 	if err := root.Err(); err != nil {
 		return adminapi.DrainRequest{}, malformed(err.Error())
--- a/internal/version/change/check.go
+++ b/internal/version/change/check.go
@@ -11,6 +11,9 @@
 // validName matches names that need no escaping in a header or a path.
 var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,126}$`)
 
+// maxFindings bounds the findings of one change that are reported, since each value of a long list may be one.
+const maxFindings = 1000
+
 // checker collects the findings of one change against one configuration.
 type checker struct {
 	change   *Change
@@ -32,15 +35,15 @@
 	return k.findings.Err()
 }
 
-// add records a finding unless parsing has reported one at the same path.
+// add records a finding unless parsing has reported one at the same path, or there are maxFindings.
 func (k *checker) add(path, format string, args ...any) {
-	if !k.hasParseFinding(path) {
+	if len(k.findings) < maxFindings && !k.hasParseFinding(path) {
 		k.findings.Add(k.change.place(path), format, args...)
 	}
 }
 
 func (k *checker) hasParseFinding(path string) bool {
-	return k.change.parseFindings.HasPath(k.change.place(path).Path)
+	return k.change.parseFindings.HasPath(k.change.textPath(path))
 }
 
 func (k *checker) classes() {
--- a/internal/version/change/codec.go
+++ b/internal/version/change/codec.go
@@ -99,7 +99,7 @@
 // Parse reads a change from JSON with comments. Check reports the findings of parsing together with
 // its own.
 func Parse(name string, body []byte) *Change {
-	root := document.Parse(name, body)
+	root := document.Parse(name, body).WithMaxFindings(maxFindings)
 	c := read(root)
 	c.parseFindings = root.Findings()
 	return c
@@ -174,13 +174,21 @@
 	if !c.source.Exists() {
 		return finding.Place{Path: path}
 	}
-	return c.source.Find(strings.TrimPrefix(strings.TrimPrefix(path, c.pathPrefix), ".")).Place()
+	return c.source.Find(c.textPath(path)).Place()
+}
+
+// textPath returns a path of the change as it is in the text that the change was parsed from.
+func (c *Change) textPath(path string) string {
+	if !c.source.Exists() {
+		return path
+	}
+	return strings.TrimPrefix(strings.TrimPrefix(path, c.pathPrefix), ".")
 }
 
 // ParseOne reads a change that sets one value; field is classes, workspaces or services. The name
 // of the value is given separately; the text may repeat it.
 func ParseOne(field, name string, body []byte) *Change {
-	root := document.Parse("", body)
+	root := document.Parse("", body).WithMaxFindings(maxFindings)
 	c := &Change{source: root}
 	switch field {
 	case "classes":
--- a/internal/version/document/document.go
+++ b/internal/version/document/document.go
@@ -18,6 +18,22 @@
 	"carawayspread/internal/version/finding"
 )
 
+// valueBytes is the memory of one value or name: as it is parsed, as a Node, and as what is read from it.
+const valueBytes = 512
+
+// Memory returns how many bytes the values of a document occupy at most while it is parsed and read. A value is begun
+// by a bracket or brace, or follows a comma or colon.
+func Memory(body []byte) int64 {
+	values := int64(1)
+	for _, c := range body {
+		switch c {
+		case ',', ':', '[', '{':
+			values++
+		}
+	}
+	return valueBytes * values
+}
+
 // Node is one value of a document.
 type Node struct {
 	source *source
@@ -30,9 +46,10 @@
 }
 
 type source struct {
-	name     string
-	body     []byte
-	findings finding.List
+	name        string
+	body        []byte
+	findings    finding.List
+	maxFindings int // further ones are not recorded; zero if all are
 }
 
 // Parse reads a document. Malformed text is recorded as a finding at its position.
@@ -46,6 +63,13 @@
 	return Node{source: src, value: &value, offset: value.StartOffset}
 }
 
+// WithMaxFindings has only the first findings of the document recorded, and returns the node. Each element of a long
+// list may be one, and to tell its line takes as long as the text before it.
+func (n Node) WithMaxFindings(most int) Node {
+	n.source.maxFindings = most
+	return n
+}
+
 var parseError = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
 
 func malformed(name string, err error) finding.Finding {
@@ -90,11 +114,12 @@
 	return finding.Place{File: n.source.name, Line: line, Column: column, Path: n.path}
 }
 
-// Fail records a finding at the value, unless the node is suppressed.
+// Fail records a finding at the value, unless the node is suppressed or the document has its most findings.
 func (n Node) Fail(format string, args ...any) {
-	if !n.suppressed {
-		n.source.findings.Add(n.Place(), format, args...)
+	if n.suppressed || n.source.maxFindings > 0 && len(n.source.findings) >= n.source.maxFindings {
+		return
 	}
+	n.source.findings.Add(n.Place(), format, args...)
 }
 
 func (s *source) position(offset int) (line, column int) {
@@ -169,17 +194,16 @@
 	}
 	items = make([]Node, 0, len(array.Elements))
 	for i := range array.Elements {
-		element := &array.Elements[i]
-		items = append(items, Node{
-			source: n.source,
-			value:  element,
-			offset: element.StartOffset,
-			path:   fmt.Sprintf("%s[%d]", n.path, i),
-		})
+		items = append(items, n.element(array, i))
 	}
 	return items, true
 }
 
+func (n Node) element(array *hujson.Array, i int) Node {
+	element := &array.Elements[i]
+	return Node{source: n.source, value: element, offset: element.StartOffset, path: fmt.Sprintf("%s[%d]", n.path, i)}
+}
+
 func (n Node) object() (*hujson.Object, bool) {
 	if n.suppressed || n.value == nil {
 		return nil, false
@@ -252,10 +276,13 @@
 	if field != "" {
 		return n.Field(field)
 	}
-	items, _ := n.Items()
+	if n.suppressed || n.value == nil {
+		return Node{source: n.source}
+	}
+	array, ok := n.value.Value.(*hujson.Array)
 	i, err := strconv.Atoi(index)
-	if err != nil || i >= len(items) {
+	if !ok || err != nil || i >= len(array.Elements) {
 		return Node{source: n.source}
 	}
-	return items[i]
+	return n.element(array, i)
 }
