Admin: the values of a change are accounted for before they are parsed

What callers would see: an entry that exceeds its memory by some requests of a megabyte at the administration API. A value of two bytes takes up to 512 as it is parsed and read.

Cause: only the body was accounted for. Now 512 bytes for each comma, colon and bracket are taken from the account as well, and a request for which there is no room is refused as not run. Ruled out: a smaller limit of a body, which changes that operators make would meet.

--- a/cmd/carawayspread/crowd_test.go
+++ b/cmd/carawayspread/crowd_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 
@@ -89,11 +88,15 @@
 // requests while the crowd is there and when it has gone.
 func (p *crowdedProcess) check(t *testing.T, keptLives bool, kinds ...crowd.Client) {
 	t.Helper()
-	address, err := netip.ParseAddrPort(p.row.Address)
-	qt.Assert(t, err, qt.IsNil)
+	p.checkTarget(t, crowd.Target{Address: p.row.Address, Head: p.head, Limit: crowdBody}, keptLives, kinds...)
+}
+
+// checkTarget is check for a crowd at any listener of the process.
+func (p *crowdedProcess) checkTarget(t *testing.T, target crowd.Target, keptLives bool, kinds ...crowd.Client) {
+	t.Helper()
 	trial := crowd.Trial{
-		Target: crowd.Target{Address: p.row.Address, Head: p.head, Limit: crowdBody}, Size: crowdSize,
-		PID: p.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: p.ordinary, WithBody: p.withBody,
+		Target: target, Size: crowdSize,
+		PID: p.cmd.Process.Pid, Ports: crowd.Ports(p.row.Address, target.Address), Ordinary: p.ordinary, WithBody: p.withBody,
 		Megabytes: grantedMegabytes, Descriptors: p.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
@@ -124,6 +127,41 @@
 // endpoint serves nobody else meanwhile.
 func TestCrowdOfBodiesAtTheSidecar(t *testing.T) { checkCrowdOfBodies(t, startCrowdedSidecar) }
 
+// denseList sends a whole list of as many numbers as a body may have.
+func denseList(w io.Writer, t crowd.Target) error {
+	list := "[" + strings.Repeat("0,", t.Limit/2-2) + "0]"
+	_, err := fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", t.Head, len(list), list)
+	return err
+}
+
+// Guards against a process that runs out of memory by requests at its listeners for operators and other processes.
+func TestCrowdOfBodiesAtOtherListeners(t *testing.T) {
+	const adminLimit = 1 << 20
+	for name, c := range map[string]struct {
+		process string
+		address func(*crowdedProcess) string
+		head    string
+		limit   int
+		clients []crowd.Client
+	}{
+		"control of the entry, over the limit": {"entry", controlAddress, "POST /x", crowdBody, []crowd.Client{crowd.Clients["over the limit, stated"]}},
+		"control of the entry, all kinds":      {"entry", controlAddress, "POST /x", crowdBody, crowd.Mix()},
+		"control of the sidecar, all kinds":    {"sidecar", controlAddress, "POST /x", crowdBody, crowd.Mix()},
+		"administration, all kinds":            {"entry", adminAddress, "POST /admin/v1/config/check", crowdBody, crowd.Mix()},
+		"administration, large chunks":         {"entry", adminAddress, "POST /admin/v1/config/check", adminLimit, []crowd.Client{crowd.Clients["large chunks"]}},
+		"administration, very many values":     {"entry", adminAddress, "POST /admin/v1/config/check", adminLimit, []crowd.Client{denseList}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := crowdedProcesses[c.process](t, grantedDescriptors)
+			p.checkTarget(t, crowd.Target{Address: c.address(p), Limit: c.limit, Head: c.head + " HTTP/1.1\r\nHost: a\r\nX-Number: {n}\r\n"}, true, c.clients...)
+		})
+	}
+}
+
+func controlAddress(p *crowdedProcess) string { return p.row.Control }
+
+func adminAddress(p *crowdedProcess) string { return p.admin }
+
 func checkCrowdOfConnections(t *testing.T, start func(*testing.T, int) *crowdedProcess) {
 	for _, name := range []string{"nothing", "head without an end", "idle after an answer", "length, at once", "announced, nothing sent"} {
 		t.Run(name, func(t *testing.T) { start(t, fewDescriptors).check(t, false, crowd.Clients[name]) })
--- a/cmd/gateway/crowd_test.go
+++ b/cmd/gateway/crowd_test.go
@@ -5,8 +5,8 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -36,6 +36,7 @@
 type crowdGateway struct {
 	*process
 	address     string
+	others      map[string]string // addresses of its other listeners, by name
 	descriptors int
 	requests    int
 }
@@ -53,6 +54,11 @@
 	g := &crowdGateway{process: startProcess(t, store), descriptors: descriptors}
 	g.text = strings.Replace(g.text, `"memoryMegabytes":100`, fmt.Sprintf(`"memoryMegabytes":%d,
 		"limits":{"cores":1,"linkMegabits":1000,"descriptors":%d}`, grantedMegabytes, descriptors), 1)
+	g.others = map[string]string{}
+	for _, name := range []string{"health", "peer", "metrics"} {
+		g.others[name] = freeAddress(t)
+		g.text = strings.Replace(g.text, fmt.Sprintf(`"%s":"127.0.0.1:0"`, name), fmt.Sprintf(`"%s":"%s"`, name, g.others[name]), 1)
+	}
 	g.begin(t)
 	g.address = <-g.listen
 	go func() {
@@ -62,6 +68,15 @@
 	return g
 }
 
+// freeAddress returns an address of loopback on which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 // ordinary returns a request of a client that behaves.
 func (g *crowdGateway) ordinary() *http.Request {
 	return g.request(http.MethodGet, "/lookup/x", http.NoBody)
@@ -91,13 +106,17 @@
 // check has a crowd call the process, and checks that it lives, stays within what it is granted and serves ordinary
 // requests while the crowd is there and when it has gone.
 func (g *crowdGateway) check(t *testing.T, path string, keptLives bool, kinds ...crowd.Client) {
+	t.Helper()
+	g.checkTarget(t, g.target(path), keptLives, kinds...)
+}
+
+// checkTarget is check for a crowd at any listener of the process.
+func (g *crowdGateway) checkTarget(t *testing.T, target crowd.Target, keptLives bool, kinds ...crowd.Client) {
 	t.Helper()
 	waitUntil(t, func() bool { return crowd.NewOrdinary(false).Served(g.ordinary) })
-	address, err := netip.ParseAddrPort(g.address)
-	qt.Assert(t, err, qt.IsNil)
 	trial := crowd.Trial{
-		Target: g.target(path), Size: crowdSize,
-		PID: g.cmd.Process.Pid, Ports: []int{int(address.Port())}, Ordinary: g.ordinary, WithBody: g.withBody,
+		Target: target, Size: crowdSize,
+		PID: g.cmd.Process.Pid, Ports: crowd.Ports(g.address, target.Address), Ordinary: g.ordinary, WithBody: g.withBody,
 		Megabytes: grantedMegabytes, Descriptors: g.descriptors, KeptLives: keptLives,
 	}
 	result, begun := trial.Run(kinds...)
@@ -127,6 +146,26 @@
 	})
 }
 
+// Guards against a process that runs out of memory by requests at its listeners for health, metrics and other
+// processes, or no longer tells its health.
+func TestCrowdOfBodiesAtOtherListenersOfTheGateway(t *testing.T) {
+	for _, name := range []string{"health", "peer", "metrics"} {
+		for kind, clients := range map[string][]crowd.Client{
+			"over the limit, stated": {crowd.Clients["over the limit, stated"]}, "small chunks": {crowd.Clients["small chunks"]}, "all kinds": crowd.Mix(),
+		} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				g := startCrowdGateway(t, grantedDescriptors)
+				target := crowd.Target{Address: g.others[name], Limit: crowdBody, Head: "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Number: {n}\r\n"}
+				g.checkTarget(t, target, true, clients...)
+				qt.Check(t, crowd.NewOrdinary(false).Served(func() *http.Request {
+					r, _ := http.NewRequest(http.MethodGet, "http://"+g.others["health"]+"/", http.NoBody)
+					return r
+				}), qt.IsTrue, qt.Commentf("the health of the process"))
+			})
+		}
+	}
+}
+
 // Guards against a process that turns ordinary clients away, since others hold all connections that it may have open.
 func TestCrowdOfConnectionsAtTheGateway(t *testing.T) {
 	for _, name := range []string{"nothing", "head without an end", "idle after an answer", "length, at once", "announced, nothing sent"} {
--- a/internal/process/admin/change.go
+++ b/internal/process/admin/change.go
@@ -14,6 +14,7 @@
 	"carawayspread/internal/request/body"
 	"carawayspread/internal/version/change"
 	"carawayspread/internal/version/changelog"
+	"carawayspread/internal/version/document"
 	"carawayspread/internal/version/finding"
 )
 
@@ -103,6 +104,9 @@
 func readBody(r *http.Request) ([]byte, error) {
 	account := callers.AccountOf(r.Context())
 	text, err := body.Read(account, r.Body, r.ContentLength, maxBodyBytes)
+	if err == nil {
+		err = account.Take(document.Memory(text))
+	}
 	if err == nil {
 		err = account.Received()
 	}
--- a/internal/standin/crowd/meter.go
+++ b/internal/standin/crowd/meter.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -26,6 +27,17 @@
 	descriptors int
 }
 
+// Ports returns the ports of addresses.
+func Ports(addresses ...string) []int {
+	var ports []int
+	for _, address := range addresses {
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			ports = append(ports, int(parsed.Port()))
+		}
+	}
+	return ports
+}
+
 // Measure starts to read what the process holds, which listens at the given ports.
 func Measure(pid int, ports ...int) *Meter {
 	m := &Meter{pid: pid, stop: make(chan struct{}), done: make(chan struct{})}
