Soak: the event of a worker that crashes names its request

Traced: the stand-in's event before a crash was a constant without the request's identifier, while the check of order compares each event with the one that names it. The gateway had relayed it as it came. The stand-in names it now; the check is as it was.

--- a/internal/standin/worker/answer.go
+++ b/internal/standin/worker/answer.go
@@ -147,6 +147,7 @@
 
 // writeUntilCrash writes nothing, a header, or a part of a body, by the identifier of the request.
 func writeUntilCrash(conn net.Conn, got Request) {
+	firstEvent := fmt.Sprintf("id: 1\ndata: part 1 of %s\n\n", got.ID)
 	parts := []string{
 		"HTTP/1.1 200 OK\r\nCarawayspread-Request-Id: " + got.ID + "\r\nCarawayspread-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
 		fmt.Sprintf("%x\r\n%s\r\n", len(firstEvent), firstEvent),
@@ -157,5 +158,3 @@
 		_, _ = io.WriteString(conn, part)
 	}
 }
-
-const firstEvent = "id: 1\ndata: part 1\n\n"
