Crowds: the test of other listeners stands after those that it follows

Moved within its file, without a change: no line of the file differs when sorted, and all crowd tests of entry and sidecar pass, one run.

--- a/cmd/carawayspread/crowd_test.go
+++ b/cmd/carawayspread/crowd_test.go
@@ -127,6 +127,21 @@
 // endpoint serves nobody else meanwhile.
 func TestCrowdOfBodiesAtTheSidecar(t *testing.T) { checkCrowdOfBodies(t, startCrowdedSidecar) }
 
+func checkCrowdOfConnections(t *testing.T, start func(*testing.T, int) *crowdedProcess) {
+	for _, name := range []string{"nothing", "head without an end", "idle after an answer", "length, at once", "announced, nothing sent"} {
+		t.Run(name, func(t *testing.T) { start(t, fewDescriptors).check(t, false, crowd.Clients[name]) })
+	}
+	t.Run("all kinds", func(t *testing.T) { start(t, fewDescriptors).check(t, false, crowd.Mix()...) })
+}
+
+// Guards against an entry that exceeds its descriptors, or turns ordinary clients away since others hold all of them.
+func TestCrowdOfConnectionsAtTheEntry(t *testing.T) { checkCrowdOfConnections(t, startCrowdedEntry) }
+
+// Guards against a sidecar that exceeds its descriptors, or turns entries away since others hold all of them.
+func TestCrowdOfConnectionsAtTheSidecar(t *testing.T) {
+	checkCrowdOfConnections(t, startCrowdedSidecar)
+}
+
 // denseList sends a whole list of as many numbers as a body may have.
 func denseList(w io.Writer, t crowd.Target) error {
 	list := "[" + strings.Repeat("0,", t.Limit/2-2) + "0]"
@@ -162,21 +177,6 @@
 
 func adminAddress(p *crowdedProcess) string { return p.admin }
 
-func checkCrowdOfConnections(t *testing.T, start func(*testing.T, int) *crowdedProcess) {
-	for _, name := range []string{"nothing", "head without an end", "idle after an answer", "length, at once", "announced, nothing sent"} {
-		t.Run(name, func(t *testing.T) { start(t, fewDescriptors).check(t, false, crowd.Clients[name]) })
-	}
-	t.Run("all kinds", func(t *testing.T) { start(t, fewDescriptors).check(t, false, crowd.Mix()...) })
-}
-
-// Guards against an entry that exceeds its descriptors, or turns ordinary clients away since others hold all of them.
-func TestCrowdOfConnectionsAtTheEntry(t *testing.T) { checkCrowdOfConnections(t, startCrowdedEntry) }
-
-// Guards against a sidecar that exceeds its descriptors, or turns entries away since others hold all of them.
-func TestCrowdOfConnectionsAtTheSidecar(t *testing.T) {
-	checkCrowdOfConnections(t, startCrowdedSidecar)
-}
-
 // Guards against limits of an entry that refuse a single request which keeps them.
 func TestLargestBodyIsServedInCalm(t *testing.T) {
 	for name, start := range crowdedProcesses {
