Review: a request whose crashes take machines down is never refused

Cause: an attempt that its route's time limit ends counts as a crash only if nothing listens at the endpoint's address; a machine that is gone answers no probe. Change: a case with a script. Nothing is fixed.

--- /dev/null
+++ b/review/.standin-2/main.go
@@ -0,0 +1,24 @@
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// cases are the scripts by name. They return whether the rule was broken.
+var cases = map[string]func(dir string, trouble bool) bool{
+	"dark": darkCrash,
+	"path": pathChanged,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
+		os.Exit(2)
+	}
+	broken := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
+	stopAll()
+	if broken {
+		os.Exit(1)
+	}
+}
