--- a/review/.standin-2/dark.go
+++ b/review/.standin-2/dark.go
@@ -122,12 +122,16 @@
 			continue
 		}
 		rid := req.Header.Get("Carawayspread-Request-Id")
-		if string(body) == deadlyBody {
+		switch string(body) {
+		case deadlyBody:
 			m.record.Line("worker %s begins to run %s, the deadly request", id, rid)
 			if m.trouble {
-				m.crash()
+				m.crash(false)
 				return
 			}
+		case longBody:
+			m.answerUnframed(c, id, rid)
+			return
 		}
 		time.Sleep(20 * time.Millisecond)
 		select {
@@ -142,8 +146,9 @@
 	}
 }
 
-// crash takes the machine down, and has it back after downFor.
-func (m *machine) crash() {
+// crash takes the machine down, and has it back after downFor. If ends says so, the worker's process ends first, so that
+// the kernel ends its connections in order.
+func (m *machine) crash(ends bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	close(m.dark)
@@ -155,11 +160,13 @@
 	var fill []net.Conn
 	if m.closes {
 		_ = l.Close()
+	} else {
+		fill = silence(l)
+	}
+	if m.closes || ends {
 		for _, c := range conns {
 			_ = c.Close()
 		}
-	} else {
-		fill = silence(l)
 	}
 	go func() {
 		time.Sleep(downFor)
--- a/review/.standin-2/main.go
+++ b/review/.standin-2/main.go
@@ -9,6 +9,7 @@
 var cases = map[string]func(dir string, trouble bool) bool{
 	"dark": darkCrash,
 	"path": pathChanged,
+	"part": partOfAnswer,
 }
 
 func main() {
