--- a/review/.standin-2/dark.go
+++ b/review/.standin-2/dark.go
@@ -222,10 +222,7 @@
 // comes again every comesAgain, at each gateway in turn. No gateway and no store is disturbed.
 func darkCrash(dir string, trouble bool) bool {
 	record := newRecord(dir)
-	tmp, err := os.MkdirTemp("", "review")
-	if err != nil {
-		cannotRun("%v", err)
-	}
+	tmp := temporaryFolder()
 	defer func() { _ = os.RemoveAll(tmp) }()
 	defer stopAll()
 	store := newStore()
--- a/review/.standin-2/lab.go
+++ b/review/.standin-2/lab.go
@@ -49,19 +49,47 @@
 	return fmt.Sprintf("127.%d.%d.%d", 96+pid>>16&31, pid>>8&255, 1+pid%254)
 }
 
+// reserved holds the ports of gateways that have not started, so that none is given twice.
+var reserved = map[string]net.Listener{}
+
+// freeAddress returns an address that stays reserved until release.
 func freeAddress() string {
 	l, err := net.Listen("tcp4", host()+":0")
 	if err != nil {
 		cannotRun("no free port: %v", err)
 	}
-	defer func() { _ = l.Close() }()
+	reserved[l.Addr().String()] = l
 	return l.Addr().String()
 }
 
+func release(addresses ...string) {
+	for _, a := range addresses {
+		if l := reserved[a]; l != nil {
+			_ = l.Close()
+			delete(reserved, a)
+		}
+	}
+}
+
+// folder is the temporary folder of the case.
+var folder string
+
+func temporaryFolder() string {
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		cannotRun("%v", err)
+	}
+	folder = dir
+	return dir
+}
+
 // cannotRun ends the case: it could not run.
 func cannotRun(format string, args ...any) {
 	fmt.Fprintf(os.Stderr, "cannot run: "+format+"\n", args...)
 	stopAll()
+	if folder != "" {
+		_ = os.RemoveAll(folder)
+	}
 	os.Exit(2)
 }
 
@@ -156,6 +184,7 @@
 	g.cmd = exec.Command("target/gateway")
 	g.cmd.Env = []string{"CARAWAYSPREAD_BOOT=" + g.settings, "PATH=" + os.Getenv("PATH")}
 	g.cmd.Stdout, g.cmd.Stderr = f, f
+	release(g.Front, g.Ready, g.Control, g.Metrics)
 	if err := g.cmd.Start(); err != nil {
 		cannotRun("%v", err)
 	}
--- a/review/.standin-2/part.go
+++ b/review/.standin-2/part.go
@@ -72,10 +72,7 @@
 // respond any more. No gateway and no store is disturbed.
 func partOfAnswer(dir string, trouble bool) bool {
 	record := newRecord(dir)
-	tmp, err := os.MkdirTemp("", "review")
-	if err != nil {
-		cannotRun("%v", err)
-	}
+	tmp := temporaryFolder()
 	defer func() { _ = os.RemoveAll(tmp) }()
 	defer stopAll()
 	store := newStore()
--- a/review/.standin-2/path.go
+++ b/review/.standin-2/path.go
@@ -36,10 +36,7 @@
 // two slashes.
 func pathChanged(dir string, trouble bool) bool {
 	record := newRecord(dir)
-	tmp, err := os.MkdirTemp("", "review")
-	if err != nil {
-		cannotRun("%v", err)
-	}
+	tmp := temporaryFolder()
 	defer func() { _ = os.RemoveAll(tmp) }()
 	defer stopAll()
 	store := newStore()
