A part of an answer is no whole after a reset during the upload

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written; the caller got the part as a complete answer.

Cause: after a reset the kernel gives the error to the first call on the socket and lets all later reads end as if in order. The write of the upload was that first call, and the client of net/http, which reads at the same time, took the end for that of the answer. The probe of the endpoint then found it listening. An end in order that comes before the upload was delivered proves as little: a process that is lost ends its connections in order where nothing is unread, and resets them when more arrives.

Change: framed.Conn decides what the end of a connection proves, for all that the direct client calls. It has seen the errors of all writes; at the end of an answer without a length it waits until the request was delivered, and looks whether the connection was reset. Otherwise the body ends with ErrUnproved: 502, another attempt where the route allows it, or a reset. Counted as gateway_answer_ends_total{end="unproved"}, and named in the lines of the request and of the attempt.

Ruled out: a longer delay before the probe, since the endpoint does listen; asking the socket for its error, since the error has gone.

TestWholeAnswerToAnUploadReachesItsCaller held before and holds: answers begun early that end well, also before the upload was read.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: dialed, id: c.connections.Add(1), connectedAt: c.clock.Now(), closed: make(chan struct{})}, nil
+	return &conn{Conn: framed.Watch(dialed, c.clock), id: c.connections.Add(1), connectedAt: c.clock.Now(), closed: make(chan struct{})}, nil
 }
 
 // setUserTimeout bounds how long sent data may stay unacknowledged.
@@ -151,6 +151,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*conn); ok {
+				got.Begin(int64(len(out.Body)))
 				got.give(d)
 				over.Store(got)
 				idle.Store(info.Reused)
@@ -166,7 +167,7 @@
 	close(d.returned)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return bounded(newReply(resp, sentOver, d))
+		return bounded(newReply(framed.Check(resp, sentOver.Conn), sentOver, d))
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
--- a/internal/connection/direct/conn.go
+++ b/internal/connection/direct/conn.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"carawayspread/internal/connection/framed"
 )
 
 // errWithheld is the error of a write that was not made.
@@ -13,7 +14,7 @@
 
 // conn is a connection to an endpoint. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*framed.Conn
 	id          uint64 // within the client
 	connectedAt time.Time
 	answers     atomic.Int64 // that came over it
--- a/internal/connection/direct/conn_test.go
+++ b/internal/connection/direct/conn_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 )
 
 const empty = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -102,7 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			here, there := net.Pipe()
 			defer func() { _ = there.Close() }()
-			c := &conn{Conn: here, closed: make(chan struct{})}
+			c := &conn{Conn: framed.Watch(here, carawayspread.SystemClock()), closed: make(chan struct{})}
 			before := newDelivery(nil)
 			c.give(before)
 			c.give(newDelivery(func() bool { return false }))
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -1,15 +1,21 @@
-// Package framed rejects answers whose end nothing marks.
+// Package framed decides whether an answer over HTTP/1 is complete.
 //
 // An HTTP answer that has neither a length nor chunks ends with its connection, and looks the same
 // when it is broken off. Bytes that prove nothing by themselves, such as an object or a protobuf
-// message, must not be read from one.
+// message, must not be read from one. Conn says which others may be complete.
 package framed
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strings"
+	"sync/atomic"
+
+	"carawayspread"
 )
 
 // ErrUnmarked means that an answer has neither a length nor chunks.
@@ -20,19 +26,71 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
-// Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks.
-type Transport struct{ next *http.Transport }
+// Check returns the answer that arrived over the connection, to be read to a proved end. Nothing of its body has been
+// read.
+func Check(resp *http.Response, over *Conn) *http.Response {
+	over.unmarked.Store(!Marked(resp))
+	return resp
+}
+
+// Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks, unless they are
+// allowed.
+type Transport struct {
+	next          *http.Transport
+	allowUnmarked bool
+}
+
+// Option sets an optional part of a Transport.
+type Option func(*Transport)
+
+// AllowUnmarked has a Transport return answers whose end nothing marks. Reading one ends with an error unless it is
+// proved to be complete as far as its connection shows; see Conn.
+func AllowUnmarked() Option { return func(t *Transport) { t.allowUnmarked = true } }
+
+// New returns a Transport that sends requests through a copy of next.
+func New(next *http.Transport, opts ...Option) *Transport {
+	t := &Transport{next: next.Clone()}
+	for _, opt := range opts {
+		opt(t)
+	}
+	dial := next.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.next.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return Watch(conn, carawayspread.SystemClock()), nil
+	}
+	return t
+}
 
-// New returns a Transport that sends requests through next.
-func New(next *http.Transport) *Transport { return &Transport{next: next} }
+// errNoConn says that an answer came over no connection of the transport.
+var errNoConn = errors.New("the answer came over an unknown connection")
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.next.RoundTrip(req)
-	if err != nil || Marked(resp) {
-		return resp, err
+	var over atomic.Pointer[Conn]
+	traced := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*Conn); ok {
+				conn.Begin(req.ContentLength)
+				over.Store(conn)
+			}
+		},
+	})
+	resp, err := t.next.RoundTrip(req.WithContext(traced))
+	switch {
+	case err != nil:
+		return nil, err
+	case over.Load() == nil:
+		return nil, errors.Join(errNoConn, resp.Body.Close())
+	case !t.allowUnmarked && !Marked(resp):
+		return nil, errors.Join(ErrUnmarked, resp.Body.Close())
 	}
-	return nil, errors.Join(ErrUnmarked, resp.Body.Close())
+	return Check(resp, over.Load()), nil
 }
 
 // CloseIdleConnections closes the idle connections of the next transport.
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -92,6 +92,8 @@
 		end = "inEvent"
 	case errors.Is(err, errEndpointGone):
 		end = "gone"
+	case errors.Is(err, carawayspread.ErrUnproved):
+		end = "unproved"
 	case err != nil:
 		end = "broken"
 	}
--- a/internal/process/gateway/framing_test.go
+++ b/internal/process/gateway/framing_test.go
@@ -121,11 +121,17 @@
 // receive sends a request and reads its answer from the socket. onHeader is called when its header has
 // arrived.
 func receive(t *testing.T, b *harness, proto, path string, onHeader ...func()) received {
+	t.Helper()
+	return receiveFor(t, b, proto, path, "body", onHeader...)
+}
+
+// receiveFor is receive for a request with that body.
+func receiveFor(t *testing.T, b *harness, proto, path, sent string, onHeader ...func()) received {
 	t.Helper()
 	conn, err := net.Dial("tcp4", b.server.Listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nCarawayspread-Request-Id: %s\r\n%s: 100,50\r\nContent-Length: 4\r\n\r\nbody", path, proto, ownRequestID, tokens)
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nCarawayspread-Request-Id: %s\r\n%s: 100,50\r\nContent-Length: %d\r\n\r\n%s", path, proto, ownRequestID, tokens, len(sent), sent)
 	qt.Assert(t, err, qt.IsNil)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -8,11 +8,14 @@
 	"net"
 	"net/http"
 	"os"
+
+	"carawayspread/internal/connection/callers"
 )
 
 // Server answers each request on a connection of its own, which ends with the answer.
 type Server struct {
 	listener net.Listener
+	unread   bool // requests are answered before their bodies have been read
 	answer   func(conn *net.TCPConn, req *http.Request)
 }
 
@@ -20,11 +23,29 @@
 // that they have lost, and a port that was theirs may be the next one to be given out. answer writes an answer to a request whose body has been
 // read; the connection is closed after it.
 func New(answer func(conn *net.TCPConn, req *http.Request)) (*Server, error) {
+	return start(&Server{answer: answer})
+}
+
+// unreadBuffer is what the kernel receives for a connection whose request is not read, in bytes.
+const unreadBuffer = 8 << 10
+
+// NewUnread starts a server like New, whose answer gets requests before their bodies have been read. Most of a long
+// body stays with its sender until answer reads it.
+func NewUnread(answer func(conn *net.TCPConn, req *http.Request)) (*Server, error) {
+	return start(&Server{unread: true, answer: answer})
+}
+
+func start(s *Server) (*Server, error) {
 	listener, err := net.Listen("tcp4", ownAddress())
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: listener, answer: answer}
+	if s.unread {
+		if err := callers.BoundReceiveBuffers(listener.(*net.TCPListener), unreadBuffer); err != nil {
+			return nil, err
+		}
+	}
+	s.listener = listener
 	go s.serve()
 	return s, nil
 }
@@ -57,7 +78,10 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err == nil {
-		s.answer(conn, req)
+	if !s.unread {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
 	}
+	s.answer(conn, req)
 }
--- a/transport.go
+++ b/transport.go
@@ -61,7 +61,7 @@
 	Header  http.Header
 	Body    io.ReadCloser // ends with io.EOF only if the answer is complete; see Framing
 	Length  int64         // of the body in bytes; -1 if unknown
-	Framing Framing       // FramingClose proves nothing: an answer that was broken off may end in the same way
+	Framing Framing       // FramingClose proves little: an endpoint that is lost may end its answer in the same way
 	// ConnectedAt is when the connection was established over which the answer came; zero if unknown.
 	ConnectedAt time.Time
 	// Connection identifies that connection within the process; zero if unknown.
@@ -94,6 +94,9 @@
 // ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
 var ErrEndless = errors.New("the answer has no end")
 
+// ErrUnproved means that nothing marks the end of an answer, and that nothing proves that it is complete.
+var ErrUnproved = errors.New("nothing proves that the answer is complete")
+
 // headFieldBytes is what a field of a header takes beside its text, in the header as it came and in copies of it.
 const headFieldBytes = 256
 
