An answer with a status that is none is refused

Callers saw: an endpoint in trouble answered with the status 000, 099 or +20, and their connection ended without an answer; 101, 600 and 999 were passed on, and so were answers of another version of HTTP.

Cause: the client of net/http takes any three characters that make a number for a status, and any version. Its server panics at most of those below 100, which ends the request of the caller without an answer.

Change: framed.Check decides which heads are those of an answer, for all that the direct client calls: version 1, a status from 200 to 599. 101 answers a request that nothing here sends. Anything else matches ErrMalformed: an attempt that may have run, of an endpoint that runs. The caller gets 502 with notRun=false, or another attempt where the route allows it. The endpoint is not set aside for others, since one request with such an answer could take all endpoints from them. Counted as gateway_malformed_answers_total; the line of the attempt says why.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -167,7 +167,7 @@
 	close(d.returned)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return bounded(newReply(framed.Check(resp, sentOver.Conn), sentOver, d))
+		return checked(newReply(resp, sentOver, d), framed.Check(resp, sentOver.Conn))
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
@@ -227,11 +227,14 @@
 	return n, err
 }
 
-// bounded returns the reply unless its header takes more memory than the bytes of one may. net/http bounds these
-// bytes alone: thousands of fields fit into them.
-func bounded(reply *carawayspread.Reply) (*carawayspread.Reply, error) {
+// checked returns the reply unless it is refused with err, or its header takes more memory than the bytes of one may.
+// net/http bounds these bytes alone: thousands of fields fit into them.
+func checked(reply *carawayspread.Reply, err error) (*carawayspread.Reply, error) {
 	if n := reply.HeadBytes(); n > maxHeaderBytes {
-		err := errors.Join(carawayspread.ErrEndless, fmt.Errorf("the header takes %d bytes", n), reply.Body.Close())
+		err = errors.Join(carawayspread.ErrEndless, fmt.Errorf("the header takes %d bytes", n))
+	}
+	if err != nil {
+		err = errors.Join(err, reply.Body.Close())
 		reply.Retire()
 		return nil, err
 	}
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -1,4 +1,4 @@
-// Package framed decides whether an answer over HTTP/1 is complete.
+// Package framed decides what is an answer over HTTP/1, and whether one is complete.
 //
 // An HTTP answer that has neither a length nor chunks ends with its connection, and looks the same
 // when it is broken off. Bytes that prove nothing by themselves, such as an object or a protobuf
@@ -26,11 +26,11 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
-// Check returns the answer that arrived over the connection, to be read to a proved end. Nothing of its body has been
-// read.
-func Check(resp *http.Response, over *Conn) *http.Response {
+// Check returns an error that matches carawayspread.ErrMalformed if what arrived over the connection is not an answer.
+// Otherwise its body can be read to a proved end. Nothing of it has been read.
+func Check(resp *http.Response, over *Conn) error {
 	over.unmarked.Store(!Marked(resp))
-	return resp
+	return checkHead(resp)
 }
 
 // Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks, unless they are
@@ -87,10 +87,15 @@
 		return nil, err
 	case over.Load() == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
-	case !t.allowUnmarked && !Marked(resp):
-		return nil, errors.Join(ErrUnmarked, resp.Body.Close())
 	}
-	return Check(resp, over.Load()), nil
+	err = Check(resp, over.Load())
+	if err == nil && !t.allowUnmarked && !Marked(resp) {
+		err = ErrUnmarked
+	}
+	if err != nil {
+		return nil, errors.Join(err, resp.Body.Close())
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the idle connections of the next transport.
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -213,10 +213,11 @@
 		err = carawayspread.ErrNoMemory
 	}
 	switch {
-	case errors.Is(err, carawayspread.ErrNoMemory): // the endpoint runs
+	case errors.Is(err, carawayspread.ErrNoMemory), errors.Is(err, carawayspread.ErrMalformed): // the endpoint runs
 		c.sends++
 		c.ran++
 		c.exclude[at.Endpoint.ID()] = true
+		c.countMalformed(err, phase)
 		c.logAttempt(at, phase, err.Error())
 		return c.mayRetry(), errors.Join(errIncomplete, err)
 	case errors.Is(err, carawayspread.ErrUnsent):
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -123,6 +123,13 @@
 	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
 }
 
+// countMalformed counts an attempt that failed with an error that matches carawayspread.ErrMalformed.
+func (c *call) countMalformed(err error, phase carawayspread.Phase) {
+	if errors.Is(err, carawayspread.ErrMalformed) {
+		c.g.set.GetOrCreateCounter(`gateway_malformed_answers_total{phase="` + phase.String() + `"}`).Inc()
+	}
+}
+
 // notRunUnsent is the reason of attempts that reached no endpoint, in metrics.
 const notRunUnsent = "unsent"
 
--- a/internal/process/gateway/hedge.go
+++ b/internal/process/gateway/hedge.go
@@ -142,6 +142,12 @@
 	switch {
 	case errors.Is(r.err, carawayspread.ErrUnsent):
 		outcome = c.recordUnsent(ctx, r.at)
+	case errors.Is(r.err, carawayspread.ErrMalformed): // the endpoint runs
+		c.sends++
+		c.ran++
+		c.exclude[r.at.Endpoint.ID()] = true
+		c.countMalformed(r.err, carawayspread.PhaseWhole)
+		why = r.err.Error()
 	case r.err != nil:
 		c.sends++
 		c.ran++
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -32,9 +32,12 @@
 		return ctx.Err() == nil, err
 	}
 	c.sends++
-	if isEndless(err) {
+	if isEndless(err) || errors.Is(err, carawayspread.ErrMalformed) { // the endpoint runs
 		c.exclude[at.Endpoint.ID()] = true
-		_, err = c.rejectEndless(at.Endpoint, err)
+		if isEndless(err) {
+			_, err = c.rejectEndless(at.Endpoint, err)
+		}
+		c.countMalformed(err, carawayspread.PhasePrefill)
 		c.logAttempt(at, carawayspread.PhasePrefill, err.Error())
 		return ctx.Err() == nil, err
 	}
--- a/transport.go
+++ b/transport.go
@@ -94,6 +94,10 @@
 // ErrEndless means that an endpoint sent more than an answer may have. It runs, and is at fault.
 var ErrEndless = errors.New("the answer has no end")
 
+// ErrMalformed means that an endpoint sent a head that is not that of an answer. It runs, and is at fault; whether it
+// has run the request is unknown.
+var ErrMalformed = errors.New("the endpoint's answer is malformed")
+
 // ErrUnproved means that nothing marks the end of an answer, and that nothing proves that it is complete.
 var ErrUnproved = errors.New("nothing proves that the answer is complete")
 
