An answer with a blank in the name of a field is refused

Callers saw: an endpoint in trouble sent a head in which the name of a field held a blank, and its answer was served, with the line dropped, or folded into the line before (here the seal). Where the name was to frame the body, the body was another: of "Content-Length : 5" or "Transfer-Encoding : chunked" the caller got the sizes of the chunks, or bytes of no answer, as a whole answer.

Cause: the client of net/http takes a name with a blank for that of a field which it does not know, so that it neither frames the body nor fails, and it joins a line that begins with a blank to the one before.

Change: framed.Check refuses heads with a name that is no token (RFC 9110, 5.6.2). framed.Conn follows the lines of each head, as the parsed one does not show those that were joined; RFC 9112, 5.2 lets a proxy refuse them. Lines of interim answers and of trailers are not passed on, and stay as they are.

--- a/internal/connection/framed/conn.go
+++ b/internal/connection/framed/conn.go
@@ -43,6 +43,7 @@
 	request request
 	writing bool
 	failed  error // of a write
+	answer  headLines
 }
 
 // Watch returns the connection as one to an HTTP/1 server.
@@ -55,7 +56,14 @@
 func (c *Conn) Begin(body int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request = request{body: body}
+	c.request, c.answer = request{body: body}, headLines{}
+}
+
+// folded reports whether a line of the head of the answer begins with a blank.
+func (c *Conn) folded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answer.folded
 }
 
 // Write implements net.Conn. If the server has closed the connection, it returns only once what came before that has
@@ -89,6 +97,9 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.answer.add(p[:n])
+	c.mu.Unlock()
 	if errors.Is(err, io.EOF) && c.unmarked.Load() {
 		err = c.proveEnd()
 	}
--- a/internal/connection/framed/head.go
+++ b/internal/connection/framed/head.go
@@ -1,9 +1,11 @@
 package framed
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 
 	"carawayspread"
 )
@@ -15,8 +17,8 @@
 	maxStatus = 599
 )
 
-// checkHead returns an error if what net/http has parsed is not the head of an answer. It takes other statuses,
-// refuses to pass some of them on, and frames bodies by the rules of the version that the head states.
+// checkHead returns an error if what net/http has parsed is not the head of an answer. net/http takes other statuses
+// and versions, and takes fields whose names hold blanks for fields that it does not know.
 func checkHead(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
@@ -24,9 +26,66 @@
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return malformed("status %q", resp.Status)
 	}
+	for name := range resp.Header {
+		if !isToken(name) {
+			return malformed("field name %q", name)
+		}
+	}
 	return nil
 }
 
+// isToken reports whether the text may be the name of a field (RFC 9110, 5.6.2).
+func isToken(text string) bool {
+	return text != "" && strings.IndexFunc(text, func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+	}) < 0
+}
+
 func malformed(format string, args ...any) error {
 	return fmt.Errorf("%w: "+format, slices.Insert(args, 0, any(carawayspread.ErrMalformed))...)
 }
+
+// headLines follows the lines of a head as they arrive, for the one thing that the parsed head does not show: net/http
+// joins a line that begins with a blank to the line before it.
+type headLines struct {
+	line    []byte // the beginning of the current line
+	lines   int    // before that
+	interim bool   // another head follows this one
+	folded  bool   // a line begins with a blank
+	ended   bool
+}
+
+// maxLineStart is as much of a line as says what it is.
+const maxLineStart = len("HTTP/1.1 103")
+
+// add reads more bytes. It ignores those behind the head.
+func (h *headLines) add(p []byte) {
+	for _, b := range p {
+		switch {
+		case h.ended:
+			return
+		case b == '\n':
+			h.endLine()
+		case len(h.line) < maxLineStart:
+			h.line = append(h.line, b)
+		}
+	}
+}
+
+func (h *headLines) endLine() {
+	line := bytes.TrimSuffix(h.line, []byte("\r"))
+	switch {
+	case h.lines == 0:
+		_, status, _ := bytes.Cut(line, []byte(" "))
+		h.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.Equal(status, []byte("101"))
+	case len(line) == 0 && h.interim:
+		*h = headLines{line: h.line[:0]}
+		return
+	case len(line) == 0:
+		h.ended = true
+	case line[0] == ' ' || line[0] == '\t':
+		h.folded = true
+	}
+	h.line = h.line[:0]
+	h.lines++
+}
--- a/internal/process/gateway/heads_test.go
+++ b/internal/process/gateway/heads_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -89,3 +90,74 @@
 		})
 	}
 }
+
+// Guards against a line of a head that was passed on, folded into another or dropped, and against bodies that are framed
+// as their endpoint did not mean, since the name of a field holds a blank or a control byte.
+func TestAnswerWithAMalformedNameIsNotRelayed(t *testing.T) {
+	lines := map[string]string{
+		"blank in the name":           "X Odd: 1",
+		"blank behind the name":       "X-Odd : 1",
+		"tab behind the name":         "X-Odd\t: 1",
+		"blank before the name":       " X-Odd: 1",
+		"tab before the name":         "\tX-Odd: 1",
+		"only blanks":                 "   ",
+		"no name":                     ": 1",
+		"only a blank as the name":    " : 1",
+		"no colon":                    "X-Odd",
+		"a length":                    "Content-Length : 5",
+		"a length, blank before":      " Content-Length: 5",
+		"a length, twice":             "Content-Length : 5\r\nContent-Length: 10",
+		"chunks":                      "Transfer-Encoding : chunked",
+		"chunks, blank before":        " Transfer-Encoding: chunked",
+		"chunks beside a length":      "Content-Length: 7\r\nTransfer-Encoding : chunked",
+		"an encoding":                 "Content-Encoding : gzip",
+		"the end of the connection":   "Connection : close",
+		"a separator":                 "X(Odd): 1",
+		"a byte of another character": "X-\xc3\xb6dd: 1",
+	}
+	for _, control := range []string{"\x00", "\x01", "\x0b", "\x0c", "\x1f", "\x7f", "\r", "\x80"} {
+		lines["control byte "+strconv.Quote(control)] = "X-" + control + "Odd: 1"
+		lines["control byte first "+strconv.Quote(control)] = control + "X-Odd: 1"
+		lines["control byte last "+strconv.Quote(control)] = "X-Odd" + control + ": 1"
+	}
+	for name, line := range lines {
+		for _, path := range uploadPaths {
+			for place, head := range map[string]string{"first": line + "\r\n" + answerFields, "last": answerFields + line + "\r\n"} {
+				t.Run(strings.Join([]string{name, place, path}, ","), func(t *testing.T) {
+					body := "5\r\nhello\r\n0\r\n\r\n"
+					if isStreamPath(path) {
+						body = wholeStream
+					}
+					b, got, arrived := answeredWith(t, path, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+body)
+					isMalformed(t, b, path, got, arrived)
+				})
+			}
+		}
+	}
+}
+
+// Guards against answers that are refused for what concerns neither their head nor their body.
+func TestAnswerWithAnOddLineBesideItsHeadIsRelayed(t *testing.T) {
+	const head, ended = "HTTP/1.1 200 OK\r\n" + answerFields, "\r\nhello\r\n0\r\n"
+	for name, answer := range map[string]string{
+		"a value with blanks":          head + "X-Odd:  a  b \t\r\nContent-Length: 5\r\n\r\nhello",
+		"no value":                     head + "X-Odd:\r\nContent-Length: 5\r\n\r\nhello",
+		"a value of other characters":  head + "X-Odd: \xc3\xb6\r\nContent-Length: 5\r\n\r\nhello",
+		"a rare name":                  head + "!#$%&'*+-.^_`|~9: 1\r\nContent-Length: 5\r\n\r\nhello",
+		"a body that begins odd":       head + "Content-Length: 5\r\n\r\n a: b",
+		"an interim answer":            "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head + "Content-Length: 5\r\n\r\nhello",
+		"an interim answer with blank": "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n b: c\r\n\r\n" + head + "Content-Length: 5\r\n\r\nhello",
+		"a trailer":                    head + "Transfer-Encoding: chunked\r\n\r\n5" + ended + "X-Odd: 1\r\n\r\n",
+		"a trailer with a blank":       head + "Transfer-Encoding: chunked\r\n\r\n5" + ended + "X Odd: 1\r\nContent-Length : 3\r\n\r\n",
+		"line feeds alone":             strings.ReplaceAll(head, "\r\n", "\n") + "Content-Length: 5\n\nhello",
+		"version 1.0":                  strings.Replace(head, "1.1", "1.0", 1) + "Content-Length: 5\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, got, arrived := answeredWith(t, "/never/x", answer)
+			qt.Check(t, got.status, qt.Equals, http.StatusOK)
+			qt.Check(t, len(got.body), qt.Equals, 5, qt.Commentf("%q", got.body))
+			qt.Check(t, got.complete(), qt.IsTrue)
+			qt.Check(t, arrived, qt.Equals, int32(1))
+		})
+	}
+}
