An answer of HTTP/1.0 in chunks is refused

Callers got the sizes of chunks in the body of an answer that stated version 1.0 and Transfer-Encoding, as a whole answer.

Cause: version 1.0 knows no chunks, so that the client of net/http drops the field and reads the bytes behind the head until the connection ends. RFC 9112, 6.1 has such an answer treated as one whose framing is faulty.

Change: framed.Conn notes that the field was stated, and framed.Check refuses the head.

Evidence: TestAnswerFramedByAnotherVersionIsNotRelayed on the code before: red on its four routes. An answer of version 1.0 with a length is relayed as before.

--- a/internal/connection/framed/conn.go
+++ b/internal/connection/framed/conn.go
@@ -59,11 +59,11 @@
 	c.request, c.answer = request{body: body}, headLines{}
 }
 
-// folded reports whether a line of the head of the answer begins with a blank.
-func (c *Conn) folded() bool {
+// head returns what has arrived of the head of the answer.
+func (c *Conn) head() headLines {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.answer.folded
+	return c.answer
 }
 
 // Write implements net.Conn. If the server has closed the connection, it returns only once what came before that has
--- a/internal/connection/framed/head.go
+++ b/internal/connection/framed/head.go
@@ -17,10 +17,15 @@
 	maxStatus = 599
 )
 
-// checkHead returns an error if what net/http has parsed is not the head of an answer. net/http takes other statuses
-// and versions, and takes fields whose names hold blanks for fields that it does not know.
-func checkHead(resp *http.Response) error {
+// checkHead returns an error if what net/http has parsed from these lines is not the head of an answer. net/http takes
+// other statuses and versions, takes fields whose names hold blanks for fields that it does not know, and drops an
+// encoding that the version of the answer does not have, with the framing of the body.
+func checkHead(resp *http.Response, lines headLines) error {
 	switch {
+	case lines.folded:
+		return malformed("a line of the head begins with a blank")
+	case lines.encoded && !resp.ProtoAtLeast(1, 1):
+		return malformed("version %q with an encoding for the transfer", resp.Proto)
 	case resp.ProtoMajor != 1:
 		return malformed("version %q", resp.Proto)
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
@@ -45,18 +50,19 @@
 	return fmt.Errorf("%w: "+format, slices.Insert(args, 0, any(carawayspread.ErrMalformed))...)
 }
 
-// headLines follows the lines of a head as they arrive, for the one thing that the parsed head does not show: net/http
-// joins a line that begins with a blank to the line before it.
+// headLines follows the lines of a head as they arrive, for what the parsed head does not show: net/http joins a line
+// that begins with a blank to the line before it, and drops Transfer-Encoding.
 type headLines struct {
 	line    []byte // the beginning of the current line
 	lines   int    // before that
 	interim bool   // another head follows this one
 	folded  bool   // a line begins with a blank
+	encoded bool   // Transfer-Encoding is stated
 	ended   bool
 }
 
-// maxLineStart is as much of a line as says what it is.
-const maxLineStart = len("HTTP/1.1 103")
+// transferEncoding is also as much of a line as says what it is.
+const transferEncoding = "Transfer-Encoding:"
 
 // add reads more bytes. It ignores those behind the head.
 func (h *headLines) add(p []byte) {
@@ -66,7 +72,7 @@
 			return
 		case b == '\n':
 			h.endLine()
-		case len(h.line) < maxLineStart:
+		case len(h.line) < len(transferEncoding):
 			h.line = append(h.line, b)
 		}
 	}
@@ -77,7 +83,7 @@
 	switch {
 	case h.lines == 0:
 		_, status, _ := bytes.Cut(line, []byte(" "))
-		h.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.Equal(status, []byte("101"))
+		h.interim = bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 	case len(line) == 0 && h.interim:
 		*h = headLines{line: h.line[:0]}
 		return
@@ -85,6 +91,8 @@
 		h.ended = true
 	case line[0] == ' ' || line[0] == '\t':
 		h.folded = true
+	case strings.EqualFold(string(line), transferEncoding):
+		h.encoded = true
 	}
 	h.line = h.line[:0]
 	h.lines++
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -30,10 +30,7 @@
 // Otherwise its body can be read to a proved end. Nothing of it has been read.
 func Check(resp *http.Response, over *Conn) error {
 	over.unmarked.Store(!Marked(resp))
-	if over.folded() {
-		return malformed("a line of the head begins with a blank")
-	}
-	return checkHead(resp)
+	return checkHead(resp, over.head())
 }
 
 // Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks, unless they are
--- a/internal/process/gateway/heads_test.go
+++ b/internal/process/gateway/heads_test.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// Guards against a body that was framed as the version of its answer does not know: chunks came with their sizes.
+func TestAnswerFramedByAnotherVersionIsNotRelayed(t *testing.T) {
+	for _, path := range uploadPaths {
+		t.Run(path, func(t *testing.T) {
+			b, got, arrived := answeredWith(t, path, "HTTP/1.0 200 OK\r\n"+answerFields+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+			isMalformed(t, b, path, got, arrived)
+		})
+	}
+}
+
 // Guards against answers that are refused for what concerns neither their head nor their body.
 func TestAnswerWithAnOddLineBesideItsHeadIsRelayed(t *testing.T) {
 	const head, ended = "HTTP/1.1 200 OK\r\n" + answerFields, "\r\nhello\r\n0\r\n"
