Only an endpoint that is found to run has ended its answer

Callers saw a part of an answer without a length as complete: the process of the endpoint was lost, so that its kernel closed the connection in order, and its machine with it, or the time of the request was over just then.

Cause: the end of such an answer counts if its endpoint runs. It is asked for a connection, and whatever was no refusal was taken for an acceptance: a probe that nobody answered, and one that was not sent since the time was over.

Change: only a connection that is accepted shows that the endpoint runs. Up to three probes are sent, as one may be lost; an answer without an accepted one ends with ErrUnproved, or with the time of its request.

--- a/internal/process/gateway/check.go
+++ b/internal/process/gateway/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"carawayspread"
@@ -109,21 +110,28 @@
 // errEndpointGone says that the endpoint ended at the end of its answer.
 var errEndpointGone = errors.New("the endpoint closed the connection and no longer runs")
 
-// checkEnd returns errEndpointGone if nothing marks the end of the reply and its endpoint no longer
-// runs. The end of the connection may be that of the process then.
+// checkEnd returns an error unless something marks the end of the reply or its endpoint is found to run. The end of
+// the connection may be that of the process otherwise: errEndpointGone, or an error that matches
+// carawayspread.ErrUnproved if that is not known.
 func (c *call) checkEnd(ctx context.Context, reply *carawayspread.Reply, at carawayspread.Endpoint) error {
 	if reply.Framing != carawayspread.FramingClose || c.g.prober == nil {
 		return nil
 	}
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-c.g.clock.After(checkDelay):
-	}
-	if errors.Is(c.g.probe(ctx, at), carawayspread.ErrNotListening) {
-		return errEndpointGone
+	var err error
+	for range checkAttempts {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: the endpoint could not be asked whether it runs: %w", carawayspread.ErrUnproved, errors.Join(context.Cause(ctx), err))
+		case <-c.g.clock.After(checkDelay):
+		}
+		if err = c.g.probe(ctx, at); err == nil {
+			return nil
+		}
+		if errors.Is(err, carawayspread.ErrNotListening) {
+			return errEndpointGone
+		}
 	}
-	return nil
+	return fmt.Errorf("%w: the endpoint does not say whether it runs: %w", carawayspread.ErrUnproved, err)
 }
 
 // awaitCheck waits a moment if the endpoints of a crash at that time may still be checked. It
--- a/internal/process/gateway/reset_test.go
+++ b/internal/process/gateway/reset_test.go
@@ -71,11 +71,7 @@
 	t.Cleanup(client.Close)
 	b.gateway.transport, b.gateway.prober = client, client
 	b.gateway.clock = carawayspread.SystemClock()
-	b.gateway.Adopt(carawayspread.NewRouting(3, []*carawayspread.Route{
-		route("safe", carawayspread.RetryIdempotent, false, 2), route("never", carawayspread.RetryNever, false, 3),
-		route("resume", carawayspread.RetryResume, true, 2), route("once", carawayspread.RetryNever, true, 3),
-	}, map[string]carawayspread.RoutedService{"s": {Name: "s", Engine: &carawayspread.EngineTraits{Slots: 8, KVTokens: 1e6, KVBytesPerToken: 1}}},
-		carawayspread.CallerLimits{BodyBytes: 2 * uploadBytes}))
+	b.adopt(3, 8*time.Second)
 	var endpoints []carawayspread.Endpoint
 	for i := range 3 {
 		e := newEarlyEndpoint(t, &earlyEndpoint{head: head, sent: sent, goOn: goOn, arrived: arrived})
@@ -86,6 +82,20 @@
 	return b, arrived
 }
 
+// adopt gives the routes of the harness another timeout, and lets their callers send uploads.
+func (b *harness) adopt(version carawayspread.Version, timeout time.Duration) {
+	routes := []*carawayspread.Route{
+		route("safe", carawayspread.RetryIdempotent, false, 2), route("never", carawayspread.RetryNever, false, 3),
+		route("resume", carawayspread.RetryResume, true, 2), route("once", carawayspread.RetryNever, true, 3),
+	}
+	for _, r := range routes {
+		r.Timeout = timeout
+	}
+	b.gateway.Adopt(carawayspread.NewRouting(version, routes,
+		map[string]carawayspread.RoutedService{"s": {Name: "s", Engine: &carawayspread.EngineTraits{Slots: 8, KVTokens: 1e6, KVBytesPerToken: 1}}},
+		carawayspread.CallerLimits{BodyBytes: 2 * uploadBytes}))
+}
+
 var uploadPaths = []string{"/never/x", "/safe/x", "/once/x", "/resume/x"}
 
 func isStreamPath(path string) bool { return path == "/once/x" || path == "/resume/x" }
