Sidecars read the answers of endpoints as gateways do

Callers behind an entry and a sidecar saw what those of a gateway saw: a part of an answer without a length as complete, after a reset during the upload; answers with a blank in a name, 101 and 600 as answers; and a panic of the sidecar at a status below 100, after which its entry reported a lost connection.

Cause: the sidecar reads answers with a client of net/http of its own, which takes the end of a connection and any head as that of the gateway did.

Change: it reads them through framed.Transport, which uses the same framed.Conn and framed.Check. A malformed head is refused as endpoint_failed, not as a crash of the endpoint, which runs. Counted as carawayspread_malformed_answers_total and carawayspread_unproved_ends_total on the sidecar; the lines "no answer" and "answer cut" say why.

Evidence: TestAnswerThatIsNotProvedIsNotComplete on the code before: red where the endpoint reads 200 kB more and resets, and where it ends in order and resets 5 ms later. TestMalformedAnswerIsNotPassedOn: a panic at 099. TestWholeAnswerToAnUploadIsComplete held before and holds.

--- a/internal/daemon/sidecard/daemon.go
+++ b/internal/daemon/sidecard/daemon.go
@@ -52,7 +52,7 @@
 		return nil, trace.Wrap(err)
 	}
 	mux := http.NewServeMux()
-	server.HandleHealthAndMetrics(mux, func() bool { return !d.sidecar.Draining() }, b.Metrics())
+	server.HandleHealthAndMetrics(mux, func() bool { return !d.sidecar.Draining() }, d.sidecar.Metrics(), b.Metrics())
 	mux.Handle(control.ControlPathPrefix, control.NewControlServer(d))
 	if d.control, err = d.base.Listen(s.Control(), mux, server.WithBodyLimit(server.QueryLimit)); err != nil {
 		return nil, trace.Wrap(err)
--- a/internal/process/sidecar/answer.go
+++ b/internal/process/sidecar/answer.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"carawayspread"
 	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/sidecarhttp"
 )
@@ -44,6 +45,9 @@
 	sum := sidecarhttp.NewSum()
 	tail, err := copyFlushing(w, resp.Body, sum)
 	end := ending(resp, tail, err)
+	if errors.Is(err, carawayspread.ErrUnproved) {
+		s.set.GetOrCreateCounter(`carawayspread_unproved_ends_total`).Inc()
+	}
 	if end == sidecarhttp.EndCut {
 		s.event(r).WithField("status", resp.StatusCode).WithField("error", err).Info("answer cut")
 	}
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -226,7 +226,12 @@
 		return
 	}
 	failure := carawayspread.NewError(carawayspread.CodeEndpointFailed, "the endpoint failed while it ran the request", carawayspread.CausedBy(err))
-	if r.Context().Err() == nil && !framed.HeadTooLong(err) && s.crashed(worker, boot) {
+	isMalformed := errors.Is(err, carawayspread.ErrMalformed)
+	if isMalformed {
+		s.set.GetOrCreateCounter(`carawayspread_malformed_answers_total`).Inc()
+	}
+	s.event(r).WithField("endpoint", worker.spec.ID).WithField("error", err).Info("no answer")
+	if r.Context().Err() == nil && !framed.HeadTooLong(err) && !isMalformed && s.crashed(worker, boot) {
 		w.Header().Set(sidecarhttp.HeaderCrashed, "true")
 	}
 	s.refuse(w, r, failure)
--- a/internal/process/sidecar/sidecar.go
+++ b/internal/process/sidecar/sidecar.go
@@ -10,10 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/decision/quarantine"
 )
@@ -55,8 +57,9 @@
 // http.Handler and safe for concurrent use.
 type Sidecar struct {
 	workers         map[carawayspread.EndpointID]*worker // fixed after New
-	client          *http.Transport
-	once            *http.Transport
+	client          *framed.Transport
+	once            *framed.Transport // closes each connection after one answer
+	set             *metrics.Set
 	clock           carawayspread.Clock
 	log             log.Interface
 	suspects        *quarantine.Quarantine
@@ -106,8 +109,9 @@
 	once.DisableKeepAlives = true
 	s := &Sidecar{
 		workers:         map[carawayspread.EndpointID]*worker{},
-		client:          client,
-		once:            once,
+		client:          framed.New(client, framed.AllowUnmarked()),
+		once:            framed.New(once, framed.AllowUnmarked()),
+		set:             metrics.NewSet(),
 		clock:           carawayspread.SystemClock(),
 		log:             log.Log,
 		crashes:         noCrashRecorder{},
@@ -125,6 +129,9 @@
 	return s
 }
 
+// Metrics returns the sidecar's metrics.
+func (s *Sidecar) Metrics() *metrics.Set { return s.set }
+
 // Drain makes one endpoint, or all of them if id is empty, refuse new requests. It
 // returns the number of requests that still run there.
 func (s *Sidecar) Drain(id carawayspread.EndpointID) int {
--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -3,11 +3,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"carawayspread/internal/connection/callers"
 )
@@ -17,6 +21,7 @@
 	listener net.Listener
 	unread   bool // requests are answered before their bodies have been read
 	answer   func(conn *net.TCPConn, req *http.Request)
+	held     []net.Conn // open until the test ends
 }
 
 // New starts a server on a loopback address that no other process uses. Others send to addresses of servers
@@ -62,6 +67,26 @@
 // Close stops listening. Open connections go on.
 func (s *Server) Close() { _ = s.listener.Close() }
 
+// Hang makes the address answer no connection any more, like a machine that is lost: neither accepted nor refused.
+func (s *Server) Hang() error {
+	listener := s.listener.(*net.TCPListener)
+	if err := listener.SetDeadline(time.Unix(1, 0)); err != nil { // ends serve
+		return err
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) { failed = unix.Listen(int(fd), 0) }) // room for one connection, which is not accepted
+	for range 2 {
+		if conn, err := net.DialTimeout("tcp4", s.Address(), 50*time.Millisecond); err == nil {
+			s.held = append(s.held, conn)
+		}
+	}
+	return errors.Join(err, failed)
+}
+
 func (s *Server) serve() {
 	for {
 		conn, err := s.listener.Accept()
