A sidecar passes on the end of an endpoint only if that runs

Callers behind an entry and a sidecar saw a part of an answer without a length as complete: its endpoint was lost with its machine after the kernel had closed the connection in order.

Cause: as at gateways: the end counted unless the endpoint provably had gone, and a question that nobody answered proved nothing, which was taken for consent.

Change: the end is passed on as EndUnmarked only once the endpoint has accepted a connection and does not show another boot; after three questions without that it is EndCut. Counted with the other ends that prove nothing.

The stand-in's address neither accepts nor refuses then, as that of a lost machine.

--- a/internal/process/sidecar/broken_test.go
+++ b/internal/process/sidecar/broken_test.go
@@ -55,7 +55,7 @@
 const unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
 // Guards against a part of an answer that counts as complete: its endpoint reset the connection while the request was
-// still being written.
+// still being written, or ended it in order and was lost.
 func TestAnswerThatIsNotProvedIsNotComplete(t *testing.T) {
 	reset := func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() }
 	for name, goOn := range map[string]func(*raw.Server, *net.TCPConn, io.Reader){
@@ -69,6 +69,10 @@
 			time.Sleep(5 * time.Millisecond)
 			reset(conn)
 		},
+		"lost with its machine": func(server *raw.Server, _ *net.TCPConn, upload io.Reader) {
+			_, _ = io.Copy(io.Discard, upload)
+			qt.Check(t, server.Hang(), qt.IsNil)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var all sync.WaitGroup
--- a/internal/process/sidecar/crash.go
+++ b/internal/process/sidecar/crash.go
@@ -16,6 +16,8 @@
 	// abandonedCheckDelay is the time from the end of an abandoned request to the check of its
 	// endpoint, which may crash a little later.
 	abandonedCheckDelay = 50 * time.Millisecond
+	// endChecks is how often an endpoint is asked whether it runs, as a question may be lost.
+	endChecks = 3
 )
 
 // checkQuarantine refuses a request that may crash the endpoint: one in quarantine, or
@@ -50,15 +52,23 @@
 	return true
 }
 
-// crashedAfterEnd reports whether the endpoint provably no longer runs with that boot ID, a moment
-// after it closed the connection at the end of an answer. If so, it records the crash.
-func (s *Sidecar) crashedAfterEnd(worker *worker, boot string) bool {
-	<-s.clock.After(abandonedCheckDelay)
-	if !worker.isGone(context.Background(), s.once, boot) {
-		return false
+// checkEnd returns how an answer ended without a mark, after a moment: sidecarhttp.EndUnmarked only if the endpoint is
+// found to run. It records a crash of the endpoint.
+func (s *Sidecar) checkEnd(worker *worker, boot string) string {
+	var err error
+	for range endChecks {
+		<-s.clock.After(abandonedCheckDelay)
+		if worker.isGone(context.Background(), s.once, boot) {
+			s.recordCrash(worker, boot)
+			return sidecarhttp.EndCrashed
+		}
+		if err = worker.accepts(context.Background()); err == nil {
+			return sidecarhttp.EndUnmarked
+		}
 	}
-	s.recordCrash(worker, boot)
-	return true
+	s.set.GetOrCreateCounter(`carawayspread_unproved_ends_total`).Inc()
+	s.log.WithField("endpoint", worker.spec.ID).WithField("error", err).Info("answer cut: the endpoint does not say whether it runs")
+	return sidecarhttp.EndCut
 }
 
 // endRecord ends the record of a request that ran. One whose caller left, or whose time was up, stays
--- a/internal/process/sidecar/run.go
+++ b/internal/process/sidecar/run.go
@@ -153,8 +153,9 @@
 	end = s.copyAnswer(w, r, worker, resp)
 	switch {
 	case r.Context().Err() != nil:
-	case end == sidecarhttp.EndCut && s.crashed(worker, boot),
-		end == sidecarhttp.EndUnmarked && s.crashedAfterEnd(worker, boot):
+	case end == sidecarhttp.EndUnmarked:
+		end = s.checkEnd(worker, boot)
+	case end == sidecarhttp.EndCut && s.crashed(worker, boot):
 		end = sidecarhttp.EndCrashed
 	}
 	if (end == sidecarhttp.EndWhole || end == sidecarhttp.EndUnmarked) && carawayspread.Succeeded(resp.StatusCode) {
--- a/internal/process/sidecar/worker.go
+++ b/internal/process/sidecar/worker.go
@@ -13,6 +13,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/engine"
+	"carawayspread/internal/connection/listening"
 	"carawayspread/internal/connection/retryafter"
 )
 
@@ -232,6 +233,13 @@
 	return boot != "" && state.Boot != boot
 }
 
+// accepts returns nil if the endpoint accepts a connection.
+func (w *worker) accepts(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return listening.Probe(ctx, w.spec.Address)
+}
+
 func (w *worker) setDown(down bool, err error) {
 	if w.down.Swap(down) != down {
 		w.log.WithField("endpoint", w.spec.ID).WithField("down", down).WithField("error", err).Warn("endpoint availability changed")
