Entries, orders and the instance list read answers as gateways do

An entry took a malformed head at the address of a sidecar for an answer, and the lists of instances and the states of engines were read from such answers.

Cause: three clients of net/http of their own, as in sidecars.

Change: they read through framed.Transport, as the clients of objects, items, weights and peers do, which have had framed.Check since the heads were refused. JSON from an answer without a length is proved by itself, so that these clients allow one; a refusal of a sidecar that has not read its request outlasts a reset.

--- a/internal/connection/framed/transport_test.go
+++ b/internal/connection/framed/transport_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,9 +17,12 @@
 	"carawayspread"
 	"carawayspread/internal/connection/control"
 	"carawayspread/internal/connection/dynamodb"
+	"carawayspread/internal/connection/engine"
 	"carawayspread/internal/connection/framed"
+	"carawayspread/internal/connection/instancelist"
 	"carawayspread/internal/connection/knowledge"
 	"carawayspread/internal/connection/s3"
+	"carawayspread/internal/connection/sidecarhttp"
 	"carawayspread/internal/connection/transfer"
 	"carawayspread/internal/connection/weights"
 	"carawayspread/internal/standin/raw"
@@ -35,8 +40,78 @@
 // The beginning of an object or of a message is taken for the whole, as its connection was closed in
 // order and nothing else marks its end.
 func TestAnswerWithoutAMarkedEndIsNotRead(t *testing.T) {
+	clients := bytesClients()
+	for framing, test := range map[string]struct {
+		header, body string
+		read         bool
+	}{
+		"unmarked":             {"", "", false},
+		"a length":             {"Content-Length: 0\r\n", "", true},
+		"chunks":               {"Transfer-Encoding: chunked\r\n", "0\r\n\r\n", true},
+		"a length not reached": {"Content-Length: 5\r\n", "", false},
+		"chunks not ended":     {"Transfer-Encoding: chunked\r\n", "", false},
+	} {
+		for name, get := range clients {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				err := get(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"+test.body))
+				qt.Check(t, err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
+			})
+		}
+	}
+}
+
+// A head that is none of an answer is taken for one by a client of the project's own.
+func TestMalformedAnswerIsNotRead(t *testing.T) {
+	clients := bytesClients()
+	clients["instance list"] = func(ctx context.Context, url string) error {
+		list := instancelist.New(url)
+		defer list.Close()
+		_, _, err := list.List(ctx, "")
+		return err
+	}
+	clients["engine"] = func(ctx context.Context, url string) error {
+		client := &http.Client{Transport: framed.New(&http.Transport{}, framed.AllowUnmarked())}
+		defer client.CloseIdleConnections()
+		_, err := engine.New(strings.TrimPrefix(url, "http://"), client).State(ctx)
+		return err
+	}
+	clients["sidecar"] = func(ctx context.Context, url string) error {
+		client := sidecarhttp.NewClient(5 * time.Second)
+		defer client.Close()
+		answer, err := client.Do(ctx, sidecarhttp.Attempt{ID: "1", Endpoint: "e", Address: strings.TrimPrefix(url, "http://"), Method: http.MethodGet, Path: "/x", Header: http.Header{}})
+		if err != nil {
+			return err
+		}
+		_, err = io.ReadAll(answer.Body)
+		return errors.Join(err, answer.Body.Close())
+	}
+	const sidecarFields = "Carawayspread-Attempt: 1\r\nCarawayspread-End: whole\r\n"
+	for head, test := range map[string]struct {
+		start, line string
+		read        bool
+	}{
+		"well formed":         {"HTTP/1.1 200 OK", "", true},
+		"another version":     {"HTTP/2.0 200 OK", "", false},
+		"status 600":          {"HTTP/1.1 600 OK", "", false},
+		"status 000":          {"HTTP/1.1 000 OK", "", false},
+		"blank in a name":     {"HTTP/1.1 200 OK", "X Odd: 1\r\n", false},
+		"blank before a name": {"HTTP/1.1 200 OK", " X-Odd: 1\r\n", false},
+		"another length":      {"HTTP/1.1 200 OK", "Content-Length : 5\r\n", false},
+	} {
+		for name, get := range clients {
+			t.Run(name+", "+head, func(t *testing.T) {
+				body := map[string]string{"instance list": `{"instances":[]}`, "engine": "{}"}[name]
+				err := get(t.Context(), answering(t, fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n%s\r\n%s", test.start, sidecarFields, len(body), test.line, body)))
+				qt.Check(t, err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
+			})
+		}
+	}
+}
+
+// bytesClients are the clients of bytes that prove nothing by themselves; an empty answer is one to each of them.
+func bytesClients() map[string]func(ctx context.Context, url string) error {
 	peer := transfer.New(transfer.Limits{ConnectTimeout: time.Second, IdleTimeout: time.Second, TotalTimeout: 5 * time.Second, MaxBytes: 1 << 20})
-	clients := map[string]func(ctx context.Context, url string) error{
+	return map[string]func(ctx context.Context, url string) error{
 		"transport": func(ctx context.Context, url string) error {
 			req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 			if err != nil {
@@ -79,21 +154,4 @@
 			return err
 		},
 	}
-	for framing, test := range map[string]struct {
-		header, body string
-		read         bool
-	}{
-		"unmarked":             {"", "", false},
-		"a length":             {"Content-Length: 0\r\n", "", true},
-		"chunks":               {"Transfer-Encoding: chunked\r\n", "0\r\n\r\n", true},
-		"a length not reached": {"Content-Length: 5\r\n", "", false},
-		"chunks not ended":     {"Transfer-Encoding: chunked\r\n", "", false},
-	} {
-		for name, get := range clients {
-			t.Run(name+", "+framing, func(t *testing.T) {
-				err := get(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+test.header+"\r\n"+test.body))
-				qt.Check(t, err == nil, qt.Equals, test.read, qt.Commentf("%v", err))
-			})
-		}
-	}
 }
--- a/internal/connection/instancelist/list.go
+++ b/internal/connection/instancelist/list.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 )
 
 const (
@@ -49,7 +50,7 @@
 // New returns the instance list at a base URL such as http://127.0.0.1:7000.
 func New(baseURL string, opts ...Option) *List {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}
-	l := &List{client: &http.Client{Transport: transport}, url: baseURL + "/instances", log: log.Log}
+	l := &List{client: &http.Client{Transport: framed.New(transport, framed.AllowUnmarked())}, url: baseURL + "/instances", log: log.Log}
 	for _, opt := range opts {
 		opt(l)
 	}
--- a/internal/connection/sidecarhttp/client.go
+++ b/internal/connection/sidecarhttp/client.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"carawayspread"
+	"carawayspread/internal/connection/framed"
 )
 
 const (
@@ -59,8 +60,8 @@
 
 // Client sends attempts to sidecars. It is safe for concurrent use.
 type Client struct {
-	pooled       *http.Transport
-	unpooled     *http.Transport
+	pooled       *framed.Transport
+	unpooled     *framed.Transport
 	stallTimeout time.Duration
 }
 
@@ -79,7 +80,7 @@
 	// a new connection, on which net/http never retries.
 	unpooled := pooled.Clone()
 	unpooled.DisableKeepAlives = true
-	return &Client{pooled: pooled, unpooled: unpooled, stallTimeout: stallTimeout}
+	return &Client{pooled: framed.New(pooled, framed.AllowUnmarked()), unpooled: framed.New(unpooled, framed.AllowUnmarked()), stallTimeout: stallTimeout}
 }
 
 // Close closes the idle connections.
@@ -128,7 +129,7 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: announcedLength(resp), Unmarked: unmarked(resp), Load: ParseLoad(resp.Header), Body: body}, nil
 }
 
-func (c *Client) transport(a Attempt) *http.Transport {
+func (c *Client) transport(a Attempt) *framed.Transport {
 	if a.AtMostOnce {
 		return c.unpooled
 	}
--- a/internal/daemon/sidecard/orders.go
+++ b/internal/daemon/sidecard/orders.go
@@ -7,6 +7,7 @@
 
 	"carawayspread"
 	"carawayspread/internal/connection/engine"
+	"carawayspread/internal/connection/framed"
 	"carawayspread/internal/controller/lease"
 	"carawayspread/internal/controller/orders"
 	"carawayspread/internal/controller/planfollower"
@@ -51,7 +52,7 @@
 	if e.ChecksFence() {
 		opts = append(opts, orders.WithFencing())
 	}
-	client := engine.New(e.Address(), &http.Client{})
+	client := engine.New(e.Address(), &http.Client{Transport: framed.New(http.DefaultTransport.(*http.Transport), framed.AllowUnmarked())})
 	engineLease := lease.New(d.base.Table(), d.base.Clock(), "engine/"+string(e.ID()))
 	return orders.New(client, engineLease, d.base.Clock(), opts...)
 }
