--- a/internal/process/gateway/heads_test.go
+++ b/internal/process/gateway/heads_test.go
@@ -171,3 +171,40 @@
 		})
 	}
 }
+
+// Guards against a stream that ends as complete, or goes on with what is no answer, as the answer that is to continue
+// it is malformed.
+func TestMalformedContinuationIsNotJoined(t *testing.T) {
+	const rest = "id: 3\ndata: part 3\n\n"
+	for name, head := range map[string]string{
+		"status 000":            "HTTP/1.1 000 OK\r\n",
+		"status 101":            "HTTP/1.1 101 Switching Protocols\r\n",
+		"a blank in a name":     "HTTP/1.1 200 OK\r\nX Odd: 1\r\n",
+		"a length with a blank": "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n",
+		"chunks with a blank":   "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+		"chunks of version 1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var arrived atomic.Int32
+			b, endpoints := framingHarness(t, func(*rawEndpoint) {})
+			var list []carawayspread.Endpoint
+			for i := range endpoints {
+				server, err := raw.New(func(conn *net.TCPConn, _ *http.Request) {
+					if arrived.Add(1) == 1 { // half of the stream, whose end would be marked
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+answerFields+"Transfer-Encoding: chunked\r\n\r\n28\r\n"+wholeStream[:40]+"\r\n")
+						return
+					}
+					_, _ = io.WriteString(conn, head+answerFields+"\r\n"+rest)
+				})
+				qt.Assert(t, err, qt.IsNil)
+				t.Cleanup(server.Close)
+				list = append(list, carawayspread.NewEndpoint(carawayspread.EndpointID("c"+strconv.Itoa(i)), "s", "z", server.Address(), false,
+					carawayspread.WithRole(carawayspread.RoleDecode), carawayspread.WithSlots(8), carawayspread.WithVersion("v1")))
+			}
+			b.gateway.SetEndpoints(list)
+			got := receive(t, b, "HTTP/1.1", "/resume/x")
+			qt.Check(t, got, qt.Equals, received{status: http.StatusOK, framing: carawayspread.FramingChunks, end: endReset, body: wholeStream[:40]})
+			qt.Check(t, arrived.Load(), qt.Equals, int32(2))
+		})
+	}
+}
--- a/internal/process/gateway/hedge_test.go
+++ b/internal/process/gateway/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -154,3 +155,25 @@
 		})
 	}
 }
+
+// Guards against a request that is taken for one that crashes endpoints, as one of two attempts got a malformed answer.
+func TestMalformedAnswerBesideASlowOne(t *testing.T) {
+	malformed := func(sentAttempt) (*carawayspread.Reply, error) { return nil, carawayspread.ErrMalformed }
+	for name, test := range map[string]struct {
+		first, second step
+		status        int
+	}{
+		"the first":  {malformed, answer(200), 200},
+		"the second": {answer(200), malformed, 200},
+		"both":       {malformed, malformed, 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := racing(t, newRace(test.first, test.second), 0.02)
+			resp, body, err := b.post(t, "/safe/x", "body")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, resp.StatusCode, qt.Equals, test.status)
+			qt.Check(t, test.status == 200 || strings.Contains(body, `"notRun":false`), qt.IsTrue, qt.Commentf("%s", body))
+			qt.Check(t, b.gateway.quarantine.Len(), qt.Equals, 0)
+		})
+	}
+}
