The soak has workers answer with the status 000 and a blank in a name

Cause: its workers sent no malformed heads but those that the client of net/http refuses.

Change: two more ways to misbehave.

--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -47,7 +47,7 @@
 var behaviours = []worker.Behaviour{
 	worker.Refuse, worker.Bare503, worker.CloseWithoutAnswer, worker.Truncate, worker.WrongRequestID, worker.Unsealed,
 	worker.Error500, worker.ExtraAnswer, worker.Hang, worker.Misdirected, worker.LostHandle, worker.SlowEvents,
-	worker.Unframed, worker.UnframedShort, worker.UnframedReset,
+	worker.Unframed, worker.UnframedShort, worker.UnframedReset, worker.NoStatus, worker.BlankInName,
 	worker.AnswerAgain, worker.RefuseAgain, worker.RefuseAgainUnnamed, worker.RejectAgainUnnamed, worker.MisdirectAgain, worker.MisdirectAgainUnnamed,
 }
 
--- a/internal/standin/worker/behaviour.go
+++ b/internal/standin/worker/behaviour.go
@@ -26,6 +26,8 @@
 	Crash                        // runs the request and closes all connections and the listener, as a process that ends
 	CrashMidway                  // as Crash, after the first event of a stream
 	DarkMidway                   // as CrashMidway, but says nothing: its connections stay open and nothing listens
+	NoStatus                     // as Answer, with the status 000
+	BlankInName                  // as Answer, in chunks that are announced by a name with a blank behind it
 	// The following answer a second time where the answer to the next request on the connection is due.
 	AnswerAgain           // as Answer
 	RefuseAgain           // as Refuse
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -302,6 +303,12 @@
 		return false
 	case WrongRequestID:
 		w.write(conn, "200 OK", "another", "Carawayspread-Request-Id: other", seal)
+	case NoStatus:
+		w.write(conn, "000 None", text, id, seal)
+		return false
+	case BlankInName:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n%s\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", id, seal, len(text), text)
+		return false
 	case Unsealed:
 		w.write(conn, "200 OK", text, id)
 	case Encoded:
