What is known of an answer belongs to its request, not to its connection

Cause: net/http gives a connection to the next request a moment before the answer to the one before is handed over, if that has no body. framed.Check of the first answer, if it came that late, judged it by the head of the second, and could take back that the second ends with the connection.

Change: framed.Conn.Begin returns an Exchange, which has the request, the head of its answer and whether that ends with the connection.

Evidence: all tests of framed, direct and the gateway. No test shows the order of events that is mended.

--- a/internal/connection/direct/client.go
+++ b/internal/connection/direct/client.go
@@ -146,12 +146,13 @@
 
 func (c *Client) send(ctx context.Context, to carawayspread.Endpoint, out carawayspread.Outbound) (*carawayspread.Reply, error) {
 	var over atomic.Pointer[conn]
+	var exchange atomic.Pointer[framed.Exchange]
 	var idle atomic.Bool // the connection was open before
 	d := newDelivery(out.Proceed)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*conn); ok {
-				got.Begin(int64(len(out.Body)))
+				exchange.Store(got.Begin(int64(len(out.Body))))
 				got.give(d)
 				over.Store(got)
 				idle.Store(info.Reused)
@@ -167,7 +168,7 @@
 	close(d.returned)
 	switch sentOver := over.Load(); {
 	case err == nil && sentOver != nil:
-		return checked(newReply(resp, sentOver, d), framed.Check(resp, sentOver.Conn))
+		return checked(newReply(resp, sentOver, d), framed.Check(resp, exchange.Load()))
 	case err == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	case sentOver == nil:
--- a/internal/connection/framed/conn.go
+++ b/internal/connection/framed/conn.go
@@ -33,17 +33,23 @@
 type Conn struct {
 	net.Conn
 	clock     carawayspread.Clock
-	unmarked  atomic.Bool // the end of the connection is that of the answer
 	endOnce   sync.Once
 	ended     chan struct{} // closed once nothing more can be read
 	closeOnce sync.Once
 	closed    chan struct{}
 
 	mu      sync.Mutex
-	request request
+	latest  *Exchange // nil before the first request, and where the bytes are not those of HTTP/1
 	writing bool
 	failed  error // of a write
-	answer  headLines
+}
+
+// Exchange is one request and its answer over a Conn.
+type Exchange struct {
+	conn     *Conn
+	request  request
+	answer   headLines
+	unmarked atomic.Bool // the end of the connection is that of the answer
 }
 
 // Watch returns the connection as one to an HTTP/1 server.
@@ -51,26 +57,34 @@
 	return &Conn{Conn: conn, clock: clock, ended: make(chan struct{}), closed: make(chan struct{})}
 }
 
-// Begin begins a request with a body of that many bytes. It is called before the request is written, after all
-// that came before.
-func (c *Conn) Begin(body int64) {
+// Begin begins a request with a body of that many bytes. It is called before the request is written, once the answer
+// to the one before has arrived.
+func (c *Conn) Begin(body int64) *Exchange {
+	x := &Exchange{conn: c, request: request{body: body}}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request, c.answer = request{body: body}, headLines{}
+	c.latest = x
+	return x
 }
 
 // head returns what has arrived of the head of the answer.
-func (c *Conn) head() headLines {
+func (x *Exchange) head() headLines {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	return x.answer
+}
+
+func (c *Conn) exchange() *Exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.answer
+	return c.latest
 }
 
 // Write implements net.Conn. If the server has closed the connection, it returns only once what came before that has
 // been read: net/http drops an answer that it has not read when a write fails.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
-	if errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) {
+	if c.exchange() != nil && (errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)) {
 		select {
 		case <-c.ended:
 		case <-c.closed:
@@ -87,7 +101,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
-	c.request.add(p[:n])
+	if c.latest != nil {
+		c.latest.request.add(p[:n])
+	}
 	if err != nil {
 		c.failed = err
 	}
@@ -97,11 +113,14 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	c.answer.add(p[:n])
-	c.mu.Unlock()
-	if errors.Is(err, io.EOF) && c.unmarked.Load() {
-		err = c.proveEnd()
+	x := c.exchange()
+	if x != nil {
+		c.mu.Lock()
+		x.answer.add(p[:n])
+		c.mu.Unlock()
+	}
+	if errors.Is(err, io.EOF) && x != nil && x.unmarked.Load() {
+		err = x.proveEnd()
 	}
 	if err != nil {
 		c.endOnce.Do(func() { close(c.ended) })
@@ -117,16 +136,17 @@
 
 // proveEnd returns io.EOF once it is proved that the server has ended an answer in order, and otherwise an error that
 // says why it is not. It waits for the rest of the request.
-func (c *Conn) proveEnd() error {
+func (x *Exchange) proveEnd() error {
+	c := x.conn
 	acknowledged, since := int64(-1), c.clock.Now()
 	for {
-		sent, complete, failed := c.progress()
+		sent, complete, failed := x.progress()
 		unacknowledged, isReset := c.kernelState()
 		switch {
 		case failed != nil:
 			return fmt.Errorf("%w: the request could not be written: %w", carawayspread.ErrUnproved, failed)
 		case isReset:
-			return fmt.Errorf("%w: it was reset", carawayspread.ErrUnproved)
+			return fmt.Errorf("%w: the connection was reset", carawayspread.ErrUnproved)
 		case complete && unacknowledged == 0:
 			return io.EOF
 		}
@@ -139,17 +159,17 @@
 		}
 		select {
 		case <-c.closed:
-			return fmt.Errorf("%w: it was closed here", carawayspread.ErrUnproved)
+			return fmt.Errorf("%w: the connection was closed here", carawayspread.ErrUnproved)
 		case <-c.clock.After(settleInterval):
 		}
 	}
 }
 
 // progress returns how many bytes of the request were written, and whether these are all.
-func (c *Conn) progress() (sent int64, complete bool, failed error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.request.sent, c.request.complete() && !c.writing, c.failed
+func (x *Exchange) progress() (sent int64, complete bool, failed error) {
+	x.conn.mu.Lock()
+	defer x.conn.mu.Unlock()
+	return x.request.sent, x.request.complete() && !x.conn.writing, x.conn.failed
 }
 
 // kernelState returns how many bytes the server's host has not acknowledged, and whether the connection was reset. A
@@ -164,7 +184,7 @@
 		return 0, true // it was closed
 	}
 	err = raw.Control(func(fd uintptr) {
-		// A reset leaves what was not acknowledged as it is, so that it is seen by one of the two.
+		// In this order: what a reset kept from being acknowledged counts on, so that one of the two shows a reset.
 		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
 			unacknowledged = int64(n)
 		}
--- a/internal/connection/framed/conn_test.go
+++ b/internal/connection/framed/conn_test.go
@@ -34,7 +34,7 @@
 	head := []byte("POST / HTTP/1.1\r\n\r\n")
 	writeAll := func(c *Conn) {
 		_, err := c.Write(head)
-		for n := int64(0); n < c.request.body && err == nil; n += 1 << 20 {
+		for n := int64(0); n < c.latest.request.body && err == nil; n += 1 << 20 {
 			_, err = c.write(make([]byte, 1<<20))
 		}
 	}
@@ -66,8 +66,7 @@
 				conn := connect(t, func(conn *net.TCPConn) { test.serve(conn, proved) })
 				c := Watch(wrap(conn), &quickClock{Clock: carawayspread.SystemClock()})
 				defer func() { _ = c.Close() }()
-				c.Begin(test.body)
-				c.unmarked.Store(true)
+				c.Begin(test.body).unmarked.Store(true)
 				test.write(c)
 				_, err := c.Read(make([]byte, 1))
 				close(proved)
@@ -107,8 +106,7 @@
 	qt.Assert(t, conn.SetWriteBuffer(1<<20), qt.IsNil)
 	c := Watch(conn, carawayspread.SystemClock())
 	defer func() { _ = c.Close() }()
-	c.Begin(256 << 10)
-	c.unmarked.Store(true)
+	c.Begin(256 << 10).unmarked.Store(true)
 	_, err := c.Write(append([]byte("POST / HTTP/1.1\r\n\r\n"), make([]byte, 256<<10)...))
 	qt.Assert(t, err, qt.IsNil)
 	_, err = c.Read(make([]byte, 1))
@@ -120,6 +118,7 @@
 func TestFailedWriteWaitsForTheAnswer(t *testing.T) {
 	c := Watch(connect(t, func(conn *net.TCPConn) { _, _ = io.WriteString(conn, "answer") }), carawayspread.SystemClock())
 	defer func() { _ = c.Close() }()
+	c.Begin(8 << 20)
 	failed := make(chan error)
 	go func() {
 		var err error
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -26,11 +26,11 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
 }
 
-// Check returns an error that matches carawayspread.ErrMalformed if what arrived over the connection is not an answer.
+// Check returns an error that matches carawayspread.ErrMalformed if what arrived in the exchange is not an answer.
 // Otherwise its body can be read to a proved end. Nothing of it has been read.
-func Check(resp *http.Response, over *Conn) error {
-	over.unmarked.Store(!Marked(resp))
-	return checkHead(resp, over.head())
+func Check(resp *http.Response, x *Exchange) error {
+	x.unmarked.Store(!Marked(resp))
+	return checkHead(resp, x.head())
 }
 
 // Transport is an http.RoundTripper that returns ErrUnmarked for answers whose end nothing marks, unless they are
@@ -72,12 +72,11 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var over atomic.Pointer[Conn]
+	var over atomic.Pointer[Exchange]
 	traced := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*Conn); ok {
-				conn.Begin(req.ContentLength)
-				over.Store(conn)
+				over.Store(conn.Begin(req.ContentLength))
 			}
 		},
 	})
