Answers over TLS are read again

Cause: over TLS the connection that net/http names is that of TLS, not the framed.Conn below it, and its bytes are not those of HTTP/1.

Change: an answer over TLS has no exchange. Its head is judged as parsed; TLS marks the end of a connection, and may agree on version 2.

Evidence: TestAnswersOverTLSAreRead: red in all five cases before, green now.

--- a/internal/connection/framed/head.go
+++ b/internal/connection/framed/head.go
@@ -26,7 +26,7 @@
 		return malformed("a line of the head begins with a blank")
 	case lines.encoded && !resp.ProtoAtLeast(1, 1):
 		return malformed("version %q with an encoding for the transfer", resp.Proto)
-	case resp.ProtoMajor != 1:
+	case resp.ProtoMajor != 1 && resp.TLS == nil: // TLS may agree on another version
 		return malformed("version %q", resp.Proto)
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return malformed("status %q", resp.Status)
--- a/internal/connection/framed/transport.go
+++ b/internal/connection/framed/transport.go
@@ -27,8 +27,12 @@
 }
 
 // Check returns an error that matches carawayspread.ErrMalformed if what arrived in the exchange is not an answer.
-// Otherwise its body can be read to a proved end. Nothing of it has been read.
+// Otherwise its body can be read to a proved end. Nothing of it has been read. An answer over TLS has no exchange: its
+// bytes are not those of HTTP/1 on the connection, and TLS marks the end of a connection.
 func Check(resp *http.Response, x *Exchange) error {
+	if x == nil {
+		return checkHead(resp, headLines{})
+	}
 	x.unmarked.Store(!Marked(resp))
 	return checkHead(resp, x.head())
 }
@@ -84,7 +88,7 @@
 	switch {
 	case err != nil:
 		return nil, err
-	case over.Load() == nil:
+	case over.Load() == nil && resp.TLS == nil:
 		return nil, errors.Join(errNoConn, resp.Body.Close())
 	}
 	err = Check(resp, over.Load())
--- a/internal/connection/framed/transport_test.go
+++ b/internal/connection/framed/transport_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -155,3 +157,51 @@
 		},
 	}
 }
+
+// Guards against answers over TLS that are refused since their bytes are not those of HTTP/1 on the connection.
+func TestAnswersOverTLSAreRead(t *testing.T) {
+	for name, test := range map[string]struct {
+		http2  bool
+		header http.Header
+	}{
+		"a length":   {false, http.Header{"Content-Length": {"9"}}},
+		"chunks":     {false, http.Header{}},
+		"unmarked":   {false, http.Header{"Transfer-Encoding": {"identity"}}},
+		"version 2":  {true, http.Header{}},
+		"no content": {false, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			want := "the whole"
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if test.header == nil {
+					w.WriteHeader(http.StatusNoContent)
+					return
+				}
+				maps.Copy(w.Header(), test.header)
+				_, _ = io.WriteString(w, want[:4])
+				_ = http.NewResponseController(w).Flush()
+				_, _ = io.WriteString(w, want[4:])
+			}))
+			server.EnableHTTP2 = test.http2
+			server.StartTLS()
+			t.Cleanup(server.Close)
+			next := server.Client().Transport.(*http.Transport)
+			next.ForceAttemptHTTP2 = test.http2
+			next.DialContext = nil // to the address of the server itself
+			transport := framed.New(next, framed.AllowUnmarked())
+			defer transport.CloseIdleConnections()
+			for range 2 {
+				req, err := http.NewRequest(http.MethodPost, server.URL, strings.NewReader(strings.Repeat("x", 1<<20)))
+				qt.Assert(t, err, qt.IsNil)
+				resp, err := transport.RoundTrip(req)
+				qt.Assert(t, err, qt.IsNil)
+				body, err := io.ReadAll(resp.Body)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, resp.Body.Close(), qt.IsNil)
+				qt.Check(t, resp.ProtoMajor == 2, qt.Equals, test.http2)
+				qt.Check(t, test.header == nil || string(body) == want, qt.IsTrue, qt.Commentf("%q", body))
+			}
+		})
+	}
+}
