A stream with its closing event is whole, whatever ends its connection

Callers behind an entry and a sidecar would have had a whole stream broken off: an engine sent the closing event without a length, ended its side in order, and reset the connection while the request was still being written.

Cause: an end that proves nothing was taken for a cut, though the closing event proves the end in any framing.

Change: such an end behind the closing event is that of a whole answer.

Evidence: TestWholeAnswerToAnUploadIsComplete, "ends with its closing event, and is reset": red three times of three before, green now, and green on.

Also gives the check for a malformed answer its name in the gateway.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -213,7 +213,7 @@
 		err = carawayspread.ErrNoMemory
 	}
 	switch {
-	case errors.Is(err, carawayspread.ErrNoMemory), errors.Is(err, carawayspread.ErrMalformed): // the endpoint runs
+	case errors.Is(err, carawayspread.ErrNoMemory), isMalformed(err): // the endpoint runs
 		c.sends++
 		c.ran++
 		c.exclude[at.Endpoint.ID()] = true
--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -123,9 +123,11 @@
 	c.g.set.GetOrCreateCounter(`gateway_failed_attempts_total{phase="` + phase.String() + `"}`).Inc()
 }
 
-// countMalformed counts an attempt that failed with an error that matches carawayspread.ErrMalformed.
+func isMalformed(err error) bool { return errors.Is(err, carawayspread.ErrMalformed) }
+
+// countMalformed counts an attempt that failed with err if its answer was malformed.
 func (c *call) countMalformed(err error, phase carawayspread.Phase) {
-	if errors.Is(err, carawayspread.ErrMalformed) {
+	if isMalformed(err) {
 		c.g.set.GetOrCreateCounter(`gateway_malformed_answers_total{phase="` + phase.String() + `"}`).Inc()
 	}
 }
--- a/internal/process/gateway/heads_test.go
+++ b/internal/process/gateway/heads_test.go
@@ -42,9 +42,9 @@
 	return b, got, count.Load()
 }
 
-// isMalformed checks that an answer of endpoints did not reach the caller, who got a final answer that does not say
+// checkMalformed checks that an answer of endpoints did not reach the caller, who got a final answer that does not say
 // that the request has not run.
-func isMalformed(t *testing.T, b *harness, path string, got received, arrived int32) {
+func checkMalformed(t *testing.T, b *harness, path string, got received, arrived int32) {
 	t.Helper()
 	b.log.Flush()
 	qt.Check(t, b.lines.String(), qt.Contains, "malformed")
@@ -73,7 +73,7 @@
 		for _, path := range uploadPaths {
 			t.Run(name+path, func(t *testing.T) {
 				b, got, arrived := answeredWith(t, path, line+"\r\n"+answerFields+"Content-Length: 10\r\n\r\n"+tenBytes)
-				isMalformed(t, b, path, got, arrived)
+				checkMalformed(t, b, path, got, arrived)
 			})
 		}
 	}
@@ -129,7 +129,7 @@
 						body = wholeStream
 					}
 					b, got, arrived := answeredWith(t, path, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+body)
-					isMalformed(t, b, path, got, arrived)
+					checkMalformed(t, b, path, got, arrived)
 				})
 			}
 		}
@@ -141,7 +141,7 @@
 	for _, path := range uploadPaths {
 		t.Run(path, func(t *testing.T) {
 			b, got, arrived := answeredWith(t, path, "HTTP/1.0 200 OK\r\n"+answerFields+"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
-			isMalformed(t, b, path, got, arrived)
+			checkMalformed(t, b, path, got, arrived)
 		})
 	}
 }
--- a/internal/process/gateway/hedge.go
+++ b/internal/process/gateway/hedge.go
@@ -142,7 +142,7 @@
 	switch {
 	case errors.Is(r.err, carawayspread.ErrUnsent):
 		outcome = c.recordUnsent(ctx, r.at)
-	case errors.Is(r.err, carawayspread.ErrMalformed): // the endpoint runs
+	case isMalformed(r.err): // the endpoint runs
 		c.sends++
 		c.ran++
 		c.exclude[r.at.Endpoint.ID()] = true
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -32,7 +32,7 @@
 		return ctx.Err() == nil, err
 	}
 	c.sends++
-	if isEndless(err) || errors.Is(err, carawayspread.ErrMalformed) { // the endpoint runs
+	if isEndless(err) || isMalformed(err) { // the endpoint runs
 		c.exclude[at.Endpoint.ID()] = true
 		if isEndless(err) {
 			_, err = c.rejectEndless(at.Endpoint, err)
--- a/internal/process/sidecar/answer.go
+++ b/internal/process/sidecar/answer.go
@@ -45,7 +45,7 @@
 	sum := sidecarhttp.NewSum()
 	tail, err := copyFlushing(w, resp.Body, sum)
 	end := ending(resp, tail, err)
-	if errors.Is(err, carawayspread.ErrUnproved) {
+	if end == sidecarhttp.EndCut && errors.Is(err, carawayspread.ErrUnproved) {
 		s.set.GetOrCreateCounter(`carawayspread_unproved_ends_total`).Inc()
 	}
 	if end == sidecarhttp.EndCut {
@@ -62,9 +62,11 @@
 // ending decides whether an answer is complete. HTTP detects a cut if the body is
 // framed by a length or by chunks. A stream of events must contain its last event,
 // since an engine that aborts may close its stream properly; this proves the end in
-// any framing.
+// any framing, also where the end of the connection proves nothing.
 func ending(resp *http.Response, tail []byte, err error) string {
 	switch {
+	case errors.Is(err, carawayspread.ErrUnproved) && isStream(resp) && endsWithClosingEvent(tail):
+		return sidecarhttp.EndWhole
 	case err != nil || isStream(resp) && !endsWithClosingEvent(tail):
 		return sidecarhttp.EndCut
 	case isStream(resp) || framed.Marked(resp):
--- a/internal/process/sidecar/broken_test.go
+++ b/internal/process/sidecar/broken_test.go
@@ -94,23 +94,31 @@
 func TestWholeAnswerToAnUploadIsComplete(t *testing.T) {
 	readAll := func(_ *raw.Server, _ *net.TCPConn, upload io.Reader) { _, _ = io.Copy(io.Discard, upload) }
 	for name, test := range map[string]struct {
-		head string
-		goOn func(*raw.Server, *net.TCPConn, io.Reader)
+		head, body string
+		goOn       func(*raw.Server, *net.TCPConn, io.Reader)
 	}{
-		"reads all, then ends": {unframed, readAll},
-		"ends, then reads all": {unframed, func(s *raw.Server, conn *net.TCPConn, upload io.Reader) {
+		"reads all, then ends": {unframed, "the whole", readAll},
+		"ends, then reads all": {unframed, "the whole", func(s *raw.Server, conn *net.TCPConn, upload io.Reader) {
 			_ = conn.CloseWrite()
 			readAll(s, conn, upload)
 		}},
-		"has a length": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", readAll},
+		"has a length": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "the whole", readAll},
+		"ends with its closing event, and is reset": {
+			strings.Replace(unframed, "\r\n", "\r\n"+streamHeader, 1), events + closing,
+			func(_ *raw.Server, conn *net.TCPConn, _ io.Reader) {
+				_ = conn.CloseWrite()
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.SetLinger(0)
+			},
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			status, body, err := upload(t, func(server *raw.Server, conn *net.TCPConn, upload io.Reader) {
-				_, _ = io.WriteString(conn, test.head+"the whole")
+				_, _ = io.WriteString(conn, test.head+test.body)
 				test.goOn(server, conn, upload)
 			})
 			qt.Check(t, err, qt.IsNil)
-			qt.Check(t, fmt.Sprint(status, " ", body), qt.Equals, "200 the whole")
+			qt.Check(t, fmt.Sprint(status, " ", body), qt.Equals, "200 "+test.body)
 		})
 	}
 }
