--- a/internal/connection/framed/conn_test.go
+++ b/internal/connection/framed/conn_test.go
@@ -98,9 +98,11 @@
 // Guards against the end of a connection that counts as that of a whole answer, though its server resets it once the
 // rest of the request arrives, all of which has left this process.
 func TestEndBeforeTheRequestArrivedIsNotProved(t *testing.T) {
+	written := make(chan struct{})
 	conn := connect(t, func(conn *net.TCPConn) {
 		_ = conn.CloseWrite()
-		time.Sleep(50 * time.Millisecond)
+		<-written
+		time.Sleep(20 * time.Millisecond)
 		_ = conn.SetLinger(0)
 	})
 	qt.Assert(t, conn.SetWriteBuffer(1<<20), qt.IsNil)
@@ -108,6 +110,7 @@
 	defer func() { _ = c.Close() }()
 	c.Begin(256 << 10).unmarked.Store(true)
 	_, err := c.Write(append([]byte("POST / HTTP/1.1\r\n\r\n"), make([]byte, 256<<10)...))
+	close(written)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = c.Read(make([]byte, 1))
 	qt.Check(t, err, qt.ErrorIs, carawayspread.ErrUnproved)
