The raw stand-in bounds its sockets by itself

Cause: the stand-in took the bound of its receive buffers from the product's package for callers, which stand-ins do not import.

Change: the stand-in sets the bound itself.

--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -3,17 +3,17 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"carawayspread/internal/connection/callers"
 )
 
 // Server answers each request on a connection of its own, which ends with the answer.
@@ -41,20 +41,25 @@
 }
 
 func start(s *Server) (*Server, error) {
-	listener, err := net.Listen("tcp4", ownAddress())
-	if err != nil {
-		return nil, err
-	}
+	var config net.ListenConfig
 	if s.unread {
-		if err := callers.BoundReceiveBuffers(listener.(*net.TCPListener), unreadBuffer); err != nil {
-			return nil, err
-		}
+		config.Control = boundReceiveBuffers
+	}
+	var err error
+	if s.listener, err = config.Listen(context.Background(), "tcp4", ownAddress()); err != nil {
+		return nil, err
 	}
-	s.listener = listener
 	go s.serve()
 	return s, nil
 }
 
+// boundReceiveBuffers bounds what the kernel receives for each connection of a listener.
+func boundReceiveBuffers(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, unreadBuffer) })
+	return errors.Join(err, failed)
+}
+
 // ownAddress returns a loopback address for this process, with any port.
 func ownAddress() string {
 	pid := os.Getpid()
